--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# Pinned version of the linter, installed as a tool of the project's own.
+LINT_VERSION := v2.15.0
+LINT := .tools/golangci-lint
+
+.PHONY: all build test race vet fmt lint check tools fuzz
+
+all: build
+
+build:
+	go build -o bin/ ./cmd/...
+
+tools: $(LINT)
+
+$(LINT):
+	mkdir -p .tools
+	GOBIN=$(CURDIR)/.tools go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+
+fmt: $(LINT)
+	$(LINT) fmt ./...
+
+vet:
+	go vet ./...
+
+lint: $(LINT)
+	$(LINT) fmt --diff ./...
+	$(LINT) run --allow-parallel-runners ./...
+
+# The README's test command: everything that CI runs.
+test: build vet lint race
+
+race:
+	.ci/gotest
--- /dev/null
+++ b/cmd/banyanshift/main.go
@@ -0,0 +1,4 @@
+// Command banyanshift is filled in by the packages that it starts.
+package main
+
+func main() {}
--- /dev/null
+++ b/coord/clock/clock.go
@@ -0,0 +1,103 @@
+// Package clock is the one notion of time used by this project: milliseconds
+// counted from an arbitrary start by a clock that never goes backwards.
+//
+// Instants and durations are both Millis. An instant is only comparable with
+// instants of the same Clock; in particular instants of two processes are never
+// compared. The system clock counts the time that the machine spends suspended,
+// so that a lease which lapsed during a suspension is seen to have lapsed.
+//
+// # Usage
+//
+// Code that needs time takes a Clock and calls its functions:
+//
+//	func New(clk clock.Clock) *Cache
+//
+//	now := c.clock.Now()
+//	if now-c.loaded > maxAge { ... }
+//
+// Tests pass the Clock of a Manual and move it by hand:
+//
+//	manual := clock.NewManual(0)
+//	cache := New(manual.Clock())
+//	manual.Advance(5 * clock.Second)
+package clock
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Millis is an instant or a duration in milliseconds.
+type Millis int64
+
+// Durations in milliseconds.
+const (
+	Millisecond Millis = 1
+	Second             = 1000 * Millisecond
+	Minute             = 60 * Second
+	Hour               = 60 * Minute
+)
+
+// Duration converts m to the standard library's type.
+func (m Millis) Duration() time.Duration {
+	return time.Duration(m) * time.Millisecond
+}
+
+// Seconds converts m to seconds.
+func (m Millis) Seconds() float64 {
+	return float64(m) / float64(Second)
+}
+
+// String formats m as the standard library formats a duration.
+func (m Millis) String() string {
+	return m.Duration().String()
+}
+
+// FromDuration converts d to Millis, rounding towards zero.
+func FromDuration(d time.Duration) Millis {
+	return Millis(d / time.Millisecond)
+}
+
+// Clock tells the time and waits. All fields must be set.
+type Clock struct {
+	// Now returns the current instant. It never goes backwards.
+	Now func() Millis
+	// Wall returns milliseconds since the Unix epoch, for records that people
+	// read. Decisions never depend on it.
+	Wall func() Millis
+	// Sleep returns nil after d, or the context's error if it ends first.
+	Sleep func(ctx context.Context, d Millis) error
+}
+
+// System returns the clock of this machine. It counts suspended time.
+func System() Clock {
+	return Clock{Now: bootTime, Wall: wallTime, Sleep: sleep}
+}
+
+func bootTime() Millis {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		panic("clock: CLOCK_BOOTTIME is not available: " + err.Error())
+	}
+	return Millis(ts.Sec)*Second + Millis(ts.Nsec/int64(time.Millisecond))
+}
+
+func wallTime() Millis {
+	return Millis(time.Now().UnixMilli())
+}
+
+func sleep(ctx context.Context, d Millis) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d.Duration())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/coord/clock/manual.go
@@ -0,0 +1,78 @@
+package clock
+
+import (
+	"context"
+	"sync"
+)
+
+// Manual is a clock for tests that moves only when told to.
+type Manual struct {
+	mu      sync.Mutex
+	now     Millis
+	waiters map[chan struct{}]Millis
+}
+
+// NewManual returns a Manual that stands at start.
+func NewManual(start Millis) *Manual {
+	return &Manual{now: start, waiters: make(map[chan struct{}]Millis)}
+}
+
+// Clock returns a Clock that reads m. Its Wall equals its Now.
+func (m *Manual) Clock() Clock {
+	return Clock{Now: m.Now, Wall: m.Now, Sleep: m.sleep}
+}
+
+// Now returns the instant at which m stands.
+func (m *Manual) Now() Millis {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.now
+}
+
+// Advance moves m forward by d and wakes the sleepers whose time has come.
+func (m *Manual) Advance(d Millis) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.now += d
+	for wake, due := range m.waiters {
+		if due <= m.now {
+			close(wake)
+			delete(m.waiters, wake)
+		}
+	}
+}
+
+// Sleepers returns how many calls of Sleep are waiting.
+func (m *Manual) Sleepers() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.waiters)
+}
+
+func (m *Manual) sleep(ctx context.Context, d Millis) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	wake := m.register(d)
+	select {
+	case <-wake:
+		return nil
+	case <-ctx.Done():
+		m.forget(wake)
+		return ctx.Err()
+	}
+}
+
+func (m *Manual) register(d Millis) chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	wake := make(chan struct{})
+	m.waiters[wake] = m.now + d
+	return wake
+}
+
+func (m *Manual) forget(wake chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.waiters, wake)
+}
--- /dev/null
+++ b/internal/peer/message/message.go
@@ -0,0 +1,33 @@
+// Package message numbers the kinds of message that daemons exchange. The
+// bodies are defined by the packages that speak each protocol.
+package message
+
+// Type is the number of a kind of message. Numbers are never reused.
+type Type uint16
+
+// The kinds of message, in blocks of 16 for each protocol.
+const (
+	// Membership.
+	Probe         Type = 0x10
+	IndirectProbe Type = 0x11
+	Leave         Type = 0x12
+	// Configuration.
+	ConfigHead     Type = 0x20
+	ConfigDeltas   Type = 0x21
+	ConfigSnapshot Type = 0x22
+	ConfigDeny     Type = 0x23
+	ConfigPropose  Type = 0x24
+	// Scheduling.
+	BrokerAsk     Type = 0x30
+	BrokerGrant   Type = 0x31
+	BrokerRelease Type = 0x32
+	BrokerCancel  Type = 0x33
+	BrokerState   Type = 0x34
+	// Usage.
+	UsageReplicate Type = 0x40
+	UsageAck       Type = 0x41
+	// Endpoints.
+	EndpointNews Type = 0x50
+	// Claims.
+	ClaimLookup Type = 0x60
+)
--- /dev/null
+++ b/internal/platform/object/object.go
@@ -0,0 +1,23 @@
+// Package object reads and writes the platform's object store.
+package object
+
+import (
+	"context"
+	"errors"
+)
+
+// Errors that a Client's functions return, possibly wrapped.
+var (
+	// ErrNotFound says that there is no object of that name.
+	ErrNotFound = errors.New("object: not found")
+	// ErrUnavailable says that the service did not answer.
+	ErrUnavailable = errors.New("object: service unavailable")
+)
+
+// Client gives access to the object store. All fields must be set.
+type Client struct {
+	// Get reads a whole object.
+	Get func(ctx context.Context, name string) ([]byte, error)
+	// Put writes a whole object, replacing what was there.
+	Put func(ctx context.Context, name string, data []byte) error
+}
--- /dev/null
+++ b/internal/platform/order/order.go
@@ -0,0 +1,41 @@
+// Package order lists the platform's endpoints and gives it orders to start
+// and stop them by failure domain.
+package order
+
+import "github.com/banyanshift/banyanshift/internal/config/entity"
+
+// Kind says what an order asks for.
+type Kind string
+
+// The kinds of order.
+const (
+	Start Kind = "Start"
+	Stop  Kind = "Stop"
+	// LoadModel, LoadAdapter and SetRole are given to the engine itself.
+	LoadModel   Kind = "LoadModel"
+	LoadAdapter Kind = "LoadAdapter"
+	SetRole     Kind = "SetRole"
+)
+
+// Order asks for one change. Giving an order with the same ID again has no
+// further effect.
+type Order struct {
+	ID string
+	// Scope is the region whose lease holder gives the order.
+	Scope string
+	// Fence is the fencing number of the holder's lease.
+	Fence uint64
+	// Holder names the daemon that gives the order, for the record.
+	Holder        string
+	Kind          Kind
+	Backend       string
+	FailureDomain string
+	Market        entity.Market
+	// EndpointID is the endpoint that the order is for; for Start the name
+	// that the new endpoint gets.
+	EndpointID string
+	// Model, Adapter and Role are set by the kinds that need them.
+	Model   string
+	Adapter string
+	Role    string
+}
--- /dev/null
+++ b/internal/platform/vmlist/vmlist.go
@@ -0,0 +1,15 @@
+// Package vmlist reads the platform's list of the VMs that run the system. The
+// list lags behind the truth by seconds.
+package vmlist
+
+// VM is one entry of the list.
+type VM struct {
+	// ID is the name of the VM, the Daemon.ID of the process on it.
+	ID string
+	// Address is host:port of the daemon's peer interface.
+	Address       string
+	Region        string
+	FailureDomain string
+	// Leaving VMs are being shut down.
+	Leaving bool
+}
