Define the operators' interface in protobuf

The operators' server and the command line need one schema. 'make proto' generates the committed code.

--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,12 @@
 
 race:
 	.ci/gotest
+
+# Generates the code of the operators' interface. It needs protoc with
+# protoc-gen-go and protoc-gen-go-grpc on the path; the result is committed, so
+# that a build needs none of them.
+.PHONY: proto
+proto:
+	protoc --go_out=. --go_opt=paths=source_relative \
+		--go-grpc_out=. --go-grpc_opt=paths=source_relative \
+		proto/operator/v1/operator.proto
