--- /dev/null
+++ b/internal/peer/frame/frame_test.go
@@ -0,0 +1,76 @@
+package frame
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"testing"
+
+	"github.com/banyanshift/banyanshift/internal/peer/message"
+)
+
+func TestReadReturnsWhatWriteWrote(t *testing.T) {
+	want := Frame{Kind: Request, Type: message.Probe, ID: 1 << 40, Body: []byte("body")}
+	var buf bytes.Buffer
+	if err := Write(&buf, want); err != nil {
+		t.Fatal(err)
+	}
+	got, err := Read(&buf, MaxBodyBytes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.Kind != want.Kind || got.Type != want.Type || got.ID != want.ID || !bytes.Equal(got.Body, want.Body) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
+func TestReadRefusesMalformedFrames(t *testing.T) {
+	valid, err := Append(nil, Frame{Kind: OneWay, Body: []byte("0123456789")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	change := func(at int, value byte) []byte {
+		data := append([]byte(nil), valid...)
+		data[at] = value
+		return data
+	}
+	tests := []struct {
+		name string
+		data []byte
+		want error
+	}{
+		{"another version", change(0, 9), ErrVersion},
+		{"kind zero", change(1, 0), ErrKind},
+		{"unknown kind", change(1, 200), ErrKind},
+		{"length over the limit", change(12, 255), ErrTooLarge},
+		{"cut in the header", valid[:7], io.ErrUnexpectedEOF},
+		{"cut after the header", valid[:headerBytes], io.ErrUnexpectedEOF},
+		{"cut in the body", valid[:headerBytes+3], io.ErrUnexpectedEOF},
+		{"nothing", nil, io.EOF},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if _, err := Read(bytes.NewReader(tt.data), 1<<20); !errors.Is(err, tt.want) {
+				t.Errorf("got %v, want %v", err, tt.want)
+			}
+		})
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	seed, _ := Append(nil, Frame{Kind: Hello, Body: []byte{0x81, 0xa1, 'A', 0x01}})
+	f.Add(seed)
+	f.Add([]byte{1, 2, 0, 0})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		got, err := Read(bytes.NewReader(data), 1<<16)
+		if err != nil {
+			return
+		}
+		again, err := Append(nil, got)
+		if err != nil || !bytes.Equal(again, data[:len(again)]) {
+			t.Errorf("frame %+v does not encode to what it was read from", got)
+		}
+		var body struct{ A int }
+		_ = Decode(got.Body, &body)
+	})
+}
