--- a/internal/platform/object/object.go
+++ b/internal/platform/object/object.go
@@ -1,4 +1,13 @@
 // Package object reads and writes the platform's object store.
+//
+// # Usage
+//
+//	client := object.New("http://10.0.0.1:8000", httpClient)
+//	data, err := client.Get(ctx, "Config/Snapshot/17")
+//	if errors.Is(err, object.ErrNotFound) { ... }
+//
+// An error of Put leaves open whether the object was written; writing it again
+// is always safe.
 package object
 
 import (
--- a/internal/platform/order/order.go
+++ b/internal/platform/order/order.go
@@ -1,5 +1,15 @@
 // Package order lists the platform's endpoints and gives it orders to start
 // and stop them by failure domain.
+//
+// # Usage
+//
+//	client := order.New("http://10.0.0.1:8000", httpClient)
+//	endpoints, err := client.Endpoints(ctx)
+//	err = client.Give(ctx, order.Order{ID: "sask-central/17", Kind: order.Start, ...})
+//
+// An order is sent at most once by each call. Over a guarded connection, pass
+// an http.Client whose transport dials through the guard. Orders to the engine
+// itself are given by a client whose base URL is the engine's.
 package order
 
 import "github.com/banyanshift/banyanshift/internal/config/entity"
--- /dev/null
+++ b/internal/platform/rest/rest_test.go
@@ -0,0 +1,126 @@
+package rest
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+func failureOf(t *testing.T, err error) *Failure {
+	t.Helper()
+	var failure *Failure
+	if !errors.As(err, &failure) {
+		t.Fatalf("got %v, want a *Failure", err)
+	}
+	return failure
+}
+
+func TestCallClassifiesFailures(t *testing.T) {
+	tests := []struct {
+		name        string
+		status      int
+		cut         bool
+		nothingDone bool
+	}{
+		{"too many requests", 429, false, true},
+		{"unavailable", 503, false, true},
+		{"conflict", 409, false, false},
+		{"internal error", 500, false, false},
+		{"bad gateway", 502, false, false},
+		{"redirect", 307, false, false},
+		{"cut after sending", 0, true, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if test.cut {
+					panic(http.ErrAbortHandler)
+				}
+				w.Header().Set("Location", "/elsewhere")
+				w.WriteHeader(test.status)
+			}))
+			defer server.Close()
+			err := New(server.URL, server.Client()).Call(context.Background(), "POST", "/x", 1, nil)
+			failure := failureOf(t, err)
+			if failure.NothingDone() != test.nothingDone || failure.Status != test.status {
+				t.Errorf("got %+v", failure)
+			}
+		})
+	}
+}
+
+func TestCallNotSentWhenNobodyListens(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	listener.Close()
+	err = New("http://"+address, http.DefaultClient).Call(context.Background(), "POST", "/x", 1, nil)
+	if failureOf(t, err).Sent {
+		t.Error("a refused connection counts as sent")
+	}
+}
+
+// closingServer answers the first request of each connection properly and
+// reads a second one before it closes the connection without an answer.
+type closingServer struct {
+	listener net.Listener
+	requests atomic.Int64
+}
+
+func (s *closingServer) loop() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.run(conn)
+	}
+}
+
+func (s *closingServer) run(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for i := range 2 {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		buffer := make([]byte, request.ContentLength)
+		request.Body.Read(buffer)
+		s.requests.Add(1)
+		if i == 0 {
+			conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"))
+		}
+	}
+}
+
+func TestStaleConnectionIsNotReplayed(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	server := &closingServer{listener: listener}
+	go server.loop()
+	transport := &http.Transport{MaxIdleConns: 1}
+	defer transport.CloseIdleConnections()
+	client := New("http://"+listener.Addr().String(), &http.Client{Transport: transport, Timeout: 10 * time.Second})
+	if err := client.Call(context.Background(), "POST", "/commit", 1, nil); err != nil {
+		t.Fatal(err)
+	}
+	err = client.Call(context.Background(), "POST", "/commit", 2, nil)
+	if failure := failureOf(t, err); !failure.Sent || failure.Status != 0 {
+		t.Errorf("got %+v, want a call that was sent and not answered", failure)
+	}
+	if got := server.requests.Load(); got != 2 {
+		t.Errorf("server saw %d requests, want 2: the transport replayed one", got)
+	}
+}
--- /dev/null
+++ b/internal/platform/table/client.go
@@ -0,0 +1,95 @@
+// Package table is the client of the platform's transactional table service.
+//
+// # Usage
+//
+//	client := table.New("http://10.0.0.1:8000", httpClient)
+//	row, err := client.Get(ctx, "Lease/sask-central")
+//
+// The functions return the errors of the package coord/table. Commit sends a
+// transaction at most once: a lost answer is table.ErrUnknown, never a second
+// transaction.
+package table
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/samber/oops"
+
+	"github.com/banyanshift/banyanshift/coord/table"
+	"github.com/banyanshift/banyanshift/internal/platform/rest"
+)
+
+// GetQuery is the body of /table/get.
+type GetQuery struct {
+	Key string
+}
+
+// ScanQuery is the body of /table/scan.
+type ScanQuery struct {
+	Prefix string
+	After  string
+	Limit  int
+}
+
+// ScanAnswer is the answer of /table/scan.
+type ScanAnswer struct {
+	Rows []table.Row
+}
+
+type service struct {
+	rest *rest.Client
+}
+
+// New returns a client of the table service at baseURL.
+func New(baseURL string, httpClient *http.Client) table.Client {
+	s := &service{rest: rest.New(baseURL, httpClient)}
+	return table.Client{Get: s.get, Scan: s.scan, Commit: s.commit}
+}
+
+func (s *service) get(ctx context.Context, key string) (row table.Row, err error) {
+	defer func() { err = oops.Wrapf(err, "get row %s", key) }()
+	err = readError(s.rest.Call(ctx, http.MethodPost, "/table/get", GetQuery{Key: key}, &row))
+	return row, err
+}
+
+func (s *service) scan(ctx context.Context, prefix, after string, limit int) (rows []table.Row, err error) {
+	defer func() { err = oops.Wrapf(err, "scan rows %s", prefix) }()
+	query := ScanQuery{Prefix: prefix, After: after, Limit: limit}
+	var answer ScanAnswer
+	err = readError(s.rest.Call(ctx, http.MethodPost, "/table/scan", query, &answer))
+	return answer.Rows, err
+}
+
+func (s *service) commit(ctx context.Context, txn table.Txn) (err error) {
+	defer func() { err = oops.Wrapf(err, "commit %d writes", len(txn.Writes)) }()
+	return commitError(s.rest.Call(ctx, http.MethodPost, "/table/commit", txn, nil))
+}
+
+// readError maps every failed read to ErrUnavailable: a read changes nothing.
+func readError(err error) error {
+	if err == nil {
+		return nil
+	}
+	return fmt.Errorf("%w: %w", table.ErrUnavailable, err)
+}
+
+func commitError(err error) error {
+	if err == nil {
+		return nil
+	}
+	var failure *rest.Failure
+	if !errors.As(err, &failure) {
+		return fmt.Errorf("%w: %w", table.ErrUnknown, err)
+	}
+	switch {
+	case failure.Status == http.StatusConflict:
+		return fmt.Errorf("%w: %w", table.ErrConflict, err)
+	case failure.NothingDone():
+		return fmt.Errorf("%w: %w", table.ErrUnavailable, err)
+	default:
+		return fmt.Errorf("%w: %w", table.ErrUnknown, err)
+	}
+}
--- a/internal/platform/usage/usage.go
+++ b/internal/platform/usage/usage.go
@@ -1,4 +1,13 @@
 // Package usage reports sealed usage windows to the platform's billing.
+//
+// # Usage
+//
+//	client := usage.New("http://10.0.0.1:8000", httpClient)
+//	err := client.Report(usage.WithSender(ctx, daemonID, fence), window)
+//
+// Any error but ErrConflict leaves the window to be reported again, with the
+// same content. Over a guarded connection, pass an http.Client whose transport
+// dials through the guard.
 package usage
 
 import "github.com/banyanshift/banyanshift/coord/clock"
--- a/internal/platform/vmlist/vmlist.go
+++ b/internal/platform/vmlist/vmlist.go
@@ -1,5 +1,10 @@
 // Package vmlist reads the platform's list of the VMs that run the system. The
 // list lags behind the truth by seconds.
+//
+// # Usage
+//
+//	client := vmlist.New("http://10.0.0.1:8000", httpClient)
+//	vms, err := client.List(ctx)
 package vmlist
 
 // VM is one entry of the list.
