--- /dev/null
+++ b/coord/changelog/snapshot.go
@@ -0,0 +1,116 @@
+package changelog
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+
+	"github.com/samber/oops"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/banyanshift/banyanshift/coord/table"
+)
+
+// tailPage is how many changes Load reads at a time.
+const tailPage = 500
+
+// ErrSnapshotDamaged says that a stored snapshot is not what was written.
+var ErrSnapshotDamaged = errors.New("changelog: snapshot is damaged")
+
+// snapshotRow is the value of the row that points to the newest snapshot.
+type snapshotRow struct {
+	Sequence uint64
+	Object   string
+	Digest   [sha256.Size]byte
+}
+
+func (l *Log) snapshotKey() string { return l.config.Prefix + "/Snapshot" }
+
+// SaveSnapshot stores the snapshot and makes it the newest, unless there is a
+// newer one. Processes may save at the same time: objects are named for their
+// content and the pointer to the newest only moves forward.
+func (l *Log) SaveSnapshot(ctx context.Context, snapshot Snapshot) (err error) {
+	defer func() { err = oops.Wrapf(err, "save snapshot %d", snapshot.Sequence) }()
+	row, newest, err := l.readSnapshotRow(ctx)
+	if err != nil {
+		return err
+	}
+	if newest.Sequence >= snapshot.Sequence {
+		return nil
+	}
+	data, err := msgpack.Marshal(snapshot)
+	if err != nil {
+		return err
+	}
+	pointer := snapshotRow{Sequence: snapshot.Sequence, Digest: sha256.Sum256(data)}
+	pointer.Object = fmt.Sprintf("%s-%020d-%x", l.snapshotKey(), snapshot.Sequence, pointer.Digest[:8])
+	if err := l.config.Objects.Put(ctx, pointer.Object, data); err != nil {
+		return err
+	}
+	value, err := msgpack.Marshal(pointer)
+	if err != nil {
+		return err
+	}
+	return l.config.Table.Commit(ctx, table.Txn{
+		Conditions: []table.Condition{{Key: row.Key, Version: row.Version}},
+		Writes:     []table.Write{{Key: row.Key, Value: value}},
+	})
+}
+
+// SnapshotSequence returns the sequence number of the newest snapshot, 0 for
+// none.
+func (l *Log) SnapshotSequence(ctx context.Context) (sequence uint64, err error) {
+	defer func() { err = oops.Wrapf(err, "read snapshot pointer") }()
+	_, newest, err := l.readSnapshotRow(ctx)
+	return newest.Sequence, err
+}
+
+func (l *Log) readSnapshotRow(ctx context.Context) (table.Row, snapshotRow, error) {
+	row, err := l.config.Table.Get(ctx, l.snapshotKey())
+	if err != nil {
+		return table.Row{}, snapshotRow{}, err
+	}
+	newest, err := decodeRow[snapshotRow](row)
+	return row, newest, err
+}
+
+// LoadSnapshot returns the newest snapshot, the empty one when there is none.
+func (l *Log) LoadSnapshot(ctx context.Context) (snapshot Snapshot, err error) {
+	defer func() { err = oops.Wrapf(err, "load snapshot") }()
+	_, newest, err := l.readSnapshotRow(ctx)
+	if err != nil || newest.Sequence == 0 {
+		return Snapshot{}, err
+	}
+	data, err := l.config.Objects.Get(ctx, newest.Object)
+	if err != nil {
+		return Snapshot{}, err
+	}
+	if sha256.Sum256(data) != newest.Digest {
+		return Snapshot{}, ErrSnapshotDamaged
+	}
+	err = msgpack.Unmarshal(data, &snapshot)
+	return snapshot, err
+}
+
+// Load returns the newest snapshot and all changes that follow it. When the
+// snapshot cannot be read it returns the empty snapshot and the whole log.
+func (l *Log) Load(ctx context.Context) (snapshot Snapshot, tail []Change, err error) {
+	defer func() { err = oops.Wrapf(err, "load log") }()
+	snapshot, err = l.LoadSnapshot(ctx)
+	if err != nil {
+		snapshot = Snapshot{}
+	}
+	after := snapshot.Sequence
+	for {
+		page, err := l.Tail(ctx, after, tailPage)
+		if err != nil {
+			return Snapshot{}, nil, err
+		}
+		tail = append(tail, page...)
+		after += uint64(len(page))
+		if len(page) < tailPage {
+			return snapshot, tail, nil
+		}
+	}
+}
