--- /dev/null
+++ b/internal/caller/claim/events.go
@@ -0,0 +1,22 @@
+package claim
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"github.com/banyanshift/banyanshift/internal/observe/event"
+	"github.com/banyanshift/banyanshift/internal/observe/metric"
+)
+
+var (
+	eventUnavailable = event.New(1900, logrus.WarnLevel, "idempotency key not claimed",
+		"The table did not answer in time. The request was refused and not run. Check the platform's table service.")
+	eventOwnerDied = event.New(1901, logrus.WarnLevel, "claim of a daemon that is gone",
+		"A retry met a request whose daemon died before it recorded the outcome. The caller was told that it may have run.")
+)
+
+var (
+	claimsWon        = metric.NewCounter("Claim.Won", "Requests with an idempotency key that were allowed to run.")
+	claimsReplayed   = metric.NewCounter("Claim.Replayed", "Retries that got the recorded answer.")
+	claimsLost       = metric.NewCounter("Claim.Lost", "Requests with an idempotency key whose outcome is unknown.")
+	refusedStoreDown = metric.NewCounter("Claim.RefusedStoreDown", "Requests refused because the table did not answer.")
+)
