Read, check and explain the settings file from one table

A daemon must refuse a wrong settings file at start and say what would be right. Every setting now stands once in a table that drives the parser, the range checks and the commented example. All problems are listed at once with file and line; LoadToServe also probes the addresses.

--- a/internal/settings/ini/settings.go
+++ b/internal/settings/ini/settings.go
@@ -1,4 +1,20 @@
 // Package ini reads, checks and writes the settings file of a daemon.
+//
+// Every setting stands once in one table, Fields. The parser, the range
+// checks, the commented example and docs/SETTINGS.md all come from it. A file
+// is checked in full: Load returns all problems at once, each with file, line
+// and what would be right.
+//
+// # Usage
+//
+//	settings, err := ini.Load("/etc/banyanshift.ini")
+//	var problems ini.Problems
+//	if errors.As(err, &problems) {
+//		for _, problem := range problems { fmt.Fprintln(os.Stderr, problem) }
+//	}
+//
+// A daemon that is about to listen uses LoadToServe, which also finds ports
+// that are in use. Other files in INI form are read with Parse.
 package ini
 
 import "github.com/banyanshift/banyanshift/coord/clock"
@@ -49,6 +65,8 @@
 	Listen         string
 	Certificate    string
 	CertificateKey string
+	// MaxMessageBytes bounds one message of a client.
+	MaxMessageBytes int64
 	// Tokens maps an operator's name to the hex SHA-256 digest of its token.
 	Tokens map[string]string
 }
--- /dev/null
+++ b/internal/settings/ini/value.go
@@ -0,0 +1,174 @@
+package ini
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+)
+
+// units of a Size, the largest first.
+var units = []struct {
+	suffix string
+	bytes  int64
+}{
+	{"GiB", gibibyte},
+	{"MiB", mebibyte},
+	{"KiB", kibibyte},
+	{"B", 1},
+}
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$`)
+
+// set parses value into the field's place in settings. The error says what
+// would be right.
+func (f Field) set(settings *Settings, value string) error {
+	if value == "" {
+		if f.Required {
+			return errors.New("must not be empty")
+		}
+		if f.Default == "" {
+			return nil
+		}
+		return fmt.Errorf("must not be empty; leave the line out for the default %s", f.Default)
+	}
+	switch target := f.target(settings).(type) {
+	case *string:
+		if err := f.checkText(value); err != nil {
+			return err
+		}
+		*target = value
+		return nil
+	case *clock.Millis:
+		number, err := f.number(value)
+		*target = clock.Millis(number)
+		return err
+	case *int64:
+		number, err := f.number(value)
+		*target = number
+		return err
+	case *int:
+		number, err := f.number(value)
+		*target = int(number)
+		return err
+	default:
+		panic(fmt.Sprintf("ini: %s.%s has the unsupported type %T", f.Section, f.Name, target))
+	}
+}
+
+func (f Field) checkText(value string) error {
+	switch f.Type {
+	case Name:
+		if !namePattern.MatchString(value) {
+			return errors.New("must start with a letter or digit and hold only letters, digits and . _ -")
+		}
+	case Choice:
+		if !slices.Contains(f.Choices, value) {
+			return fmt.Errorf("must be one of %s", strings.Join(f.Choices, ", "))
+		}
+	case Address:
+		if _, err := netip.ParseAddrPort(value); err != nil {
+			return errors.New("must be an IP number and a port, such as 127.0.0.1:8080 or [::1]:8080")
+		}
+	case URL:
+		return checkURL(value)
+	}
+	return nil
+}
+
+func checkURL(value string) error {
+	parsed, err := url.Parse(value)
+	if err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
+		return errors.New("must be a URL such as http://10.0.0.2:9000")
+	}
+	if parsed.User != nil || parsed.RawQuery != "" || parsed.Fragment != "" {
+		return errors.New("must be a URL without user, query and fragment")
+	}
+	return nil
+}
+
+func (f Field) number(value string) (number int64, err error) {
+	switch f.Type {
+	case Duration:
+		number, err = parseDuration(value)
+	case Size:
+		number, err = parseSize(value)
+	default:
+		number, err = strconv.ParseInt(value, 10, 64)
+		if err != nil {
+			err = errors.New("must be a whole number")
+		}
+	}
+	if err != nil {
+		return 0, err
+	}
+	if number < f.Min || number > f.Max {
+		return 0, fmt.Errorf("must be from %s to %s", f.format(f.Min), f.format(f.Max))
+	}
+	return number, nil
+}
+
+func parseDuration(value string) (int64, error) {
+	duration, err := time.ParseDuration(value)
+	if err != nil {
+		return 0, errors.New("must be a duration with a unit, such as 250ms, 5s or 1m30s")
+	}
+	if duration%time.Millisecond != 0 {
+		return 0, errors.New("must be whole milliseconds")
+	}
+	return duration.Milliseconds(), nil
+}
+
+func parseSize(value string) (int64, error) {
+	for _, unit := range units {
+		digits, found := strings.CutSuffix(value, unit.suffix)
+		if !found {
+			continue
+		}
+		number, err := strconv.ParseInt(digits, 10, 64)
+		if err != nil || number < 0 || number > (1<<62)/unit.bytes {
+			break
+		}
+		return number * unit.bytes, nil
+	}
+	return 0, errors.New("must be a size with a unit, such as 512B, 64KiB, 4MiB or 1GiB")
+}
+
+// format writes a number as the field's type is written in a file.
+func (f Field) format(number int64) string {
+	switch f.Type {
+	case Duration:
+		return formatDuration(clock.Millis(number))
+	case Size:
+		return formatSize(number)
+	default:
+		return strconv.FormatInt(number, 10)
+	}
+}
+
+func formatDuration(d clock.Millis) string {
+	text := d.String()
+	if strings.HasSuffix(text, "m0s") {
+		text = strings.TrimSuffix(text, "0s")
+	}
+	if strings.HasSuffix(text, "h0m") {
+		text = strings.TrimSuffix(text, "0m")
+	}
+	return text
+}
+
+func formatSize(size int64) string {
+	for _, unit := range units {
+		if size >= unit.bytes && size%unit.bytes == 0 {
+			return strconv.FormatInt(size/unit.bytes, 10) + unit.suffix
+		}
+	}
+	return strconv.FormatInt(size, 10) + "B"
+}
