--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -166,6 +166,7 @@
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	if truncate {
 		_, _ = io.WriteString(w, text[:len(text)/2])
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	_, _ = io.WriteString(w, text)
