Serve the operators' interface over gRPC

Operators had a schema and no server. Calls are authenticated by token digest in constant time, bounded in size, time and number, and map the errors of the change log to distinct codes with the field at fault. References are checked against the configuration as it will be. A key's secret is returned once and kept as a hash; a repeated request ID never yields a second key. The tests try every method with wrong credentials, lost answers and malformed frames.

--- /dev/null
+++ b/internal/operator/rpc/keys.go
@@ -0,0 +1,89 @@
+package rpc
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/banyanshift/banyanshift/coord/changelog"
+	"github.com/banyanshift/banyanshift/internal/config/entity"
+	operatorv1 "github.com/banyanshift/banyanshift/proto/operator/v1"
+)
+
+// Lengths of the random parts of a key.
+const (
+	keyIDBytes     = 8
+	keySecretBytes = 32
+)
+
+type keys struct {
+	operatorv1.UnimplementedKeysServer
+	server *Server
+}
+
+// Create implements operatorv1.KeysServer.
+func (k *keys) Create(ctx context.Context, req *operatorv1.CreateKeyRequest) (*operatorv1.CreateKeyResponse, error) {
+	if req.GetExpectedRevision() != 0 {
+		return nil, invalid("ExpectedRevision", "must be 0: a key is always new")
+	}
+	id, secret := newSecret()
+	key := entity.Key{ID: id, Team: req.GetTeam(), Class: req.GetClass(), Hash: sha256.Sum256([]byte(secret))}
+	response, err := k.server.propose(ctx, req.GetRequestID(), change{entity.KindKey, id, 0, key})
+	if status.Code(err) == codes.AlreadyExists {
+		return nil, status.Error(codes.AlreadyExists,
+			"the request ID was used before; if it made a key, its secret cannot be shown again: withdraw that key and create another")
+	}
+	if err != nil {
+		return nil, err
+	}
+	message := keyMessage(key, revisionOf(response, id))
+	return &operatorv1.CreateKeyResponse{Change: response, Key: message, Secret: secret}, nil
+}
+
+// newSecret returns the ID of a new key and the whole text that callers send.
+func newSecret() (id, secret string) {
+	random := make([]byte, keyIDBytes+keySecretBytes)
+	// Read never returns an error.
+	_, _ = rand.Read(random)
+	id = hex.EncodeToString(random[:keyIDBytes])
+	return id, strings.Join([]string{"bs", id, hex.EncodeToString(random[keyIDBytes:])}, "_")
+}
+
+func revisionOf(response *operatorv1.ChangeResponse, name string) uint64 {
+	for _, revision := range response.GetRevisions() {
+		if revision.GetName() == name {
+			return revision.GetRevision()
+		}
+	}
+	return 0
+}
+
+// Withdraw implements operatorv1.KeysServer.
+func (k *keys) Withdraw(ctx context.Context, req *operatorv1.WithdrawKeyRequest) (*operatorv1.ChangeResponse, error) {
+	key, found := k.server.config.State.Key(req.GetID())
+	if !found {
+		return nil, notFound("Key", req.GetID())
+	}
+	key.Withdrawn = true
+	expected := req.GetExpectedRevision()
+	if expected == 0 {
+		expected = changelog.AnyRevision
+	}
+	return k.server.proposeUnchecked(ctx, req.GetRequestID(), change{entity.KindKey, key.ID, expected, key})
+}
+
+// Get implements operatorv1.KeysServer.
+func (k *keys) Get(_ context.Context, req *operatorv1.GetRequest) (*operatorv1.Key, error) {
+	return get(k.server, entity.KindKey, req.GetName(), k.server.config.State.Key, keyMessage)
+}
+
+// List implements operatorv1.KeysServer.
+func (k *keys) List(_ context.Context, req *operatorv1.ListKeysRequest) (*operatorv1.ListKeysResponse, error) {
+	all := list(k.server, entity.KindKey, k.server.config.State.Keys(req.GetTeam()), keyID, keyMessage)
+	return &operatorv1.ListKeysResponse{Keys: all}, nil
+}
--- /dev/null
+++ b/internal/operator/rpc/server.go
@@ -0,0 +1,188 @@
+// Package rpc serves the gRPC interface for operators: it authenticates them,
+// checks what they send, proposes changes of the configuration and reads it.
+//
+// Operators show a token; the server knows the SHA-256 digests of all tokens.
+// The key of a caller is refused, whatever the settings say. Messages,
+// headers, connections and calls are bounded, so that malformed input costs
+// little.
+//
+// # Usage
+//
+//	server, err := rpc.New(rpc.Config{
+//		Settings: settings.Operator,
+//		State:    configState,
+//		Propose:  propose,
+//		Audit:    log.Tail,
+//		Usage:    usageWindows,
+//		Fleet:    fleetStatus,
+//	}, logger)
+//	err = server.Start()
+//	defer server.Close()
+package rpc
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/samber/oops"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/net/netutil"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/banyanshift/banyanshift/coord/changelog"
+	"github.com/banyanshift/banyanshift/internal/config/state"
+	"github.com/banyanshift/banyanshift/internal/platform/usage"
+	"github.com/banyanshift/banyanshift/internal/settings/ini"
+	operatorv1 "github.com/banyanshift/banyanshift/proto/operator/v1"
+)
+
+// Limits that keep a client from using up the daemon.
+const (
+	maxConnections      = 256
+	maxStreams          = 32
+	maxHeaderBytes      = 16 << 10
+	handshakeTimeout    = 10 * time.Second
+	callTimeout         = 60 * time.Second
+	closeTimeout        = 5 * time.Second
+	keepaliveTime       = 2 * time.Minute
+	keepaliveTimeout    = 20 * time.Second
+	minKeepaliveTime    = 20 * time.Second
+	maxConnectionIdle   = 10 * time.Minute
+	maxChangesInApply   = 1000
+	maxAuditLimit       = 1000
+	defaultAuditLimit   = 50
+	defaultUsageLimit   = 20
+	maxUsageWindowLimit = 1000
+)
+
+// Outcome is what became of a proposed change.
+type Outcome struct {
+	// Sequence is the place of the change in the log; 0 while it is Pending.
+	Sequence uint64
+	// Revisions are the new revisions by entity name, such as "Team/everest".
+	Revisions map[string]uint64
+	// Confirmed and Unconfirmed are the IDs of the live daemons that have and
+	// have not said that the change is in force.
+	Confirmed   []string
+	Unconfirmed []string
+	// Pending changes are in force and not in the store yet.
+	Pending bool
+}
+
+// SealedWindow is a usage window that has been closed for billing.
+type SealedWindow struct {
+	usage.Window
+	// Reported says that the platform has confirmed the window.
+	Reported bool
+}
+
+// Config holds what a Server depends on. All fields must be set.
+type Config struct {
+	Settings ini.Operator
+	// State is the configuration in force.
+	State *state.State
+	// Propose makes a change. Its errors match those of coord/changelog and
+	// coord/table.
+	Propose func(ctx context.Context, proposal changelog.Proposal) (Outcome, error)
+	// Audit returns at most limit changes that follow the sequence after.
+	Audit func(ctx context.Context, after uint64, limit int) ([]changelog.Change, error)
+	// Usage returns the latest sealed windows, at most limit, latest first.
+	Usage func(ctx context.Context, limit int) ([]SealedWindow, error)
+	// Fleet returns the fleet as this daemon sees it.
+	Fleet func(ctx context.Context) (*operatorv1.FleetStatus, error)
+}
+
+// Server serves the operators' interface.
+type Server struct {
+	config   Config
+	logger   logrus.FieldLogger
+	grpc     *grpc.Server
+	listener net.Listener
+	stopped  chan struct{}
+}
+
+// New returns a server that does not listen yet.
+func New(config Config, logger logrus.FieldLogger) (s *Server, err error) {
+	defer func() { err = oops.Wrapf(err, "set up operators' interface") }()
+	s = &Server{config: config, logger: logger, stopped: make(chan struct{})}
+	guard, err := newGuard(config.Settings.Tokens, logger)
+	if err != nil {
+		return nil, err
+	}
+	options := []grpc.ServerOption{
+		grpc.ChainUnaryInterceptor(s.recoverPanic, guard.intercept, bound),
+		grpc.UnknownServiceHandler(refuseStream),
+		grpc.StreamInterceptor(guard.interceptStream),
+		grpc.MaxRecvMsgSize(int(config.Settings.MaxMessageBytes)),
+		grpc.MaxConcurrentStreams(maxStreams),
+		grpc.MaxHeaderListSize(maxHeaderBytes),
+		grpc.ConnectionTimeout(handshakeTimeout),
+		grpc.KeepaliveParams(keepalive.ServerParameters{
+			MaxConnectionIdle: maxConnectionIdle,
+			Time:              keepaliveTime,
+			Timeout:           keepaliveTimeout,
+		}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minKeepaliveTime}),
+	}
+	if config.Settings.Certificate != "" {
+		tls, err := credentials.NewServerTLSFromFile(config.Settings.Certificate, config.Settings.CertificateKey)
+		if err != nil {
+			return nil, err
+		}
+		options = append(options, grpc.Creds(tls))
+	}
+	s.grpc = grpc.NewServer(options...)
+	s.register()
+	return s, nil
+}
+
+func (s *Server) register() {
+	operatorv1.RegisterTeamsServer(s.grpc, &teams{server: s})
+	operatorv1.RegisterKeysServer(s.grpc, &keys{server: s})
+	operatorv1.RegisterClassesServer(s.grpc, &classes{server: s})
+	operatorv1.RegisterRoutesServer(s.grpc, &routes{server: s})
+	operatorv1.RegisterBackendsServer(s.grpc, &backends{server: s})
+	operatorv1.RegisterConfigServer(s.grpc, &config{server: s})
+	operatorv1.RegisterUsageServer(s.grpc, &usageReader{server: s})
+	operatorv1.RegisterAuditServer(s.grpc, &auditReader{server: s})
+	operatorv1.RegisterFleetServer(s.grpc, &fleet{server: s})
+}
+
+// Start listens and serves until Close.
+func (s *Server) Start() (err error) {
+	defer func() { err = oops.Wrapf(err, "listen for operators on %s", s.config.Settings.Listen) }()
+	var config net.ListenConfig
+	listener, err := config.Listen(context.Background(), "tcp", s.config.Settings.Listen)
+	if err != nil {
+		return err
+	}
+	s.listener = netutil.LimitListener(listener, maxConnections)
+	eventServing.Log(s.logger, logrus.Fields{"Address": s.Address()})
+	go s.run()
+	return nil
+}
+
+func (s *Server) run() {
+	defer close(s.stopped)
+	if err := s.grpc.Serve(s.listener); err != nil {
+		eventServeFailed.Log(s.logger, logrus.Fields{"Error": err.Error()})
+	}
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() string {
+	return s.listener.Addr().String()
+}
+
+// Close lets running calls end, for a few seconds, and stops serving.
+func (s *Server) Close() {
+	timer := time.AfterFunc(closeTimeout, s.grpc.Stop)
+	defer timer.Stop()
+	s.grpc.GracefulStop()
+	if s.listener != nil {
+		<-s.stopped
+	}
+}
--- /dev/null
+++ b/internal/operator/rpc/server_test.go
@@ -0,0 +1,392 @@
+package rpc
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+
+	"github.com/banyanshift/banyanshift/coord/changelog"
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/coord/table"
+	"github.com/banyanshift/banyanshift/internal/config/state"
+	"github.com/banyanshift/banyanshift/internal/platform/usage"
+	"github.com/banyanshift/banyanshift/internal/settings/ini"
+	operatorv1 "github.com/banyanshift/banyanshift/proto/operator/v1"
+)
+
+const token = "correct horse"
+
+// rig is a server over a change log in memory.
+type rig struct {
+	memory *table.Memory
+	state  *state.State
+	server *Server
+	conn   *grpc.ClientConn
+	logged *bytes.Buffer
+}
+
+func digestOf(text string) string {
+	digest := sha256.Sum256([]byte(text))
+	return hex.EncodeToString(digest[:])
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	r := &rig{memory: table.NewMemory(), state: state.New(), logged: &bytes.Buffer{}}
+	log := changelog.New(changelog.Config{Table: r.memory.Client(), Clock: clock.System(), Prefix: "Config"})
+	logger := logrus.New()
+	logger.SetOutput(r.logged)
+	server, err := New(Config{
+		Settings: ini.Operator{
+			Listen:          "127.0.0.1:0",
+			MaxMessageBytes: 1 << 20,
+			Tokens:          map[string]string{"alice": digestOf(token), "mallory": digestOf("bs_1_caller")},
+		},
+		State: r.state,
+		Propose: func(ctx context.Context, proposal changelog.Proposal) (Outcome, error) {
+			change, err := log.Append(ctx, proposal)
+			if err != nil {
+				return Outcome{}, err
+			}
+			outcome := Outcome{Sequence: change.Sequence, Revisions: map[string]uint64{}, Confirmed: []string{"entry-1"}}
+			for _, write := range change.Writes {
+				outcome.Revisions[write.Entity] = write.Revision
+			}
+			return outcome, r.state.Apply(change)
+		},
+		Audit: log.Tail,
+		Usage: func(context.Context, int) ([]SealedWindow, error) {
+			return []SealedWindow{
+				{Window: usage.Window{Number: 2, Start: 2000, Lines: []usage.Line{{Team: "everest"}, {Team: "lhotse"}}}},
+				{Window: usage.Window{Number: 1, Start: 1000}, Reported: true},
+			}, nil
+		},
+		Fleet: func(context.Context) (*operatorv1.FleetStatus, error) { panic("no fleet") },
+	}, logger)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := server.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	r.server = server
+	r.conn, err = grpc.NewClient(server.Address(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { r.conn.Close() })
+	return r
+}
+
+func as(bearer string) context.Context {
+	return metadata.AppendToOutgoingContext(context.Background(), "authorization", "Bearer "+bearer)
+}
+
+func putTeam(r *rig, requestID, name string, expected uint64, weight int32) (*operatorv1.ChangeResponse, error) {
+	return operatorv1.NewTeamsClient(r.conn).Put(as(token), &operatorv1.PutTeamRequest{
+		RequestID: requestID, ExpectedRevision: expected, Team: &operatorv1.Team{Name: name, Weight: weight},
+	})
+}
+
+func wantCode(t *testing.T, err error, want codes.Code) {
+	t.Helper()
+	if status.Code(err) != want {
+		t.Errorf("error is %v, want code %v", err, want)
+	}
+}
+
+func TestOnlyOperatorsGetIn(t *testing.T) {
+	r := newRig(t)
+	contexts := map[string]context.Context{
+		"no token":           context.Background(),
+		"wrong token":        as("wrong"),
+		"empty token":        as(""),
+		"digest as token":    as(digestOf(token)),
+		"a caller's key":     as("bs_1_caller"),
+		"two tokens":         metadata.AppendToOutgoingContext(as(token), "authorization", "Bearer x"),
+		"another scheme":     metadata.AppendToOutgoingContext(context.Background(), "authorization", "Basic "+token),
+		"a caller's headers": metadata.AppendToOutgoingContext(context.Background(), "operator", "alice"),
+	}
+	methods := 0
+	for service, info := range r.server.grpc.GetServiceInfo() {
+		for _, method := range info.Methods {
+			methods++
+			for name, ctx := range contexts {
+				err := r.conn.Invoke(ctx, "/"+service+"/"+method.Name, &operatorv1.ListRequest{}, &operatorv1.ListRequest{})
+				if status.Code(err) != codes.Unauthenticated {
+					t.Errorf("%s: %s.%s ended with %v", name, service, method.Name, err)
+				}
+			}
+		}
+	}
+	if methods < 25 {
+		t.Errorf("only %d methods were tried", methods)
+	}
+	if _, err := putTeam(r, "r1", "everest", 0, 1); err != nil {
+		t.Error(err)
+	}
+	if strings.Contains(r.logged.String(), token) || strings.Contains(r.logged.String(), "bs_1") {
+		t.Error("a token was logged")
+	}
+}
+
+func TestChangeIsIdempotentByRequestID(t *testing.T) {
+	r := newRig(t)
+	first, err := putTeam(r, "r1", "everest", 0, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := putTeam(r, "r1", "everest", 0, 1)
+	if err != nil || again.GetSequence() != first.GetSequence() {
+		t.Errorf("second outcome is %v, %v", again, err)
+	}
+	_, err = putTeam(r, "r1", "lhotse", 0, 1)
+	wantCode(t, err, codes.AlreadyExists)
+	_, err = putTeam(r, "r2", "everest", 0, 2)
+	wantCode(t, err, codes.Aborted)
+	_, err = putTeam(r, "r3", "everest", first.GetRevisions()[0].GetRevision(), 2)
+	wantCode(t, err, codes.OK)
+}
+
+func TestStoreFailures(t *testing.T) {
+	r := newRig(t)
+	r.memory.SetFault(table.Fault{Down: true})
+	_, err := putTeam(r, "r1", "everest", 0, 1)
+	wantCode(t, err, codes.Unavailable)
+	r.memory.SetFault(table.Fault{LoseAnswers: true})
+	if _, err = putTeam(r, "r1", "everest", 0, 1); err != nil {
+		t.Errorf("a lost answer was not settled: %v", err)
+	}
+}
+
+func TestInvalidChangesNameTheField(t *testing.T) {
+	r := newRig(t)
+	if _, err := putTeam(r, "t", "everest", 0, 1); err != nil {
+		t.Fatal(err)
+	}
+	route := &operatorv1.Route{Name: "chat", Backend: "none", Classes: []string{"none"}}
+	nan := &operatorv1.Class{Name: "c", FirstTokenTargetMillis: 1, MaxWaitMillis: 1, GuaranteedShare: 2}
+	tests := []struct {
+		name string
+		call func() error
+		code codes.Code
+		want string
+	}{
+		{"no request ID", func() error { _, err := putTeam(r, "", "x", 0, 1); return err }, codes.InvalidArgument, "RequestID"},
+		{"slash in request ID", func() error { _, err := putTeam(r, "a/b", "x", 0, 1); return err }, codes.InvalidArgument, "RequestID"},
+		{"long request ID", func() error { _, err := putTeam(r, strings.Repeat("a", 200), "x", 0, 1); return err }, codes.InvalidArgument, "RequestID"},
+		{"weight", func() error { _, err := putTeam(r, "r", "x", 0, 0); return err }, codes.InvalidArgument, "Weight"},
+		{"name", func() error { _, err := putTeam(r, "r", "a b", 0, 1); return err }, codes.InvalidArgument, "name"},
+		{"no team", func() error {
+			_, err := operatorv1.NewTeamsClient(r.conn).Put(as(token), &operatorv1.PutTeamRequest{RequestID: "r"})
+			return err
+		}, codes.InvalidArgument, "name"},
+		{"share", func() error {
+			_, err := operatorv1.NewClassesClient(r.conn).Put(as(token), &operatorv1.PutClassRequest{RequestID: "r", Class: nan})
+			return err
+		}, codes.InvalidArgument, "GuaranteedShare"},
+		{"reference to nothing", func() error {
+			_, err := operatorv1.NewRoutesClient(r.conn).Put(as(token), &operatorv1.PutRouteRequest{RequestID: "r", Route: route})
+			return err
+		}, codes.FailedPrecondition, "Route.Backend"},
+		{"key of no team", func() error {
+			_, err := operatorv1.NewKeysClient(r.conn).Create(as(token), &operatorv1.CreateKeyRequest{RequestID: "r", Team: "k2"})
+			return err
+		}, codes.FailedPrecondition, "Key.Team"},
+		{"delete without revision", func() error {
+			_, err := operatorv1.NewTeamsClient(r.conn).Delete(as(token), &operatorv1.DeleteRequest{RequestID: "r", Name: "everest"})
+			return err
+		}, codes.InvalidArgument, "ExpectedRevision"},
+		{"empty apply", func() error {
+			_, err := operatorv1.NewConfigClient(r.conn).Apply(as(token), &operatorv1.ApplyRequest{RequestID: "r"})
+			return err
+		}, codes.InvalidArgument, "Changes"},
+		{"apply of nothing", func() error {
+			_, err := operatorv1.NewConfigClient(r.conn).Apply(as(token), &operatorv1.ApplyRequest{RequestID: "r", Changes: []*operatorv1.EntityChange{{}}})
+			return err
+		}, codes.InvalidArgument, "entry 0"},
+		{"limit", func() error {
+			_, err := operatorv1.NewAuditClient(r.conn).List(as(token), &operatorv1.ListAuditRequest{Limit: -1})
+			return err
+		}, codes.InvalidArgument, "Limit"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			err := test.call()
+			wantCode(t, err, test.code)
+			if !strings.Contains(status.Convert(err).Message(), test.want) {
+				t.Errorf("message is %q, want it to name %s", status.Convert(err).Message(), test.want)
+			}
+			if test.code == codes.InvalidArgument && fieldOf(err) == "" {
+				t.Errorf("no field is named in the details of %v", err)
+			}
+		})
+	}
+	if r.state.Sequence() != 1 {
+		t.Errorf("%d changes were made, want 1", r.state.Sequence())
+	}
+}
+
+func fieldOf(err error) string {
+	for _, detail := range status.Convert(err).Details() {
+		if request, ok := detail.(*errdetails.BadRequest); ok {
+			return request.GetFieldViolations()[0].GetField()
+		}
+	}
+	return ""
+}
+
+func TestKeyIsShownOnceAndKeptAsHash(t *testing.T) {
+	r := newRig(t)
+	keys := operatorv1.NewKeysClient(r.conn)
+	if _, err := putTeam(r, "t", "everest", 0, 1); err != nil {
+		t.Fatal(err)
+	}
+	created, err := keys.Create(as(token), &operatorv1.CreateKeyRequest{RequestID: "k", Team: "everest"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	secret := created.GetSecret()
+	if _, _, err := r.state.Authenticate(sha256.Sum256([]byte(secret))); err != nil {
+		t.Errorf("the key does not work: %v", err)
+	}
+	_, err = keys.Create(as(token), &operatorv1.CreateKeyRequest{RequestID: "k", Team: "everest"})
+	wantCode(t, err, codes.AlreadyExists)
+	random := strings.Split(secret, "_")[2]
+	rows, _ := r.memory.Client().Scan(context.Background(), "", "", 100)
+	for _, row := range rows {
+		if bytes.Contains(row.Value, []byte(random)) {
+			t.Errorf("row %s holds the secret", row.Key)
+		}
+	}
+	if strings.Contains(r.logged.String(), random) {
+		t.Error("the secret was logged")
+	}
+	if _, err = keys.Withdraw(as(token), &operatorv1.WithdrawKeyRequest{RequestID: "w", ID: created.GetKey().GetID()}); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := r.state.Authenticate(sha256.Sum256([]byte(secret))); err == nil {
+		t.Error("the withdrawn key works")
+	}
+	err = applyKey(r, created.GetKey(), secret)
+	wantCode(t, err, codes.InvalidArgument)
+	audit, err := operatorv1.NewAuditClient(r.conn).List(as(token), &operatorv1.ListAuditRequest{Limit: 2, Latest: true})
+	if err != nil || len(audit.GetEntries()) != 2 {
+		t.Fatalf("audit is %v, %v", audit, err)
+	}
+	last := audit.GetEntries()[1]
+	if last.GetActor() != "alice" || last.GetAction() != "Edit" || !strings.Contains(last.GetAfter(), `"Withdrawn":true`) || strings.Contains(last.GetAfter(), "Hash") {
+		t.Errorf("last entry is %v", last)
+	}
+}
+
+// applyKey tries to bring a withdrawn key back.
+func applyKey(r *rig, key *operatorv1.Key, secret string) error {
+	hash := sha256.Sum256([]byte(secret))
+	change := &operatorv1.EntityChange{
+		ExpectedRevision: r.state.Revision("Key", key.GetID()),
+		Entity: &operatorv1.Entity{Value: &operatorv1.Entity_Key{Key: &operatorv1.Key{
+			ID: key.GetID(), Team: key.GetTeam(), Hash: hash[:],
+		}}},
+	}
+	_, err := operatorv1.NewConfigClient(r.conn).Apply(as(token), &operatorv1.ApplyRequest{RequestID: "back", Changes: []*operatorv1.EntityChange{change}})
+	return err
+}
+
+func TestApplyExportsWhatItTook(t *testing.T) {
+	r := newRig(t)
+	client := operatorv1.NewConfigClient(r.conn)
+	changes := []*operatorv1.EntityChange{
+		{Entity: &operatorv1.Entity{Value: &operatorv1.Entity_Route{Route: &operatorv1.Route{Name: "chat", Backend: "big", Classes: []string{"quick"}, Teams: []string{"everest"}}}}},
+		{Entity: &operatorv1.Entity{Value: &operatorv1.Entity_Team{Team: &operatorv1.Team{Name: "everest", Weight: 3}}}},
+		{Entity: &operatorv1.Entity{Value: &operatorv1.Entity_Class{Class: &operatorv1.Class{Name: "quick", FirstTokenTargetMillis: 780, MaxWaitMillis: 1000}}}},
+		{Entity: &operatorv1.Entity{Value: &operatorv1.Entity_Backend{Backend: &operatorv1.Backend{Name: "big", Type: "Model", Model: "m", MaxEndpoints: 2, Slots: 4}}}},
+	}
+	dry, err := client.Apply(as(token), &operatorv1.ApplyRequest{Changes: changes, DryRun: true})
+	if err != nil || r.state.Sequence() != 0 {
+		t.Fatalf("dry run: %v, sequence %d", err, r.state.Sequence())
+	}
+	if dry.GetChange() != nil || len(dry.GetDifferences()) < 8 {
+		t.Errorf("dry run says %v", dry)
+	}
+	if _, err := client.Apply(as(token), &operatorv1.ApplyRequest{RequestID: "a", Changes: changes}); err != nil {
+		t.Fatal(err)
+	}
+	exported, err := client.Export(as(token), &operatorv1.ExportRequest{})
+	if err != nil || len(exported.GetEntities()) != 4 || exported.GetSequence() != 1 {
+		t.Errorf("export is %v, %v", exported, err)
+	}
+	_, err = operatorv1.NewBackendsClient(r.conn).Delete(as(token), &operatorv1.DeleteRequest{RequestID: "d", Name: "big", ExpectedRevision: 1})
+	wantCode(t, err, codes.FailedPrecondition)
+}
+
+func TestUsageIsFiltered(t *testing.T) {
+	r := newRig(t)
+	client := operatorv1.NewUsageClient(r.conn)
+	all, err := client.List(as(token), &operatorv1.ListUsageRequest{Team: "lhotse", SinceUnixMillis: 1500})
+	if err != nil || len(all.GetWindows()) != 1 || len(all.GetWindows()[0].GetLines()) != 1 {
+		t.Errorf("usage is %v, %v", all, err)
+	}
+}
+
+func TestPanicAndLargeMessageCostOneCall(t *testing.T) {
+	r := newRig(t)
+	_, err := operatorv1.NewFleetClient(r.conn).Status(as(token), &operatorv1.FleetStatusRequest{})
+	wantCode(t, err, codes.Internal)
+	_, err = putTeam(r, "r1", strings.Repeat("x", 2<<20), 0, 1)
+	wantCode(t, err, codes.ResourceExhausted)
+	_, err = putTeam(r, "r2", "everest", 0, 1)
+	wantCode(t, err, codes.OK)
+}
+
+// TestMalformedFramesCostNothing sends bytes that are no HTTP/2, and frames
+// that break its rules, while an operator works.
+func TestMalformedFramesCostNothing(t *testing.T) {
+	r := newRig(t)
+	const preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+	random := make([]byte, 4096)
+	_, _ = rand.Read(random)
+	inputs := [][]byte{
+		nil,
+		[]byte("GET / HTTP/1.1\r\n\r\n"),
+		random,
+		append([]byte(preface), random...),
+		[]byte(preface + "\xff\xff\xff\x00\x00\x00\x00\x00\x01"),
+		[]byte(preface + "\x00\x00\x00\x04\x00\x00\x00\x00\x00\x00\x00\x05\x01\x04\x00\x00\x00\x01\xff\xff\xff\xff\xff"),
+		[]byte(preface + "\x00\x00\x00\x04\x00\x00\x00\x00\x00\x00\x00\x04\x00\x00\x00\x00\x00\x01abcd"),
+	}
+	for i, input := range inputs {
+		conn, err := net.Dial("tcp", r.server.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = conn.Write(input)
+		if i != 0 {
+			_ = conn.(*net.TCPConn).CloseWrite()
+			_ = conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+			if _, err := io.Copy(io.Discard, conn); err != nil && strings.Contains(err.Error(), "timeout") {
+				t.Errorf("input %d: the server did not hang up", i)
+			}
+		}
+		conn.Close()
+	}
+	if _, err := putTeam(r, "r", "everest", 0, 1); err != nil {
+		t.Error(err)
+	}
+}
