Replicate batches of usage and seal them into windows

Usage must be billed once through crashes, late batches, lost answers and two processes that both believe they are in charge. coord/batch identifies a batch by incarnation and sequence, keeps copies at peers and lets whoever comes first write its row. coord/window counts each identity once, in a transaction that is conditional on the lease's row and on the record of what was counted, and reports sealed bytes only.

--- /dev/null
+++ b/coord/batch/copies.go
@@ -0,0 +1,200 @@
+package batch
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/coord/table"
+)
+
+// CopiesConfig configures a Copies. All fields must be set but Observe.
+type CopiesConfig struct {
+	Table  table.Client
+	Clock  clock.Clock
+	Prefix string
+	// Alive reports whether an incarnation may still be running. It may be
+	// wrong either way: a batch is then written twice, or later.
+	Alive func(incarnation string) bool
+	// Grace is for how long an owner must have been dead, and silent, before
+	// its batches are written.
+	Grace clock.Millis
+	// MaxBytes bounds the memory for copies. Copies beyond it are refused
+	// with ErrFull.
+	MaxBytes int
+	// SaveCount is how many batches one transaction carries at most.
+	SaveCount int
+	// CallTimeout bounds one call of the table.
+	CallTimeout clock.Millis
+	// Observe is told of rescued batches and of failures; it may be nil.
+	Observe func(incarnation string, batches int, err error)
+}
+
+// Copies keeps copies of other processes' batches and writes those of owners
+// that have died.
+type Copies struct {
+	cfg CopiesConfig
+
+	mu     sync.Mutex
+	owners map[string]*ownerCopies
+	bytes  int
+}
+
+type ownerCopies struct {
+	saved    uint64
+	payloads map[uint64][]byte
+	// heard is when the owner sent a parcel or was seen alive.
+	heard clock.Millis
+}
+
+// NewCopies returns an empty Copies.
+func NewCopies(cfg CopiesConfig) *Copies {
+	return &Copies{cfg: cfg, owners: make(map[string]*ownerCopies)}
+}
+
+// Put takes a parcel from its owner. When it returns ErrFull, none of the
+// parcel's batches were kept.
+func (c *Copies) Put(parcel Parcel) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	owner := c.owners[parcel.Incarnation]
+	if owner == nil {
+		owner = &ownerCopies{payloads: make(map[uint64][]byte)}
+		c.owners[parcel.Incarnation] = owner
+	}
+	owner.heard = c.cfg.Clock.Now()
+	c.forget(owner, parcel.SavedThrough)
+	err := c.keep(owner, parcel)
+	if len(owner.payloads) == 0 {
+		delete(c.owners, parcel.Incarnation)
+	}
+	return err
+}
+
+func (c *Copies) forget(owner *ownerCopies, saved uint64) {
+	owner.saved = max(owner.saved, saved)
+	for sequence, payload := range owner.payloads {
+		if sequence <= owner.saved {
+			c.bytes -= len(payload)
+			delete(owner.payloads, sequence)
+		}
+	}
+}
+
+func (c *Copies) keep(owner *ownerCopies, parcel Parcel) error {
+	size := 0
+	for _, payload := range parcel.Payloads {
+		size += len(payload)
+	}
+	if size > 0 && c.bytes+size > c.cfg.MaxBytes {
+		return ErrFull
+	}
+	for i, sequence := range parcel.Sequences {
+		_, have := owner.payloads[sequence]
+		if have || sequence <= owner.saved {
+			continue
+		}
+		owner.payloads[sequence] = parcel.Payloads[i]
+		c.bytes += len(parcel.Payloads[i])
+	}
+	return nil
+}
+
+// Bytes returns the size of the copies.
+func (c *Copies) Bytes() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.bytes
+}
+
+// Run writes the batches of dead owners until ctx ends.
+func (c *Copies) Run(ctx context.Context) error {
+	for {
+		if err := c.cfg.Clock.Sleep(ctx, max(c.cfg.Grace/4, 1)); err != nil {
+			return err
+		}
+		c.Rescue(ctx)
+	}
+}
+
+// Rescue writes the batches of owners that have been dead for Grace.
+func (c *Copies) Rescue(ctx context.Context) {
+	for _, incarnation := range c.orphaned() {
+		count, err := c.rescue(ctx, incarnation)
+		if c.cfg.Observe != nil && (count > 0 || err != nil) {
+			c.cfg.Observe(incarnation, count, err)
+		}
+	}
+}
+
+func (c *Copies) orphaned() (incarnations []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.cfg.Clock.Now()
+	for incarnation, owner := range c.owners {
+		if c.cfg.Alive(incarnation) {
+			owner.heard = now
+		}
+		if now-owner.heard >= c.cfg.Grace {
+			incarnations = append(incarnations, incarnation)
+		}
+	}
+	slices.Sort(incarnations)
+	return incarnations
+}
+
+func (c *Copies) rescue(ctx context.Context, incarnation string) (count int, err error) {
+	for {
+		batches := c.next(incarnation)
+		if len(batches) == 0 {
+			return count, nil
+		}
+		if err := c.save(ctx, batches); err != nil {
+			return count, err
+		}
+		count += len(batches)
+		c.drop(batches)
+	}
+}
+
+func (c *Copies) save(ctx context.Context, batches []Batch) error {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout.Duration())
+	defer cancel()
+	return Save(ctx, c.cfg.Table, c.cfg.Prefix, batches)
+}
+
+func (c *Copies) next(incarnation string) (batches []Batch) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	owner := c.owners[incarnation]
+	if owner == nil {
+		return nil
+	}
+	for _, sequence := range slices.Sorted(maps.Keys(owner.payloads)) {
+		if len(batches) == c.cfg.SaveCount {
+			break
+		}
+		batches = append(batches, Batch{Incarnation: incarnation, Sequence: sequence, Payload: owner.payloads[sequence]})
+	}
+	return batches
+}
+
+func (c *Copies) drop(batches []Batch) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, b := range batches {
+		owner := c.owners[b.Incarnation]
+		if owner == nil {
+			return
+		}
+		if payload, found := owner.payloads[b.Sequence]; found {
+			c.bytes -= len(payload)
+			delete(owner.payloads, b.Sequence)
+		}
+		if len(owner.payloads) == 0 {
+			delete(c.owners, b.Incarnation)
+		}
+	}
+}
--- /dev/null
+++ b/coord/batch/owner.go
@@ -0,0 +1,238 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/samber/oops"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/coord/table"
+)
+
+// OwnerConfig configures an Owner. All fields must be set but Observe.
+type OwnerConfig struct {
+	Table table.Client
+	Clock clock.Clock
+	// Prefix starts the keys of all batches' rows.
+	Prefix      string
+	Incarnation string
+	// Cut returns the payload of the next batch, and false when there is
+	// nothing to be kept. It is not called while MaxBytes is reached: the
+	// records then stay where they are.
+	Cut func() (payload []byte, ok bool)
+	// Peers returns the peers that should have copies.
+	Peers func() []string
+	// Copy sends a parcel to a peer and returns nil when the peer has it, and
+	// ErrFull when the peer has no memory left.
+	Copy func(ctx context.Context, peer string, parcel Parcel) error
+	// Gone reports whether a peer has died together with its copies.
+	Gone func(peer string) bool
+	// MinInterval is the least time between two cuts. BytesPerSecond bounds
+	// what is sent to peers on average, by waiting longer between cuts.
+	MinInterval    clock.Millis
+	BytesPerSecond int
+	// SaveInterval is the time between two transactions; it halves while
+	// one transaction does not suffice.
+	SaveInterval clock.Millis
+	// SaveCount is how many batches one transaction carries at most.
+	SaveCount int
+	// MaxBytes bounds the payloads that wait for the table. From half of it
+	// on the interval between cuts doubles.
+	MaxBytes int
+	// CallTimeout bounds one call of a peer or of the table.
+	CallTimeout clock.Millis
+	// Observe is told of failures; it may be nil.
+	Observe func(what string, err error)
+}
+
+// maxParcelBytes bounds the payloads of one parcel.
+const maxParcelBytes = 64 << 10
+
+// fullPause is for how long a peer that is full is not sent batches.
+const fullPause = 30 * clock.Second
+
+// Owner makes batches, copies them to peers and saves them in the table.
+type Owner struct {
+	cfg OwnerConfig
+
+	mu     sync.Mutex
+	outbox *Outbox
+	// full holds until when a peer is not asked again after ErrFull.
+	full map[string]clock.Millis
+	// saving is held while batches are being saved, so that each batch is in
+	// one transaction at a time.
+	saving sync.Mutex
+}
+
+// NewOwner returns an Owner.
+func NewOwner(cfg OwnerConfig) *Owner {
+	return &Owner{cfg: cfg, outbox: NewOutbox(cfg.Incarnation), full: make(map[string]clock.Millis)}
+}
+
+// Run cuts, copies and saves until ctx ends. Call Flush after that.
+func (o *Owner) Run(ctx context.Context) error {
+	var group errgroup.Group
+	group.Go(func() error { return o.copyLoop(ctx) })
+	group.Go(func() error { return o.saveLoop(ctx) })
+	return group.Wait()
+}
+
+func (o *Owner) copyLoop(ctx context.Context) error {
+	for {
+		sent := o.Step(ctx)
+		if err := o.cfg.Clock.Sleep(ctx, o.interval(sent)); err != nil {
+			return err
+		}
+	}
+}
+
+func (o *Owner) interval(sent int) clock.Millis {
+	interval := max(o.cfg.MinInterval, clock.Millis(sent)*clock.Second/clock.Millis(o.cfg.BytesPerSecond))
+	if o.Bytes() > o.cfg.MaxBytes/2 {
+		interval *= 2
+	}
+	return interval
+}
+
+// saveLoop writes one transaction each SaveInterval, starting at a phase of its
+// own so that processes that start together do not write together. After an
+// outage it writes twice as often until nothing is left behind.
+func (o *Owner) saveLoop(ctx context.Context) error {
+	pause := clock.Millis(xxhash.Sum64String(o.cfg.Incarnation) % uint64(o.cfg.SaveInterval))
+	for {
+		if err := o.cfg.Clock.Sleep(ctx, pause); err != nil {
+			return err
+		}
+		left, err := o.Save(ctx)
+		o.observe("save", err)
+		pause = o.cfg.SaveInterval
+		if err == nil && left > 0 {
+			pause /= 2
+		}
+	}
+}
+
+func (o *Owner) observe(what string, err error) {
+	if err != nil && o.cfg.Observe != nil {
+		o.cfg.Observe(what, err)
+	}
+}
+
+// Step cuts a batch and sends the parcels that are due. It returns the bytes of
+// the payloads sent.
+func (o *Owner) Step(ctx context.Context) (sent int) {
+	o.cut()
+	parcels := o.parcels()
+	var group errgroup.Group
+	for peer, parcel := range parcels {
+		for _, payload := range parcel.Payloads {
+			sent += len(payload)
+		}
+		group.Go(func() error {
+			o.send(ctx, peer, parcel)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return sent
+}
+
+func (o *Owner) cut() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.outbox.Bytes() >= o.cfg.MaxBytes {
+		return
+	}
+	if payload, ok := o.cfg.Cut(); ok {
+		o.outbox.Add(payload)
+	}
+}
+
+func (o *Owner) parcels() map[string]Parcel {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for peer := range o.outbox.holders {
+		if o.cfg.Gone(peer) {
+			o.outbox.Forget(peer)
+		}
+	}
+	return o.outbox.Parcels(o.askable(), maxParcelBytes)
+}
+
+// askable returns the peers that are wanted and have not said that they are full.
+func (o *Owner) askable() (peers []string) {
+	now := o.cfg.Clock.Now()
+	for _, peer := range o.cfg.Peers() {
+		if now >= o.full[peer] {
+			delete(o.full, peer)
+			peers = append(peers, peer)
+		}
+	}
+	return peers
+}
+
+func (o *Owner) send(ctx context.Context, peer string, parcel Parcel) {
+	ctx, cancel := context.WithTimeout(ctx, o.cfg.CallTimeout.Duration())
+	defer cancel()
+	err := o.cfg.Copy(ctx, peer, parcel)
+	o.observe("copy", err)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch {
+	case err == nil:
+		o.outbox.Delivered(peer, parcel)
+	case errors.Is(err, ErrFull):
+		o.full[peer] = o.cfg.Clock.Now() + fullPause
+	}
+}
+
+// Save writes the oldest batches to the table in one transaction and returns how
+// many are left.
+func (o *Owner) Save(ctx context.Context) (left int, err error) {
+	o.saving.Lock()
+	defer o.saving.Unlock()
+	batches := o.unsaved()
+	if err := o.saveOnce(ctx, batches); err != nil {
+		return 0, err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.outbox.Saved(batches)
+	return o.outbox.Len(), nil
+}
+
+func (o *Owner) unsaved() []Batch {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.outbox.Unsaved(o.cfg.SaveCount)
+}
+
+func (o *Owner) saveOnce(ctx context.Context, batches []Batch) error {
+	ctx, cancel := context.WithTimeout(ctx, o.cfg.CallTimeout.Duration())
+	defer cancel()
+	return Save(ctx, o.cfg.Table, o.cfg.Prefix, batches)
+}
+
+// Flush cuts what is left, saves it and tells the peers, for a graceful end. It
+// returns an error when not everything is in the table; the peers that have
+// copies will then write them.
+func (o *Owner) Flush(ctx context.Context) (err error) {
+	defer func() { err = oops.Wrapf(err, "flush batches") }()
+	o.cut()
+	for left := 1; left > 0 && err == nil; {
+		left, err = o.Save(ctx)
+	}
+	o.Step(ctx)
+	return err
+}
+
+// Bytes returns the size of the payloads that are not in the table.
+func (o *Owner) Bytes() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.outbox.Bytes()
+}
--- /dev/null
+++ b/coord/window/state.go
@@ -0,0 +1,94 @@
+package window
+
+import (
+	"slices"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/banyanshift/banyanshift/coord/batch"
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/coord/table"
+)
+
+// State is the record of the windows that were closed and of the batches that
+// were counted in them.
+type State struct {
+	// Number is the last window.
+	Number uint64
+	// End is the end of the last window, in Unix milliseconds.
+	End clock.Millis
+	// Counted holds the counted batches by incarnation.
+	Counted map[string]Counted
+}
+
+// Counted is a set of sequence numbers: all up to Through except for Missing.
+type Counted struct {
+	Through uint64
+	Missing []uint64
+	// Window is the last window that counted a batch of the incarnation.
+	Window uint64
+}
+
+// Has reports whether a sequence number was counted.
+func (c Counted) Has(sequence uint64) bool {
+	return sequence <= c.Through && !slices.Contains(c.Missing, sequence)
+}
+
+// With returns c with a sequence number added.
+func (c Counted) With(sequence uint64) Counted {
+	missing := slices.Clone(c.Missing)
+	for next := c.Through + 1; next < sequence; next++ {
+		missing = append(missing, next)
+	}
+	c.Missing = slices.DeleteFunc(missing, func(m uint64) bool { return m == sequence })
+	c.Through = max(c.Through, sequence)
+	return c
+}
+
+// plan is what closing a window does.
+type plan struct {
+	next State
+	// payloads are those of the batches that are counted.
+	payloads [][]byte
+	// garbage are the keys of rows that are not needed once the window is
+	// closed: of the batches that are counted now or were before.
+	garbage []string
+}
+
+// close decides which of rows, which are batches, the next window counts.
+func (s State) close(rows []table.Row, prefix string, end clock.Millis, keep uint64) plan {
+	p := plan{next: State{Number: s.Number + 1, End: max(end, s.End), Counted: make(map[string]Counted, len(s.Counted))}}
+	for incarnation, counted := range s.Counted {
+		if counted.Window+keep >= s.Number {
+			p.next.Counted[incarnation] = counted
+		}
+	}
+	for _, row := range rows {
+		incarnation, sequence, err := batch.ParseRowKey(prefix, row.Key)
+		if err != nil {
+			continue
+		}
+		p.garbage = append(p.garbage, row.Key)
+		counted := p.next.Counted[incarnation]
+		if counted.Has(sequence) {
+			continue
+		}
+		counted = counted.With(sequence)
+		counted.Window = p.next.Number
+		p.next.Counted[incarnation] = counted
+		p.payloads = append(p.payloads, row.Value)
+	}
+	return p
+}
+
+func decodeState(value []byte) (state State, err error) {
+	if value == nil {
+		return State{}, nil
+	}
+	err = msgpack.Unmarshal(value, &state)
+	return state, err
+}
+
+func encodeState(state State) ([]byte, error) {
+	return msgpack.Marshal(state)
+}
