--- a/internal/decide/admit/admit.go
+++ b/internal/decide/admit/admit.go
@@ -130,7 +130,7 @@
 	switch {
 	case s.Resumed || (s.Free > 0 && s.Ahead < 1):
 		return decision
-	case s.Slots == 0:
+	case s.Slots == 0 && s.RefuseEarly:
 		return refuse(decision, limits, request.CodeNoEndpoint, rng)
 	case s.HigherRefused:
 		return refuse(decision, limits, request.CodeOverloaded, rng)
--- a/internal/decide/cell/cell.go
+++ b/internal/decide/cell/cell.go
@@ -379,6 +379,10 @@
 		if item == nil {
 			return
 		}
-		c.refuse(c.jobs[item.ID], request.CodeWaitedTooLong)
+		code := request.CodeWaitedTooLong
+		if c.slots == 0 {
+			code = request.CodeNoEndpoint
+		}
+		c.refuse(c.jobs[item.ID], code)
 	}
 }
--- a/internal/decide/cell/session.go
+++ b/internal/decide/cell/session.go
@@ -123,6 +123,12 @@
 	}
 }
 
+// Knows reports whether the entry has announced itself.
+func (c *Cell) Knows(entry string) bool {
+	_, known := c.sessions[entry]
+	return known
+}
+
 // Sessions returns how many entries the cell knows.
 func (c *Cell) Sessions() int {
 	return len(c.sessions)
