Meter usage by team, class and back end

Counting a request must cost next to nothing on its path, and a batch must be small enough to be copied to two peers within the budget for control traffic.

--- /dev/null
+++ b/internal/usage/meter/meter_test.go
@@ -0,0 +1,121 @@
+package meter
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"sync"
+	"testing"
+
+	"github.com/banyanshift/banyanshift/internal/platform/usage"
+)
+
+func TestNothingIsLostOrDoubledBetweenCuts(t *testing.T) {
+	m := New()
+	var wg sync.WaitGroup
+	for w := range 4 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := range 2000 {
+				m.Record(Usage{Team: fmt.Sprint("team", (i*w)%700), Class: "c", Backend: "b", PromptTokens: 2, OutputTokens: 3})
+			}
+		}()
+	}
+	stop := make(chan struct{})
+	go func() { wg.Wait(); close(stop) }()
+	var all []usage.Line
+	for done := false; !done; {
+		select {
+		case <-stop:
+			done = true
+		default:
+		}
+		for {
+			payload, ok := m.Cut()
+			if !ok {
+				break
+			}
+			lines, err := Decode(payload)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(lines) > maxCutLines {
+				t.Fatalf("%d lines in one cut", len(lines))
+			}
+			all = append(all, lines...)
+		}
+	}
+	var total usage.Line
+	for _, line := range Sum(all) {
+		total.Requests += line.Requests
+		total.PromptTokens += line.PromptTokens
+		total.OutputTokens += line.OutputTokens
+	}
+	if total.Requests != 8000 || total.PromptTokens != 16000 || total.OutputTokens != 24000 {
+		t.Fatalf("total %+v", total)
+	}
+}
+
+func TestEncodingIsCanonical(t *testing.T) {
+	lines := []usage.Line{
+		{Team: "b", Class: "x", Backend: "m", Requests: 1, PromptTokens: 1 << 40, OutputTokens: 7},
+		{Team: "a", Class: "b", Backend: "m", Requests: 300, PromptTokens: 2, OutputTokens: 0},
+	}
+	swapped := []usage.Line{lines[1], lines[0]}
+	if !reflect.DeepEqual(Encode(lines), Encode(swapped)) {
+		t.Fatal("the order of the lines changes the bytes")
+	}
+	decoded, err := Decode(Encode(lines))
+	if err != nil || !reflect.DeepEqual(decoded, swapped) {
+		t.Fatalf("%+v, %v", decoded, err)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(Encode([]usage.Line{{Team: "a", Class: "b", Backend: "c", Requests: 1}}))
+	f.Add([]byte("\x81\xa4Team\x91\x05"))
+	f.Add([]byte{})
+	f.Fuzz(func(_ *testing.T, payload []byte) {
+		_, _ = Decode(payload)
+	})
+}
+
+func BenchmarkRecord(b *testing.B) {
+	m := New()
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			m.Record(Usage{Team: "halvorsen", Class: "summary", Backend: "llama-70b", PromptTokens: 800, OutputTokens: 95})
+		}
+	})
+}
+
+// BenchmarkPayload reports the size of a payload for the lines of n requests of
+// 40,000 teams whose traffic is skewed, as one daemon of the planned size sees
+// them between two cuts.
+func BenchmarkPayload(b *testing.B) {
+	for _, requests := range []int{10, 40, 120, 400} {
+		b.Run(fmt.Sprint(requests), func(b *testing.B) {
+			rng := rand.New(rand.NewPCG(1, 1))
+			zipf := rand.NewZipf(rng, 1.1, 10, 40000)
+			bytes, lines := 0, 0
+			for b.Loop() {
+				m := New()
+				for range requests {
+					m.Record(Usage{
+						Team:         fmt.Sprintf("team-%05d", zipf.Uint64()),
+						Class:        fmt.Sprintf("class-%d", rng.IntN(5)),
+						Backend:      fmt.Sprintf("model-%02d", rng.IntN(13)),
+						PromptTokens: rng.IntN(4000), OutputTokens: rng.IntN(600),
+					})
+				}
+				lines += m.Lines()
+				payload, _ := m.Cut()
+				bytes += len(payload)
+			}
+			b.ReportMetric(float64(bytes)/float64(b.N), "bytes/payload")
+			b.ReportMetric(float64(bytes)/float64(lines), "bytes/line")
+		})
+	}
+}
