--- a/coord/changelog/changelog.go
+++ b/coord/changelog/changelog.go
@@ -55,6 +55,8 @@
 	ErrConflict = errors.New("changelog: entity was changed by somebody else")
 	// ErrRequestReused says that the request id was used for another proposal.
 	ErrRequestReused = errors.New("changelog: request id was used for a different change")
+	// ErrGap says that the stored log lacks a change.
+	ErrGap = errors.New("changelog: a change is missing")
 	// ErrInvalid says that the proposal is malformed.
 	ErrInvalid = errors.New("changelog: invalid proposal")
 )
--- a/coord/changelog/log.go
+++ b/coord/changelog/log.go
@@ -100,8 +100,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if change.Sequence != after+uint64(len(changes))+1 {
-			return changes, nil
+		if expected := after + uint64(len(changes)) + 1; change.Sequence != expected {
+			return nil, fmt.Errorf("%w: found %d in place of %d", ErrGap, change.Sequence, expected)
 		}
 		changes = append(changes, change)
 	}
--- a/coord/changelog/snapshot.go
+++ b/coord/changelog/snapshot.go
@@ -1,6 +1,8 @@
 package changelog
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
 	"crypto/sha256"
 	"errors"
@@ -39,7 +41,7 @@
 	if newest.Sequence >= snapshot.Sequence {
 		return nil
 	}
-	data, err := msgpack.Marshal(snapshot)
+	data, err := EncodeSnapshot(snapshot)
 	if err != nil {
 		return err
 	}
@@ -89,7 +91,31 @@
 	if sha256.Sum256(data) != newest.Digest {
 		return Snapshot{}, ErrSnapshotDamaged
 	}
-	err = msgpack.Unmarshal(data, &snapshot)
+	return DecodeSnapshot(data)
+}
+
+// EncodeSnapshot returns the compressed form in which snapshots are stored.
+func EncodeSnapshot(snapshot Snapshot) (data []byte, err error) {
+	defer func() { err = oops.Wrapf(err, "encode snapshot") }()
+	var buf bytes.Buffer
+	compressor, err := flate.NewWriter(&buf, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if err := msgpack.NewEncoder(compressor).Encode(snapshot); err != nil {
+		return nil, err
+	}
+	if err := compressor.Close(); err != nil {
+		return nil, err
+	}
+	return buf.Bytes(), nil
+}
+
+// DecodeSnapshot is the inverse of EncodeSnapshot.
+func DecodeSnapshot(data []byte) (snapshot Snapshot, err error) {
+	defer func() { err = oops.Wrapf(err, "decode snapshot") }()
+	decompressor := flate.NewReader(bytes.NewReader(data))
+	err = msgpack.NewDecoder(decompressor).Decode(&snapshot)
 	return snapshot, err
 }
 
