--- /dev/null
+++ b/internal/config/follow/apply.go
@@ -0,0 +1,41 @@
+package follow
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"github.com/banyanshift/banyanshift/coord/changelog"
+)
+
+// apply puts changes in force, in order, and returns how many were new. Those
+// that are in force already are skipped, and a gap ends it.
+func (f *Follower) apply(changes []changelog.Change) (applied int, err error) {
+	f.applyMu.Lock()
+	defer f.applyMu.Unlock()
+	for _, change := range changes {
+		before := f.state.Sequence()
+		if err := f.state.Apply(change); err != nil {
+			return applied, err
+		}
+		if f.state.Sequence() == before {
+			continue
+		}
+		applied++
+		f.recent.add(change)
+		f.settle(change.RequestID, true)
+	}
+	metricSequence.Set(int64(f.state.Sequence()))
+	return applied, nil
+}
+
+// load puts a snapshot in force, unless the state is newer.
+func (f *Follower) load(snapshot changelog.Snapshot) error {
+	f.applyMu.Lock()
+	defer f.applyMu.Unlock()
+	err := f.state.Load(snapshot)
+	metricSequence.Set(int64(f.state.Sequence()))
+	return err
+}
+
+func (f *Follower) logUnusable(err error) {
+	eventUnusable.Log(f.config.Logger, logrus.Fields{"Sequence": f.state.Sequence(), "Error": err.Error()})
+}
