Add the load that judges every answer

Requests with an idempotency key are sent again as a careful client would; forbidden and forged ones are part of the mix.

--- /dev/null
+++ b/internal/standin/load/flow.go
@@ -0,0 +1,134 @@
+package load
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/config/entity"
+)
+
+// Flow is one kind of request that one team sends.
+type Flow struct {
+	// Name groups flows, for a change of rate.
+	Name string
+	// Team owns the keys that are used; empty sends no key at all.
+	Team  string
+	Class string
+	// Route is the model's name, or the name of a plain service's route.
+	Route   string
+	Backend string
+	Type    entity.BackendType
+	// PerSecond is the mean rate.
+	PerSecond float64
+	// FirstTokenTarget is the class's target, for the figures.
+	FirstTokenTarget clock.Millis
+
+	// Burst multiplies the rate for BurstLength in every BurstEvery.
+	Burst       float64
+	BurstEvery  clock.Millis
+	BurstLength clock.Millis
+
+	// SharedTokens of the prompt are the same for all requests of the flow,
+	// out of PromptTokens.
+	SharedTokens int
+	PromptTokens int
+	// MinOutput and MaxOutput bound the tokens of the answer.
+	MinOutput int
+	MaxOutput int
+	// WholeAnswer asks for an answer in one piece.
+	WholeAnswer bool
+	// Completions uses the older interface without chat messages.
+	Completions bool
+	// CancelShare is the share of requests that the caller gives up after
+	// some tokens.
+	CancelShare float64
+
+	// Method and Path are the call of a plain service, Millis its duration.
+	Method string
+	Path   string
+	Millis clock.Millis
+	// Idempotent sends an idempotency key and repeats what got no answer;
+	// TwiceShare of the calls are sent two times at the same moment.
+	Idempotent bool
+	TwiceShare float64
+	// Repeatable calls may be run more than once.
+	Repeatable bool
+
+	// Forbidden requests must never run: the team may not use the route.
+	Forbidden bool
+	// Withdrawn uses keys that have been withdrawn.
+	Withdrawn bool
+	// BadKey uses a key that was never given out.
+	BadKey bool
+	// Forge adds headers that pretend to be the router's own, and the key in
+	// places where it must not be passed on.
+	Forge bool
+}
+
+func (f Flow) burst(now clock.Millis) float64 {
+	if f.BurstEvery == 0 || now%f.BurstEvery >= f.BurstLength {
+		return 1
+	}
+	return f.Burst
+}
+
+// compose makes up the next call of a flow.
+func (s *source) compose(nonce string) *Call {
+	f := s.flow
+	call := &Call{
+		Nonce: nonce, Flow: f.Name, Team: f.Team, Class: f.Class, Route: f.Route, Backend: f.Backend,
+		Type: f.Type, Target: f.FirstTokenTarget, Forbidden: f.Forbidden, Method: http.MethodPost,
+		Repeatable: f.Repeatable || (f.Type == entity.Model && !f.Idempotent),
+	}
+	call.key = s.load.config.Keys.pick(f, s.random)
+	call.KeyID = call.key.ID
+	call.Withdrawn = f.Withdrawn
+	if f.Withdrawn && call.KeyID == "" {
+		call.Forbidden = true
+	}
+	if f.Idempotent {
+		call.IdempotencyKey = "k-" + nonce
+		call.Twice = s.random.Float64() < f.TwiceShare
+	}
+	if f.Type == entity.Service {
+		s.composeService(call)
+		return call
+	}
+	s.composeModel(call)
+	return call
+}
+
+func (s *source) composeService(call *Call) {
+	call.Method = s.flow.Method
+	call.path = fmt.Sprintf("%s?nonce=%s&ms=%d", s.flow.Path, call.Nonce, s.flow.Millis)
+	if s.flow.Method != http.MethodGet {
+		call.body = []byte(fmt.Sprintf(`{"Household":%q,"Amount":%d}`, call.Nonce, s.random.IntN(1000)))
+	}
+}
+
+func (s *source) composeModel(call *Call) {
+	f := s.flow
+	call.Output = f.MinOutput + s.random.IntN(f.MaxOutput-f.MinOutput+1)
+	call.prompt = f.prompt(call.Nonce, call.Output, s.random)
+	call.PromptTokens = len(strings.Fields(call.prompt))
+	if s.random.Float64() < f.CancelShare {
+		call.cancelAt = 1 + s.random.IntN(call.Output)
+	}
+}
+
+// prompt returns a text that starts with the shared part and ends with the
+// directives for the engine.
+func (f Flow) prompt(nonce string, output int, random *rand.Rand) string {
+	var text strings.Builder
+	for i := range f.SharedTokens {
+		fmt.Fprintf(&text, "%s-%s-%d ", f.Team, f.Class, i)
+	}
+	for range max(0, f.PromptTokens-f.SharedTokens) {
+		fmt.Fprintf(&text, "u%d ", random.IntN(100000))
+	}
+	fmt.Fprintf(&text, "id=%s len=%d", nonce, output)
+	return text.String()
+}
