--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -35,6 +35,8 @@
 	// MaxOpen bounds the open requests; arrivals beyond it are dropped and
 	// counted.
 	MaxOpen int
+	// RetryPause is the first pause before a call is repeated; it doubles.
+	RetryPause clock.Millis
 }
 
 // Load runs flows and keeps their calls.
@@ -204,7 +206,7 @@
 const maxAttempts = 6
 
 func (l *Load) attempts(call *Call, flow Flow, random *rand.Rand) {
-	wait := 100 * clock.Millisecond
+	wait := l.config.RetryPause
 	for range maxAttempts {
 		attempt := l.attempt(call, flow)
 		call.add(attempt)
@@ -212,7 +214,7 @@
 		if call.IdempotencyKey == "" || call.Forbidden || final || attempt.final() {
 			return
 		}
-		pause := max(wait, attempt.RetryAfter) + clock.Millis(random.IntN(100))
+		pause := max(wait, attempt.RetryAfter) + clock.Millis(random.IntN(int(wait)+1))
 		if l.clock.Sleep(l.done, pause) != nil {
 			return
 		}
--- a/internal/standin/load/load_test.go
+++ b/internal/standin/load/load_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
@@ -108,15 +109,18 @@
 }
 
 func TestUnknownIsRepeatedUnderTheSameKey(t *testing.T) {
-	var keys []string
+	var mu sync.Mutex
+	keys := make(map[string]int)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		keys = append(keys, r.Header.Get("Idempotency-Key"))
+		mu.Lock()
+		keys[r.Header.Get("Idempotency-Key")]++
+		mu.Unlock()
 		panic(http.ErrAbortHandler)
 	}))
 	defer server.Close()
-	l := New(Config{Targets: NewBalancer("/", clock.System()), MaxOpen: 1, Keys: NewKeyring(), DrainTime: clock.Minute}, clock.System())
+	l := New(Config{Targets: NewBalancer("/", clock.System()), MaxOpen: 1, Keys: NewKeyring(), DrainTime: clock.Minute, RetryPause: 1}, clock.System())
 	l.config.Targets.Put("d", server.URL)
-	flow := Flow{Type: entity.Service, Method: "POST", Path: "/pay", Idempotent: true, PerSecond: 1000}
+	flow := Flow{Type: entity.Service, Method: "POST", Path: "/pay", Idempotent: true, PerSecond: 50}
 	ctx, cancel := context.WithCancel(context.Background())
 	l.config.Flows = []Flow{flow}
 	go func() {
@@ -130,7 +134,9 @@
 	if call.Outcome() != Unknown || len(call.Attempts()) != maxAttempts {
 		t.Errorf("got %s after %d attempts", call.Outcome(), len(call.Attempts()))
 	}
-	if len(keys) != maxAttempts || keys[0] == "" || keys[0] != keys[maxAttempts-1] {
-		t.Errorf("keys %v", keys)
+	mu.Lock()
+	defer mu.Unlock()
+	if keys[call.IdempotencyKey] != maxAttempts {
+		t.Errorf("%d attempts had the key %q, want %d", keys[call.IdempotencyKey], call.IdempotencyKey, maxAttempts)
 	}
 }
