--- a/coord/batch/batch.go
+++ b/coord/batch/batch.go
@@ -24,7 +24,8 @@
 //	})
 //	go owner.Run(ctx)
 //
-//	copies := batch.NewCopies(batch.CopiesConfig{Table: client, Clock: clk, Prefix: "Usage/Batch/", Alive: alive, Grace: 10 * clock.Second})
+//	copies := batch.NewCopies(batch.CopiesConfig{Table: client, Clock: clk, Prefix: "Usage/Batch/", Alive: alive,
+//		Grace: 10 * clock.Second, Silence: clock.Minute, MaxBytes: 16 << 20, SaveCount: 200, CallTimeout: 2 * clock.Second})
 //	go copies.Run(ctx)
 //	// for each parcel that arrives from a peer:
 //	err := copies.Put(parcel)
--- a/coord/batch/batch_test.go
+++ b/coord/batch/batch_test.go
@@ -42,7 +42,7 @@
 		r.peers[name] = NewCopies(CopiesConfig{
 			Table: r.memory.Client(), Clock: r.manual.Clock(), Prefix: prefix,
 			Alive: func(string) bool { return r.alive },
-			Grace: 10 * clock.Second, MaxBytes: 1000, SaveCount: 100, CallTimeout: clock.Second,
+			Grace: 10 * clock.Second, Silence: clock.Minute, MaxBytes: 1000, SaveCount: 100, CallTimeout: clock.Second,
 		})
 	}
 	cfg := OwnerConfig{
@@ -114,6 +114,30 @@
 	}
 }
 
+// TestSilentOwnerIsRescued covers an owner whose process was restarted under the
+// same name, so that it seems to live.
+func TestSilentOwnerIsRescued(t *testing.T) {
+	r, ctx := newRig(t, nil), context.Background()
+	r.owner.Step(ctx)
+	r.manual.Advance(clock.Minute - 1)
+	r.peers["p1"].Rescue(ctx)
+	r.expectRows(t)
+	r.manual.Advance(1)
+	r.peers["p1"].Rescue(ctx)
+	r.expectRows(t, "batch 001")
+}
+
+func TestCopiesLostByAPeerAreMadeAgain(t *testing.T) {
+	r, ctx := newRig(t, nil), context.Background()
+	r.owner.Step(ctx)
+	r.owner.Forget("p1")
+	r.sent = 0
+	r.owner.Step(ctx)
+	if r.sent != 3 {
+		t.Fatalf("%d batches sent, want both to p1 and the new one to p2", r.sent)
+	}
+}
+
 func TestOwnerWronglyTakenForDead(t *testing.T) {
 	r, ctx := newRig(t, nil), context.Background()
 	r.owner.Step(ctx)
--- a/coord/batch/copies.go
+++ b/coord/batch/copies.go
@@ -21,6 +21,10 @@
 	// Grace is for how long an owner must have been dead, and silent, before
 	// its batches are written.
 	Grace clock.Millis
+	// Silence is for how long an owner that seems to live may be silent about
+	// batches that it has copies of. It must be several times the owner's
+	// SaveInterval.
+	Silence clock.Millis
 	// MaxBytes bounds the memory for copies. Copies beyond it are refused
 	// with ErrFull.
 	MaxBytes int
@@ -45,8 +49,9 @@
 type ownerCopies struct {
 	saved    uint64
 	payloads map[uint64][]byte
-	// heard is when the owner sent a parcel or was seen alive.
+	// heard is when the owner sent a parcel, seen when it was alive.
 	heard clock.Millis
+	seen  clock.Millis
 }
 
 // NewCopies returns an empty Copies.
@@ -135,9 +140,11 @@
 	now := c.cfg.Clock.Now()
 	for incarnation, owner := range c.owners {
 		if c.cfg.Alive(incarnation) {
-			owner.heard = now
+			owner.seen = now
 		}
-		if now-owner.heard >= c.cfg.Grace {
+		silent := now - owner.heard
+		dead := now-max(owner.seen, owner.heard) >= c.cfg.Grace
+		if dead || silent >= c.cfg.Silence {
 			incarnations = append(incarnations, incarnation)
 		}
 	}
--- a/coord/batch/example_test.go
+++ b/coord/batch/example_test.go
@@ -17,7 +17,7 @@
 	copies := batch.NewCopies(batch.CopiesConfig{
 		Table: client, Clock: manual.Clock(), Prefix: "Usage/Batch/",
 		Alive: func(string) bool { return false },
-		Grace: 10 * clock.Second, MaxBytes: 1 << 20, SaveCount: 100, CallTimeout: clock.Second,
+		Grace: 10 * clock.Second, Silence: clock.Minute, MaxBytes: 1 << 20, SaveCount: 100, CallTimeout: clock.Second,
 	})
 	owner := batch.NewOwner(batch.OwnerConfig{
 		Table: client, Clock: manual.Clock(), Prefix: "Usage/Batch/", Incarnation: "sask-central/vm-3.81f2",
--- a/coord/batch/owner.go
+++ b/coord/batch/owner.go
@@ -230,6 +230,13 @@
 	return err
 }
 
+// Forget notes that a peer has lost its copies, such as by a restart.
+func (o *Owner) Forget(peer string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.outbox.Forget(peer)
+}
+
 // Bytes returns the size of the payloads that are not in the table.
 func (o *Owner) Bytes() int {
 	o.mu.Lock()
--- a/coord/window/window_test.go
+++ b/coord/window/window_test.go
@@ -272,7 +272,7 @@
 	w.copies = batch.NewCopies(batch.CopiesConfig{
 		Table: w.net.client(), Clock: w.manual.Clock(), Prefix: "B/",
 		Alive: func(incarnation string) bool { return w.alive[incarnation] && w.rng.IntN(10) > 0 },
-		Grace: 2, MaxBytes: 1 << 20, SaveCount: 5, CallTimeout: clock.Second,
+		Grace: 2, Silence: 20, MaxBytes: 1 << 20, SaveCount: 5, CallTimeout: clock.Second,
 	})
 	for i := range 3 {
 		w.addOwner(fmt.Sprintf("%s/%d", scope, i))
--- /dev/null
+++ b/internal/usage/replicate/replicate.go
@@ -0,0 +1,228 @@
+// Package replicate keeps the usage that this daemon has metered, and copies of
+// other daemons' usage, until it is in the table.
+//
+// Every batch is copied to two daemons in other failure domains of the region as
+// soon as it is cut, and written to the table every few seconds. When a daemon
+// dies, the daemons that have its copies write them. See packages batch and
+// window for why no batch is counted twice.
+//
+// # Usage
+//
+//	r := replicate.New(replicate.Config{Link: l, Clock: clk, Logger: logger, Table: client, Self: self,
+//		Incarnation: replicate.Incarnation(self, nonce), View: membership.View, Cut: meter.Cut})
+//	l.Start() // New has registered the handler
+//	go r.Run(ctx)
+//	// at shutdown, after the last request:
+//	err := r.Flush(ctx)
+package replicate
+
+import (
+	"context"
+	"strings"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/banyanshift/banyanshift/coord/batch"
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/coord/member"
+	"github.com/banyanshift/banyanshift/coord/table"
+	"github.com/banyanshift/banyanshift/internal/peer/link"
+	"github.com/banyanshift/banyanshift/internal/peer/message"
+)
+
+// BatchPrefix starts the keys of the rows of all usage batches.
+const BatchPrefix = "Usage/Batch/"
+
+// The limits of a Replicator.
+const (
+	// copyCount is how many other daemons have a copy of each batch.
+	copyCount = 2
+	// minInterval is the least time between two cuts.
+	minInterval = 250 * clock.Millisecond
+	// bytesPerSecond is what copies may take of the budget for control
+	// traffic.
+	bytesPerSecond = 1500
+	saveInterval   = 10 * clock.Second
+	saveCount      = 200
+	callTimeout    = 2 * clock.Second
+	// ownBytes bounds the batches of this daemon that wait for the table,
+	// copyBytes the copies of others'.
+	ownBytes  = 8 << 20
+	copyBytes = 16 << 20
+	// grace and silence are how long a daemon is dead, or silent, before its
+	// batches are written by others.
+	grace   = 10 * clock.Second
+	silence = 60 * clock.Second
+)
+
+// Ack answers a parcel.
+type Ack struct {
+	// Incarnation is that of the daemon that keeps the copies. When it
+	// changes, earlier copies are lost.
+	Incarnation string
+	// Full says that there was no memory for the parcel.
+	Full bool
+}
+
+// Config configures a Replicator. All fields must be set.
+type Config struct {
+	Link   *link.Link
+	Clock  clock.Clock
+	Logger logrus.FieldLogger
+	Table  table.Client
+	// Self is this daemon.
+	Self        member.Member
+	Incarnation string
+	// View returns the daemons that are believed to live.
+	View func() []member.Member
+	// Cut returns the usage since the last call.
+	Cut func() (payload []byte, ok bool)
+}
+
+// Replicator is one daemon's part in keeping usage.
+type Replicator struct {
+	cfg    Config
+	owner  *batch.Owner
+	copies *batch.Copies
+
+	mu sync.Mutex
+	// incarnations holds that of each peer at its last answer.
+	incarnations map[string]string
+}
+
+// Incarnation returns the name under which a daemon's batches are kept. nonce
+// must be new at each start of the process.
+func Incarnation(self member.Member, nonce string) string {
+	return self.Region + "/" + self.ID + "." + nonce
+}
+
+// ownerID returns the daemon's name in an incarnation.
+func ownerID(incarnation string) string {
+	name := incarnation[strings.IndexByte(incarnation, '/')+1:]
+	if dot := strings.LastIndexByte(name, '.'); dot >= 0 {
+		return name[:dot]
+	}
+	return name
+}
+
+// New returns a Replicator and registers its handler at the link.
+func New(cfg Config) *Replicator {
+	r := &Replicator{cfg: cfg, incarnations: make(map[string]string)}
+	r.owner = batch.NewOwner(batch.OwnerConfig{
+		Table: cfg.Table, Clock: cfg.Clock, Prefix: BatchPrefix, Incarnation: cfg.Incarnation,
+		Cut: cfg.Cut, Peers: r.peers, Copy: r.copy, Gone: r.gone,
+		MinInterval: minInterval, BytesPerSecond: bytesPerSecond, SaveInterval: saveInterval, SaveCount: saveCount,
+		MaxBytes: ownBytes, CallTimeout: callTimeout, Observe: r.failed,
+	})
+	r.copies = batch.NewCopies(batch.CopiesConfig{
+		Table: cfg.Table, Clock: cfg.Clock, Prefix: BatchPrefix, Alive: r.alive, Grace: grace, Silence: silence,
+		MaxBytes: copyBytes, SaveCount: saveCount, CallTimeout: callTimeout, Observe: r.rescued,
+	})
+	link.Handle(cfg.Link, message.UsageReplicate, r.take)
+	return r
+}
+
+// Run keeps usage until ctx ends.
+func (r *Replicator) Run(ctx context.Context) error {
+	var group errgroup.Group
+	group.Go(func() error { return r.owner.Run(ctx) })
+	group.Go(func() error { return r.copies.Run(ctx) })
+	group.Go(func() error { return r.gaugeLoop(ctx) })
+	return group.Wait()
+}
+
+func (r *Replicator) gaugeLoop(ctx context.Context) error {
+	for {
+		unsavedBytes.Set(int64(r.owner.Bytes()))
+		copiedBytes.Set(int64(r.copies.Bytes()))
+		if err := r.cfg.Clock.Sleep(ctx, clock.Second); err != nil {
+			return err
+		}
+	}
+}
+
+// Flush writes everything to the table. It is called at shutdown, when Run has
+// ended and no request will be metered any more.
+func (r *Replicator) Flush(ctx context.Context) error {
+	return r.owner.Flush(ctx)
+}
+
+// peers returns the daemons that should have copies: of other failure domains
+// of the region, or failing that, of the region.
+func (r *Replicator) peers() (ids []string) {
+	var apart, near []member.Member
+	for _, m := range r.cfg.View() {
+		switch {
+		case m.ID == r.cfg.Self.ID || m.Region != r.cfg.Self.Region:
+		case m.FailureDomain == r.cfg.Self.FailureDomain:
+			near = append(near, m)
+		default:
+			apart = append(apart, m)
+		}
+	}
+	picked := member.Pick(apart, r.cfg.Incarnation, copyCount)
+	picked = append(picked, member.Pick(near, r.cfg.Incarnation, copyCount-len(picked))...)
+	for _, m := range picked {
+		ids = append(ids, m.ID)
+	}
+	return ids
+}
+
+func (r *Replicator) find(id string) (found member.Member, live bool) {
+	for _, m := range r.cfg.View() {
+		if m.ID == id {
+			return m, m.Live()
+		}
+	}
+	return member.Member{}, false
+}
+
+func (r *Replicator) gone(id string) bool {
+	_, live := r.find(id)
+	return !live
+}
+
+func (r *Replicator) alive(incarnation string) bool {
+	_, live := r.find(ownerID(incarnation))
+	return live
+}
+
+func (r *Replicator) copy(ctx context.Context, id string, parcel batch.Parcel) error {
+	m, live := r.find(id)
+	if !live {
+		return link.ErrUnreachable
+	}
+	peer := link.Peer{ID: m.ID, Address: m.Address}
+	ack, err := link.Call[batch.Parcel, Ack](ctx, r.cfg.Link, peer, message.UsageReplicate, parcel)
+	if err != nil {
+		return err
+	}
+	if r.restarted(id, ack.Incarnation) {
+		r.owner.Forget(id)
+	}
+	if ack.Full {
+		return batch.ErrFull
+	}
+	return nil
+}
+
+// restarted notes a peer's incarnation and reports whether it has changed.
+func (r *Replicator) restarted(id, incarnation string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before, known := r.incarnations[id]
+	r.incarnations[id] = incarnation
+	return known && before != incarnation
+}
+
+// take serves a parcel of another daemon.
+func (r *Replicator) take(_ context.Context, _ string, parcel batch.Parcel) (Ack, error) {
+	ack := Ack{Incarnation: r.cfg.Incarnation}
+	if len(parcel.Sequences) != len(parcel.Payloads) || !strings.Contains(parcel.Incarnation, "/") {
+		return ack, errParcel
+	}
+	ack.Full = r.copies.Put(parcel) != nil
+	return ack, nil
+}
--- /dev/null
+++ b/internal/usage/replicate/replicate_test.go
@@ -0,0 +1,186 @@
+package replicate
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus/hooks/test"
+
+	"github.com/banyanshift/banyanshift/coord/batch"
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/coord/member"
+	"github.com/banyanshift/banyanshift/coord/table"
+	"github.com/banyanshift/banyanshift/internal/peer/link"
+	"github.com/banyanshift/banyanshift/internal/platform/usage"
+	"github.com/banyanshift/banyanshift/internal/usage/meter"
+)
+
+// daemon is one daemon with a link on loopback and a manual clock for batches.
+type daemon struct {
+	*Replicator
+	meter *meter.Meter
+	link  *link.Link
+}
+
+type fleet struct {
+	memory  *table.Memory
+	manual  *clock.Manual
+	daemons []*daemon
+	view    []member.Member
+	dead    [8]atomic.Bool
+}
+
+func newFleet(t *testing.T, domains ...string) *fleet {
+	t.Helper()
+	f := &fleet{memory: table.NewMemory(), manual: clock.NewManual(1)}
+	logger, _ := test.NewNullLogger()
+	for i, domain := range domains {
+		l := link.New(link.Config{ID: fmt.Sprint("vm-", i), Listen: "127.0.0.1:0"}, clock.System(), logger)
+		self := member.Member{ID: fmt.Sprint("vm-", i), Region: "r", FailureDomain: domain, State: member.Alive}
+		m := meter.New()
+		d := &daemon{meter: m, link: l, Replicator: New(Config{
+			Link: l, Clock: f.manual.Clock(), Logger: logger, Table: f.memory.Client(), Self: self,
+			Incarnation: Incarnation(self, "1"), View: f.live, Cut: m.Cut,
+		})}
+		if err := l.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { l.Close() })
+		self.Address = l.Address()
+		f.view = append(f.view, self)
+		f.daemons = append(f.daemons, d)
+	}
+	return f
+}
+
+func (f *fleet) live() []member.Member {
+	view := append([]member.Member(nil), f.view...)
+	for i := range view {
+		if f.dead[i].Load() {
+			view[i].State = member.Dead
+		}
+	}
+	return view
+}
+
+func (f *fleet) saved(t *testing.T) (sum usage.Line) {
+	t.Helper()
+	rows, err := f.memory.Client().Scan(context.Background(), BatchPrefix, "", 1000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, row := range rows {
+		lines, err := meter.Decode(row.Value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, line := range lines {
+			sum.Requests += line.Requests
+			sum.OutputTokens += line.OutputTokens
+		}
+	}
+	return sum
+}
+
+func within(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func TestCopiesSurviveOwnerAndOneHolder(t *testing.T) {
+	f := newFleet(t, "a", "b", "c")
+	ctx := within(t)
+	f.daemons[0].meter.Record(meter.Usage{Team: "t", Class: "c", Backend: "b", OutputTokens: 7})
+	f.daemons[0].owner.Step(ctx)
+	f.dead[0].Store(true)
+	f.dead[1].Store(true) // a second failure domain is lost as well
+	f.manual.Advance(grace)
+	f.daemons[2].copies.Rescue(ctx)
+	if got := f.saved(t); got.Requests != 1 || got.OutputTokens != 7 {
+		t.Fatalf("saved %+v", got)
+	}
+}
+
+func TestEveryHolderMayRescue(t *testing.T) {
+	f := newFleet(t, "a", "b", "c")
+	ctx := within(t)
+	for range 3 {
+		f.daemons[0].meter.Record(meter.Usage{Team: "t", OutputTokens: 1})
+		f.daemons[0].owner.Step(ctx)
+	}
+	if _, err := f.daemons[0].owner.Save(ctx); err != nil {
+		t.Fatal(err)
+	}
+	f.manual.Advance(silence)
+	f.daemons[1].copies.Rescue(ctx)
+	f.daemons[2].copies.Rescue(ctx)
+	if got := f.saved(t); got.Requests != 3 {
+		t.Fatalf("saved %+v", got)
+	}
+}
+
+func TestPeersAreInOtherDomains(t *testing.T) {
+	f := newFleet(t, "a", "a", "a", "b", "b", "c")
+	domains := map[string]string{}
+	for _, m := range f.view {
+		domains[m.ID] = m.FailureDomain
+	}
+	for i, d := range f.daemons {
+		peers := d.peers()
+		if len(peers) != copyCount || domains[peers[0]] == domains[peers[1]] {
+			t.Fatalf("daemon %d: peers %v", i, peers)
+		}
+		for _, peer := range peers {
+			if domains[peer] == f.view[i].FailureDomain {
+				t.Errorf("daemon %d of %s has copies in %s", i, f.view[i].FailureDomain, peer)
+			}
+		}
+	}
+	alone := newFleet(t, "a", "a")
+	if peers := alone.daemons[0].peers(); len(peers) != 1 || peers[0] != "vm-1" {
+		t.Fatalf("in a single domain: %v", peers)
+	}
+}
+
+func TestFlushLeavesNothingBehind(t *testing.T) {
+	f := newFleet(t, "a", "b", "c")
+	ctx := within(t)
+	f.daemons[0].meter.Record(meter.Usage{Team: "t", OutputTokens: 1})
+	f.daemons[0].owner.Step(ctx)
+	f.daemons[0].meter.Record(meter.Usage{Team: "t", OutputTokens: 1})
+	if err := f.daemons[0].Flush(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if got := f.saved(t); got.Requests != 2 {
+		t.Fatalf("saved %+v", got)
+	}
+	for i, d := range f.daemons {
+		if d.copies.Bytes() != 0 || d.owner.Bytes() != 0 {
+			t.Errorf("daemon %d keeps %d and %d bytes", i, d.copies.Bytes(), d.owner.Bytes())
+		}
+	}
+}
+
+func TestMalformedParcelIsRefused(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	for _, parcel := range []batch.Parcel{
+		{Incarnation: "r/x.1", Sequences: []uint64{1}},
+		{Incarnation: "nameless"},
+	} {
+		if _, err := f.daemons[0].take(context.Background(), "vm-1", parcel); err == nil {
+			t.Errorf("taken: %+v", parcel)
+		}
+	}
+}
+
+func TestOwnerID(t *testing.T) {
+	self := member.Member{ID: "vm.3", Region: "sask-central"}
+	if got := ownerID(Incarnation(self, "81f2")); got != "vm.3" {
+		t.Fatalf("got %q", got)
+	}
+}
