--- /dev/null
+++ b/internal/caller/openai/parse.go
@@ -0,0 +1,181 @@
+package openai
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/banyanshift/banyanshift/internal/caller/entry"
+	"github.com/banyanshift/banyanshift/internal/config/entity"
+)
+
+// Limits of a request's body.
+const (
+	maxOutputTokens = 1 << 20
+	maxMessages     = 4096
+	maxFields       = 64
+)
+
+// parsedBody is what the router needs of a request's body.
+type parsedBody struct {
+	fields    map[string]json.RawMessage
+	model     string
+	stream    bool
+	usage     bool
+	maxTokens int
+	prompt    string
+}
+
+// parse checks a body and takes out what the router needs. The other fields
+// are passed on as they are.
+func parse(body []byte, d dialect) (parsed parsedBody, err error) {
+	if !utf8.Valid(body) {
+		return parsed, entry.BadRequest("The body is not valid UTF-8.")
+	}
+	if trimmed := bytes.TrimLeft(body, " \t\r\n"); len(trimmed) == 0 || trimmed[0] != '{' {
+		return parsed, entry.BadRequest("The body must be a JSON object.")
+	}
+	if err := json.Unmarshal(body, &parsed.fields); err != nil {
+		return parsed, entry.BadRequest("The body is not valid JSON: " + err.Error() + ".")
+	}
+	if len(parsed.fields) > maxFields {
+		return parsed, entry.BadRequest("The body has too many fields.")
+	}
+	if err := parseCommon(&parsed); err != nil {
+		return parsed, err
+	}
+	parsed.prompt, err = d.prompt(parsed.fields)
+	return parsed, err
+}
+
+func parseCommon(parsed *parsedBody) error {
+	if err := decodeField(parsed.fields, "model", &parsed.model, "a string"); err != nil {
+		return err
+	}
+	if parsed.model == "" || len(parsed.model) > entity.MaxNameLength {
+		return entry.BadRequest(`The field "model" must name a model.`)
+	}
+	if err := decodeField(parsed.fields, "stream", &parsed.stream, "true or false"); err != nil {
+		return err
+	}
+	var options struct {
+		IncludeUsage bool `json:"include_usage"`
+	}
+	if err := decodeField(parsed.fields, "stream_options", &options, "an object"); err != nil {
+		return err
+	}
+	parsed.usage = options.IncludeUsage
+	if err := parseCount(parsed); err != nil {
+		return err
+	}
+	return parseMaxTokens(parsed)
+}
+
+// parseCount refuses requests for several answers at once.
+func parseCount(parsed *parsedBody) error {
+	count := 1
+	if err := decodeField(parsed.fields, "n", &count, "a number"); err != nil {
+		return err
+	}
+	if count != 1 {
+		return entry.BadRequest(`The field "n" must be 1.`)
+	}
+	return nil
+}
+
+func parseMaxTokens(parsed *parsedBody) error {
+	for _, name := range []string{"max_tokens", "max_completion_tokens"} {
+		value, present := parsed.fields[name]
+		if !present || string(value) == "null" {
+			continue
+		}
+		if err := decodeField(parsed.fields, name, &parsed.maxTokens, "a whole number"); err != nil {
+			return err
+		}
+		if parsed.maxTokens < 1 || parsed.maxTokens > maxOutputTokens {
+			return entry.BadRequest(`The field "` + name + `" is out of range.`)
+		}
+	}
+	return nil
+}
+
+// decodeField decodes a field that may be absent or null.
+func decodeField(fields map[string]json.RawMessage, name string, into any, want string) error {
+	value, present := fields[name]
+	if !present {
+		return nil
+	}
+	if err := json.Unmarshal(value, into); err != nil {
+		return entry.BadRequest(`The field "` + name + `" must be ` + want + ".")
+	}
+	return nil
+}
+
+// chatPrompt joins the text of all messages.
+func chatPrompt(fields map[string]json.RawMessage) (string, error) {
+	var messages []chatMessage
+	if err := decodeField(fields, "messages", &messages, "a list of messages"); err != nil {
+		return "", err
+	}
+	if len(messages) == 0 || len(messages) > maxMessages {
+		return "", entry.BadRequest(`The field "messages" must hold from 1 to 4096 messages.`)
+	}
+	texts := make([]string, len(messages))
+	for i, message := range messages {
+		if message.Role == "" {
+			return "", entry.BadRequest("Each message needs a role.")
+		}
+		text, err := message.text()
+		if err != nil {
+			return "", err
+		}
+		texts[i] = text
+	}
+	return strings.Join(texts, "\n"), nil
+}
+
+type chatMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// text returns the content, which is a string, a list of parts, or null.
+func (m chatMessage) text() (string, error) {
+	if len(m.Content) == 0 || string(m.Content) == "null" {
+		return "", nil
+	}
+	var text string
+	if json.Unmarshal(m.Content, &text) == nil {
+		return text, nil
+	}
+	var parts []struct {
+		Type string `json:"type"`
+		Text string `json:"text"`
+	}
+	if json.Unmarshal(m.Content, &parts) != nil {
+		return "", entry.BadRequest("The content of a message must be a string or a list of parts.")
+	}
+	texts := make([]string, 0, len(parts))
+	for _, part := range parts {
+		texts = append(texts, part.Text)
+	}
+	return strings.Join(texts, "\n"), nil
+}
+
+// completionPrompt takes the prompt, a string or a list with one string.
+func completionPrompt(fields map[string]json.RawMessage) (string, error) {
+	value, present := fields["prompt"]
+	if !present {
+		return "", entry.BadRequest(`The field "prompt" is missing.`)
+	}
+	var text string
+	if json.Unmarshal(value, &text) == nil {
+		return text, nil
+	}
+	var texts []string
+	if json.Unmarshal(value, &texts) != nil || len(texts) != 1 {
+		return "", entry.BadRequest(`The field "prompt" must be a string or a list with one string.`)
+	}
+	return texts[0], nil
+}
