--- a/internal/caller/entry/authenticate.go
+++ b/internal/caller/entry/authenticate.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"crypto/sha256"
 	"errors"
 	"net/http"
@@ -46,9 +47,28 @@
 	x.secret = secret
 	x.Request.KeyID = key.ID
 	x.Request.Team = team.Name
+	go (&keyWatch{ended: x.server.deps.State.KeyEnded(key.ID), cancel: x.cancel}).run(x.Context)
 	return nil
 }
 
+// ErrKeyEnded is the cause with which an exchange's context ends when the key
+// is withdrawn.
+var ErrKeyEnded = errors.New("key withdrawn")
+
+// keyWatch ends an exchange whose key is withdrawn.
+type keyWatch struct {
+	ended  <-chan struct{}
+	cancel context.CancelCauseFunc
+}
+
+func (k *keyWatch) run(ctx context.Context) {
+	select {
+	case <-k.ended:
+		k.cancel(ErrKeyEnded)
+	case <-ctx.Done():
+	}
+}
+
 // checkNoStrayKey refuses keys in the URL and in headers that are passed on.
 func checkNoStrayKey(r *http.Request) error {
 	if r.URL.User != nil || holdsKey(r.URL.RawQuery) || holdsKey(r.URL.EscapedPath()) {
--- a/internal/caller/entry/exchange.go
+++ b/internal/caller/entry/exchange.go
@@ -22,7 +22,8 @@
 type Exchange struct {
 	// HTTP is the request as it came.
 	HTTP *http.Request
-	// Context ends when the caller has gone.
+	// Context ends when the caller has gone, and with the cause ErrKeyEnded
+	// when the key is withdrawn.
 	Context context.Context
 	// Request is what the filters know of the request.
 	Request *request.Request
@@ -30,6 +31,7 @@
 	Body []byte
 
 	server *Server
+	cancel context.CancelCauseFunc
 	writer http.ResponseWriter
 	ctrl   *http.ResponseController
 	secret string
@@ -41,9 +43,12 @@
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	requests.Add(1)
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
 	x := &Exchange{
 		HTTP:    r,
-		Context: r.Context(),
+		Context: ctx,
+		cancel:  cancel,
 		Request: &request.Request{ID: s.deps.NewID(), Arrived: s.deps.Clock.Now()},
 		server:  s,
 		writer:  w,
--- a/internal/caller/openai/guard.go
+++ b/internal/caller/openai/guard.go
@@ -18,13 +18,11 @@
 	prefillFactor = 10
 )
 
-// guard ends an attempt when the key is withdrawn, the slot is taken back or
-// the engine falls silent.
+// guard ends an attempt when the slot is taken back or the engine falls silent.
 type guard struct {
-	deps    Dependencies
-	request *request.Request
-	grant   *request.Grant
-	cancel  context.CancelCauseFunc
+	deps   Dependencies
+	grant  *request.Grant
+	cancel context.CancelCauseFunc
 	// heard is when the engine was last heard of.
 	heard   atomic.Int64
 	patient clock.Millis
@@ -32,7 +30,7 @@
 
 func newGuard(deps Dependencies, req *request.Request, grant *request.Grant, cancel context.CancelCauseFunc) *guard {
 	g := &guard{
-		deps: deps, request: req, grant: grant, cancel: cancel,
+		deps: deps, grant: grant, cancel: cancel,
 		patient: stallTimeout + prefillFactor*req.FirstTokenTarget,
 	}
 	g.heard.Store(int64(deps.Clock.Now()))
@@ -46,13 +44,10 @@
 
 // run watches until the attempt's context ends.
 func (g *guard) run(ctx context.Context) {
-	keyEnded := g.keyEnded()
 	preempted := g.deps.Scheduler.Preempted(g.grant)
 	for {
 		tick, stop := context.WithTimeout(ctx, stallCheck.Duration())
 		select {
-		case <-keyEnded:
-			g.cancel(errKeyEnded)
 		case <-preempted:
 			g.cancel(errPreempted)
 		case <-tick.Done():
@@ -70,11 +65,3 @@
 func (g *guard) silentFor() clock.Millis {
 	return g.deps.Clock.Now() - clock.Millis(g.heard.Load())
 }
-
-// keyEnded is never ready for requests without a key.
-func (g *guard) keyEnded() <-chan struct{} {
-	if g.request.KeyID == "" {
-		return nil
-	}
-	return g.deps.State.KeyEnded(g.request.KeyID)
-}
--- a/internal/caller/openai/run.go
+++ b/internal/caller/openai/run.go
@@ -26,7 +26,6 @@
 
 // Causes that end an attempt from outside.
 var (
-	errKeyEnded  = errors.New("key withdrawn")
 	errPreempted = errors.New("slot taken back")
 	errStalled   = errors.New("engine stalled")
 )
@@ -294,7 +293,7 @@
 
 // end turns what ended the request early into the answer for the caller.
 func (r *run) end(err error) error {
-	if errors.Is(err, errKeyEnded) {
+	if errors.Is(context.Cause(r.x.Context), entry.ErrKeyEnded) {
 		err = entry.KeyWithdrawn(r.runState())
 	}
 	var refusal *request.Refusal
--- /dev/null
+++ b/internal/endpoint/watch/watch.go
@@ -0,0 +1,208 @@
+// Package watch keeps this daemon's knowledge of the endpoints: the platform's
+// list, their load reports and cache events, and news of leaving endpoints
+// from peers.
+//
+// Whichever source first says that an endpoint is leaving is believed, for
+// that incarnation for good. When the platform's list can't be read, the last
+// one stays in force.
+//
+// Load reports and cache events are read only from the endpoints that the
+// daemon schedules for, so that the number of readers of an endpoint does not
+// grow with the number of daemons.
+//
+// # Usage
+//
+//	w := watch.New(watch.Config{...})
+//	go w.Run(ctx)
+//	w.Hear(watch.News{EndpointID: id, Incarnation: inc}) // from a peer
+package watch
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/config/entity"
+	"github.com/banyanshift/banyanshift/internal/endpoint/engine"
+)
+
+const (
+	// listInterval is how often the platform's list is read.
+	listInterval = 1 * clock.Second
+	// reportInterval is how often an endpoint's load and cache events are read.
+	reportInterval = 500 * clock.Millisecond
+	// callTimeout bounds one call.
+	callTimeout = 2 * clock.Second
+)
+
+// News says that an endpoint is leaving.
+type News struct {
+	EndpointID  string
+	Incarnation string
+	ReclaimIn   clock.Millis
+}
+
+// Config is what a Watcher needs. All fields must be set.
+type Config struct {
+	Clock  clock.Clock
+	Logger logrus.FieldLogger
+	Random *rand.Rand
+	// List reads the platform's list.
+	List func(ctx context.Context) ([]entity.Endpoint, error)
+	// Load and CacheEvents read an engine's reports.
+	Load        func(ctx context.Context, endpoint entity.Endpoint) (engine.Load, error)
+	CacheEvents func(ctx context.Context, endpoint entity.Endpoint, after uint64) (engine.CacheEvents, error)
+	// Scheduled reports whether this daemon schedules for the endpoint.
+	Scheduled func(endpoint entity.Endpoint) bool
+	// Backend looks up a back end, to tell engines from plain services.
+	Backend func(name string) (entity.Backend, bool)
+	// OnEndpoints, OnLoad and OnCacheEvents take what was learned.
+	OnEndpoints   func(endpoints []entity.Endpoint)
+	OnLoad        func(endpoint entity.Endpoint, load engine.Load)
+	OnCacheEvents func(endpoint entity.Endpoint, events engine.CacheEvents)
+	// Broadcast tells peers of a leaving endpoint.
+	Broadcast func(news News)
+}
+
+// Watcher follows the endpoints.
+type Watcher struct {
+	config Config
+
+	mu        sync.Mutex
+	listed    map[string]entity.Endpoint
+	leaving   map[string]News
+	reporters map[string]*reporter
+	failing   bool
+}
+
+// New returns a Watcher.
+func New(config Config) *Watcher {
+	return &Watcher{
+		config:    config,
+		listed:    make(map[string]entity.Endpoint),
+		leaving:   make(map[string]News),
+		reporters: make(map[string]*reporter),
+	}
+}
+
+// Run follows the endpoints until the context ends.
+func (w *Watcher) Run(ctx context.Context) error {
+	for {
+		w.refresh(ctx)
+		jitter := clock.Millis(w.config.Random.Int64N(int64(listInterval / 4)))
+		if err := w.config.Clock.Sleep(ctx, listInterval-jitter); err != nil {
+			return err
+		}
+	}
+}
+
+// Endpoints returns the endpoints as known now, leaving ones marked.
+func (w *Watcher) Endpoints() []entity.Endpoint {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.endpoints()
+}
+
+// Hear takes news from a peer. It reports whether they were new.
+func (w *Watcher) Hear(news News) bool {
+	w.mu.Lock()
+	fresh := w.markLeaving(news)
+	endpoints := w.endpoints()
+	w.mu.Unlock()
+	if fresh {
+		w.config.OnEndpoints(endpoints)
+	}
+	return fresh
+}
+
+// refresh reads the list and tells what changed.
+func (w *Watcher) refresh(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
+	defer cancel()
+	listed, err := w.config.List(callCtx)
+	w.note(err)
+	if err != nil {
+		return
+	}
+	w.mu.Lock()
+	news := w.adopt(listed)
+	endpoints := w.endpoints()
+	w.mu.Unlock()
+	w.config.OnEndpoints(endpoints)
+	for _, leaving := range news {
+		eventLeaving.Log(w.config.Logger, logrus.Fields{"Endpoint": leaving.EndpointID, "ReclaimIn": leaving.ReclaimIn.String()})
+		w.config.Broadcast(leaving)
+	}
+	w.follow(ctx, endpoints)
+}
+
+// note logs when reading the list begins and ceases to fail.
+func (w *Watcher) note(err error) {
+	w.mu.Lock()
+	changed := w.failing != (err != nil)
+	w.failing = err != nil
+	w.mu.Unlock()
+	switch {
+	case !changed:
+	case err != nil:
+		eventListFailed.Log(w.config.Logger, logrus.Fields{"Error": err.Error()})
+	default:
+		eventListBack.Log(w.config.Logger, nil)
+	}
+}
+
+// adopt takes a list over and returns the news in it.
+func (w *Watcher) adopt(listed []entity.Endpoint) []News {
+	var news []News
+	current := make(map[string]entity.Endpoint, len(listed))
+	for _, endpoint := range listed {
+		current[endpoint.ID] = endpoint
+		if !endpoint.Leaving {
+			continue
+		}
+		leaving := News{EndpointID: endpoint.ID, Incarnation: endpoint.Incarnation, ReclaimIn: endpoint.ReclaimIn}
+		if w.markLeaving(leaving) {
+			news = append(news, leaving)
+		}
+	}
+	w.listed = current
+	for id, leaving := range w.leaving {
+		endpoint, present := current[id]
+		if present && endpoint.Incarnation != leaving.Incarnation {
+			delete(w.leaving, id)
+		}
+	}
+	return news
+}
+
+// markLeaving remembers that an incarnation is leaving; it reports whether
+// that is new.
+func (w *Watcher) markLeaving(news News) bool {
+	known, found := w.leaving[news.EndpointID]
+	if found && known.Incarnation == news.Incarnation {
+		return false
+	}
+	endpoint, listed := w.listed[news.EndpointID]
+	if listed && endpoint.Incarnation != news.Incarnation && !endpoint.Leaving {
+		// The news are of an earlier or a later incarnation than the listed
+		// one. Only the listed one can get work, and it is another.
+		return false
+	}
+	w.leaving[news.EndpointID] = news
+	return true
+}
+
+func (w *Watcher) endpoints() []entity.Endpoint {
+	endpoints := make([]entity.Endpoint, 0, len(w.listed))
+	for id, endpoint := range w.listed {
+		if leaving, found := w.leaving[id]; found && leaving.Incarnation == endpoint.Incarnation {
+			endpoint.Leaving = true
+			endpoint.ReclaimIn = leaving.ReclaimIn
+		}
+		endpoints = append(endpoints, endpoint)
+	}
+	return endpoints
+}
