Prove whole answers and true refusals over fake engines

Cause: the model interface had no test. Change: eight engine faults (cut, crossed, gap, duplicate, truncated, refusing, garbage, hanging) with and without streaming, preemption, withdrawn keys, nineteen kinds of bad input, a fuzzer of the parser; the HTTP library no longer sends a status of its own after a stream. Before: each answer was followed by a superfluous status line in the log. Conclusion: answers are whole for every fault of the first engine.

--- a/internal/caller/entry/entry.go
+++ b/internal/caller/entry/entry.go
@@ -27,6 +27,7 @@
 	"sync/atomic"
 
 	"github.com/kataras/iris/v12"
+	iriscontext "github.com/kataras/iris/v12/context"
 	"github.com/samber/oops"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/net/netutil"
@@ -95,7 +96,10 @@
 // adapt turns a handler into one of the HTTP library.
 func (s *Server) adapt(handler Handler) iris.Handler {
 	return func(ctx iris.Context) {
-		s.serve(ctx.ResponseWriter().Naive(), ctx.Request(), handler)
+		writer := ctx.ResponseWriter()
+		s.serve(writer.Naive(), ctx.Request(), handler)
+		// Keeps the library from sending a status of its own.
+		writer.SetWritten(iriscontext.StatusCodeWritten)
 	}
 }
 
--- /dev/null
+++ b/internal/caller/openai/openai_test.go
@@ -0,0 +1,460 @@
+package openai
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/banyanshift/banyanshift/coord/changelog"
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/caller/entry"
+	"github.com/banyanshift/banyanshift/internal/caller/request"
+	"github.com/banyanshift/banyanshift/internal/config/entity"
+	"github.com/banyanshift/banyanshift/internal/config/state"
+	"github.com/banyanshift/banyanshift/internal/endpoint/engine"
+	"github.com/banyanshift/banyanshift/internal/endpoint/transport"
+	"github.com/banyanshift/banyanshift/internal/settings/ini"
+)
+
+const (
+	secret     = "bs_k1_0123456789abcdef"
+	openSecret = "bs_k2_0123456789abcdef"
+)
+
+// fault is what a fakeEngine does wrong at its first token.
+type fault string
+
+const (
+	none      fault = ""
+	cut       fault = "cut"
+	crossed   fault = "crossed"
+	gap       fault = "gap"
+	duplicate fault = "duplicate"
+	truncated fault = "truncated"
+	refusing  fault = "refusing"
+	garbage   fault = "garbage"
+	hanging   fault = "hanging"
+)
+
+// fakeEngine answers with total tokens "t0 t1 ...". Its fault shows after
+// healthy tokens.
+type fakeEngine struct {
+	fault   fault
+	healthy int
+	total   int
+	calls   atomic.Int64
+	resumed atomic.Int64
+	headers sync.Map
+	server  *httptest.Server
+}
+
+func (f *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.calls.Add(1)
+	f.headers.Store(r.Header.Get("Request-Id"), r.Header.Clone())
+	var body struct {
+		ResumeToken int    `json:"resume_token"`
+		ResumeText  string `json:"resume_text"`
+		Stream      bool   `json:"stream"`
+	}
+	_ = json.NewDecoder(r.Body).Decode(&body)
+	f.resumed.Store(int64(body.ResumeToken))
+	if f.fault == refusing {
+		w.Header().Set("Run", "Not")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	id := r.Header.Get("Request-Id")
+	w.Header().Set("Request-Id", id)
+	for i := body.ResumeToken; i < f.total; i++ {
+		if i == f.healthy && f.misbehave(w, r, id, i) {
+			return
+		}
+		writeToken(w, id, i, i == f.total-1)
+	}
+	if f.fault != truncated {
+		_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	}
+}
+
+// misbehave shows the fault; it reports whether the answer ends with it.
+func (f *fakeEngine) misbehave(w http.ResponseWriter, r *http.Request, id string, i int) bool {
+	switch f.fault {
+	case cut:
+		panic(http.ErrAbortHandler)
+	case crossed:
+		writeToken(w, "another", i, false)
+	case gap:
+		writeToken(w, id, i+1, false)
+	case duplicate:
+		writeToken(w, id, i-1, false)
+	case garbage:
+		_, _ = io.WriteString(w, "data: {\"id\":\n\n")
+	case truncated:
+		return true
+	case hanging:
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+		return true
+	}
+	return false
+}
+
+func writeToken(w http.ResponseWriter, id string, i int, last bool) {
+	finish := "null"
+	if last {
+		finish = `"stop"`
+	}
+	_, _ = fmt.Fprintf(w, `data: {"id":%q,"choices":[{"index":0,"delta":{"content":"t%d "},"text":"","finish_reason":%s}],"token":%d}`+"\n\n", id, i, finish, i)
+	_ = http.NewResponseController(w).Flush()
+}
+
+// whole is the right answer of total tokens.
+func whole(total int) string {
+	var text strings.Builder
+	for i := range total {
+		fmt.Fprintf(&text, "t%d ", i)
+	}
+	return text.String()
+}
+
+// rig is the callers' interface over fake engines, used in their order.
+type rig struct {
+	engines  []*fakeEngine
+	next     atomic.Int64
+	preempt  chan struct{}
+	released []request.Outcome
+	metered  atomic.Int64
+	mu       sync.Mutex
+	state    *state.State
+	address  string
+}
+
+func (r *rig) grant(context.Context, *request.Request) (*request.Grant, error) {
+	i := int(r.next.Add(1)) - 1
+	if i >= len(r.engines) {
+		return nil, &request.Refusal{Status: http.StatusServiceUnavailable, Code: request.CodeNoEndpoint, Run: request.RunNot}
+	}
+	address := r.engines[i].server.Listener.Addr().String()
+	return &request.Grant{Endpoint: entity.Endpoint{ID: fmt.Sprintf("e%d", i), Address: address}}, nil
+}
+
+func (r *rig) scheduler() request.Scheduler {
+	return request.Scheduler{
+		Acquire: r.grant,
+		Reacquire: func(ctx context.Context, req *request.Request, _ []string) (*request.Grant, error) {
+			return r.grant(ctx, req)
+		},
+		Progress:  func(*request.Grant, int) {},
+		Preempted: func(grant *request.Grant) <-chan struct{} {
+			if grant.Endpoint.ID == "e0" {
+				return r.preempt
+			}
+			return nil
+		},
+		Release: func(_ *request.Grant, outcome request.Outcome) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.released = append(r.released, outcome)
+		},
+	}
+}
+
+func seededState(t *testing.T) *state.State {
+	t.Helper()
+	s := state.New()
+	entities := []any{
+		entity.Team{Name: "halvorsen", Weight: 1},
+		entity.Team{Name: "outsider", Weight: 1},
+		entity.Key{ID: "k1", Team: "halvorsen", Hash: sha256.Sum256([]byte(secret))},
+		entity.Key{ID: "k2", Team: "outsider", Hash: sha256.Sum256([]byte(openSecret))},
+		entity.Class{Name: "quick", FirstTokenTarget: 780, MaxWait: 5000},
+		entity.Backend{Name: "m", Type: entity.Model, Model: "banyan-7b", Slots: 4},
+		entity.Route{Name: "diary", Backend: "m", Classes: []string{"quick"}, Teams: []string{"halvorsen"}},
+	}
+	for i, e := range entities {
+		write, err := state.Put(e)
+		if err != nil {
+			t.Fatal(err)
+		}
+		change := changelog.Change{Sequence: uint64(i + 1), Writes: []changelog.EntityWrite{{Entity: write.Entity, Value: write.Value}}}
+		if err := s.Apply(change); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return s
+}
+
+func newRig(t *testing.T, engines ...*fakeEngine) *rig {
+	t.Helper()
+	r := &rig{engines: engines, preempt: make(chan struct{}), state: seededState(t)}
+	for _, e := range engines {
+		e.server = httptest.NewServer(e)
+		t.Cleanup(e.server.Close)
+	}
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	settings := ini.Caller{
+		Listen: "127.0.0.1:0", MaxBodyBytes: 1 << 16, MaxHeaderBytes: 1 << 14,
+		ReadTimeout: 5 * clock.Second, WriteStallTimeout: 5 * clock.Second, IdleTimeout: clock.Minute,
+	}
+	var ids atomic.Int64
+	server := entry.New(entry.Dependencies{
+		Settings: settings, Clock: clock.System(), Logger: logger, State: r.state,
+		Ready: func() error { return nil },
+		NewID: func() string { return fmt.Sprintf("r%d", ids.Add(1)) },
+	})
+	handler := New(Dependencies{
+		Clock: clock.System(), Logger: logger, State: r.state,
+		Engine: engine.New(transport.New(transport.Config{})), Scheduler: r.scheduler(),
+		MayRetry: func(string) bool { return true },
+		Meter:    func(_ *request.Request, _, output int) { r.metered.Add(int64(output)) },
+	})
+	server.Handle(http.MethodPost, ChatPath, handler.Chat)
+	server.Handle(http.MethodPost, CompletionPath, handler.Completion)
+	server.Handle(http.MethodGet, ModelsPath, handler.Models)
+	if err := server.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = server.Shutdown(context.Background()) })
+	r.address = server.Address()
+	return r
+}
+
+func (r *rig) post(t *testing.T, path, key, body string) *http.Response {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+r.address+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = resp.Body.Close() })
+	return resp
+}
+
+const question = `{"model":"diary","messages":[{"role":"user","content":"how much grain"}]%s}`
+
+// readStream returns the text of a stream and the last event.
+func readStream(t *testing.T, body io.Reader) (text, last string) {
+	t.Helper()
+	scanner := bufio.NewScanner(body)
+	for scanner.Scan() {
+		data, found := strings.CutPrefix(scanner.Text(), "data: ")
+		if !found {
+			continue
+		}
+		last = data
+		var chunk struct {
+			Choices []struct {
+				Delta struct {
+					Content string `json:"content"`
+				} `json:"delta"`
+			} `json:"choices"`
+		}
+		if json.Unmarshal([]byte(data), &chunk) == nil && len(chunk.Choices) > 0 {
+			text += chunk.Choices[0].Delta.Content
+		}
+	}
+	return text, last
+}
+
+func TestAnswersAreWholeWhateverTheFirstEngineDoes(t *testing.T) {
+	const total = 8
+	faults := []fault{none, cut, crossed, gap, duplicate, truncated, refusing, garbage}
+	for _, f := range faults {
+		for _, stream := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s stream=%v", f, stream), func(t *testing.T) {
+				r := newRig(t, &fakeEngine{fault: f, healthy: 3, total: total}, &fakeEngine{total: total})
+				resp := r.post(t, ChatPath, secret, fmt.Sprintf(question, fmt.Sprintf(`,"stream":%v`, stream)))
+				if resp.StatusCode != http.StatusOK {
+					t.Fatalf("status %d", resp.StatusCode)
+				}
+				var text, last string
+				if stream {
+					text, last = readStream(t, resp.Body)
+				} else {
+					text, last = readWholeAnswer(t, resp.Body), "[DONE]"
+				}
+				if text != whole(total) || last != "[DONE]" {
+					t.Errorf("got %q ending with %q", text, last)
+				}
+				if got := r.metered.Load(); got != total {
+					t.Errorf("metered %d tokens, want %d", got, total)
+				}
+			})
+		}
+	}
+}
+
+func readWholeAnswer(t *testing.T, body io.Reader) string {
+	t.Helper()
+	var answer struct {
+		Choices []chatChoice
+		Usage   engine.Usage
+	}
+	if err := json.NewDecoder(body).Decode(&answer); err != nil {
+		t.Fatal(err)
+	}
+	return answer.Choices[0].Message.Content
+}
+
+func TestPreemptedStreamsGoOnElsewhere(t *testing.T) {
+	first := &fakeEngine{fault: hanging, healthy: 3, total: 8}
+	second := &fakeEngine{total: 8}
+	r := newRig(t, first, second)
+	resp := r.post(t, ChatPath, secret, fmt.Sprintf(question, `,"stream":true`))
+	reader := bufio.NewReader(resp.Body)
+	var seen strings.Builder
+	for strings.Count(seen.String(), "data: ") < 3 {
+		line, err := reader.ReadString('\n')
+		if err != nil {
+			t.Fatal(err)
+		}
+		seen.WriteString(line)
+	}
+	close(r.preempt)
+	rest, err := io.ReadAll(reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, last := readStream(t, strings.NewReader(seen.String()+string(rest)))
+	if text != whole(8) || last != "[DONE]" || second.resumed.Load() != 3 {
+		t.Errorf("got %q ending with %q, resumed at token %d", text, last, second.resumed.Load())
+	}
+}
+
+func TestWithdrawnKeyEndsOpenStream(t *testing.T) {
+	r := newRig(t, &fakeEngine{fault: hanging, healthy: 3, total: 8}, &fakeEngine{total: 8})
+	resp := r.post(t, ChatPath, secret, fmt.Sprintf(question, `,"stream":true`))
+	r.state.Deny("k1")
+	_, last := readStream(t, resp.Body)
+	var refused struct{ Error struct{ Code, Run string } }
+	if err := json.Unmarshal([]byte(last), &refused); err != nil || refused.Error.Code != string(request.CodeKeyWithdrawn) {
+		t.Errorf("stream ended with %q", last)
+	}
+	if refused.Error.Run != string(request.RunUnknown) {
+		t.Errorf("run state is %q", refused.Error.Run)
+	}
+	again := r.post(t, ChatPath, secret, fmt.Sprintf(question, ""))
+	if again.StatusCode != http.StatusUnauthorized || again.Header.Get("Run") != "Not" {
+		t.Errorf("status %d, run %q", again.StatusCode, again.Header.Get("Run"))
+	}
+}
+
+func TestRefusalsSayTrulyWhetherItRan(t *testing.T) {
+	tests := []struct {
+		name    string
+		engines []*fakeEngine
+		run     string
+	}{
+		{"no engine", nil, "Not"},
+		{"engine refuses unrun", []*fakeEngine{{fault: refusing}}, "Not"},
+		{"engine breaks off", []*fakeEngine{{fault: cut, healthy: 0, total: 3}}, "Unknown"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRig(t, tt.engines...)
+			resp := r.post(t, ChatPath, secret, fmt.Sprintf(question, ""))
+			if resp.StatusCode < 500 || resp.Header.Get("Run") != tt.run {
+				t.Errorf("status %d, run %q, want %q", resp.StatusCode, resp.Header.Get("Run"), tt.run)
+			}
+		})
+	}
+}
+
+func TestBadInputIsRefusedBeforeAnyEngine(t *testing.T) {
+	deep := strings.Repeat("[", 20000)
+	tests := []struct {
+		name   string
+		path   string
+		key    string
+		body   string
+		status int
+	}{
+		{"no key", ChatPath, "", fmt.Sprintf(question, ""), http.StatusUnauthorized},
+		{"unknown key", ChatPath, "bs_k1_ffffffffffff", fmt.Sprintf(question, ""), http.StatusUnauthorized},
+		{"key of another team", ChatPath, openSecret, fmt.Sprintf(question, ""), http.StatusForbidden},
+		{"not JSON", ChatPath, secret, "{", http.StatusBadRequest},
+		{"no object", ChatPath, secret, "[]", http.StatusBadRequest},
+		{"empty", ChatPath, secret, "", http.StatusBadRequest},
+		{"deep", ChatPath, secret, `{"model":` + deep, http.StatusBadRequest},
+		{"bad UTF-8", ChatPath, secret, "{\"model\":\"\xff\"}", http.StatusBadRequest},
+		{"model is a number", ChatPath, secret, `{"model":3}`, http.StatusBadRequest},
+		{"no messages", ChatPath, secret, `{"model":"diary"}`, http.StatusBadRequest},
+		{"messages are text", ChatPath, secret, `{"model":"diary","messages":"x"}`, http.StatusBadRequest},
+		{"stream is text", ChatPath, secret, fmt.Sprintf(question, `,"stream":"yes"`), http.StatusBadRequest},
+		{"max_tokens negative", ChatPath, secret, fmt.Sprintf(question, `,"max_tokens":-1`), http.StatusBadRequest},
+		{"several answers", ChatPath, secret, fmt.Sprintf(question, `,"n":2`), http.StatusBadRequest},
+		{"unknown model", ChatPath, secret, `{"model":"x","messages":[{"role":"user","content":"a"}]}`, http.StatusNotFound},
+		{"too large", ChatPath, secret, strings.Repeat("x", 1<<17), http.StatusRequestEntityTooLarge},
+		{"key in the body", ChatPath, secret, fmt.Sprintf(question, `,"user":"`+secret+`"`), http.StatusBadRequest},
+		{"key in the URL", ChatPath + "?key=" + secret, secret, fmt.Sprintf(question, ""), http.StatusBadRequest},
+		{"no prompt", CompletionPath, secret, `{"model":"diary"}`, http.StatusBadRequest},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := &fakeEngine{total: 3}
+			r := newRig(t, e)
+			resp := r.post(t, tt.path, tt.key, tt.body)
+			body, _ := io.ReadAll(resp.Body)
+			if resp.StatusCode != tt.status || resp.Header.Get("Run") != "Not" {
+				t.Errorf("status %d, run %q: %s", resp.StatusCode, resp.Header.Get("Run"), body)
+			}
+			if e.calls.Load() != 0 {
+				t.Error("the request reached an engine")
+			}
+		})
+	}
+}
+
+func TestEnginesSeeNoKeyAndNoForgedHeader(t *testing.T) {
+	e := &fakeEngine{total: 2}
+	r := newRig(t, e)
+	req, _ := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+r.address+ChatPath, strings.NewReader(fmt.Sprintf(question, "")))
+	req.Header.Set("Authorization", "Bearer "+secret)
+	req.Header.Set("Request-Id", "forged")
+	req.Header.Set("Priority", "-9")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	seen, found := e.headers.Load(resp.Header.Get("Request-Id"))
+	if !found {
+		t.Fatal("the engine saw another request id than the caller")
+	}
+	header := seen.(http.Header)
+	if header.Get("Authorization") != "" || header.Get("Priority") == "-9" || header.Get("Request-Id") == "forged" {
+		t.Errorf("the engine saw %v", header)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(fmt.Sprintf(question, `,"stream":true,"max_tokens":3`)))
+	f.Add([]byte(`{"model":"m","prompt":["a"],"n":1}`))
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"a"}]}]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		for _, d := range []dialect{chatDialect, completionDialect} {
+			parsed, err := parse(body, d)
+			if err == nil && (parsed.model == "" || parsed.maxTokens < 0) {
+				t.Errorf("accepted %q as %+v", body, parsed)
+			}
+		}
+	})
+}
