Prove at-most-once calls over several callers' interfaces

Cause: the path of plain services had no test. Change: tests with three interfaces over one claims table: 24 concurrent retries, cut and half answers, refusals of the service, a store outage, paths that endpoints could read differently, keys in the wrong place. Before: none. Conclusion: retries over daemons run once and refusals tell the truth.

--- /dev/null
+++ b/internal/caller/plain/plain_test.go
@@ -0,0 +1,315 @@
+package plain
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/banyanshift/banyanshift/coord/changelog"
+	coordclaim "github.com/banyanshift/banyanshift/coord/claim"
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/coord/table"
+	"github.com/banyanshift/banyanshift/internal/caller/claim"
+	"github.com/banyanshift/banyanshift/internal/caller/entry"
+	"github.com/banyanshift/banyanshift/internal/caller/request"
+	"github.com/banyanshift/banyanshift/internal/config/entity"
+	"github.com/banyanshift/banyanshift/internal/config/state"
+	"github.com/banyanshift/banyanshift/internal/endpoint/service"
+	"github.com/banyanshift/banyanshift/internal/endpoint/transport"
+	"github.com/banyanshift/banyanshift/internal/settings/ini"
+)
+
+const secret = "bs_k1_0123456789abcdef"
+
+// fakeService counts the calls that it runs. In the mode "cut" it runs the
+// call and cuts the connection; in the mode "half" it sends half an answer.
+type fakeService struct {
+	mode   atomic.Value
+	runs   atomic.Int64
+	server *httptest.Server
+}
+
+func (f *fakeService) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	mode, _ := f.mode.Load().(string)
+	if mode == "refusing" {
+		w.Header().Set("Run", "Not")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	run := f.runs.Add(1)
+	switch mode {
+	case "cut":
+		panic(http.ErrAbortHandler)
+	case "half":
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, "half")
+		return
+	}
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.Header().Set("Certificate", "yes")
+	w.WriteHeader(http.StatusCreated)
+	_, _ = fmt.Fprintf(w, "run %d of %s %s for %s", run, r.Method, r.URL.RequestURI(), r.Header.Get("Team"))
+}
+
+// daemon is the callers' interface of one daemon over a shared table.
+type daemon struct {
+	address string
+	store   *coordclaim.Store
+}
+
+type rig struct {
+	table    *table.Memory
+	service  *fakeService
+	daemons  []daemon
+	grants   atomic.Int64
+	releases atomic.Int64
+}
+
+func seededState(t *testing.T) *state.State {
+	t.Helper()
+	s := state.New()
+	entities := []any{
+		entity.Team{Name: "himal", Weight: 1},
+		entity.Key{ID: "k1", Team: "himal", Hash: sha256.Sum256([]byte(secret))},
+		entity.Class{Name: "certificate", FirstTokenTarget: 2000, MaxWait: 5000},
+		entity.Backend{Name: "registry", Type: entity.Service, RepeatableMethods: []string{"GET"}, Slots: 4},
+		entity.Route{Name: "certificates", Backend: "registry", Prefix: "/certificates", Classes: []string{"certificate"}, Teams: []string{"himal"}},
+	}
+	for i, e := range entities {
+		write, err := state.Put(e)
+		if err != nil {
+			t.Fatal(err)
+		}
+		change := changelog.Change{Sequence: uint64(i + 1), Writes: []changelog.EntityWrite{{Entity: write.Entity, Value: write.Value}}}
+		if err := s.Apply(change); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return s
+}
+
+func newRig(t *testing.T, daemons int) *rig {
+	t.Helper()
+	r := &rig{table: table.NewMemory(), service: &fakeService{}}
+	r.service.server = httptest.NewServer(r.service)
+	t.Cleanup(r.service.server.Close)
+	for i := range daemons {
+		r.start(t, fmt.Sprintf("vm-%d", i))
+	}
+	return r
+}
+
+func (r *rig) scheduler() request.Scheduler {
+	grant := func(context.Context, *request.Request) (*request.Grant, error) {
+		r.grants.Add(1)
+		return &request.Grant{Endpoint: entity.Endpoint{ID: "s1", Address: r.service.server.Listener.Addr().String()}}, nil
+	}
+	return request.Scheduler{
+		Acquire: grant,
+		Reacquire: func(ctx context.Context, req *request.Request, _ []string) (*request.Grant, error) {
+			return grant(ctx, req)
+		},
+		Progress:  func(*request.Grant, int) {},
+		Preempted: func(*request.Grant) <-chan struct{} { return nil },
+		Release:   func(*request.Grant, request.Outcome) { r.releases.Add(1) },
+	}
+}
+
+func (r *rig) start(t *testing.T, name string) {
+	t.Helper()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	clk := clock.System()
+	store := coordclaim.New(coordclaim.Config{
+		Table: r.table.Client(), Clock: clk, Prefix: "Claim/", EpochKey: "ClaimEpoch", Owner: name, Incarnation: name + ".1",
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = store.Run(ctx) }()
+	configuration := seededState(t)
+	var ids atomic.Int64
+	server := entry.New(entry.Dependencies{
+		Settings: ini.Caller{
+			Listen: "127.0.0.1:0", MaxBodyBytes: 1 << 16, MaxHeaderBytes: 1 << 14,
+			ReadTimeout: 5 * clock.Second, WriteStallTimeout: 5 * clock.Second, IdleTimeout: clock.Minute,
+		},
+		Clock: clk, Logger: logger, State: configuration,
+		Ready: func() error { return nil },
+		NewID: func() string { return fmt.Sprintf("%s-%d", name, ids.Add(1)) },
+	})
+	handler := New(Dependencies{
+		Clock: clk, Logger: logger, State: configuration,
+		Service: service.New(transport.New(transport.Config{})), Scheduler: r.scheduler(),
+		Claims: claim.New(claim.Config{
+			Store: store, Clock: clk, Logger: logger,
+			OwnerAlive: func(string, string) bool { return true },
+		}),
+		MayRetry: func(string) bool { return true },
+		Meter:    func(*request.Request, int, int) {},
+	})
+	server.HandleRest(handler.Serve)
+	if err := server.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = server.Shutdown(context.Background()) })
+	r.daemons = append(r.daemons, daemon{address: server.Address(), store: store})
+}
+
+func (r *rig) call(t *testing.T, daemon int, method, uri, idempotencyKey, body string) (status int, run, text string) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, "http://"+r.daemons[daemon].address+uri, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+secret)
+	if idempotencyKey != "" {
+		req.Header.Set("Idempotency-Key", idempotencyKey)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Error(err)
+		return 0, "", ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Error(err)
+	}
+	return resp.StatusCode, resp.Header.Get("Run"), string(data)
+}
+
+func TestCallsArePassedOnWhole(t *testing.T) {
+	r := newRig(t, 1)
+	status, _, text := r.call(t, 0, http.MethodPost, "/certificates/7?x=%20y", "", "body")
+	if status != http.StatusCreated || text != "run 1 of POST /certificates/7?x=%20y for himal" {
+		t.Errorf("got %d %q", status, text)
+	}
+}
+
+func TestRetriesOverDaemonsRunOnce(t *testing.T) {
+	const retries = 24
+	r := newRig(t, 3)
+	var calls sync.WaitGroup
+	for i := range retries {
+		calls.Go(func() {
+			status, run, text := r.call(t, i%3, http.MethodPost, "/certificates", "summit-1953", "body")
+			answered := status == http.StatusCreated && strings.HasPrefix(text, "run 1 ")
+			inProgress := status == http.StatusConflict && run == "Unknown"
+			if !answered && !inProgress {
+				t.Errorf("got %d, run %q: %s", status, run, text)
+			}
+		})
+	}
+	calls.Wait()
+	if got := r.service.runs.Load(); got != 1 {
+		t.Errorf("ran %d times", got)
+	}
+	if r.grants.Load() != r.releases.Load() {
+		t.Errorf("%d grants, %d releases", r.grants.Load(), r.releases.Load())
+	}
+}
+
+func TestCutCallIsNeverRunAgain(t *testing.T) {
+	for _, mode := range []string{"cut", "half"} {
+		t.Run(mode, func(t *testing.T) {
+			r := newRig(t, 2)
+			r.service.mode.Store(mode)
+			status, run, _ := r.call(t, 0, http.MethodPost, "/certificates", "k", "body")
+			if status != http.StatusBadGateway || run != "Unknown" {
+				t.Errorf("first: got %d, run %q", status, run)
+			}
+			r.service.mode.Store("")
+			_, run, _ = r.call(t, 1, http.MethodPost, "/certificates", "k", "body")
+			if run != "Unknown" {
+				t.Errorf("retry: run %q", run)
+			}
+			if got := r.service.runs.Load(); got != 1 {
+				t.Errorf("ran %d times", got)
+			}
+		})
+	}
+}
+
+func TestCutCallWithoutKeyRunsOnce(t *testing.T) {
+	r := newRig(t, 1)
+	r.service.mode.Store("cut")
+	status, run, _ := r.call(t, 0, http.MethodPost, "/certificates", "", "body")
+	if status != http.StatusBadGateway || run != "Unknown" || r.service.runs.Load() != 1 {
+		t.Errorf("got %d, run %q, %d runs", status, run, r.service.runs.Load())
+	}
+}
+
+func TestRepeatableCallIsSentAgain(t *testing.T) {
+	r := newRig(t, 1)
+	r.service.mode.Store("half")
+	status, run, _ := r.call(t, 0, http.MethodGet, "/certificates", "", "")
+	if status != http.StatusBadGateway || run != "Unknown" || r.service.runs.Load() != maxAttempts {
+		t.Errorf("got %d, run %q, %d runs", status, run, r.service.runs.Load())
+	}
+}
+
+func TestUnrunCallFreesItsKey(t *testing.T) {
+	r := newRig(t, 2)
+	r.service.mode.Store("refusing")
+	status, run, _ := r.call(t, 0, http.MethodPost, "/certificates", "k", "body")
+	if status < 500 || run != "Not" {
+		t.Errorf("got %d, run %q", status, run)
+	}
+	r.service.mode.Store("")
+	for range 100 {
+		status, run, _ = r.call(t, 1, http.MethodPost, "/certificates", "k", "body")
+		if status == http.StatusCreated {
+			break
+		}
+		if run != "Not" {
+			t.Fatalf("retry: got %d, run %q", status, run)
+		}
+	}
+	if status != http.StatusCreated || r.service.runs.Load() != 1 {
+		t.Errorf("retry: got %d, %d runs", status, r.service.runs.Load())
+	}
+}
+
+func TestStoreOutageRefusesTruly(t *testing.T) {
+	r := newRig(t, 1)
+	r.table.SetFault(table.Fault{Down: true})
+	status, run, _ := r.call(t, 0, http.MethodPost, "/certificates", "k", "body")
+	if status != http.StatusServiceUnavailable || run != "Not" || r.service.runs.Load() != 0 {
+		t.Errorf("got %d, run %q, %d runs", status, run, r.service.runs.Load())
+	}
+	if status, _, _ := r.call(t, 0, http.MethodPost, "/certificates", "", "body"); status != http.StatusCreated {
+		t.Errorf("a call without idempotency key needs no store, got %d", status)
+	}
+}
+
+func TestBadCallsReachNoService(t *testing.T) {
+	tests := []struct{ name, uri, key string }{
+		{"unknown path", "/other", ""},
+		{"prefix of a name", "/certificatesx", ""},
+		{"escaped slash", "/certificates/a%2Fb", ""},
+		{"escaped dots", "/certificates/%2e%2e/admin", ""},
+		{"doubled slash", "/certificates//x", ""},
+		{"backslash", "/certificates/a%5Cb", ""},
+		{"key in the path", "/certificates/" + secret, ""},
+		{"escaped key in the query", "/certificates?k=bs%5Fk1%5F0123456789abcdef", ""},
+		{"long idempotency key", "/certificates", strings.Repeat("k", 300)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRig(t, 1)
+			status, run, text := r.call(t, 0, http.MethodPost, tt.uri, tt.key, "x")
+			if status < 400 || status >= 500 || run != "Not" || r.service.runs.Load() != 0 {
+				t.Errorf("got %d, run %q: %s", status, run, text)
+			}
+		})
+	}
+}
