Wire the daemon

Cause: the parts stand by themselves. Before: no daemon. After: it builds; the caller packages' tests pass. Conclusion: membership by the VM list alone is a stopgap that the view from probing replaces.

--- a/internal/caller/openai/openai.go
+++ b/internal/caller/openai/openai.go
@@ -42,9 +42,9 @@
 	State     *state.State
 	Engine    *engine.Client
 	Scheduler request.Scheduler
-	// MayRetry reports whether the retry budget of a back end allows to run
-	// a request again.
-	MayRetry func(backend string) bool
+	// MayRetry reports whether the retry budget allows to run a request
+	// again.
+	MayRetry func(req *request.Request) bool
 	// Meter records what a request is billed for.
 	Meter func(req *request.Request, promptTokens, outputTokens int)
 }
--- a/internal/caller/openai/run.go
+++ b/internal/caller/openai/run.go
@@ -90,7 +90,7 @@
 	eventAttemptFailed.Log(r.handler.deps.Logger, logrus.Fields{
 		"RequestId": r.x.Request.ID, "Endpoint": grant.Endpoint.ID, "Token": r.tokens, "Error": err.Error(),
 	})
-	if r.failures >= maxAttempts || !r.handler.deps.MayRetry(r.x.Request.Backend) {
+	if r.failures >= maxAttempts || !r.handler.deps.MayRetry(r.x.Request) {
 		return r.failed("The engines did not answer as they should.")
 	}
 	resumed.Add("Failed", 1)
--- a/internal/caller/plain/call.go
+++ b/internal/caller/plain/call.go
@@ -60,7 +60,7 @@
 		}
 		mayHaveRun = mayHaveRun || !notRun(err)
 		c.failed(grant, err)
-		if attempts >= maxAttempts || !c.handler.deps.MayRetry(c.x.Request.Backend) {
+		if attempts >= maxAttempts || !c.handler.deps.MayRetry(c.x.Request) {
 			return c.end(endpointFailed(), mayHaveRun)
 		}
 		grant, err = c.reacquire()
--- a/internal/caller/plain/plain.go
+++ b/internal/caller/plain/plain.go
@@ -41,9 +41,8 @@
 	Service   *service.Client
 	Scheduler request.Scheduler
 	Claims    *claim.Claims
-	// MayRetry reports whether the retry budget of a back end allows to send
-	// a call again.
-	MayRetry func(backend string) bool
+	// MayRetry reports whether the retry budget allows to send a call again.
+	MayRetry func(req *request.Request) bool
 	// Meter records what a request is billed for.
 	Meter func(req *request.Request, promptTokens, outputTokens int)
 }
--- a/internal/caller/plain/plain_test.go
+++ b/internal/caller/plain/plain_test.go
@@ -153,7 +153,7 @@
 			Store: store, Clock: clk, Logger: logger,
 			OwnerAlive: func(string, string) bool { return true },
 		}),
-		MayRetry: func(string) bool { return true },
+		MayRetry: func(*request.Request) bool { return true },
 		Meter:    func(*request.Request, int, int) {},
 	})
 	server.HandleRest(handler.Serve)
--- /dev/null
+++ b/internal/daemon/serve/scheduling.go
@@ -0,0 +1,124 @@
+package serve
+
+import (
+	"context"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/banyanshift/banyanshift/internal/caller/request"
+	"github.com/banyanshift/banyanshift/internal/config/entity"
+	"github.com/banyanshift/banyanshift/internal/decide/place"
+	"github.com/banyanshift/banyanshift/internal/decide/retry"
+	"github.com/banyanshift/banyanshift/internal/endpoint/engine"
+	"github.com/banyanshift/banyanshift/internal/endpoint/transport"
+	"github.com/banyanshift/banyanshift/internal/endpoint/watch"
+	"github.com/banyanshift/banyanshift/internal/peer/broker"
+	"github.com/banyanshift/banyanshift/internal/peer/link"
+	"github.com/banyanshift/banyanshift/internal/peer/message"
+	"github.com/banyanshift/banyanshift/internal/platform/order"
+)
+
+// newsFanOut is how many peers are told at once of a leaving endpoint; each
+// tells others in turn.
+const newsFanOut = 4
+
+// buildScheduling builds the scheduler and what it learns of the endpoints.
+func (d *Daemon) buildScheduling() error {
+	d.broker = broker.New(broker.Config{
+		Self:   d.settings.Daemon.ID,
+		Region: d.settings.Daemon.Region,
+		Policy: broker.Policy(d.settings.Daemon.Policy),
+		Seed:   d.seed,
+	}, broker.Deps{
+		Clock: d.clock, Logger: d.logger, Link: d.link, View: d.roster.View,
+		Class: d.state.Class, Team: d.state.Team, Backend: d.state.Backend,
+	})
+	d.broker.Register(d.link)
+	engines := engine.New(transport.New(transport.Config{}))
+	d.watcher = watch.New(watch.Config{
+		Clock:         d.clock,
+		Logger:        d.logger,
+		Random:        d.random(3),
+		List:          order.New(d.settings.Platform.OrderURL, d.platformHTTP).Endpoints,
+		Load:          engines.Load,
+		CacheEvents:   engines.CacheEvents,
+		Scheduled:     func(entity.Endpoint) bool { return true },
+		Backend:       d.state.Backend,
+		OnEndpoints:   d.broker.UpdateEndpoints,
+		OnLoad:        d.takeLoad,
+		OnCacheEvents: d.takeCacheEvents,
+		Broadcast:     d.broadcast,
+	})
+	link.Handle(d.link, message.EndpointNews, d.hearNews)
+	return nil
+}
+
+func (d *Daemon) takeLoad(endpoint entity.Endpoint, load engine.Load) {
+	d.broker.UpdateLoad(place.Load{
+		Endpoint: endpoint.ID, Incarnation: endpoint.Incarnation,
+		Running: load.Running, Waiting: load.Waiting, Slots: load.Slots,
+		KVUsed: int64(load.KVUsed), KVTotal: int64(load.KVTotal),
+		TokensPerSecond: load.TokensPerSecond, Sequence: load.Sequence,
+	})
+}
+
+func (d *Daemon) takeCacheEvents(endpoint entity.Endpoint, events engine.CacheEvents) {
+	placed := make([]place.CacheEvent, len(events.Events))
+	for i, e := range events.Events {
+		placed[i] = place.CacheEvent{Sequence: e.Sequence, Evicted: e.Kind == "Evict", Digest: e.Digest}
+	}
+	d.broker.CacheEvents(endpoint.ID, endpoint.Incarnation, events.First, placed)
+}
+
+// hearNews takes news of a leaving endpoint and passes fresh ones on.
+func (d *Daemon) hearNews(_ context.Context, _ string, news watch.News) (struct{}, error) {
+	d.broker.EndpointLeaving(news.EndpointID, news.Incarnation)
+	if d.watcher.Hear(news) {
+		d.broadcast(news)
+	}
+	return struct{}{}, nil
+}
+
+// broadcast tells a few peers, picked at random, of a leaving endpoint.
+func (d *Daemon) broadcast(news watch.News) {
+	d.broker.EndpointLeaving(news.EndpointID, news.Incarnation)
+	view := d.roster.View()
+	order := d.random(d.requestIDs.Add(1)).Perm(len(view))
+	told := 0
+	for _, i := range order {
+		peer := view[i]
+		if peer.ID == d.settings.Daemon.ID || !peer.Live() {
+			continue
+		}
+		if err := link.Send(d.link, link.Peer{ID: peer.ID, Address: peer.Address}, message.EndpointNews, news); err != nil {
+			d.logger.WithFields(logrus.Fields{"Peer": peer.ID, "Error": err.Error()}).Debug("endpoint news not sent")
+			continue
+		}
+		if told++; told == newsFanOut {
+			return
+		}
+	}
+}
+
+// retryBudget is the daemon's budget of retries, shared by all requests.
+type retryBudget struct {
+	mu      sync.Mutex
+	budgets *retry.Budgets
+}
+
+func newRetryBudget() *retryBudget {
+	return &retryBudget{budgets: retry.NewBudgets(retry.Config{})}
+}
+
+func (r *retryBudget) mayRetry(req *request.Request) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.budgets.Retry(req.Team, req.Backend)
+}
+
+func (r *retryBudget) succeeded(req *request.Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budgets.Succeeded(req.Team, req.Backend)
+}
