--- a/internal/standin/faultproxy/proxy_test.go
+++ b/internal/standin/faultproxy/proxy_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -65,6 +66,9 @@
 				t.Fatal(err)
 			}
 			conn, err := net.Dial("tcp", address)
+			if test.fault.Refuse && errors.Is(err, syscall.ECONNRESET) {
+				return
+			}
 			if err != nil {
 				t.Fatal(err)
 			}
