--- a/internal/order/dispatch/dispatch.go
+++ b/internal/order/dispatch/dispatch.go
@@ -252,7 +252,7 @@
 	for _, p := range batch {
 		if errors.Is(p.err, order.ErrOldFence) {
 			eventDeposed.Log(d.cfg.Logger, logrus.Fields{"Fence": fence, "Order": p.entry.Order.ID})
-			return journal.ErrDeposed
+			return p.err
 		}
 		if p.judge() {
 			ended = append(ended, p.entry)
@@ -321,7 +321,7 @@
 
 // Deposed reports whether an error says that the lease has passed on.
 func Deposed(err error) bool {
-	return errors.Is(err, journal.ErrDeposed) || errors.Is(err, hold.ErrPassedOn)
+	return errors.Is(err, order.ErrOldFence) || errors.Is(err, hold.ErrPassedOn)
 }
 
 func (d *Dispatcher) record(ctx context.Context, ended []journal.Entry) error {
--- a/internal/order/dispatch/dispatch_test.go
+++ b/internal/order/dispatch/dispatch_test.go
@@ -28,7 +28,8 @@
 
 	mu       sync.Mutex
 	greatest uint64
-	effects  map[string]int
+	// effects holds the endpoint that each order was carried out for.
+	effects  map[string]string
 	overlaps int
 	// busy are endpoints that never answer.
 	busy map[string]bool
@@ -41,7 +42,7 @@
 		if e.checksFence {
 			return order.ErrOldFence
 		}
-		if e.effects[given.ID] == 0 {
+		if e.effects[given.ID] == "" {
 			e.overlaps++
 		}
 	}
@@ -52,7 +53,9 @@
 	if given.EndpointID == "full" {
 		return order.ErrNoCapacity
 	}
-	e.effects[given.ID] = 1
+	if e.effects[given.ID] == "" {
+		e.effects[given.ID] = given.EndpointID
+	}
 	return nil
 }
 
@@ -84,7 +87,7 @@
 		memory: table.NewMemory(),
 		manual: clock.NewManual(1),
 		rng:    rand.New(rand.NewPCG(seed, 3)),
-		ends:   &endpoints{checksFence: checksFence, effects: map[string]int{}, busy: map[string]bool{}},
+		ends:   &endpoints{checksFence: checksFence, effects: map[string]string{}, busy: map[string]bool{}},
 	}
 }
 
@@ -218,8 +221,12 @@
 		if entry.State == journal.Open {
 			return fmt.Errorf("order %s is still open", entry.Order.ID)
 		}
-		if done := entry.State == journal.Done; done != (w.ends.effects[entry.Order.ID] == 1) {
-			return fmt.Errorf("order %s is %s, effects %d", entry.Order.ID, entry.State, w.ends.effects[entry.Order.ID])
+		effect, want := w.ends.effects[entry.Order.ID], ""
+		if entry.State == journal.Done {
+			want = entry.Order.EndpointID
+		}
+		if effect != want {
+			return fmt.Errorf("order %s for %s is %s, carried out for %q", entry.Order.ID, entry.Order.EndpointID, entry.State, effect)
 		}
 	}
 	for id := range w.ends.effects {
@@ -320,11 +327,102 @@
 	if err := b.round(ctx); err != nil {
 		t.Fatal(err)
 	}
+	entries, err := journal.Entries(ctx, w.memory.Client(), "r")
+	if err != nil || len(entries) != 3 {
+		t.Fatalf("want the orders for a0, a1 and b0, got %+v, %v", entries, err)
+	}
+	if err := w.check(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestInheritedOrderIsNotRefused covers an order that was carried out with its
+// answer lost, and a successor that the platform does not answer.
+func TestInheritedOrderIsNotRefused(t *testing.T) {
+	w := newWorld(1, false)
+	w.lease(1)
+	a := w.process("a")
+	a.cfg.Send = func(_ context.Context, given order.Order) error {
+		_ = w.ends.give(given)
+		return order.ErrUnknown
+	}
+	_ = a.work(1, starts("a", 1)...)
+	w.lease(2)
+	b := w.process("b")
+	b.cfg.Send = func(context.Context, order.Order) error { return order.ErrUnavailable }
+	if err := b.work(2); err != nil {
+		t.Fatal(err)
+	}
+	if len(b.ended) != 0 {
+		t.Fatalf("ended: %+v", b.ended)
+	}
+	b.cfg.Send = b.send
+	if err := b.round(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if err := w.check(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestLateJournalEntryTakesNoNumberTwice covers a transaction that arrives after
+// its holder has opened the journal again.
+func TestLateJournalEntryTakesNoNumberTwice(t *testing.T) {
+	w := newWorld(1, false)
+	w.lease(1)
+	a := w.process("a")
+	if err := a.work(1); err != nil {
+		t.Fatal(err)
+	}
+	usual := a.cfg.Journal
+	a.cfg.Journal = journal.New(journal.Config{
+		Table: lateClient(w), Clock: w.manual.Clock(), Scope: "r", Holder: "a",
+		Guard: hold.Guard(w.memory.Client(), "Lease/r"), Keep: 10,
+	})
+	if err := a.work(1, starts("late", 1)...); !errors.Is(err, table.ErrUnknown) {
+		t.Fatalf("want ErrUnknown, got %v", err)
+	}
+	a.cfg.Journal = usual
+	if err := a.work(1, starts("own", 1)...); err != nil {
+		t.Fatal(err)
+	}
+	if err := w.memory.Client().Commit(context.Background(), w.late[0]); !errors.Is(err, table.ErrConflict) {
+		t.Fatalf("the late entry was written: %v", err)
+	}
 	if err := w.check(); err != nil {
 		t.Fatal(err)
 	}
 }
 
+// TestLateJournalEntryOfAFormerHolder covers a transaction that arrives when the
+// successor has read the journal.
+func TestLateJournalEntryOfAFormerHolder(t *testing.T) {
+	w := newWorld(1, false)
+	w.lease(1)
+	a := w.process("a")
+	a.cfg.Journal = journal.New(journal.Config{
+		Table: lateClient(w), Clock: w.manual.Clock(), Scope: "r", Holder: "a",
+		Guard: hold.Guard(w.memory.Client(), "Lease/r"), Keep: 10,
+	})
+	_ = a.work(1, starts("late", 1)...)
+	w.lease(2)
+	if err := w.process("b").work(2); err != nil {
+		t.Fatal(err)
+	}
+	if err := w.memory.Client().Commit(context.Background(), w.late[0]); !errors.Is(err, table.ErrConflict) {
+		t.Fatalf("the late entry was written: %v", err)
+	}
+}
+
+func lateClient(w *world) table.Client {
+	client := w.memory.Client()
+	client.Commit = func(_ context.Context, txn table.Txn) error {
+		w.late = append(w.late, txn)
+		return table.ErrUnknown
+	}
+	return client
+}
+
 func TestUntakenOrderIsRefusedAfterAWhile(t *testing.T) {
 	w := newWorld(1, false)
 	w.lease(1)
@@ -379,10 +477,10 @@
 					if p.work(fence, starts(fmt.Sprint(h, "-"), 1+w.rng.IntN(3))...) == nil && w.rng.IntN(2) == 0 {
 						w.lease(fence) // a renewal
 					}
-				}
-				if len(w.late) > 0 && w.rng.IntN(2) == 0 {
-					_ = w.memory.Client().Commit(context.Background(), w.late[0])
-					w.late = w.late[1:]
+					if len(w.late) > 0 && w.rng.IntN(2) == 0 {
+						_ = w.memory.Client().Commit(context.Background(), w.late[0])
+						w.late = w.late[1:]
+					}
 				}
 			}
 			for _, txn := range w.late {
--- a/internal/order/journal/journal.go
+++ b/internal/order/journal/journal.go
@@ -2,9 +2,8 @@
 // it is sent, so that a successor can complete what its predecessor began.
 //
 // The holder of the region's lease opens the journal under its fencing number.
-// From then on nobody with a smaller one can write to it: the journal has a row
-// of its own with the fence, and every transaction is conditional on that row
-// and on the row of the lease.
+// Every transaction is conditional on the row of the lease, so nobody writes to
+// the journal once the lease has passed on, however late a transaction arrives.
 //
 // Entries are numbered without gaps. The number is the order's ID, so an order
 // that is sent again, by whomever, is the same order.
@@ -32,11 +31,8 @@
 	"github.com/banyanshift/banyanshift/internal/platform/order"
 )
 
-// The prefixes of the rows.
-const (
-	Prefix      = "Order/"
-	fencePrefix = "OrderFence/"
-)
+// Prefix starts the keys of all entries' rows.
+const Prefix = "Order/"
 
 const (
 	scanPage = 500
@@ -46,13 +42,8 @@
 	maxWriteTries = 3
 )
 
-// Errors that a Journal's methods return, possibly wrapped.
-var (
-	// ErrDeposed says that the lease has passed on. The holder must stop.
-	ErrDeposed = errors.New("journal: lease has passed on")
-	// ErrNotOpen says that Open has not succeeded.
-	ErrNotOpen = errors.New("journal: not open")
-)
+// ErrNotOpen says that Open has not succeeded.
+var ErrNotOpen = errors.New("journal: not open")
 
 // State says how far an order has come.
 type State string
@@ -96,13 +87,10 @@
 // Journal is the journal of one scope as seen by one holder. Its methods must
 // not be called concurrently.
 type Journal struct {
-	cfg   Config
-	fence uint64
-	// fenceVersion is the version of the row with the fence; it stays the
-	// same until somebody else opens the journal.
-	fenceVersion uint64
-	last         uint64
-	oldest       uint64
+	cfg    Config
+	fence  uint64
+	last   uint64
+	oldest uint64
 }
 
 // New returns a Journal that is not open.
@@ -115,18 +103,13 @@
 	return fmt.Sprintf("%s%s/%020d", Prefix, scope, number)
 }
 
-// fenceRow is the value of the row that keeps out earlier holders.
-type fenceRow struct {
-	Fence  uint64
-	Holder string
-}
-
-// Open takes the journal over under a fencing number and returns its entries.
+// Open begins to write under a fencing number and returns the entries of the
+// journal. Transactions of earlier holders can no longer take effect, since the
+// lease's row has changed.
 func (j *Journal) Open(ctx context.Context, fence uint64) (entries []Entry, err error) {
 	defer func() { err = oops.Wrapf(err, "open journal of %s", j.cfg.Scope) }()
 	j.fence = 0
-	version, err := j.takeFence(ctx, fence)
-	if err != nil {
+	if _, err := j.cfg.Guard(ctx, fence); err != nil {
 		return nil, err
 	}
 	entries, err = Entries(ctx, j.cfg.Table, j.cfg.Scope)
@@ -138,56 +121,10 @@
 		j.oldest = entries[0].Number
 		j.last = entries[len(entries)-1].Number
 	}
-	j.fence, j.fenceVersion = fence, version
+	j.fence = fence
 	return entries, nil
 }
 
-// takeFence writes the fence and returns the version of its row. The row is read
-// again afterwards, which also settles a lost answer.
-func (j *Journal) takeFence(ctx context.Context, fence uint64) (version uint64, err error) {
-	mine := fenceRow{Fence: fence, Holder: j.cfg.Holder}
-	for {
-		row, err := j.cfg.Table.Get(ctx, fencePrefix+j.cfg.Scope)
-		if err != nil {
-			return 0, err
-		}
-		var found fenceRow
-		if row.Version != 0 {
-			if err := msgpack.Unmarshal(row.Value, &found); err != nil {
-				return 0, err
-			}
-		}
-		if found == mine {
-			return row.Version, nil
-		}
-		if found.Fence >= fence {
-			return 0, ErrDeposed
-		}
-		if err := j.writeFence(ctx, mine, row.Version); err != nil {
-			return 0, err
-		}
-	}
-}
-
-func (j *Journal) writeFence(ctx context.Context, mine fenceRow, version uint64) error {
-	value, err := msgpack.Marshal(mine)
-	if err != nil {
-		return err
-	}
-	guard, err := j.cfg.Guard(ctx, mine.Fence)
-	if err != nil {
-		return err
-	}
-	err = j.cfg.Table.Commit(ctx, table.Txn{
-		Conditions: []table.Condition{guard, {Key: fencePrefix + j.cfg.Scope, Version: version}},
-		Writes:     []table.Write{{Key: fencePrefix + j.cfg.Scope, Value: value}},
-	})
-	if errors.Is(err, table.ErrConflict) || errors.Is(err, table.ErrUnknown) {
-		return nil // the caller reads the row again
-	}
-	return err
-}
-
 // Entries reads the journal of a scope.
 func Entries(ctx context.Context, client table.Client, scope string) (entries []Entry, err error) {
 	defer func() { err = oops.Wrapf(err, "read orders of %s", scope) }()
@@ -212,8 +149,9 @@
 }
 
 // Append journals new orders in one transaction. It sets their ID, Scope, Fence
-// and Holder. After an error none of them may be sent; if the transaction took
-// effect nevertheless, they are found open when the journal is next opened.
+// and Holder. After an error none of them may be sent. Unless the error is
+// table.ErrUnavailable the journal must be opened again, since they may have been
+// written, or may yet be; they are then found open now or by the next holder.
 func (j *Journal) Append(ctx context.Context, orders []order.Order) (entries []Entry, err error) {
 	defer func() { err = oops.Wrapf(err, "journal orders of %s", j.cfg.Scope) }()
 	if j.fence == 0 {
@@ -245,22 +183,13 @@
 }
 
 // write executes one transaction. It is repeated when it conflicted, since the
-// lease's row also changes with each renewal. When it stays open whether new
-// entries were written, the journal has to be opened again, so that their
-// numbers are not used twice.
+// lease's row also changes with each renewal.
 func (j *Journal) write(ctx context.Context, entries []Entry, absent bool) (err error) {
 	for range maxWriteTries {
 		err = j.writeOnce(ctx, entries, absent)
 		if !errors.Is(err, table.ErrConflict) {
 			break
 		}
-		if deposed, readErr := j.deposed(ctx); readErr != nil || deposed {
-			j.fence = 0
-			return fmt.Errorf("%w: %w", ErrDeposed, err)
-		}
-	}
-	if absent && (errors.Is(err, table.ErrUnknown) || errors.Is(err, table.ErrConflict)) {
-		j.fence = 0
 	}
 	return err
 }
@@ -270,7 +199,7 @@
 	if err != nil {
 		return err
 	}
-	txn := table.Txn{Conditions: []table.Condition{guard, {Key: fencePrefix + j.cfg.Scope, Version: j.fenceVersion}}}
+	txn := table.Txn{Conditions: []table.Condition{guard}}
 	for _, entry := range entries {
 		value, err := msgpack.Marshal(entry)
 		if err != nil {
@@ -285,12 +214,6 @@
 	return j.cfg.Table.Commit(ctx, txn)
 }
 
-// deposed reports whether somebody else has opened the journal.
-func (j *Journal) deposed(ctx context.Context) (bool, error) {
-	row, err := j.cfg.Table.Get(ctx, fencePrefix+j.cfg.Scope)
-	return row.Version != j.fenceVersion, err
-}
-
 // Prune deletes the oldest entries beyond Keep, as far as they are not open.
 func (j *Journal) Prune(ctx context.Context) (err error) {
 	defer func() { err = oops.Wrapf(err, "prune orders of %s", j.cfg.Scope) }()
