--- a/internal/daemon/serve/operators.go
+++ b/internal/daemon/serve/operators.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 
-	"github.com/banyanshift/banyanshift/coord/changelog"
 	"github.com/banyanshift/banyanshift/internal/config/entity"
 	"github.com/banyanshift/banyanshift/internal/operator/rpc"
 	operatorv1 "github.com/banyanshift/banyanshift/proto/operator/v1"
@@ -14,7 +13,7 @@
 	d.operators, err = rpc.New(rpc.Config{
 		Settings: d.settings.Operator,
 		State:    d.state,
-		Propose:  d.propose,
+		Propose:  d.follower.Propose,
 		Audit:    d.log.Tail,
 		Usage:    d.sealedUsage,
 		Fleet:    d.fleet,
@@ -22,11 +21,6 @@
 	return err
 }
 
-func (d *Daemon) propose(ctx context.Context, proposal changelog.Proposal) (rpc.Outcome, error) {
-	outcome, err := d.follower.Propose(ctx, proposal)
-	return rpc.Outcome(outcome), err
-}
-
 func (d *Daemon) sealedUsage(context.Context, int) ([]rpc.SealedWindow, error) {
 	return nil, nil
 }
