--- a/internal/daemon/serve/serve.go
+++ b/internal/daemon/serve/serve.go
@@ -78,7 +78,7 @@
 }
 
 // Run serves until the context ends, and then shuts down gracefully.
-func Run(ctx context.Context, settings ini.Settings, logger logrus.FieldLogger) (err error) {
+func Run(ctx context.Context, settings ini.Settings, logger *logrus.Logger) (err error) {
 	defer func() { err = oops.Wrapf(err, "run daemon %s", settings.Daemon.ID) }()
 	d, err := New(settings, clock.System(), logger)
 	if err != nil {
