Ask the owner of a claim that the table says has not ended

The table cannot tell an owner that runs from one that was started anew under the same name, nor show an answer that waits to be written. A retry now asks the owner over the peer link, once. Without an answer the view of the members decides as before; the result only changes what the caller is told.

--- a/coord/claim/store.go
+++ b/coord/claim/store.go
@@ -296,6 +296,27 @@
 	return attempt.OnRow(row.Version, record)
 }
 
+// Held returns the record of a claim that this process has won or is ending. It
+// tells a process that met the claim in the table what has become of it.
+func (s *Store) Held(scope, key, nonce string) (record Record, held bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	local := s.local[RowKey(s.cfg.Prefix, scope, key)]
+	if local == nil || local.record.Nonce != nonce {
+		return Record{}, false
+	}
+	record = local.record
+	if local.releasing {
+		record.State = Released
+	}
+	return record, true
+}
+
+// Incarnation returns the name of this start of the process.
+func (s *Store) Incarnation() string {
+	return s.cfg.Incarnation
+}
+
 // Lookup reads what is recorded about a key. A key that was never claimed has
 // an empty State.
 func (s *Store) Lookup(ctx context.Context, scope, key string) (record Record, err error) {
--- a/internal/caller/claim/claim.go
+++ b/internal/caller/claim/claim.go
@@ -47,6 +47,9 @@
 	"github.com/banyanshift/banyanshift/internal/caller/request"
 )
 
+// askTimeout bounds the question to the owner of a claim.
+const askTimeout = clock.Second
+
 // MaxKeyLength is the greatest length of an idempotency key, in bytes.
 const MaxKeyLength = 255
 
@@ -83,7 +86,7 @@
 	Refusal *request.Refusal
 }
 
-// Config configures a Claims. All fields must be set.
+// Config configures a Claims. All fields must be set but Ask.
 type Config struct {
 	Store  *claim.Store
 	Clock  clock.Clock
@@ -92,6 +95,9 @@
 	// running, as far as this daemon knows. A wrong answer changes only what
 	// the caller of a retry is told.
 	OwnerAlive func(owner, incarnation string) bool
+	// Ask asks the owner of a claim what has become of it, see Asker. When it
+	// is nil, OwnerAlive alone decides.
+	Ask func(ctx context.Context, owner string, question Question) (Reply, error)
 }
 
 // Claims decides about requests that carry an idempotency key.
@@ -130,7 +136,7 @@
 		claimsWon.Add(1)
 		return Decision{Outcome: Run, Claim: result.Claim}, nil
 	}
-	return c.repeated(result.Record), nil
+	return c.repeated(c.latest(ctx, team, key, result.Record)), nil
 }
 
 // discard releases a claim that was won for a caller who has gone.
@@ -153,6 +159,34 @@
 	return refuse(refusalStoreDown())
 }
 
+// latest asks the owner of a claim that has not ended, as far as the table says.
+// An owner that was started anew, or that no longer holds the claim although the
+// table says so, will never end it.
+func (c *Claims) latest(ctx context.Context, team, key string, record claim.Record) claim.Record {
+	if record.State != claim.Claimed || c.cfg.Ask == nil || record.Incarnation == c.cfg.Store.Incarnation() {
+		return record
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout.Duration())
+	defer cancel()
+	question := Question{Scope: team, Key: key, Nonce: record.Nonce, Incarnation: record.Incarnation}
+	reply, err := c.cfg.Ask(ctx, record.Owner, question)
+	if err != nil {
+		return record
+	}
+	if reply.Held {
+		return reply.Record
+	}
+	settled, err := c.cfg.Store.Lookup(ctx, team, key)
+	if err != nil {
+		return record
+	}
+	if settled.Nonce == record.Nonce && settled.State == claim.Claimed {
+		eventOwnerDied.Log(c.cfg.Logger, logrus.Fields{"Owner": record.Owner, "Incarnation": record.Incarnation})
+		settled.State = claim.Lost
+	}
+	return settled
+}
+
 // repeated decides about a request whose key was claimed before.
 func (c *Claims) repeated(record claim.Record) Decision {
 	switch {
@@ -162,6 +196,8 @@
 		return refuse(refusalAnswerDropped())
 	case record.State == claim.Lost:
 		return refuse(refusalLost())
+	case record.State == claim.Released:
+		return refuse(refusalReleasing())
 	case c.cfg.OwnerAlive(record.Owner, record.Incarnation):
 		return Decision{Outcome: InProgress, Refusal: refusalInProgress()}
 	}
--- a/internal/caller/claim/claim_test.go
+++ b/internal/caller/claim/claim_test.go
@@ -13,6 +13,7 @@
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/coord/table"
 	"github.com/banyanshift/banyanshift/internal/caller/request"
+	"github.com/banyanshift/banyanshift/internal/peer/link"
 )
 
 var digest = [32]byte{1}
@@ -99,6 +100,60 @@
 	expect(t, b.begin(t, "k", patient), Refuse, request.CodeEndpointFailed, request.RunUnknown)
 }
 
+// TestOwnerIsAsked covers what the table does not tell: an answer that waits to be
+// written, and an owner that was started anew under the same name.
+func TestOwnerIsAsked(t *testing.T) {
+	memory := table.NewMemory()
+	a, b := newDaemon(t, memory, "a"), newDaemon(t, memory, "b")
+	b.cfg.Ask = func(ctx context.Context, owner string, question Question) (Reply, error) {
+		if owner != "a" {
+			t.Errorf("asked %s", owner)
+		}
+		return (&responder{store: a.store}).answer(ctx, "b", question)
+	}
+	first := a.begin(t, "k", patient)
+	expect(t, b.begin(t, "k", patient), InProgress, request.CodeDuplicate, request.RunUnknown)
+	second := a.begin(t, "k2", patient)
+	memory.SetFault(table.Fault{DropCommits: true})
+	a.Finish(first.Claim, Answer{Status: 201, Body: []byte("paid")})
+	if got := b.repeated(b.latest(context.Background(), "team", "k", first.Claim.Record)); got.Outcome != Replay {
+		t.Fatalf("answer that waits to be written: %+v", got)
+	}
+	memory.SetFault(table.Fault{})
+	restarted := newDaemon(t, memory, "a")
+	restarted.store = claim.New(claim.Config{Clock: clock.System(), Owner: "a", Incarnation: "a.2"})
+	b.cfg.Ask = func(ctx context.Context, _ string, question Question) (Reply, error) {
+		return (&responder{store: restarted.store}).answer(ctx, "b", question)
+	}
+	got := b.repeated(b.latest(context.Background(), "team", "k2", second.Claim.Record))
+	expect(t, got, Refuse, request.CodeEndpointFailed, request.RunUnknown)
+}
+
+func TestLookupOverTheLink(t *testing.T) {
+	memory := table.NewMemory()
+	a := newDaemon(t, memory, "a")
+	logger, _ := test.NewNullLogger()
+	serving := link.New(link.Config{ID: "a", Listen: "127.0.0.1:0"}, clock.System(), logger)
+	asking := link.New(link.Config{ID: "b", Listen: "127.0.0.1:0"}, clock.System(), logger)
+	Register(serving, a.store)
+	for _, l := range []*link.Link{serving, asking} {
+		if err := l.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { l.Close() })
+	}
+	ask := Asker(asking, func(daemon string) (string, bool) { return serving.Address(), daemon == "a" })
+	won := a.begin(t, "k", patient).Claim
+	question := Question{Scope: "team", Key: "k", Nonce: won.Record.Nonce, Incarnation: "a.1"}
+	reply, err := ask(context.Background(), "a", question)
+	if err != nil || !reply.Held || reply.Record.State != claim.Claimed {
+		t.Fatalf("%+v, %v", reply, err)
+	}
+	if _, err := ask(context.Background(), "c", question); err == nil {
+		t.Fatal("want an error for a daemon that is not known")
+	}
+}
+
 func TestLostAndAbandoned(t *testing.T) {
 	memory := table.NewMemory()
 	a, b := newDaemon(t, memory, "a"), newDaemon(t, memory, "b")
