--- /dev/null
+++ b/coord/guard/stop_test.go
@@ -0,0 +1,188 @@
+package guard
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+)
+
+const (
+	childAddress = "GUARD_TEST_CHILD"
+	childMode    = "GUARD_TEST_MODE"
+	// Modes of the child: the check is made by the connection, or by the
+	// code that calls Write.
+	modeGuarded = "Guarded"
+	modeCaller  = "Caller"
+
+	messageBytes = 100
+	childTTL     = 10 * clock.Millisecond
+)
+
+// childLease is renewed by its own goroutine. Once it has lapsed it stays so,
+// as a lease does that somebody else has taken over.
+type childLease struct {
+	clock clock.Clock
+	until atomic.Int64
+	stop  chan struct{}
+}
+
+func (l *childLease) valid() (clock.Millis, bool) {
+	until := clock.Millis(l.until.Load())
+	return until, l.clock.Now() < until
+}
+
+func (l *childLease) run() {
+	for {
+		select {
+		case <-l.stop:
+			return
+		case <-time.After(time.Millisecond):
+		}
+		if _, ok := l.valid(); ok {
+			l.until.Store(int64(l.clock.Now() + childTTL))
+		}
+	}
+}
+
+// TestStoppedChild is not a test of its own: it is the process that
+// stopChild stops. It writes as fast as it can while its lease is valid, then
+// begins again with a new lease and a new connection.
+func TestStoppedChild(t *testing.T) {
+	address := os.Getenv(childAddress)
+	if address == "" {
+		return
+	}
+	message := make([]byte, messageBytes)
+	for {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			return
+		}
+		l := &childLease{clock: clock.System(), stop: make(chan struct{})}
+		l.until.Store(int64(l.clock.Now() + childTTL))
+		go l.run()
+		out := conn
+		if os.Getenv(childMode) == modeGuarded {
+			out = New(l.valid, l.clock).Conn(conn)
+		}
+		for {
+			if _, ok := l.valid(); !ok {
+				break
+			}
+			if _, err := out.Write(message); err != nil {
+				break
+			}
+		}
+		close(l.stop)
+		conn.Close()
+	}
+}
+
+// stopChild stops a child at random points for longer than its lease, and
+// returns how many bytes it wrote after each stop.
+func stopChild(t testing.TB, mode string, stops int) (late []int) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	child := exec.Command(os.Args[0], "-test.run=^TestStoppedChild$")
+	child.Env = append(os.Environ(), childAddress+"="+listener.Addr().String(), childMode+"="+mode)
+	if err := child.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		listener.Close()
+		child.Process.Kill()
+		child.Wait()
+	}()
+	random := rand.New(rand.NewPCG(11, 12))
+	for range stops {
+		conn, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		readFor(conn, 2*time.Millisecond+time.Duration(random.IntN(2000))*time.Microsecond)
+		child.Process.Signal(syscall.SIGSTOP)
+		// Everything that was written before the stop is read here.
+		readFor(conn, 3*childTTL.Duration())
+		child.Process.Signal(syscall.SIGCONT)
+		n, _ := io.Copy(io.Discard, conn)
+		late = append(late, int(n))
+		conn.Close()
+	}
+	return late
+}
+
+func readFor(conn net.Conn, d time.Duration) {
+	conn.SetReadDeadline(time.Now().Add(d))
+	_, err := io.Copy(io.Discard, conn)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		conn.SetReadDeadline(time.Time{})
+	}
+}
+
+// A stop lets at most one piece through, the one that was between its check
+// and its system call.
+func TestStopLetsAtMostOnePieceThrough(t *testing.T) {
+	for i, bytes := range stopChild(t, modeGuarded, 40) {
+		if bytes > messageBytes {
+			t.Errorf("stop %d: %d bytes were written late, more than one message", i, bytes)
+		}
+	}
+}
+
+// BenchmarkStop reports in how many of 100 stops a message was written late by
+// a process that writes without a pause, which is the worst case.
+func BenchmarkStop(b *testing.B) {
+	for _, mode := range []string{modeGuarded, modeCaller} {
+		b.Run(mode, func(b *testing.B) {
+			hit := 0
+			for _, bytes := range stopChild(b, mode, b.N) {
+				if bytes > 0 {
+					hit++
+				}
+			}
+			b.ReportMetric(100*float64(hit)/float64(b.N), "late/100stops")
+		})
+	}
+}
+
+// BenchmarkWrite reports the time from one guarded write to the next, for the
+// estimate of the window between check and system call.
+func BenchmarkWrite(b *testing.B) {
+	client, server := tcpPair(b)
+	go io.Copy(io.Discard, server)
+	message := make([]byte, messageBytes)
+	guarded := New(held(clock.Hour).valid, clock.System()).Conn(client)
+	for _, c := range []struct {
+		name string
+		conn net.Conn
+	}{{"Guarded", guarded}, {"Plain", client}} {
+		b.Run(c.name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := c.conn.Write(message); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+	b.Run("Check", func(b *testing.B) {
+		g := New(held(clock.Hour).valid, clock.System())
+		for b.Loop() {
+			if _, err := g.remaining(); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
