Show withdrawals that are pending; prove TLS of the operators' interface

'key list' showed a key as admitted while its withdrawal was in force and not in the store, and a pending withdrawal printed no row. Keys now carry WithdrawalPending and the response names the key with revision 0.

--- a/internal/cmdkey/list/list.go
+++ b/internal/cmdkey/list/list.go
@@ -67,5 +67,5 @@
 			messages = append(messages, key)
 		}
 	}
-	return output.List(opts.IO, &opts.Format, messages, []string{"ID", "Team", "Class", "Withdrawn", "Revision"})
+	return output.List(opts.IO, &opts.Format, messages, []string{"ID", "Team", "Class", "Withdrawn", "WithdrawalPending", "Revision"})
 }
--- a/internal/operator/rpc/change.go
+++ b/internal/operator/rpc/change.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sort"
 
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc/codes"
@@ -51,7 +50,7 @@
 		return nil, err
 	}
 	s.logMade(proposal, outcome)
-	return changeResponse(outcome), nil
+	return changeResponse(proposal, outcome), nil
 }
 
 func (s *Server) logFailed(proposal changelog.Proposal, code codes.Code) {
@@ -112,21 +111,17 @@
 	return status.Error(codes.Internal, err.Error())
 }
 
-func changeResponse(outcome Outcome) *operatorv1.ChangeResponse {
+func changeResponse(proposal changelog.Proposal, outcome Outcome) *operatorv1.ChangeResponse {
 	response := &operatorv1.ChangeResponse{
 		Sequence:    outcome.Sequence,
 		Confirmed:   outcome.Confirmed,
 		Unconfirmed: outcome.Unconfirmed,
 		Pending:     outcome.Pending,
 	}
-	for entityName, revision := range outcome.Revisions {
-		kind, name := state.SplitName(entityName)
+	for _, write := range proposal.Writes {
+		kind, name := state.SplitName(write.Entity)
 		response.Revisions = append(response.Revisions,
-			&operatorv1.EntityRevision{Kind: string(kind), Name: name, Revision: revision})
+			&operatorv1.EntityRevision{Kind: string(kind), Name: name, Revision: outcome.Revisions[write.Entity]})
 	}
-	sort.Slice(response.Revisions, func(i, j int) bool {
-		a, b := response.Revisions[i], response.Revisions[j]
-		return a.Kind < b.Kind || a.Kind == b.Kind && a.Name < b.Name
-	})
 	return response
 }
--- a/internal/operator/rpc/keys.go
+++ b/internal/operator/rpc/keys.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
+	"slices"
 	"strings"
 
 	"google.golang.org/grpc/codes"
@@ -83,14 +84,23 @@
 	if !found {
 		return nil, notFound("Key", req.GetName())
 	}
-	return keyMessage(key, k.server.revision(entity.KindKey, key.ID)), nil
+	return k.message(key, k.server.config.State.Denied()), nil
 }
 
 // List implements operatorv1.KeysServer.
 func (k *keys) List(_ context.Context, req *operatorv1.ListKeysRequest) (*operatorv1.ListKeysResponse, error) {
 	response := &operatorv1.ListKeysResponse{}
+	denied := k.server.config.State.Denied()
 	for _, key := range k.server.config.State.Keys(req.GetTeam()) {
-		response.Keys = append(response.Keys, keyMessage(key, k.server.revision(entity.KindKey, key.ID)))
+		response.Keys = append(response.Keys, k.message(key, denied))
 	}
 	return response, nil
 }
+
+// message returns a key as it is in force, given the sorted IDs of the keys
+// that are denied ahead of the log.
+func (k *keys) message(key entity.Key, denied []string) *operatorv1.Key {
+	message := keyMessage(key, k.server.revision(entity.KindKey, key.ID))
+	_, message.WithdrawalPending = slices.BinarySearch(denied, key.ID)
+	return message
+}
--- a/internal/settings/ini/settings_test.go
+++ b/internal/settings/ini/settings_test.go
@@ -176,3 +176,13 @@
 		}
 	})
 }
+
+func TestCertificateThatDoesNotFitIsRefused(t *testing.T) {
+	file := writeFile(t, "no PEM")
+	_, err := Load(writeFile(t, minimal+"[Peer]\nCertificateAuthority = "+file+"\nCertificate = "+file+"\nCertificateKey = "+file+"\n"))
+	for _, want := range []string{":12: Peer.CertificateAuthority holds no certificate", ":13: Peer.Certificate does not go with CertificateKey"} {
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("error is %v, want %q", err, want)
+		}
+	}
+}
