Bill usage and hold the region's lease in the daemon

Change: the daemon copies and writes usage, competes for its region's lease, and its holder seals and reports windows and gives orders over connections guarded by the lease. Shutdown answers every request, then writes usage and claims, reports, and hands the lease over, in this order. Setting Daemon.UsageWindow.

--- a/internal/bench/rig/daemon.go
+++ b/internal/bench/rig/daemon.go
@@ -35,6 +35,9 @@
 // readinessDelay is how long a daemon that ends goes on taking requests.
 const readinessDelay = 1500 * clock.Millisecond
 
+// usageWindow is the length of the windows in which usage is billed.
+const usageWindow = 2 * clock.Second
+
 // StartDaemon starts one more daemon, in the failure domain whose turn it is.
 func (r *Rig) StartDaemon(ctx context.Context) (d *Daemon, err error) {
 	defer func() { err = oops.Wrapf(err, "start daemon") }()
@@ -89,7 +92,7 @@
 	}
 	lines := []string{
 		"[Daemon]", "ID = " + d.ID, "Region = " + r.Scenario.Region, "FailureDomain = " + d.FailureDomain,
-		"ReadinessDelay = " + readinessDelay.String(), "Policy = " + policy,
+		"ReadinessDelay = " + readinessDelay.String(), "UsageWindow = " + usageWindow.String(), "Policy = " + policy,
 		"[Caller]", "Listen = " + d.Caller,
 		"[Operator]", "Listen = " + d.Operator,
 		"[Operator.Tokens]", "rig = " + digest(r.operator),
--- a/internal/daemon/serve/callers.go
+++ b/internal/daemon/serve/callers.go
@@ -1,7 +1,6 @@
 package serve
 
 import (
-	"context"
 	"crypto/tls"
 	"net/http"
 
@@ -94,8 +93,3 @@
 	}
 	return &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12}, nil
 }
-
-// flushClaims writes the answers of claims that still wait.
-func (d *Daemon) flushClaims(ctx context.Context) error {
-	return d.claimStore.Flush(ctx)
-}
--- a/internal/daemon/serve/operators.go
+++ b/internal/daemon/serve/operators.go
@@ -2,12 +2,18 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/banyanshift/banyanshift/internal/config/entity"
 	"github.com/banyanshift/banyanshift/internal/operator/rpc"
+	"github.com/banyanshift/banyanshift/internal/usage/report"
 	operatorv1 "github.com/banyanshift/banyanshift/proto/operator/v1"
 )
 
+// unreportedWindows is how many windows that are sealed and not reported yet
+// are shown at most besides those asked for.
+const unreportedWindows = 100
+
 // buildOperators builds the operators' interface.
 func (d *Daemon) buildOperators() (err error) {
 	d.operators, err = rpc.New(rpc.Config{
@@ -21,8 +27,24 @@
 	return err
 }
 
-func (d *Daemon) sealedUsage(context.Context, int) ([]rpc.SealedWindow, error) {
-	return nil, nil
+// sealedUsage returns the last sealed windows of this region, latest first.
+func (d *Daemon) sealedUsage(ctx context.Context, limit int) ([]rpc.SealedWindow, error) {
+	region := d.settings.Daemon.Region
+	_, reported, err := report.Windows(ctx, d.table, region, 0, 1)
+	if err != nil {
+		return nil, err
+	}
+	after := reported - min(reported, uint64(limit))
+	windows, reported, err := report.Windows(ctx, d.table, region, after, limit+unreportedWindows)
+	if err != nil {
+		return nil, err
+	}
+	slices.Reverse(windows)
+	sealed := make([]rpc.SealedWindow, 0, limit)
+	for _, window := range windows[:min(limit, len(windows))] {
+		sealed = append(sealed, rpc.SealedWindow{Window: window, Reported: window.Number <= reported})
+	}
+	return sealed, nil
 }
 
 // fleet describes the fleet as this daemon sees it.
--- /dev/null
+++ b/internal/daemon/serve/roles.go
@@ -0,0 +1,114 @@
+package serve
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/coord/guard"
+	"github.com/banyanshift/banyanshift/coord/lease"
+	"github.com/banyanshift/banyanshift/coord/member"
+	"github.com/banyanshift/banyanshift/internal/order/dispatch"
+	"github.com/banyanshift/banyanshift/internal/order/hold"
+	"github.com/banyanshift/banyanshift/internal/order/journal"
+	"github.com/banyanshift/banyanshift/internal/platform/order"
+	"github.com/banyanshift/banyanshift/internal/platform/usage"
+	"github.com/banyanshift/banyanshift/internal/usage/replicate"
+	"github.com/banyanshift/banyanshift/internal/usage/report"
+)
+
+const (
+	// leasePrefix starts the keys of the regions' leases.
+	leasePrefix = "Lease/"
+	// leaseTTL is how long the holder of a region's lease may be silent.
+	leaseTTL = 6 * clock.Second
+	// leaseCandidates is how many daemons of a region compete for its lease.
+	leaseCandidates = 3
+	// settleTime is the longest time that an order or a report of an earlier
+	// holder may be under way. It is longer than any call of the platform.
+	settleTime = 3 * clock.Second
+	// journalKeep is how many orders the journal keeps at least.
+	journalKeep = 1000
+)
+
+// buildRoles builds what the holder of the region's lease does, and the usage
+// that it reports.
+func (d *Daemon) buildRoles() error {
+	region := d.settings.Daemon.Region
+	leaseKey := leasePrefix + region
+	d.lease = lease.New(lease.Config{
+		Table: d.table, Clock: d.clock, Key: leaseKey, Holder: d.incarnation, TTL: leaseTTL,
+		Rand: d.random(4), Candidate: d.leaseCandidate,
+	})
+	d.replicator = replicate.New(replicate.Config{
+		Link: d.link, Clock: d.clock, Logger: d.logger, Table: d.table, Self: d.self(),
+		Incarnation: replicate.Incarnation(d.self(), d.incarnation), View: d.roster.View, Cut: d.meter.Cut,
+	})
+	d.dispatcher = dispatch.New(dispatch.Config{
+		Journal: journal.New(journal.Config{
+			Table: d.table, Clock: d.clock, Scope: region, Holder: d.settings.Daemon.ID,
+			Guard: hold.Guard(d.table, leaseKey), Keep: journalKeep,
+		}),
+		Clock: d.clock, Logger: d.logger, Holder: d.settings.Daemon.ID,
+		Send: d.sendOrder, Ended: func(journal.Entry) {},
+	})
+	d.hold = hold.New(hold.Config{
+		Clock: d.clock, Logger: d.logger, Scope: region, Lease: d.lease.Valid, Settle: settleTime,
+		Work: []hold.Work{d.dispatcher.Run},
+	})
+	d.reporter = report.New(report.Config{
+		Table: d.table, Clock: d.clock, Logger: d.logger, Region: region, Daemon: d.settings.Daemon.ID,
+		Lease: d.hold.Lease, Guard: hold.Guard(d.table, leaseKey),
+		Client: usage.Client{Report: d.sendReport}, Interval: d.settings.Daemon.UsageWindow,
+	})
+	return nil
+}
+
+// self returns this daemon as a member.
+func (d *Daemon) self() member.Member {
+	address := d.settings.Peer.Advertise
+	if address == "" {
+		address = d.settings.Peer.Listen
+	}
+	return member.Member{
+		ID: d.settings.Daemon.ID, Address: address, Region: d.settings.Daemon.Region,
+		FailureDomain: d.settings.Daemon.FailureDomain, State: member.Alive,
+	}
+}
+
+// leaseCandidate reports whether this daemon is one of the few that compete
+// for the lease, so that the row is not read by the whole fleet.
+func (d *Daemon) leaseCandidate() bool {
+	var regional []member.Member
+	for _, m := range d.roster.View() {
+		if m.Region == d.settings.Daemon.Region {
+			regional = append(regional, m)
+		}
+	}
+	picked := member.Pick(regional, leasePrefix+d.settings.Daemon.Region, leaseCandidates)
+	for _, m := range picked {
+		if m.ID == d.settings.Daemon.ID {
+			return true
+		}
+	}
+	return len(picked) == 0
+}
+
+// guarded returns a client whose connections write only while this daemon
+// holds the lease under the fence.
+func (d *Daemon) guarded(fence uint64) *http.Client {
+	g := guard.New(guard.ForFence(d.lease.Valid, fence), d.clock)
+	return &http.Client{Transport: g.Transport(), Timeout: d.settings.Platform.CallTimeout.Duration()}
+}
+
+func (d *Daemon) sendOrder(ctx context.Context, given order.Order) error {
+	return order.New(d.settings.Platform.OrderURL, d.guarded(given.Fence)).Give(ctx, given)
+}
+
+func (d *Daemon) sendReport(ctx context.Context, window usage.Window) error {
+	fence, _, ok := d.lease.Valid()
+	if !ok {
+		return usage.ErrUnavailable
+	}
+	return usage.New(d.settings.Platform.UsageURL, d.guarded(fence)).Report(ctx, window)
+}
--- a/internal/daemon/serve/serve.go
+++ b/internal/daemon/serve/serve.go
@@ -25,7 +25,6 @@
 	mathrand "math/rand/v2"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 
 	"github.com/samber/oops"
@@ -34,17 +33,22 @@
 	"github.com/banyanshift/banyanshift/coord/changelog"
 	coordclaim "github.com/banyanshift/banyanshift/coord/claim"
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/coord/lease"
 	"github.com/banyanshift/banyanshift/coord/table"
 	"github.com/banyanshift/banyanshift/internal/caller/entry"
 	"github.com/banyanshift/banyanshift/internal/config/follow"
 	"github.com/banyanshift/banyanshift/internal/config/state"
 	"github.com/banyanshift/banyanshift/internal/endpoint/watch"
 	"github.com/banyanshift/banyanshift/internal/operator/rpc"
+	"github.com/banyanshift/banyanshift/internal/order/dispatch"
+	"github.com/banyanshift/banyanshift/internal/order/hold"
 	"github.com/banyanshift/banyanshift/internal/peer/broker"
 	"github.com/banyanshift/banyanshift/internal/peer/link"
 	platformtable "github.com/banyanshift/banyanshift/internal/platform/table"
 	"github.com/banyanshift/banyanshift/internal/settings/ini"
 	"github.com/banyanshift/banyanshift/internal/usage/meter"
+	"github.com/banyanshift/banyanshift/internal/usage/replicate"
+	"github.com/banyanshift/banyanshift/internal/usage/report"
 )
 
 // flushTimeout bounds the wait for the store at the end.
@@ -70,11 +74,18 @@
 	watcher      *watch.Watcher
 	meter        *meter.Meter
 	claimStore   *coordclaim.Store
+	lease        *lease.Lease
+	hold         *hold.Hold
+	dispatcher   *dispatch.Dispatcher
+	replicator   *replicate.Replicator
+	reporter     *report.Reporter
 	callers      *entry.Server
 	operators    *rpc.Server
 	metrics      *metricsServer
 
-	background sync.WaitGroup
+	// base has the parts that end last, usage what writes usage, roles what
+	// the holder of the lease does, and candidacy the lease itself.
+	base, usage, roles, candidacy *background
 }
 
 // Run serves until the context ends, and then shuts down gracefully.
@@ -97,10 +108,12 @@
 		state:    state.New(),
 		meter:    meter.New(),
 	}
+	d.base, d.usage = newBackground(d.logger), newBackground(d.logger)
+	d.roles, d.candidacy = newBackground(d.logger), newBackground(d.logger)
 	if err := d.identify(); err != nil {
 		return nil, err
 	}
-	steps := []func() error{d.buildPlatform, d.buildPeers, d.buildScheduling, d.buildCallers, d.buildOperators, d.buildMetrics}
+	steps := []func() error{d.buildPlatform, d.buildPeers, d.buildScheduling, d.buildRoles, d.buildCallers, d.buildOperators, d.buildMetrics}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return nil, err
@@ -138,9 +151,7 @@
 
 // run starts everything, waits for the context and shuts down.
 func (d *Daemon) run(ctx context.Context) error {
-	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
-	defer stopBackground()
-	if err := d.start(background); err != nil {
+	if err := d.start(); err != nil {
 		return err
 	}
 	eventStarted.Log(d.logger, logrus.Fields{
@@ -148,22 +159,24 @@
 	})
 	<-ctx.Done()
 	err := d.shutDown()
-	stopBackground()
-	d.stop()
 	eventStopped.Log(d.logger, nil)
 	return err
 }
 
 // start begins to serve peers first and callers last.
-func (d *Daemon) start(ctx context.Context) error {
+func (d *Daemon) start() error {
 	if err := d.link.Start(); err != nil {
 		return err
 	}
 	d.broker.Start()
-	d.inBackground(ctx, "Roster", d.roster.Run)
-	d.inBackground(ctx, "Configuration", d.follower.Run)
-	d.inBackground(ctx, "Endpoints", d.watcher.Run)
-	d.inBackground(ctx, "Claims", d.claimStore.Run)
+	d.base.start("Roster", d.roster.Run)
+	d.base.start("Configuration", d.follower.Run)
+	d.base.start("Endpoints", d.watcher.Run)
+	d.base.start("Claims", d.claimStore.Run)
+	d.usage.start("Usage", d.replicator.Run)
+	d.candidacy.start("Lease", d.lease.Run)
+	d.roles.start("Roles", d.hold.Run)
+	d.roles.start("UsageReports", d.reporter.Run)
 	for _, start := range []func() error{d.operators.Start, d.metrics.Start, d.callers.Start} {
 		if err := start(); err != nil {
 			return err
@@ -172,26 +185,8 @@
 	return nil
 }
 
-// task is a part that runs in the background until its context ends.
-type task struct {
-	name   string
-	daemon *Daemon
-	work   func(ctx context.Context) error
-}
-
-func (t *task) run(ctx context.Context) {
-	defer t.daemon.background.Done()
-	if err := t.work(ctx); err != nil && ctx.Err() == nil {
-		eventTaskFailed.Log(t.daemon.logger, logrus.Fields{"Task": t.name, "Error": err.Error()})
-	}
-}
-
-func (d *Daemon) inBackground(ctx context.Context, name string, work func(ctx context.Context) error) {
-	d.background.Add(1)
-	go (&task{name: name, daemon: d, work: work}).run(ctx)
-}
-
-// shutDown answers every request before it returns.
+// shutDown answers every request, writes what must last, hands over the roles
+// and ends the parts, in this order.
 func (d *Daemon) shutDown() error {
 	eventStopping.Log(d.logger, logrus.Fields{"InFlight": d.callers.InFlight()})
 	d.callers.Drain()
@@ -199,14 +194,14 @@
 	err := d.callers.Shutdown(context.Background())
 	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout.Duration())
 	defer cancel()
-	return errors.Join(err, d.flushClaims(ctx))
-}
-
-// stop ends the other parts.
-func (d *Daemon) stop() {
+	d.usage.stop()
+	err = errors.Join(err, d.replicator.Flush(ctx), d.claimStore.Flush(ctx))
+	d.reporter.Flush(ctx)
+	d.roles.stop()
+	d.candidacy.stop()
 	d.operators.Close()
 	d.broker.Close()
+	d.base.stop()
 	d.link.Close()
-	_ = d.metrics.Close()
-	d.background.Wait()
+	return errors.Join(err, d.metrics.Close())
 }
--- a/internal/settings/ini/settings.go
+++ b/internal/settings/ini/settings.go
@@ -40,6 +40,8 @@
 	// ReadinessDelay is how long after SIGTERM new requests are still
 	// accepted, so that the balancer can take the daemon out.
 	ReadinessDelay clock.Millis
+	// UsageWindow is the length of the windows in which usage is billed.
+	UsageWindow clock.Millis
 	// Policy names the scheduling policy: Broker, LocalFair, LeastOutstanding
 	// or RoundRobin. The last three are baselines.
 	Policy string
