--- a/internal/bench/rig/rig.go
+++ b/internal/bench/rig/rig.go
@@ -198,8 +198,31 @@
 	return nil
 }
 
+// waitReady waits until every daemon is ready and knows the last key.
 func (r *Rig) waitReady(ctx context.Context) error {
-	return r.waitFor(ctx, "the daemons", func() bool { return r.Balancer.Ready() >= r.Daemons })
+	return r.waitFor(ctx, "the daemons", func() bool {
+		return r.Balancer.Ready() >= r.Daemons && r.configured(ctx)
+	})
+}
+
+func (r *Rig) configured(ctx context.Context) bool {
+	keys := r.Keys.Active(r.Scenario.Teams[len(r.Scenario.Teams)-1].Name)
+	for _, d := range r.All() {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.Caller+"/v1/models", http.NoBody)
+		if err != nil {
+			return false
+		}
+		request.Header.Set("Authorization", "Bearer "+keys[len(keys)-1].Secret)
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			return false
+		}
+	}
+	return true
 }
 
 // Platform makes a control call of the platform stand-in, past the proxy.
--- a/internal/bench/verdict/table.go
+++ b/internal/bench/verdict/table.go
@@ -32,6 +32,9 @@
 	line("  unknown\t%d", r.Unknown)
 	line("  given up by callers\t%d", r.Cancelled)
 	line("  not sent\t%d", r.NotSent)
+	for _, outcome := range slices.Sorted(maps.Keys(r.Outcomes)) {
+		line("  %s\t%d attempts, such as %s", outcome, r.Outcomes[outcome], r.Samples[outcome])
+	}
 	line("Goodput\t%.0f tokens/s, %.1f%% of tokens wasted", r.GoodputPerSecond, 100*r.WastedShare)
 	line("Worst served team\t%.3f of what it deserved (Jain index %.3f)", r.WorstServed, r.JainIndex)
 	line("Spend\t%.4f, %.1f%% of tokens on cheap endpoints", r.Spend, 100*r.CheapShare)
--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -137,6 +137,9 @@
 		s.tokens <- s.next
 		s.next++
 		s.run.Tokens++
+		if s.run.FirstTokenAt == 0 {
+			s.run.FirstTokenAt = now
+		}
 		e.kvUsed++
 		if s.next >= s.length {
 			e.leaveBatch(s)
--- a/internal/standin/load/flow.go
+++ b/internal/standin/load/flow.go
@@ -111,6 +111,7 @@
 
 func (s *source) composeModel(call *Call) {
 	f := s.flow
+	call.Whole = f.WholeAnswer
 	call.Output = f.MinOutput + s.random.IntN(f.MaxOutput-f.MinOutput+1)
 	call.prompt = f.prompt(call.Nonce, call.Output, s.random)
 	call.PromptTokens = len(strings.Fields(call.prompt))
--- a/internal/standin/record/record.go
+++ b/internal/standin/record/record.go
@@ -48,6 +48,8 @@
 	Received clock.Millis
 	Started  clock.Millis
 	Ended    clock.Millis
+	// FirstTokenAt is when the first token was produced.
+	FirstTokenAt clock.Millis
 	// FirstToken is the index of the first token asked for, greater than 0
 	// for a resumed stream; Tokens counts those produced.
 	FirstToken   int
