--- a/internal/decide/capacity/capacity_test.go
+++ b/internal/decide/capacity/capacity_test.go
@@ -136,6 +136,16 @@
 	return count
 }
 
+// serving returns how many endpoints run.
+func (r *region) serving() (count int) {
+	for _, e := range r.endpoints {
+		if !e.Starting && !e.Leaving {
+			count++
+		}
+	}
+	return count
+}
+
 func (r *region) survivors(market entity.Market) int {
 	byDomain := map[string]int{}
 	for _, e := range r.endpoints {
@@ -240,7 +250,7 @@
 	lowest := 100
 	for range 900 {
 		r.step(1)
-		lowest = min(lowest, r.count(entity.Firm)+r.count(entity.Cheap))
+		lowest = min(lowest, r.serving())
 	}
 	if r.count(entity.Firm) != 6 || r.count(entity.Cheap) != 4 || lowest < 10 {
 		t.Fatalf("firm %d, cheap %d, lowest %d", r.count(entity.Firm), r.count(entity.Cheap), lowest)
--- /dev/null
+++ b/internal/order/demand/board.go
@@ -0,0 +1,204 @@
+package demand
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/decide/capacity"
+	"github.com/banyanshift/banyanshift/internal/peer/link"
+	"github.com/banyanshift/banyanshift/internal/peer/message"
+)
+
+const (
+	// minInterval is the least time between two reports of a daemon.
+	minInterval = 2 * clock.Second
+	// intervalPerDaemon stretches the reports in a large region, so that they
+	// do not load the holder.
+	intervalPerDaemon = 200 * clock.Millisecond
+	// keepIntervals is for how many intervals a report counts.
+	keepIntervals = 3
+	callTimeout   = clock.Second
+)
+
+// Report is what a daemon tells the holder.
+type Report struct {
+	Daemon string
+	// Interval is the time until the next report.
+	Interval clock.Millis
+	Lines    Columns
+}
+
+// Columns are the encoded form of lines: the back ends are named once and the
+// lines refer to them by index. Integers of type int take as few bytes as their
+// value needs. All slices but Names have the same length.
+type Columns struct {
+	Names   []string
+	Backend []int
+	Tier    []int
+	Running []int
+	Waiting []int
+	// ServiceTime is in milliseconds.
+	ServiceTime []int
+}
+
+func columnsOf(lines []Line) (c Columns) {
+	for _, line := range lines {
+		if len(c.Names) == 0 || c.Names[len(c.Names)-1] != line.Backend {
+			c.Names = append(c.Names, line.Backend)
+		}
+		c.Backend = append(c.Backend, len(c.Names)-1)
+		c.Tier = append(c.Tier, line.Tier)
+		c.Running = append(c.Running, line.Running)
+		c.Waiting = append(c.Waiting, line.Waiting)
+		c.ServiceTime = append(c.ServiceTime, int(line.ServiceTime))
+	}
+	return c
+}
+
+// lines returns the lines, as far as the columns are complete.
+func (c Columns) lines() (lines []Line) {
+	n := min(len(c.Backend), len(c.Tier), len(c.Running), len(c.Waiting), len(c.ServiceTime))
+	for i := range n {
+		if c.Backend[i] < 0 || c.Backend[i] >= len(c.Names) {
+			return lines
+		}
+		lines = append(lines, Line{
+			Backend: c.Names[c.Backend[i]], Tier: c.Tier[i],
+			Running: max(0, c.Running[i]), Waiting: max(0, c.Waiting[i]), ServiceTime: clock.Millis(c.ServiceTime[i]),
+		})
+	}
+	return lines
+}
+
+// Ack answers a Report.
+type Ack struct{}
+
+// Board collects the reports of a region's daemons.
+type Board struct {
+	clock clock.Clock
+
+	mu      sync.Mutex
+	reports map[string]kept
+}
+
+type kept struct {
+	until clock.Millis
+	lines []Line
+}
+
+// NewBoard returns a Board without reports.
+func NewBoard(clk clock.Clock) *Board {
+	return &Board{clock: clk, reports: make(map[string]kept)}
+}
+
+// Register makes the daemon take reports. It must be called before the link is
+// started.
+func Register(l *link.Link, b *Board) {
+	link.Handle(l, message.DemandReport, func(_ context.Context, from string, report Report) (Ack, error) {
+		report.Daemon = from
+		b.Put(report)
+		return Ack{}, nil
+	})
+}
+
+// Put takes a report, which replaces the daemon's last one.
+func (b *Board) Put(report Report) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	interval := min(max(report.Interval, minInterval), clock.Minute)
+	b.reports[report.Daemon] = kept{until: b.clock.Now() + keepIntervals*interval, lines: report.Lines.lines()}
+}
+
+// Demands returns the sums over all daemons that have reported lately.
+func (b *Board) Demands() (demands []capacity.Demand) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	sums := make(map[lineKey]*capacity.Demand)
+	weights := make(map[lineKey]float64)
+	for daemon, report := range b.reports {
+		if now >= report.until {
+			delete(b.reports, daemon)
+			continue
+		}
+		for _, line := range report.lines {
+			key := lineKey{backend: line.Backend, tier: line.Tier}
+			if sums[key] == nil {
+				sums[key] = &capacity.Demand{Backend: line.Backend, Tier: line.Tier}
+			}
+			sum := sums[key]
+			sum.Running += float64(line.Running)
+			sum.Waiting += float64(line.Waiting)
+			weight := float64(line.Running + line.Waiting)
+			if line.ServiceTime > 0 && weight > 0 {
+				mean := float64(sum.ServiceTime) * weights[key]
+				weights[key] += weight
+				sum.ServiceTime = clock.Millis((mean + weight*float64(line.ServiceTime)) / weights[key])
+			}
+		}
+	}
+	for _, sum := range sums {
+		demands = append(demands, *sum)
+	}
+	slices.SortFunc(demands, func(a, b capacity.Demand) int {
+		return cmp.Or(cmp.Compare(a.Backend, b.Backend), cmp.Compare(a.Tier, b.Tier))
+	})
+	return demands
+}
+
+// TellerConfig configures a Teller. All fields must be set.
+type TellerConfig struct {
+	Link  *link.Link
+	Clock clock.Clock
+	// ID names this daemon.
+	ID      string
+	Counter *Counter
+	// Board takes the reports when this daemon is the holder itself.
+	Board *Board
+	// Holder returns the daemon that holds the region's lease, as far as this
+	// one knows.
+	Holder func() (peer link.Peer, ok bool)
+	// Fleet returns how many daemons the region has.
+	Fleet func() int
+}
+
+// Teller tells the holder what this daemon's requests need.
+type Teller struct {
+	cfg TellerConfig
+}
+
+// NewTeller returns a Teller.
+func NewTeller(cfg TellerConfig) *Teller {
+	return &Teller{cfg: cfg}
+}
+
+// Run tells the holder until ctx ends.
+func (t *Teller) Run(ctx context.Context) error {
+	for {
+		interval := max(minInterval, intervalPerDaemon*clock.Millis(t.cfg.Fleet()))
+		t.tell(ctx, interval)
+		if err := t.cfg.Clock.Sleep(ctx, interval); err != nil {
+			return err
+		}
+	}
+}
+
+// tell sends one report. A report that does not arrive is made up for by the
+// next.
+func (t *Teller) tell(ctx context.Context, interval clock.Millis) {
+	holder, known := t.cfg.Holder()
+	if !known {
+		return
+	}
+	report := Report{Daemon: t.cfg.ID, Interval: interval, Lines: columnsOf(t.cfg.Counter.Lines())}
+	if holder.ID == t.cfg.ID {
+		t.cfg.Board.Put(report)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
+	defer cancel()
+	_, _ = link.Call[Report, Ack](ctx, t.cfg.Link, holder, message.DemandReport, report)
+}
--- a/internal/order/dispatch/dispatch.go
+++ b/internal/order/dispatch/dispatch.go
@@ -78,7 +78,10 @@
 
 // pending is an order that was journalled and is not closed.
 type pending struct {
-	entry journal.Entry
+	// journalled is the entry as it stands in the journal; entry is changed
+	// by the round under way.
+	journalled journal.Entry
+	entry      journal.Entry
 	// doubtful says that the order may have been carried out.
 	doubtful bool
 	untaken  int
@@ -154,7 +157,7 @@
 	clear(d.open)
 	for _, entry := range entries {
 		if entry.State == journal.Open {
-			d.open[entry.Number] = &pending{entry: entry, doubtful: true}
+			d.open[entry.Number] = &pending{journalled: entry, entry: entry, doubtful: true}
 		}
 	}
 	eventTookOver.Log(d.cfg.Logger, logrus.Fields{"Fence": fence, "OpenOrders": len(d.open)})
@@ -168,6 +171,16 @@
 	return d.entries
 }
 
+// Open returns the orders that were journalled and have not ended.
+func (d *Dispatcher) Open() (entries []journal.Entry) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range d.open {
+		entries = append(entries, p.journalled)
+	}
+	return entries
+}
+
 // Ready reports whether the predecessor's orders are complete, so that Submit is
 // let in, and under which fence.
 func (d *Dispatcher) Ready() (fence uint64, ready bool) {
@@ -200,7 +213,7 @@
 	defer d.mu.Unlock()
 	busy := make(map[string]bool)
 	for _, p := range d.open {
-		busy[p.entry.Order.EndpointID] = true
+		busy[p.journalled.Order.EndpointID] = true
 	}
 	for _, given := range orders {
 		if !busy[given.EndpointID] {
@@ -225,7 +238,7 @@
 		return err
 	}
 	for _, entry := range entries {
-		d.open[entry.Number] = &pending{entry: entry}
+		d.open[entry.Number] = &pending{journalled: entry, entry: entry}
 	}
 	return nil
 }
--- a/internal/peer/message/message.go
+++ b/internal/peer/message/message.go
@@ -30,4 +30,6 @@
 	EndpointNews Type = 0x50
 	// Claims.
 	ClaimLookup Type = 0x60
+	// Capacity.
+	DemandReport Type = 0x70
 )
