Bind reports to their fence, back off when the table refuses claims

A report was sent over a connection bound to whatever fence was held when it was sent, with the header of the fence it was prepared under; the client is now made for that fence. The name of a daemon in its batches' incarnation came out twice, so its peers took it for dead whenever it was silent for ten seconds and wrote its batches as well, which is harmless and costs writes. Claims' transactions slow down while the table refuses them, and FleetPace sets their rate for a fleet.

--- a/coord/claim/batcher.go
+++ b/coord/claim/batcher.go
@@ -44,8 +44,17 @@
 	mu      sync.Mutex
 	queue   []*operation
 	stopped bool
+	// strain is added to the pace while the table refuses transactions.
+	strain clock.Millis
 }
 
+const (
+	// minStrain and maxStrain bound what is added to the pace after refusals:
+	// it doubles with each and halves with each transaction that is taken.
+	minStrain = 10 * clock.Millisecond
+	maxStrain = 2 * clock.Second
+)
+
 func newBatcher(cfg Config) *batcher {
 	return &batcher{
 		client:   cfg.Table,
@@ -162,7 +171,7 @@
 			return true
 		}
 		go b.run(batch)
-		if err := b.clock.Sleep(ctx, b.pace()); err != nil {
+		if err := b.clock.Sleep(ctx, b.pace()+b.strained()); err != nil {
 			return false
 		}
 	}
@@ -185,6 +194,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), b.timeout.Duration())
 	defer cancel()
 	err := b.client.Commit(ctx, transaction(batch))
+	b.feel(errors.Is(err, table.ErrUnavailable))
 	switch {
 	case err == nil:
 		settle(batch, Committed)
@@ -197,6 +207,26 @@
 	}
 }
 
+func (b *batcher) strained() clock.Millis {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.strain
+}
+
+// feel adapts the strain to whether a transaction was refused.
+func (b *batcher) feel(refused bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case refused:
+		b.strain = min(max(2*b.strain, minStrain), maxStrain)
+	case b.strain <= minStrain:
+		b.strain = 0
+	default:
+		b.strain /= 2
+	}
+}
+
 func transaction(batch []*operation) (txn table.Txn) {
 	for _, op := range batch {
 		if op.conditional {
--- a/coord/claim/store.go
+++ b/coord/claim/store.go
@@ -49,9 +49,8 @@
 	Incarnation string
 	// NewNonce returns a new unique text.
 	NewNonce func() string
-	// Pace returns the least time between the starts of two transactions. A
-	// fleet of n processes that may write w transactions a second in all uses
-	// n/w seconds.
+	// Pace returns the least time between the starts of two transactions, see
+	// FleetPace. While the table refuses transactions the time is longer.
 	Pace func() clock.Millis
 	// MaxOperations and MaxBytes bound one transaction.
 	MaxOperations int
@@ -135,6 +134,14 @@
 	}
 }
 
+// FleetPace returns a Pace by which the processes of a fleet together write
+// perSecond transactions a second at most.
+func FleetPace(processes func() int, perSecond int) func() clock.Millis {
+	return func() clock.Millis {
+		return clock.Millis(max(1, processes())) * clock.Second / clock.Millis(perSecond)
+	}
+}
+
 func setDefault[T int | clock.Millis](field *T, value T) {
 	if *field == 0 {
 		*field = value
--- a/coord/claim/store_test.go
+++ b/coord/claim/store_test.go
@@ -207,6 +207,26 @@
 	}
 }
 
+func TestPaceFollowsFleetAndRefusals(t *testing.T) {
+	pace := FleetPace(func() int { return 370 }, 200)
+	if got := pace(); got != 1850 {
+		t.Errorf("pace of 370 processes at 200 a second: %v", got)
+	}
+	b := &batcher{}
+	for range 20 {
+		b.feel(true)
+	}
+	if got := b.strained(); got != maxStrain {
+		t.Errorf("strain after refusals: %v", got)
+	}
+	for range 20 {
+		b.feel(false)
+	}
+	if got := b.strained(); got != 0 {
+		t.Errorf("strain after transactions that were taken: %v", got)
+	}
+}
+
 func TestCleanerDeletesOldClaimsOnly(t *testing.T) {
 	memory := table.NewMemory()
 	manual := clock.NewManual(0)
--- a/internal/daemon/serve/roles.go
+++ b/internal/daemon/serve/roles.go
@@ -59,7 +59,7 @@
 	d.reporter = report.New(report.Config{
 		Table: d.table, Clock: d.clock, Logger: d.logger, Region: region, Daemon: d.settings.Daemon.ID,
 		Lease: d.hold.Lease, Guard: hold.Guard(d.table, leaseKey),
-		Client: usage.Client{Report: d.sendReport}, Interval: d.settings.Daemon.UsageWindow,
+		Client: d.usageClient, Interval: d.settings.Daemon.UsageWindow,
 	})
 	return nil
 }
@@ -105,10 +105,6 @@
 	return order.New(d.settings.Platform.OrderURL, d.guarded(given.Fence)).Give(ctx, given)
 }
 
-func (d *Daemon) sendReport(ctx context.Context, window usage.Window) error {
-	fence, _, ok := d.lease.Valid()
-	if !ok {
-		return usage.ErrUnavailable
-	}
-	return usage.New(d.settings.Platform.UsageURL, d.guarded(fence)).Report(ctx, window)
+func (d *Daemon) usageClient(fence uint64) usage.Client {
+	return usage.New(d.settings.Platform.UsageURL, d.guarded(fence))
 }
--- a/internal/usage/replicate/replicate.go
+++ b/internal/usage/replicate/replicate.go
@@ -93,9 +93,10 @@
 }
 
 // Incarnation returns the name under which a daemon's batches are kept. nonce
-// must be new at each start of the process.
+// must be new at each start of the process and hold no dot; the daemon's name and
+// a dot before it are left out.
 func Incarnation(self member.Member, nonce string) string {
-	return self.Region + "/" + self.ID + "." + nonce
+	return self.Region + "/" + self.ID + "." + strings.TrimPrefix(nonce, self.ID+".")
 }
 
 // ownerID returns the daemon's name in an incarnation.
--- a/internal/usage/replicate/replicate_test.go
+++ b/internal/usage/replicate/replicate_test.go
@@ -180,7 +180,9 @@
 
 func TestOwnerID(t *testing.T) {
 	self := member.Member{ID: "vm.3", Region: "sask-central"}
-	if got := ownerID(Incarnation(self, "81f2")); got != "vm.3" {
-		t.Fatalf("got %q", got)
+	for _, nonce := range []string{"81f2", "vm.3.81f2"} {
+		if got := ownerID(Incarnation(self, nonce)); got != "vm.3" {
+			t.Errorf("nonce %s: got %q", nonce, got)
+		}
 	}
 }
--- a/internal/usage/report/report.go
+++ b/internal/usage/report/report.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	r := report.New(report.Config{Table: client, Clock: clk, Logger: logger, Region: "sask-central", Daemon: "vm-3",
-//		Lease: holder.Lease, Guard: guard, Client: usage.New(url, guardedHTTPClient), Interval: clock.Minute})
+//		Lease: holder.Lease, Guard: guard, Client: guardedClient, Interval: clock.Minute})
 //	go r.Run(ctx)
 //
 //	windows, reported, err := report.Windows(ctx, client, "sask-central", 0, 100)
@@ -56,8 +56,9 @@
 	// Guard returns a condition that holds as long as the lease with this
 	// fencing number has not passed on.
 	Guard func(ctx context.Context, fence uint64) (table.Condition, error)
-	// Client reports over a connection that is guarded by the lease.
-	Client usage.Client
+	// Client returns a client whose connections write only while the lease
+	// is held under this fencing number.
+	Client func(fence uint64) usage.Client
 	// Interval is the length of a window.
 	Interval clock.Millis
 }
@@ -123,7 +124,7 @@
 	if err := msgpack.Unmarshal(sealed.Value, &decoded); err != nil {
 		return err
 	}
-	return r.cfg.Client.Report(usage.WithSender(ctx, r.cfg.Daemon, fence), decoded)
+	return r.cfg.Client(fence).Report(usage.WithSender(ctx, r.cfg.Daemon, fence), decoded)
 }
 
 func (r *Reporter) observe(step window.Step, number uint64, err error) {
--- a/internal/usage/report/report_test.go
+++ b/internal/usage/report/report_test.go
@@ -44,7 +44,7 @@
 		Table: memory.Client(), Clock: clock.NewManual(1000).Clock(), Logger: logger, Region: "r", Daemon: daemon,
 		Lease:  func() (uint64, clock.Millis, bool) { return fence, 0, *held },
 		Guard:  func(context.Context, uint64) (table.Condition, error) { return table.Condition{Key: "Lease/r"}, nil },
-		Client: usage.Client{Report: b.report}, Interval: clock.Minute,
+		Client: func(uint64) usage.Client { return usage.Client{Report: b.report} }, Interval: clock.Minute,
 	})
 }
 
