Write the claims of a large fleet through one relay a failure domain

370 daemons that each write their own claims within 200 transactions a second may write one every 1.85 s, longer than a class's target. A relay decides nothing; an answer that it loses is an unknown outcome like the table's.

--- a/coord/claim/batcher.go
+++ b/coord/claim/batcher.go
@@ -33,6 +33,7 @@
 // are under way at a time and they start at least pace apart.
 type batcher struct {
 	client   table.Client
+	forward  func(ctx context.Context, ops []Operation) (outcomes []CommitOutcome, ok bool)
 	clock    clock.Clock
 	pace     func() clock.Millis
 	timeout  clock.Millis
@@ -52,12 +53,13 @@
 	// minStrain and maxStrain bound what is added to the pace after refusals:
 	// it doubles with each and halves with each transaction that is taken.
 	minStrain = 10 * clock.Millisecond
-	maxStrain = 2 * clock.Second
+	maxStrain = 250 * clock.Millisecond
 )
 
 func newBatcher(cfg Config) *batcher {
 	return &batcher{
 		client:   cfg.Table,
+		forward:  cfg.Forward,
 		clock:    cfg.Clock,
 		pace:     cfg.Pace,
 		timeout:  cfg.CommitTimeout,
@@ -193,6 +195,9 @@
 	defer func() { <-b.slots }()
 	ctx, cancel := context.WithTimeout(context.Background(), b.timeout.Duration())
 	defer cancel()
+	if b.forwarded(ctx, batch) {
+		return
+	}
 	err := b.client.Commit(ctx, transaction(batch))
 	b.feel(errors.Is(err, table.ErrUnavailable))
 	switch {
@@ -207,6 +212,29 @@
 	}
 }
 
+// forwarded hands the batch to a relay, if there is one to be used.
+func (b *batcher) forwarded(ctx context.Context, batch []*operation) bool {
+	if b.forward == nil {
+		return false
+	}
+	ops := make([]Operation, len(batch))
+	for i, op := range batch {
+		ops[i] = Operation{Key: op.write.Key, Value: op.write.Value, Conditional: op.conditional, Version: op.version}
+	}
+	outcomes, ok := b.forward(ctx, ops)
+	if !ok {
+		return false
+	}
+	for i, op := range batch {
+		outcome := Unanswered
+		if i < len(outcomes) {
+			outcome = outcomes[i]
+		}
+		op.done <- outcome
+	}
+	return true
+}
+
 func (b *batcher) strained() clock.Millis {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/coord/claim/claim.go
+++ b/coord/claim/claim.go
@@ -20,7 +20,8 @@
 // whether or not the view is right: a claim once won is never given to anybody
 // else.
 //
-// Claims of many requests are written in one transaction. See Config.Pace.
+// Claims of many requests are written in one transaction, see Config.Pace, and
+// those of many processes too, see Relay.
 //
 // Old claims are removed by a Cleaner. Age is counted in epochs of the table,
 // not in anybody's clock.
--- a/coord/claim/store.go
+++ b/coord/claim/store.go
@@ -52,6 +52,10 @@
 	// Pace returns the least time between the starts of two transactions, see
 	// FleetPace. While the table refuses transactions the time is longer.
 	Pace func() clock.Millis
+	// Forward hands operations to a Relay in another process and returns their
+	// outcomes in the same sequence. ok is false when no relay is to be used
+	// now; the operations are then written directly. It may be nil.
+	Forward func(ctx context.Context, ops []Operation) (outcomes []CommitOutcome, ok bool)
 	// MaxOperations and MaxBytes bound one transaction.
 	MaxOperations int
 	MaxBytes      int
--- a/coord/claim/store_test.go
+++ b/coord/claim/store_test.go
@@ -207,6 +207,50 @@
 	}
 }
 
+// TestRelayCarriesManyStores lets requests of the same keys race through stores
+// that share a relay, whose answers are lost now and then.
+func TestRelayCarriesManyStores(t *testing.T) {
+	memory := table.NewMemory()
+	relay := NewRelay(Config{Table: memory.Client(), Clock: clock.System(), Pace: func() clock.Millis { return 20 }})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go relay.Run(ctx)
+	var calls atomic.Uint64
+	forward := func(ctx context.Context, ops []Operation) ([]CommitOutcome, bool) {
+		outcomes := relay.Submit(ctx, ops)
+		switch calls.Add(1) % 5 {
+		case 0:
+			return nil, true // the answer is lost
+		case 1:
+			return nil, calls.Load() > 10 // no relay: written directly a second time
+		}
+		return outcomes, true
+	}
+	const keys, stores = 20, 10
+	var runs [keys]atomic.Int64
+	var wg sync.WaitGroup
+	for s := range stores {
+		store := newStore(t, memory.Client(), fmt.Sprint(s), func(cfg *Config) { cfg.Forward = forward })
+		for k := range keys {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				result, err := store.Claim(within(t, 20*time.Second), "team", fmt.Sprint(k), digest)
+				if err == nil && result.Outcome == Won {
+					runs[k].Add(1)
+					store.Finish(result.Claim, nil)
+				}
+			}()
+		}
+	}
+	wg.Wait()
+	for k := range runs {
+		if runs[k].Load() != 1 {
+			t.Errorf("key %d ran %d times", k, runs[k].Load())
+		}
+	}
+}
+
 func TestPaceFollowsFleetAndRefusals(t *testing.T) {
 	pace := FleetPace(func() int { return 370 }, 200)
 	if got := pace(); got != 1850 {
--- a/internal/peer/message/message.go
+++ b/internal/peer/message/message.go
@@ -29,7 +29,8 @@
 	// Endpoints.
 	EndpointNews Type = 0x50
 	// Claims.
-	ClaimLookup Type = 0x60
+	ClaimLookup  Type = 0x60
+	ClaimForward Type = 0x61
 	// Capacity.
 	DemandReport Type = 0x70
 )
