Stop the guard's test child only while its lease runs

TestStopLetsAtMostOnePieceThrough failed in 4 of 15 runs on a busy machine, with megabytes written after a stop. Ruled out: the guard itself, and what was left in socket buffers. Causes, both in the test: the child's lease was renewed from an instant read after the check, so that a stop in between revived it; and a child stopped before it had begun its lease only began it later. The lease now counts from before its renewal, and the first bytes are awaited before the stop. The assertion is unchanged.

--- a/coord/guard/stop_test.go
+++ b/coord/guard/stop_test.go
@@ -48,8 +48,11 @@
 			return
 		case <-time.After(time.Millisecond):
 		}
-		if _, ok := l.valid(); ok {
-			l.until.Store(int64(l.clock.Now() + childTTL))
+		// Like a lease, it counts from before the renewal: a stop between
+		// these two lines must not revive it.
+		renewed := l.clock.Now()
+		if renewed < clock.Millis(l.until.Load()) {
+			l.until.Store(int64(renewed + childTTL))
 		}
 	}
 }
@@ -107,11 +110,17 @@
 		child.Wait()
 	}()
 	random := rand.New(rand.NewPCG(11, 12))
-	for range stops {
+	for len(late) < stops {
 		conn, err := listener.Accept()
 		if err != nil {
 			t.Fatal(err)
 		}
+		// The first bytes show that the child's lease has begun. A stop before
+		// that would only delay its beginning.
+		if _, err := io.ReadFull(conn, make([]byte, 1)); err != nil {
+			conn.Close()
+			continue
+		}
 		drain(t, conn, 2*time.Millisecond+time.Duration(random.IntN(2000))*time.Microsecond)
 		child.Process.Signal(syscall.SIGSTOP)
 		// Everything that was written before the stop is read here.
