--- /dev/null
+++ b/internal/bench/latency/latency.go
@@ -0,0 +1,241 @@
+// Package latency is the command that measures what the router adds: the same
+// streams are sent straight to the engines and through one daemon, in one run,
+// and the times to the first token and between tokens are compared. A second
+// part saturates one daemon and gives requests and tokens a second, processor
+// time and allocations for each.
+//
+// # Usage
+//
+//	banyanbench latency --streams 64 --duration 8s --json
+package latency
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/bench/factory"
+	"github.com/banyanshift/banyanshift/internal/bench/rig"
+	"github.com/banyanshift/banyanshift/internal/bench/scenario"
+	"github.com/banyanshift/banyanshift/internal/config/entity"
+	"github.com/banyanshift/banyanshift/internal/standin/load"
+)
+
+const (
+	region    = "loop"
+	domain    = "loop-1"
+	team      = "bench"
+	modelName = "bench-model"
+	// engines is how many engine endpoints run.
+	engines = 4
+	// slots is how many requests one of them runs at the same time.
+	slots = 64
+	// tokens is the length of an answer.
+	tokens = 60
+)
+
+// Options holds the flags of the command.
+type Options struct {
+	Factory  *factory.Factory
+	Streams  int
+	Duration time.Duration
+	JSON     bool
+	// Profile is a file that gets a processor profile of the saturated daemon.
+	Profile string
+}
+
+// NewCmdLatency returns the command. runF replaces its action in tests.
+func NewCmdLatency(f *factory.Factory, runF func(*Options) error) *cobra.Command {
+	opts := &Options{Factory: f}
+	cmd := &cobra.Command{
+		Use:   "latency",
+		Short: "Measure the latency that the router adds",
+		Long: `Send the same streams straight to the engine stand-ins and through one
+daemon, and compare. Then saturate the daemon with fast engines.`,
+		Example: `  $ banyanbench latency --streams 64 --duration 8s
+  $ banyanbench latency --json`,
+		Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			if runF != nil {
+				return runF(opts)
+			}
+			return latencyRun(opts)
+		},
+	}
+	flags := cmd.Flags()
+	flags.IntVar(&opts.Streams, "streams", 64, "Streams that are open at the same time")
+	flags.DurationVar(&opts.Duration, "duration", 8*time.Second, "Length of each part")
+	flags.StringVar(&opts.Profile, "profile", "", "Write a processor profile of the saturated daemon to `file`")
+	flags.BoolVar(&opts.JSON, "json", false, "Print the figures as one line of JSON")
+	return cmd
+}
+
+// Result is what the command prints.
+type Result struct {
+	Direct Streams
+	Routed Streams
+	// AddedFirstToken and AddedGap are routed minus direct, in milliseconds.
+	AddedFirstToken Quantiles
+	AddedGap        Quantiles
+	Saturated       Saturated
+}
+
+// Saturated is what one daemon does at its limit.
+type Saturated struct {
+	RequestsPerSecond    float64
+	TokensPerSecond      float64
+	Cores                float64
+	MicrosPerToken       float64
+	MicrosPerRequest     float64
+	AllocationsPerToken  float64
+	AllocationsPerAnswer float64
+	BytesPerAnswer       float64
+}
+
+func latencyRun(opts *Options) (err error) {
+	ctx := opts.Factory.Stopped()
+	dir, err := os.MkdirTemp("", "banyanshift-latency-")
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, os.RemoveAll(dir)) }()
+	program, err := rig.Build(ctx, dir)
+	if err != nil {
+		return err
+	}
+	var result Result
+	if err := opts.paced(ctx, program, dir, &result); err != nil {
+		return err
+	}
+	if err := opts.saturated(ctx, program, dir, &result); err != nil {
+		return err
+	}
+	return opts.show(result)
+}
+
+// paced compares streams of engines that take their usual time.
+func (o *Options) paced(ctx context.Context, program, dir string, result *Result) error {
+	return o.with(ctx, program, dir, []string{"--step-us", "18000", "--step-request-us", "1"}, func(r *rig.Rig) (err error) {
+		if result.Direct, err = o.direct(ctx, r); err != nil {
+			return err
+		}
+		if result.Routed, err = o.routed(ctx, r); err != nil {
+			return err
+		}
+		result.AddedFirstToken = result.Routed.FirstToken.minus(result.Direct.FirstToken)
+		result.AddedGap = result.Routed.Gap.minus(result.Direct.Gap)
+		return nil
+	})
+}
+
+// saturated drives one daemon to its limit with engines that are fast.
+func (o *Options) saturated(ctx context.Context, program, dir string, result *Result) error {
+	fast := []string{"--step-us", "500", "--step-request-us", "0", "--prefill-us", "1"}
+	return o.with(ctx, program, dir, fast, func(r *rig.Rig) error {
+		daemon := r.All()[0]
+		before, err := usageOf(ctx, daemon)
+		if err != nil {
+			return err
+		}
+		profile := o.startProfile(ctx, daemon)
+		streams, err := o.routed(ctx, r)
+		if err = errors.Join(err, profile.wait()); err != nil {
+			return err
+		}
+		after, err := usageOf(ctx, daemon)
+		if err != nil {
+			return err
+		}
+		result.Saturated = saturation(streams, after.minus(before))
+		return nil
+	})
+}
+
+func saturation(streams Streams, used usage) Saturated {
+	answers, generated := float64(streams.Answers), float64(streams.Tokens)
+	if answers == 0 || generated == 0 {
+		return Saturated{}
+	}
+	return Saturated{
+		RequestsPerSecond:    answers / streams.Seconds,
+		TokensPerSecond:      generated / streams.Seconds,
+		Cores:                used.CPUSeconds / streams.Seconds,
+		MicrosPerToken:       used.CPUSeconds * 1e6 / generated,
+		MicrosPerRequest:     used.CPUSeconds * 1e6 / answers,
+		AllocationsPerToken:  used.Mallocs / generated,
+		AllocationsPerAnswer: used.Mallocs / answers,
+		BytesPerAnswer:       used.Bytes / answers,
+	}
+}
+
+// with runs act on a deployment of one daemon and a few engines.
+func (o *Options) with(ctx context.Context, program, dir string, engineFlags []string, act func(r *rig.Rig) error) (err error) {
+	self, err := o.Factory.Executable()
+	if err != nil {
+		return err
+	}
+	own, err := os.MkdirTemp(dir, "rig-")
+	if err != nil {
+		return err
+	}
+	r, err := rig.Start(ctx, rig.Options{
+		Banyanshift: program, Banyanbench: self, Dir: own, Scenario: deployment(), Daemons: 1, Seed: 1,
+		LogLevel: "warning", EngineFlags: engineFlags, PlatformFlags: []string{"--slots", fmt.Sprint(slots)},
+		Clock: o.Factory.Clock,
+	})
+	if err != nil {
+		return err
+	}
+	defer r.Close()
+	return act(r)
+}
+
+// deployment has one team, one class and one model.
+func deployment() scenario.Scenario {
+	return scenario.Scenario{
+		Name: "latency", Region: region, Domains: []string{domain},
+		Teams:   []entity.Team{{Name: team, Weight: 1}},
+		Classes: []entity.Class{{Name: "bench", FirstTokenTarget: 5 * clock.Second, MaxWait: clock.Minute}},
+		Routes:  []entity.Route{{Name: modelName, Backend: "bench", Classes: []string{"bench"}, Teams: []string{team}}},
+		Backends: []entity.Backend{{
+			Name: "bench", Type: entity.Model, Model: modelName, Version: "1",
+			MinEndpoints: engines, MaxEndpoints: engines, Slots: slots,
+		}},
+		Pools: []scenario.Pool{{Backend: "bench", Model: modelName, FirmPerDomain: engines}},
+		Flows: []load.Flow{},
+	}
+}
+
+func (o *Options) show(result Result) error {
+	if o.JSON {
+		line, err := json.Marshal(result)
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(o.Factory.Out, "%s\n", line)
+		return err
+	}
+	table := tabwriter.NewWriter(o.Factory.Out, 0, 0, 2, ' ', 0)
+	row := func(name string, q Quantiles) {
+		_, _ = fmt.Fprintf(table, "%s\t%.3f ms\t%.3f ms\n", name, q.P50, q.P99)
+	}
+	_, _ = fmt.Fprintf(table, "\tP50\tP99\n")
+	row("First token, direct", result.Direct.FirstToken)
+	row("First token, routed", result.Routed.FirstToken)
+	row("First token, added", result.AddedFirstToken)
+	row("Between tokens, direct", result.Direct.Gap)
+	row("Between tokens, routed", result.Routed.Gap)
+	row("Between tokens, added", result.AddedGap)
+	s := result.Saturated
+	_, _ = fmt.Fprintf(table, "\nOne daemon, saturated\t%.0f requests/s\t%.0f tokens/s\n", s.RequestsPerSecond, s.TokensPerSecond)
+	_, _ = fmt.Fprintf(table, "Processor time\t%.2f µs a token\t%.0f µs a request of %d tokens\n", s.MicrosPerToken, s.MicrosPerRequest, tokens)
+	_, _ = fmt.Fprintf(table, "Allocations\t%.1f a token\t%.0f a request\n", s.AllocationsPerToken, s.AllocationsPerAnswer)
+	return table.Flush()
+}
--- a/internal/bench/rig/process.go
+++ b/internal/bench/rig/process.go
@@ -132,3 +132,8 @@
 		<-p.done
 	}
 }
+
+// PID returns the process's id.
+func (p *Process) PID() int {
+	return p.cmd.Process.Pid
+}
