Decode engines' chunks with a lexer

Cause: a quarter of the data path's time was decoding JSON by reflection, with most of its 15.5 allocations a token. Change: chunks are decoded field by field with easyjson's lexer; chunks that are not valid UTF-8 are refused as malformed, which a fuzzer found to differ. Ruled out: coalescing flushes, since at the planned rate each token comes by itself.

--- a/internal/endpoint/engine/chunk.go
+++ b/internal/endpoint/engine/chunk.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
+	"unicode/utf8"
+
+	"github.com/mailru/easyjson/jlexer"
 )
 
 // Errors that say how an engine's answer is wrong, wrapped by *StreamError.
@@ -40,19 +42,124 @@
 	Done bool
 }
 
-// rawChunk is the wire form of a chunk of either interface.
+var errNotUTF8 = errors.New("not valid UTF-8")
+
+// rawChunk is what the router needs of a chunk of either interface.
 type rawChunk struct {
-	ID      string `json:"id"`
-	Choices []struct {
-		Text  string `json:"text"`
-		Delta struct {
-			Content string `json:"content"`
-		} `json:"delta"`
-		FinishReason *string `json:"finish_reason"`
-	} `json:"choices"`
-	Token *int            `json:"token"`
-	Usage *Usage          `json:"usage"`
-	Error json.RawMessage `json:"error"`
+	id           string
+	text         string
+	finishReason string
+	token        int
+	hasToken     bool
+	hasError     bool
+	usage        *Usage
+}
+
+// decodeChunk decodes the data of an event. The id refers to the data.
+func decodeChunk(data []byte) (raw rawChunk, err error) {
+	if !utf8.Valid(data) {
+		return raw, errNotUTF8
+	}
+	lexer := jlexer.Lexer{Data: data}
+	object(&lexer, func(name string) bool {
+		switch name {
+		case "id":
+			raw.id = lexer.UnsafeString()
+		case "choices":
+			raw.decodeChoices(&lexer)
+		case "token":
+			raw.token, raw.hasToken = lexer.Int(), true
+		case "usage":
+			raw.usage = decodeUsage(&lexer)
+		case "error":
+			raw.hasError = true
+			lexer.SkipRecursive()
+		default:
+			return false
+		}
+		return true
+	})
+	lexer.Consumed()
+	return raw, lexer.Error()
+}
+
+// object calls field for each field of an object that is not null, with the
+// lexer at its value. Fields that it does not decode are skipped.
+func object(lexer *jlexer.Lexer, field func(name string) (decoded bool)) {
+	if lexer.IsNull() {
+		lexer.Skip()
+		return
+	}
+	lexer.Delim('{')
+	for lexer.Ok() && !lexer.IsDelim('}') {
+		name := lexer.UnsafeFieldName(false)
+		lexer.WantColon()
+		if lexer.IsNull() {
+			lexer.Skip()
+		} else if !field(name) {
+			lexer.SkipRecursive()
+		}
+		lexer.WantComma()
+	}
+	lexer.Delim('}')
+}
+
+// decodeChoices takes the first choice.
+func (r *rawChunk) decodeChoices(lexer *jlexer.Lexer) {
+	lexer.Delim('[')
+	for first := true; lexer.Ok() && !lexer.IsDelim(']'); first = false {
+		if first {
+			r.decodeChoice(lexer)
+		} else {
+			lexer.SkipRecursive()
+		}
+		lexer.WantComma()
+	}
+	lexer.Delim(']')
+}
+
+func (r *rawChunk) decodeChoice(lexer *jlexer.Lexer) {
+	object(lexer, func(name string) bool {
+		switch name {
+		case "text":
+			r.text += lexer.String()
+		case "delta":
+			r.decodeDelta(lexer)
+		case "finish_reason":
+			r.finishReason = lexer.String()
+		default:
+			return false
+		}
+		return true
+	})
+}
+
+func (r *rawChunk) decodeDelta(lexer *jlexer.Lexer) {
+	object(lexer, func(name string) bool {
+		if name != "content" {
+			return false
+		}
+		r.text += lexer.String()
+		return true
+	})
+}
+
+func decodeUsage(lexer *jlexer.Lexer) *Usage {
+	usage := &Usage{}
+	object(lexer, func(name string) bool {
+		switch name {
+		case "prompt_tokens":
+			usage.PromptTokens = lexer.Int()
+		case "completion_tokens":
+			usage.CompletionTokens = lexer.Int()
+		case "total_tokens":
+			usage.TotalTokens = lexer.Int()
+		default:
+			return false
+		}
+		return true
+	})
+	return usage
 }
 
 var doneMark = []byte("[DONE]")
@@ -61,7 +168,6 @@
 type checker struct {
 	requestID string
 	next      int
-	raw       rawChunk
 }
 
 // errDuplicate marks a chunk whose token was seen before; it is skipped.
@@ -72,42 +178,29 @@
 	if bytes.Equal(data, doneMark) {
 		return Chunk{Data: data, Done: true}, nil
 	}
-	c.raw = rawChunk{Choices: c.raw.Choices[:0]}
-	if err := json.Unmarshal(data, &c.raw); err != nil {
+	raw, err := decodeChunk(data)
+	switch {
+	case err != nil:
 		return chunk, fmt.Errorf("%w: %w", ErrMalformed, err)
-	}
-	if len(c.raw.Error) > 0 {
+	case raw.hasError:
 		return chunk, fmt.Errorf("%w: engine error in stream", ErrTruncated)
+	case raw.id != c.requestID:
+		return chunk, fmt.Errorf("%w: id %q instead of %q", ErrCrossed, raw.id, c.requestID)
 	}
-	if c.raw.ID != c.requestID {
-		return chunk, fmt.Errorf("%w: id %q instead of %q", ErrCrossed, c.raw.ID, c.requestID)
-	}
-	chunk = Chunk{Data: data, Usage: c.raw.Usage}
-	if len(c.raw.Choices) == 0 {
-		return chunk, nil
-	}
-	choice := c.raw.Choices[0]
-	chunk.Text = choice.Text + choice.Delta.Content
-	if choice.FinishReason != nil {
-		chunk.FinishReason = *choice.FinishReason
-	}
-	if chunk.Text == "" {
+	chunk = Chunk{Data: data, Text: raw.text, FinishReason: raw.finishReason, Usage: raw.usage}
+	if raw.text == "" {
 		return chunk, nil
 	}
-	return chunk, c.advance()
+	return chunk, c.advance(raw)
 }
 
 // advance checks the index of a token, where the engine sends it.
-func (c *checker) advance() error {
-	if c.raw.Token == nil {
-		c.next++
-		return nil
-	}
-	switch index := *c.raw.Token; {
-	case index < c.next:
+func (c *checker) advance(raw rawChunk) error {
+	switch {
+	case raw.hasToken && raw.token < c.next:
 		return errDuplicate
-	case index > c.next:
-		return fmt.Errorf("%w: token %d instead of %d", ErrGap, index, c.next)
+	case raw.hasToken && raw.token > c.next:
+		return fmt.Errorf("%w: token %d instead of %d", ErrGap, raw.token, c.next)
 	}
 	c.next++
 	return nil
