Measure added latency at the planned rate of tokens

Cause: with steps of 18 ms a request that came 0.3 ms later waited for the next step, so the time to the first token showed the stand-in's steps. Change: the comparison runs 12 streams over steps of 1 ms, about 12,000 tokens a second, one daemon's part of the planned peak.

--- a/internal/bench/latency/latency.go
+++ b/internal/bench/latency/latency.go
@@ -39,11 +39,17 @@
 	slots = 64
 	// tokens is the length of an answer.
 	tokens = 60
+	// pacedStreams streams of engines with pacedStep give the tokens a second
+	// that one daemon carries at the planned size. Steps are short, since a
+	// request that comes a little later waits for the next step.
+	pacedStreams = 12
+	pacedStep    = "1000"
 )
 
 // Options holds the flags of the command.
 type Options struct {
-	Factory  *factory.Factory
+	Factory *factory.Factory
+	// Streams is how many streams saturate the daemon.
 	Streams  int
 	Duration time.Duration
 	JSON     bool
@@ -58,7 +64,8 @@
 		Use:   "latency",
 		Short: "Measure the latency that the router adds",
 		Long: `Send the same streams straight to the engine stand-ins and through one
-daemon, and compare. Then saturate the daemon with fast engines.`,
+daemon, at the rate of tokens of the planned size, and compare. Then saturate
+the daemon.`,
 		Example: `  $ banyanbench latency --streams 64 --duration 8s
   $ banyanbench latency --json`,
 		Args: cobra.NoArgs,
@@ -70,7 +77,7 @@
 		},
 	}
 	flags := cmd.Flags()
-	flags.IntVar(&opts.Streams, "streams", 64, "Streams that are open at the same time")
+	flags.IntVar(&opts.Streams, "streams", 64, "Streams that saturate the daemon")
 	flags.DurationVar(&opts.Duration, "duration", 8*time.Second, "Length of each part")
 	flags.StringVar(&opts.Profile, "profile", "", "Write a processor profile of the saturated daemon to `file`")
 	flags.BoolVar(&opts.JSON, "json", false, "Print the figures as one line of JSON")
@@ -120,13 +127,13 @@
 	return opts.show(result)
 }
 
-// paced compares streams of engines that take their usual time.
+// paced compares streams at the planned rate of tokens.
 func (o *Options) paced(ctx context.Context, program, dir string, result *Result) error {
-	return o.with(ctx, program, dir, []string{"--step-us", "18000", "--step-request-us", "1"}, func(r *rig.Rig) (err error) {
-		if result.Direct, err = o.direct(ctx, r); err != nil {
+	return o.with(ctx, program, dir, []string{"--step-us", pacedStep, "--step-request-us", "1", "--prefill-us", "1"}, func(r *rig.Rig) (err error) {
+		if result.Direct, err = o.direct(ctx, r, pacedStreams); err != nil {
 			return err
 		}
-		if result.Routed, err = o.routed(ctx, r); err != nil {
+		if result.Routed, err = o.routed(ctx, r, pacedStreams); err != nil {
 			return err
 		}
 		result.AddedFirstToken = result.Routed.FirstToken.minus(result.Direct.FirstToken)
@@ -145,7 +152,7 @@
 			return err
 		}
 		profile := o.startProfile(ctx, daemon)
-		streams, err := o.routed(ctx, r)
+		streams, err := o.routed(ctx, r, o.Streams)
 		if err = errors.Join(err, profile.wait()); err != nil {
 			return err
 		}
--- a/internal/bench/latency/stream.go
+++ b/internal/bench/latency/stream.go
@@ -52,7 +52,7 @@
 }
 
 // direct sends the streams straight to the engines.
-func (o *Options) direct(ctx context.Context, r *rig.Rig) (Streams, error) {
+func (o *Options) direct(ctx context.Context, r *rig.Rig, count int) (Streams, error) {
 	var endpoints []entity.Endpoint
 	if err := r.Platform(ctx, http.MethodGet, "/endpoints", nil, &endpoints); err != nil {
 		return Streams{}, err
@@ -61,26 +61,26 @@
 	for _, endpoint := range endpoints {
 		to.urls = append(to.urls, "http://"+endpoint.Address)
 	}
-	return o.measure(ctx, to)
+	return o.measure(ctx, to, count)
 }
 
 // routed sends the streams through the daemon.
-func (o *Options) routed(ctx context.Context, r *rig.Rig) (Streams, error) {
-	return o.measure(ctx, target{urls: []string{"http://" + r.All()[0].Caller}, key: r.Keys.Active(team)[0].Secret})
+func (o *Options) routed(ctx context.Context, r *rig.Rig, count int) (Streams, error) {
+	return o.measure(ctx, target{urls: []string{"http://" + r.All()[0].Caller}, key: r.Keys.Active(team)[0].Secret}, count)
 }
 
-// measure keeps the streams open for the duration.
-func (o *Options) measure(ctx context.Context, to target) (streams Streams, err error) {
+// measure keeps count streams open for the duration.
+func (o *Options) measure(ctx context.Context, to target, count int) (streams Streams, err error) {
 	ctx, stop := context.WithTimeout(ctx, o.Duration)
 	defer stop()
 	m := &meter{
 		target:     to,
-		client:     &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: o.Streams}},
+		client:     &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: count}},
 		firstToken: hdrhistogram.New(shortest, longest, digits),
 		gap:        hdrhistogram.New(shortest, longest, digits),
 	}
 	started := time.Now()
-	for range o.Streams {
+	for range count {
 		m.running.Add(1)
 		go m.run(ctx)
 	}
