--- a/internal/decide/capacity/capacity_test.go
+++ b/internal/decide/capacity/capacity_test.go
@@ -90,7 +90,7 @@
 		if given.Market == entity.Cheap {
 			price = 1200
 		}
-		r.endpoints = append(r.endpoints, Endpoint{Starting: true, Model: given.Model, Version: "1", Endpoint: entity.Endpoint{
+		r.endpoints = append(r.endpoints, Endpoint{Starting: true, Model: given.Model, Version: given.Version, Endpoint: entity.Endpoint{
 			ID: given.EndpointID, Backend: given.Backend, FailureDomain: given.FailureDomain, Market: given.Market, MilliPrice: price,
 		}})
 	case order.Stop:
@@ -98,7 +98,7 @@
 		r.remove(func(e Endpoint) bool { return e.ID == given.EndpointID })
 	case order.LoadModel:
 		e := r.find(given.EndpointID)
-		e.Loading, e.Model, e.Version = true, given.Model, r.backends[0].Version
+		e.Loading, e.Model, e.Version = true, given.Model, given.Version
 		r.ready[e.ID] = r.now + loadTime
 	case order.LoadAdapter:
 		e := r.find(given.EndpointID)
--- a/internal/decide/capacity/engine.go
+++ b/internal/decide/capacity/engine.go
@@ -38,7 +38,7 @@
 	r.loads--
 	r.orders = append(r.orders, order.Order{
 		Kind: order.LoadModel, Backend: p.backend.Name, FailureDomain: chosen.FailureDomain,
-		Market: chosen.Market, EndpointID: chosen.ID, Model: p.backend.Model,
+		Market: chosen.Market, EndpointID: chosen.ID, Model: p.backend.Model, Version: p.backend.Version,
 	})
 }
 
--- a/internal/decide/capacity/planner.go
+++ b/internal/decide/capacity/planner.go
@@ -253,7 +253,7 @@
 	name := fmt.Sprintf("%s-%d-%d", strings.NewReplacer("/", "-", ":", "-").Replace(p.backend.Name), r.fence, r.named)
 	r.orders = append(r.orders, order.Order{
 		Kind: order.Start, Backend: p.backend.Name, FailureDomain: domain, Market: market,
-		EndpointID: name, Model: p.backend.Model,
+		EndpointID: name, Model: p.backend.Model, Version: p.backend.Version,
 	})
 	r.loads--
 	p.add(Endpoint{
--- a/internal/order/dispatch/dispatch.go
+++ b/internal/order/dispatch/dispatch.go
@@ -57,9 +57,29 @@
 	// over. After it they are given, except to endpoints with an open order.
 	maxInheritedTime = clock.Minute
 	sendAtOnce       = 8
-	sendTime         = 5 * clock.Second
+	// sendTime bounds one sending, loadTime that of an order which is answered
+	// when weights have been loaded.
+	sendTime = 5 * clock.Second
+	loadTime = 5 * clock.Minute
 )
 
+// lane separates the orders that are answered late from the others, which do not
+// wait for them.
+type lane int
+
+const (
+	fast lane = iota
+	slow
+	lanes
+)
+
+func laneOf(kind order.Kind) lane {
+	if kind == order.LoadModel || kind == order.LoadAdapter {
+		return slow
+	}
+	return fast
+}
+
 // Config configures a Dispatcher. All fields must be set.
 type Config struct {
 	Journal *journal.Journal
@@ -92,10 +112,10 @@
 type Dispatcher struct {
 	cfg Config
 
-	// journalMu is held while the journal is used, roundMu while orders are
-	// being sent.
+	// journalMu is held while the journal is used, roundMu while the orders of
+	// a lane are being sent.
 	journalMu sync.Mutex
-	roundMu   sync.Mutex
+	roundMu   [lanes]sync.Mutex
 
 	mu    sync.Mutex
 	fence uint64
@@ -120,21 +140,33 @@
 	if err := d.takeOver(ctx, term.Fence); err != nil {
 		return err
 	}
-	pruned := d.cfg.Clock.Now()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return d.sendLoop(ctx, fast) })
+	group.Go(func() error { return d.sendLoop(ctx, slow) })
+	group.Go(func() error { return d.pruneLoop(ctx) })
+	return group.Wait()
+}
+
+func (d *Dispatcher) sendLoop(ctx context.Context, l lane) error {
 	for {
-		if err := d.round(ctx); err != nil {
+		if err := d.round(ctx, l); err != nil {
 			return err
 		}
-		if now := d.cfg.Clock.Now(); now-pruned >= pruneInterval {
-			pruned = now
-			d.prune(ctx)
-		}
 		if err := d.cfg.Clock.Sleep(ctx, retryInterval); err != nil {
 			return err
 		}
 	}
 }
 
+func (d *Dispatcher) pruneLoop(ctx context.Context) error {
+	for {
+		if err := d.cfg.Clock.Sleep(ctx, pruneInterval); err != nil {
+			return err
+		}
+		d.prune(ctx)
+	}
+}
+
 func (d *Dispatcher) leaveCharge() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -189,8 +221,8 @@
 	return d.fence, d.ready
 }
 
-// Submit journals orders and sends them. It returns when each was sent once; what
-// becomes of them is told to Ended. It returns ErrNotInCharge before the
+// Submit journals orders and sends them. It returns when each was sent once, those
+// that load weights excepted; what becomes of them is told to Ended. It returns ErrNotInCharge before the
 // predecessor's orders are complete. Orders for an endpoint that has an open
 // order are left out, since the two could arrive in either sequence.
 func (d *Dispatcher) Submit(ctx context.Context, orders []order.Order) (err error) {
@@ -205,7 +237,7 @@
 	if err := d.append(ctx, orders); err != nil {
 		return err
 	}
-	return d.round(ctx)
+	return d.round(ctx, fast)
 }
 
 func (d *Dispatcher) withoutBusy(orders []order.Order) (free []order.Order) {
@@ -243,12 +275,12 @@
 	return nil
 }
 
-// round sends every open order once and closes those that have ended. It returns
-// an error when this daemon must stop giving orders.
-func (d *Dispatcher) round(ctx context.Context) error {
-	d.roundMu.Lock()
-	defer d.roundMu.Unlock()
-	fence, batch := d.batch()
+// round sends every open order of a lane once and closes those that have ended.
+// It returns an error when this daemon must stop giving orders.
+func (d *Dispatcher) round(ctx context.Context, l lane) error {
+	d.roundMu[l].Lock()
+	defer d.roundMu[l].Unlock()
+	fence, batch := d.batch(l)
 	if fence == 0 {
 		return ErrNotInCharge
 	}
@@ -274,17 +306,23 @@
 	return d.close(ctx, ended)
 }
 
-func (d *Dispatcher) batch() (fence uint64, batch []*pending) {
+func (d *Dispatcher) batch(l lane) (fence uint64, batch []*pending) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, p := range d.open {
-		batch = append(batch, p)
+		if laneOf(p.journalled.Order.Kind) == l {
+			batch = append(batch, p)
+		}
 	}
 	return d.fence, batch
 }
 
 func (d *Dispatcher) send(ctx context.Context, fence uint64, p *pending) {
-	ctx, cancel := context.WithTimeout(ctx, sendTime.Duration())
+	limit := sendTime
+	if laneOf(p.entry.Order.Kind) == slow {
+		limit = loadTime
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit.Duration())
 	defer cancel()
 	given := p.entry.Order
 	given.Fence = fence
--- a/internal/order/dispatch/dispatch_test.go
+++ b/internal/order/dispatch/dispatch_test.go
@@ -189,7 +189,7 @@
 		return err
 	}
 	for range 60 {
-		if err := p.round(ctx); err != nil {
+		if err := p.round(ctx, fast); err != nil {
 			return err
 		}
 		if _, ready := p.Ready(); ready {
@@ -314,7 +314,7 @@
 	}
 	w.manual.Advance(maxInheritedTime)
 	ctx := context.Background()
-	if err := b.round(ctx); err != nil {
+	if err := b.round(ctx, fast); err != nil {
 		t.Fatal(err)
 	}
 	if err := b.Submit(ctx, append(starts("b", 1), order.Order{Kind: order.Stop, EndpointID: "a0"})); err != nil {
@@ -324,7 +324,7 @@
 		t.Fatalf("ended: %+v", b.ended)
 	}
 	delete(w.ends.busy, "a0")
-	if err := b.round(ctx); err != nil {
+	if err := b.round(ctx, fast); err != nil {
 		t.Fatal(err)
 	}
 	entries, err := journal.Entries(ctx, w.memory.Client(), "r")
@@ -357,7 +357,7 @@
 		t.Fatalf("ended: %+v", b.ended)
 	}
 	b.cfg.Send = b.send
-	if err := b.round(context.Background()); err != nil {
+	if err := b.round(context.Background(), fast); err != nil {
 		t.Fatal(err)
 	}
 	if err := w.check(); err != nil {
@@ -432,7 +432,7 @@
 		t.Fatal(err)
 	}
 	for range maxUntaken {
-		if err := a.round(context.Background()); err != nil {
+		if err := a.round(context.Background(), fast); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -441,6 +441,42 @@
 	}
 }
 
+// TestLoadingHoldsNobodyUp has an engine load weights while another endpoint is
+// started.
+func TestLoadingHoldsNobodyUp(t *testing.T) {
+	w := newWorld(1, false)
+	w.lease(1)
+	a := w.process("a")
+	loading, loaded := make(chan struct{}), make(chan struct{})
+	a.cfg.Send = func(_ context.Context, given order.Order) error {
+		if given.Kind == order.LoadModel {
+			close(loading)
+			<-loaded
+		}
+		return w.ends.give(given)
+	}
+	load := order.Order{Kind: order.LoadModel, EndpointID: "e"}
+	if err := a.work(1, load); err != nil {
+		t.Fatal(err)
+	}
+	ctx, done := context.Background(), make(chan error)
+	go func() { done <- a.round(ctx, slow) }()
+	<-loading
+	if err := a.Submit(ctx, starts("a", 1)); err != nil {
+		t.Fatal(err)
+	}
+	if open := a.Open(); len(open) != 1 || open[0].Order.Kind != order.LoadModel {
+		t.Fatalf("open: %+v", open)
+	}
+	close(loaded)
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	if err := w.check(); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func TestPruneKeepsOpenAndRecentOrders(t *testing.T) {
 	w := newWorld(1, false)
 	w.lease(1)
--- a/internal/order/plan/plan.go
+++ b/internal/order/plan/plan.go
@@ -17,6 +17,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 
 	"github.com/samber/oops"
@@ -43,6 +44,8 @@
 	// recentOrders is how many orders of the journal tell a new holder what
 	// is under way.
 	recentOrders = 50
+	// maxUnlisted is about how many endpoints that are gone are remembered.
+	maxUnlisted = 1000
 )
 
 // Config configures a Planner. All fields must be set.
@@ -78,8 +81,11 @@
 	// an order.
 	starting map[string]ordered
 	stopping map[string]clock.Millis
-	refused  []capacity.Refusal
-	report   capacity.Report
+	// engines holds what the endpoints have loaded, as far as orders of the
+	// journal tell. Of others nothing is known, and nothing is changed.
+	engines map[string]engine
+	refused []capacity.Refusal
+	report  capacity.Report
 }
 
 type ordered struct {
@@ -87,9 +93,22 @@
 	until    clock.Millis
 }
 
+// engine is what an endpoint has loaded.
+type engine struct {
+	model    string
+	version  string
+	adapters []string
+	role     string
+}
+
 // New returns a Planner.
 func New(cfg Config) *Planner {
-	return &Planner{cfg: cfg, starting: make(map[string]ordered), stopping: make(map[string]clock.Millis)}
+	return &Planner{
+		cfg:      cfg,
+		starting: make(map[string]ordered),
+		stopping: make(map[string]clock.Millis),
+		engines:  make(map[string]engine),
+	}
 }
 
 // Report returns the figures of the last decision.
@@ -104,18 +123,39 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	given := entry.Order
-	switch {
-	case entry.State == journal.Refused && given.Kind == order.Start:
-		p.refused = append(p.refused, capacity.Refusal{FailureDomain: given.FailureDomain, Market: given.Market})
-		delete(p.starting, given.EndpointID)
-	case entry.State == journal.Done && given.Kind == order.Start:
+	if entry.State == journal.Refused {
+		if given.Kind == order.Start {
+			p.refused = append(p.refused, capacity.Refusal{FailureDomain: given.FailureDomain, Market: given.Market})
+		}
+		return
+	}
+	p.noteEngine(given)
+	switch given.Kind {
+	case order.Start:
 		p.starting[given.EndpointID] = ordered{until: p.cfg.Clock.Now() + startTime, endpoint: endpointOf(given)}
-	case entry.State == journal.Done && given.Kind == order.Stop:
+	case order.Stop:
 		p.stopping[given.EndpointID] = p.cfg.Clock.Now() + stopTime
 		delete(p.starting, given.EndpointID)
 	}
 }
 
+// noteEngine takes note of what an order that was carried out has loaded.
+func (p *Planner) noteEngine(given order.Order) {
+	e := p.engines[given.EndpointID]
+	switch given.Kind {
+	case order.Start, order.LoadModel:
+		e = engine{model: given.Model, version: given.Version, role: e.role}
+	case order.LoadAdapter:
+		e.adapters = append(slices.Clone(e.adapters), given.Adapter)
+	case order.SetRole:
+		e.role = given.Role
+	case order.Stop:
+		delete(p.engines, given.EndpointID)
+		return
+	}
+	p.engines[given.EndpointID] = e
+}
+
 // Run decides and orders during one term, until ctx ends.
 func (p *Planner) Run(ctx context.Context, term hold.Term) (err error) {
 	defer func() { err = oops.Wrapf(err, "plan capacity") }()
@@ -142,19 +182,26 @@
 	defer p.mu.Unlock()
 	clear(p.starting)
 	clear(p.stopping)
+	clear(p.engines)
 	p.refused = nil
 }
 
-// recall notes the recent starts and stops of the journal.
+// recall notes from the journal what the endpoints have loaded, and the recent
+// starts and stops.
 func (p *Planner) recall() {
 	entries := p.cfg.History()
-	if len(entries) > recentOrders {
-		entries = entries[len(entries)-recentOrders:]
-	}
-	for _, entry := range entries {
-		if entry.State == journal.Done {
+	recent := max(0, len(entries)-recentOrders)
+	for i, entry := range entries {
+		if entry.State != journal.Done {
+			continue
+		}
+		if i >= recent {
 			p.Ended(entry)
+			continue
 		}
+		p.mu.Lock()
+		p.noteEngine(entry.Order)
+		p.mu.Unlock()
 	}
 }
 
@@ -185,18 +232,19 @@
 	defer p.mu.Unlock()
 	in.Refused, p.refused = p.refused, nil
 	p.expire(in.Now)
-	present, stopping := make(map[string]bool), make(map[string]bool)
+	present, openKinds := make(map[string]bool), make(map[string]order.Kind)
 	for _, entry := range open {
-		stopping[entry.Order.EndpointID] = entry.Order.Kind == order.Stop
+		openKinds[entry.Order.EndpointID] = entry.Order.Kind
 	}
 	for _, e := range listed {
 		present[e.ID] = true
 		delete(p.starting, e.ID)
-		if _, stopped := p.stopping[e.ID]; (stopped || stopping[e.ID]) && !e.Leaving {
+		if _, stopped := p.stopping[e.ID]; (stopped || openKinds[e.ID] == order.Stop) && !e.Leaving {
 			continue
 		}
-		in.Endpoints = append(in.Endpoints, capacity.Endpoint{Endpoint: e, Running: p.cfg.Running(e.ID)})
+		in.Endpoints = append(in.Endpoints, p.describe(e, openKinds[e.ID]))
 	}
+	p.forgetEngines(len(listed), present)
 	for id, o := range p.starting {
 		present[id] = true
 		in.Endpoints = append(in.Endpoints, capacity.Endpoint{Endpoint: o.endpoint, Starting: true})
@@ -209,6 +257,33 @@
 	return in
 }
 
+// forgetEngines drops what is known of endpoints that are gone, now and then.
+func (p *Planner) forgetEngines(listed int, present map[string]bool) {
+	if len(p.engines) < 2*listed+maxUnlisted {
+		return
+	}
+	for id := range p.engines {
+		if _, starting := p.starting[id]; !present[id] && !starting {
+			delete(p.engines, id)
+		}
+	}
+}
+
+// describe returns what is known of a listed endpoint that has an open order of
+// some kind, or none.
+func (p *Planner) describe(e entity.Endpoint, open order.Kind) capacity.Endpoint {
+	known := p.engines[e.ID]
+	return capacity.Endpoint{
+		Endpoint: e,
+		Loading:  open == order.LoadModel || open == order.LoadAdapter,
+		Running:  p.cfg.Running(e.ID),
+		Model:    known.model,
+		Version:  known.version,
+		Adapters: known.adapters,
+		Role:     known.role,
+	}
+}
+
 // expire drops notes that the list must have caught up with.
 func (p *Planner) expire(now clock.Millis) {
 	for id, o := range p.starting {
--- a/internal/order/plan/plan_test.go
+++ b/internal/order/plan/plan_test.go
@@ -78,8 +78,9 @@
 	manual   *clock.Manual
 	platform *platform
 	memory   *table.Memory
-	demand   float64
 	mu       sync.Mutex
+	demand   float64
+	version  string
 }
 
 func (r *rig) demands() []capacity.Demand {
@@ -101,7 +102,10 @@
 		Open:    func() []journal.Entry { return d.Open() },
 		History: func() []journal.Entry { return d.History() },
 		Backends: func() []capacity.Backend {
-			return []capacity.Backend{{Backend: entity.Backend{Name: "m", Type: entity.Model, Slots: 8, MaxEndpoints: 20}}}
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			b := entity.Backend{Name: "m", Type: entity.Model, Model: "m", Version: r.version, Slots: 8, MaxEndpoints: 20}
+			return []capacity.Backend{{Backend: b}}
 		},
 		Demands: r.demands, Endpoints: r.platform.list, Running: func(string) int { return 0 },
 		Domains: func() []string { return []string{"a", "b", "c"} },
@@ -127,7 +131,10 @@
 	return end
 }
 
-// pass lets time go by while both loops sleep in between.
+// loops is how many loops a term has.
+const loops = 4
+
+// pass lets time go by while all loops sleep in between.
 func (r *rig) pass(t *testing.T, by clock.Millis) {
 	t.Helper()
 	deadline := time.Now().Add(20 * time.Second)
@@ -135,14 +142,14 @@
 		if time.Now().After(deadline) {
 			t.Fatal("the loops do not sleep")
 		}
-		if r.manual.Sleepers() < 2 {
+		if r.manual.Sleepers() < loops {
 			time.Sleep(100 * time.Microsecond)
 			continue
 		}
 		r.manual.Advance(clock.Second)
 		by -= clock.Second
 	}
-	for r.manual.Sleepers() < 2 && time.Now().Before(deadline) {
+	for r.manual.Sleepers() < loops && time.Now().Before(deadline) {
 		time.Sleep(100 * time.Microsecond)
 	}
 }
@@ -187,6 +194,37 @@
 	}
 }
 
+func TestNewVersionIsLoadedAlsoByTheNextHolder(t *testing.T) {
+	r := newRig()
+	end := r.begin(t)
+	for range 3 {
+		r.pass(t, 10*clock.Second)
+		r.platform.show()
+	}
+	end()
+	r.mu.Lock()
+	r.version = "2"
+	r.mu.Unlock()
+	r.begin(t)
+	r.pass(t, clock.Minute)
+	loaded := map[string]int{}
+	r.platform.mu.Lock()
+	defer r.platform.mu.Unlock()
+	for _, given := range r.platform.done {
+		if given.Kind == order.LoadModel && given.Version == "2" {
+			loaded[given.EndpointID]++
+		}
+	}
+	if len(loaded) != 6 {
+		t.Fatalf("loaded on %v", loaded)
+	}
+	for id, times := range loaded {
+		if times != 1 {
+			t.Errorf("%s loaded it %d times", id, times)
+		}
+	}
+}
+
 func TestNextHolderKnowsWhatWasOrdered(t *testing.T) {
 	r := newRig()
 	end := r.begin(t)
--- a/internal/platform/order/order.go
+++ b/internal/platform/order/order.go
@@ -44,8 +44,9 @@
 	// EndpointID is the endpoint that the order is for; for Start the name
 	// that the new endpoint gets.
 	EndpointID string
-	// Model, Adapter and Role are set by the kinds that need them.
+	// Model, Version, Adapter and Role are set by the kinds that need them.
 	Model   string
+	Version string
 	Adapter string
 	Role    string
 }
