--- a/internal/decide/admit/admit.go
+++ b/internal/decide/admit/admit.go
@@ -132,6 +132,9 @@
 		return decision
 	case s.Slots == 0 && s.RefuseEarly:
 		return refuse(decision, limits, request.CodeNoEndpoint, rng)
+	case s.HigherRefused && s.Lower:
+		decision.Verdict = Exchange
+		return decision
 	case s.HigherRefused:
 		return refuse(decision, limits, request.CodeOverloaded, rng)
 	case s.late() && s.Lower:
--- a/internal/decide/queue/class.go
+++ b/internal/decide/queue/class.go
@@ -96,18 +96,17 @@
 		if rate <= 0 {
 			continue
 		}
-		if c.waiting > 0 {
-			c.credit += elapsed * rate
-		}
-		c.credit -= elapsed * float64(c.running)
+		c.credit += elapsed * (rate - float64(c.running))
 		bound := rate * float64(q.config.DueWithin)
 		c.credit = min(max(c.credit, -bound), bound)
 	}
 }
 
-// due reports whether the class is owed a slot.
-func (c *class) due() bool {
-	return c.waiting > 0 && c.share > 0 && c.credit > 0
+// due reports whether the class is owed a slot. A class that runs as many
+// requests as it is guaranteed is not, whatever its credit, so that a slot
+// taken back from a class is never given to it again at once.
+func (q *Queue) due(c *class) bool {
+	return c.waiting > 0 && c.credit > 0 && c.running < q.guaranteed(c)
 }
 
 // next returns the class whose first item runs next: a class that is due, the
@@ -115,7 +114,7 @@
 func (q *Queue) next() *class {
 	var chosen *class
 	for _, c := range q.ordered {
-		if c.due() && (chosen == nil || c.credit > chosen.credit) {
+		if q.due(c) && (chosen == nil || c.credit > chosen.credit) {
 			chosen = c
 		}
 	}
--- a/internal/decide/queue/queue.go
+++ b/internal/decide/queue/queue.go
@@ -11,10 +11,11 @@
 // nor owns a saved-up claim.
 //
 // A class below the top tier collects credit, in slot-milliseconds, at the
-// rate of its guaranteed share while it has work waiting, and spends it while
-// its requests run. A class with credit is due and goes before higher tiers.
-// Its debt is bounded, so that a waiting class is due within a fixed time
-// however much it used before. This delays higher tiers and never sheds them.
+// rate of its guaranteed share, and spends it while its requests run. A class
+// with credit that runs less than its share of the slots is due and goes before
+// higher tiers. Its debt is bounded, so that a waiting class is due within a
+// fixed time however much it used before. This delays higher tiers and never
+// sheds them.
 //
 // The package is pure: it has no clock, lock or goroutine of its own.
 //
@@ -41,8 +42,9 @@
 const (
 	// DefaultInputCost is the cost of one prompt token.
 	DefaultInputCost = 1
-	// DefaultOutputCost is the cost of one generated token.
-	DefaultOutputCost = 2
+	// DefaultOutputCost is the cost of one generated token: engines compute
+	// the tokens of a prompt many at a time and those of an answer one by one.
+	DefaultOutputCost = 10
 	// DefaultFloorShare is the guaranteed share of a class that sets none.
 	DefaultFloorShare = 0.02
 	// DefaultShareLimit bounds the sum of all guaranteed shares.
