Run the capacity planner under the region's lease

Cause: nothing decided which endpoints run. Change: the holder of the lease plans from the demand that all daemons tell it; daemons that do not compete for the lease read its row four to eight times a minute to know whom to tell; claims of large fleets go through relays. Before: endpoints stayed as they were started.

--- a/coord/lease/lease.go
+++ b/coord/lease/lease.go
@@ -31,7 +31,6 @@
 	"math/rand/v2"
 	"sync"
 
-	"github.com/samber/oops"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
@@ -205,7 +204,7 @@
 func (l *Lease) read(ctx context.Context) {
 	ctx, cancel := l.callContext(ctx)
 	defer cancel()
-	row, value, err := l.get(ctx)
+	row, value, err := read(ctx, l.config.Table, l.config.Key)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.config.Clock.Now()
@@ -216,16 +215,6 @@
 	l.machine.OnRead(now, value, row.Version)
 }
 
-func (l *Lease) get(ctx context.Context) (row table.Row, value Row, err error) {
-	defer func() { err = oops.Wrapf(err, "read lease %s", l.config.Key) }()
-	row, err = l.config.Table.Get(ctx, l.config.Key)
-	if err != nil || row.Version == 0 {
-		return row, Row{}, err
-	}
-	err = msgpack.Unmarshal(row.Value, &value)
-	return row, value, err
-}
-
 func (l *Lease) write(ctx context.Context, action Action) {
 	ctx, cancel := l.callContext(ctx)
 	defer cancel()
--- a/internal/daemon/serve/callers.go
+++ b/internal/daemon/serve/callers.go
@@ -24,6 +24,9 @@
 	claimEpochKey = "ClaimEpoch"
 )
 
+// claimsPerSecond is how many transactions the fleet may spend on claims.
+const claimsPerSecond = 200
+
 // buildCallers builds the callers' interface.
 func (d *Daemon) buildCallers() error {
 	tlsConfig, err := serverTLS(d.settings.Caller.Certificate, d.settings.Caller.CertificateKey)
@@ -37,27 +40,36 @@
 	clients := transport.New(transport.Config{})
 	retries := newRetryBudget()
 	record := d.recorder(retries)
+	scheduler := d.counter.Wrap(d.broker.Scheduler())
 	models := openai.New(openai.Dependencies{
 		Clock: d.clock, Logger: d.logger, State: d.state, Engine: engine.New(clients),
-		Scheduler: d.broker.Scheduler(), MayRetry: retries.mayRetry, Meter: record,
+		Scheduler: scheduler, MayRetry: retries.mayRetry, Meter: record,
 	})
 	d.callers.Handle(http.MethodPost, openai.ChatPath, models.Chat)
 	d.callers.Handle(http.MethodPost, openai.CompletionPath, models.Completion)
 	d.callers.Handle(http.MethodGet, openai.ModelsPath, models.Models)
 	services := plain.New(plain.Dependencies{
 		Clock: d.clock, Logger: d.logger, State: d.state, Service: service.New(clients),
-		Scheduler: d.broker.Scheduler(), Claims: d.buildClaims(), MayRetry: retries.mayRetry, Meter: record,
+		Scheduler: scheduler, Claims: d.buildClaims(), MayRetry: retries.mayRetry, Meter: record,
 	})
 	d.callers.HandleRest(services.Serve)
 	return nil
 }
 
 func (d *Daemon) buildClaims() *claim.Claims {
+	d.relays = claim.NewRelays(claim.RelaysConfig{
+		Link: d.link, Clock: d.clock, Table: d.table, Self: d.self(), View: d.roster.View, PerSecond: claimsPerSecond,
+	})
 	d.claimStore = coordclaim.New(coordclaim.Config{
 		Table: d.table, Clock: d.clock, Prefix: claimPrefix, EpochKey: claimEpochKey,
 		Owner: d.settings.Daemon.ID, Incarnation: d.incarnation,
+		Pace: d.relays.Pace, Forward: d.relays.Forward,
+	})
+	claim.Register(d.link, d.claimStore)
+	return claim.New(claim.Config{
+		Store: d.claimStore, Clock: d.clock, Logger: d.logger, OwnerAlive: d.ownerAlive,
+		Ask: claim.Asker(d.link, d.addressOf),
 	})
-	return claim.New(claim.Config{Store: d.claimStore, Clock: d.clock, Logger: d.logger, OwnerAlive: d.ownerAlive})
 }
 
 // ownerAlive reports whether the daemon that made a claim may still be running.
--- a/internal/daemon/serve/roles.go
+++ b/internal/daemon/serve/roles.go
@@ -44,17 +44,19 @@
 		Link: d.link, Clock: d.clock, Logger: d.logger, Table: d.table, Self: d.self(),
 		Incarnation: replicate.Incarnation(d.self(), d.incarnation), View: d.roster.View, Cut: d.meter.Cut,
 	})
+	d.holder = &holderView{daemon: d, key: leaseKey}
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Journal: journal.New(journal.Config{
 			Table: d.table, Clock: d.clock, Scope: region, Holder: d.settings.Daemon.ID,
 			Guard: hold.Guard(d.table, leaseKey), Keep: journalKeep,
 		}),
 		Clock: d.clock, Logger: d.logger, Holder: d.settings.Daemon.ID,
-		Send: d.sendOrder, Ended: func(journal.Entry) {},
+		Send: d.sendOrder, Ended: func(entry journal.Entry) { d.planner.Ended(entry) },
 	})
+	d.buildCapacity()
 	d.hold = hold.New(hold.Config{
 		Clock: d.clock, Logger: d.logger, Scope: region, Lease: d.lease.Valid, Settle: settleTime,
-		Work: []hold.Work{d.dispatcher.Run},
+		Work: []hold.Work{d.dispatcher.Run, d.planner.Run},
 	})
 	d.reporter = report.New(report.Config{
 		Table: d.table, Clock: d.clock, Logger: d.logger, Region: region, Daemon: d.settings.Daemon.ID,
@@ -76,16 +78,31 @@
 	}
 }
 
-// leaseCandidate reports whether this daemon is one of the few that compete
-// for the lease, so that the row is not read by the whole fleet.
-func (d *Daemon) leaseCandidate() bool {
+// regionView returns the members of this daemon's region.
+func (d *Daemon) regionView() []member.Member {
 	var regional []member.Member
 	for _, m := range d.roster.View() {
 		if m.Region == d.settings.Daemon.Region {
 			regional = append(regional, m)
 		}
 	}
-	picked := member.Pick(regional, leasePrefix+d.settings.Daemon.Region, leaseCandidates)
+	return regional
+}
+
+// addressOf returns the address of a member.
+func (d *Daemon) addressOf(id string) (address string, found bool) {
+	for _, m := range d.roster.View() {
+		if m.ID == id {
+			return m.Address, true
+		}
+	}
+	return "", false
+}
+
+// leaseCandidate reports whether this daemon is one of the few that compete
+// for the lease, so that the row is not read by the whole fleet.
+func (d *Daemon) leaseCandidate() bool {
+	picked := member.Pick(d.regionView(), leasePrefix+d.settings.Daemon.Region, leaseCandidates)
 	for _, m := range picked {
 		if m.ID == d.settings.Daemon.ID {
 			return true
--- a/internal/daemon/serve/scheduling.go
+++ b/internal/daemon/serve/scheduling.go
@@ -45,7 +45,7 @@
 		CacheEvents:   engines.CacheEvents,
 		Scheduled:     func(entity.Endpoint) bool { return true },
 		Backend:       d.state.Backend,
-		OnEndpoints:   d.broker.UpdateEndpoints,
+		OnEndpoints:   d.takeEndpoints,
 		OnLoad:        d.takeLoad,
 		OnCacheEvents: d.takeCacheEvents,
 		Broadcast:     d.broadcast,
@@ -54,7 +54,13 @@
 	return nil
 }
 
+func (d *Daemon) takeEndpoints(endpoints []entity.Endpoint) {
+	d.running.keep(endpoints)
+	d.broker.UpdateEndpoints(endpoints)
+}
+
 func (d *Daemon) takeLoad(endpoint entity.Endpoint, load engine.Load) {
+	d.running.put(endpoint.ID, load.Running)
 	d.broker.UpdateLoad(place.Load{
 		Endpoint: endpoint.ID, Incarnation: endpoint.Incarnation,
 		Running: load.Running, Waiting: load.Waiting, Slots: load.Slots,
--- a/internal/daemon/serve/serve.go
+++ b/internal/daemon/serve/serve.go
@@ -35,13 +35,16 @@
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/coord/lease"
 	"github.com/banyanshift/banyanshift/coord/table"
+	"github.com/banyanshift/banyanshift/internal/caller/claim"
 	"github.com/banyanshift/banyanshift/internal/caller/entry"
 	"github.com/banyanshift/banyanshift/internal/config/follow"
 	"github.com/banyanshift/banyanshift/internal/config/state"
 	"github.com/banyanshift/banyanshift/internal/endpoint/watch"
 	"github.com/banyanshift/banyanshift/internal/operator/rpc"
+	"github.com/banyanshift/banyanshift/internal/order/demand"
 	"github.com/banyanshift/banyanshift/internal/order/dispatch"
 	"github.com/banyanshift/banyanshift/internal/order/hold"
+	"github.com/banyanshift/banyanshift/internal/order/plan"
 	"github.com/banyanshift/banyanshift/internal/peer/broker"
 	"github.com/banyanshift/banyanshift/internal/peer/link"
 	platformtable "github.com/banyanshift/banyanshift/internal/platform/table"
@@ -77,6 +80,13 @@
 	lease        *lease.Lease
 	hold         *hold.Hold
 	dispatcher   *dispatch.Dispatcher
+	holder       *holderView
+	relays       *claim.Relays
+	counter      *demand.Counter
+	board        *demand.Board
+	teller       *demand.Teller
+	planner      *plan.Planner
+	running      *runningCounts
 	replicator   *replicate.Replicator
 	reporter     *report.Reporter
 	callers      *entry.Server
@@ -107,6 +117,8 @@
 		logger:   logger.WithField("Daemon", settings.Daemon.ID),
 		state:    state.New(),
 		meter:    meter.New(),
+		counter:  demand.NewCounter(clk),
+		running:  &runningCounts{counts: make(map[string]int)},
 	}
 	d.base, d.usage = newBackground(d.logger), newBackground(d.logger)
 	d.roles, d.candidacy = newBackground(d.logger), newBackground(d.logger)
@@ -173,6 +185,9 @@
 	d.base.start("Configuration", d.follower.Run)
 	d.base.start("Endpoints", d.watcher.Run)
 	d.base.start("Claims", d.claimStore.Run)
+	d.base.start("ClaimRelay", d.relays.Run)
+	d.base.start("Holder", d.holder.Run)
+	d.base.start("Demand", d.teller.Run)
 	d.usage.start("Usage", d.replicator.Run)
 	d.candidacy.start("Lease", d.lease.Run)
 	d.roles.start("Roles", d.hold.Run)
