Name new endpoints by the number of their order

The planner named endpoints by fence and a count from 1. When a lease lapsed and was held again under the same fence, the count began anew and a name came twice; the platform refuses that and the order would have stayed open for ever.

--- a/internal/decide/capacity/capacity.go
+++ b/internal/decide/capacity/capacity.go
@@ -19,7 +19,7 @@
 //
 // # Usage
 //
-//	planner := capacity.New(capacity.DefaultSettings(), fence)
+//	planner := capacity.New(capacity.DefaultSettings())
 //	decision := planner.Decide(capacity.Input{Now: clk.Now(), Backends: backends, Demands: demands,
 //		Endpoints: endpoints, Domains: domains, Refused: refused})
 //	err := dispatcher.Submit(ctx, decision.Orders)
@@ -145,7 +145,7 @@
 
 // Decision is what to order, and the figures behind it.
 type Decision struct {
-	// Orders have no ID yet.
+	// Orders have no ID yet, and starts no EndpointID.
 	Orders []order.Order
 	Report Report
 }
--- a/internal/decide/capacity/capacity_test.go
+++ b/internal/decide/capacity/capacity_test.go
@@ -35,7 +35,7 @@
 
 func newRegion(backends ...Backend) *region {
 	return &region{
-		planner: New(DefaultSettings(), 1), domains: []string{"a", "b", "c"}, backends: backends,
+		planner: New(DefaultSettings()), domains: []string{"a", "b", "c"}, backends: backends,
 		ready: map[string]clock.Millis{}, noCheap: map[string]bool{},
 	}
 }
@@ -85,6 +85,7 @@
 			return
 		}
 		r.starts++
+		given.EndpointID = fmt.Sprint(given.Backend, "-", r.starts)
 		r.ready[given.EndpointID] = r.now + loadTime
 		price := int64(4000)
 		if given.Market == entity.Cheap {
@@ -351,7 +352,7 @@
 	r := newRegion(model("m"))
 	r.demands = busy("m", 25, 38)
 	r.step(60)
-	r.planner = New(DefaultSettings(), 2)
+	r.planner = New(DefaultSettings())
 	r.demands = nil // the brokers have not told yet
 	r.step(290)
 	if r.stops != 0 {
--- a/internal/decide/capacity/planner.go
+++ b/internal/decide/capacity/planner.go
@@ -2,10 +2,8 @@
 
 import (
 	"cmp"
-	"fmt"
 	"math"
 	"slices"
-	"strings"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/config/entity"
@@ -16,8 +14,6 @@
 // concurrent use.
 type Planner struct {
 	settings Settings
-	fence    uint64
-	named    int
 	begun    bool
 	began    clock.Millis
 	peaks    map[string]*peak
@@ -30,11 +26,10 @@
 	askFrom map[Refusal]clock.Millis
 }
 
-// New returns a Planner. The fence makes the names of endpoints unique.
-func New(settings Settings, fence uint64) *Planner {
+// New returns a Planner.
+func New(settings Settings) *Planner {
 	return &Planner{
 		settings: settings,
-		fence:    fence,
 		peaks:    make(map[string]*peak),
 		stopped:  make(map[string]clock.Millis),
 		roles:    make(map[string]clock.Millis),
@@ -249,15 +244,13 @@
 	domain := slices.MinFunc(domains, func(a, b string) int {
 		return cmp.Or(cmp.Compare(counts[a], counts[b]), cmp.Compare(p.firm[a]+p.cheap[a], p.firm[b]+p.cheap[b]), cmp.Compare(a, b))
 	})
-	r.named++
-	name := fmt.Sprintf("%s-%d-%d", strings.NewReplacer("/", "-", ":", "-").Replace(p.backend.Name), r.fence, r.named)
 	r.orders = append(r.orders, order.Order{
 		Kind: order.Start, Backend: p.backend.Name, FailureDomain: domain, Market: market,
-		EndpointID: name, Model: p.backend.Model, Version: p.backend.Version,
+		Model: p.backend.Model, Version: p.backend.Version,
 	})
 	r.loads--
 	p.add(Endpoint{
-		Endpoint: entity.Endpoint{ID: name, Backend: p.backend.Name, FailureDomain: domain, Market: market},
+		Endpoint: entity.Endpoint{Backend: p.backend.Name, FailureDomain: domain, Market: market},
 		Starting: true,
 	})
 }
--- a/internal/order/dispatch/dispatch_test.go
+++ b/internal/order/dispatch/dispatch_test.go
@@ -477,6 +477,26 @@
 	}
 }
 
+func TestStartsGetNamesThatAreNeverUsedAgain(t *testing.T) {
+	w := newWorld(1, false)
+	names := map[string]bool{}
+	for fence := uint64(1); fence <= 3; fence++ {
+		w.lease(fence)
+		for range 2 { // the work of a term may begin anew under the same fence
+			p := w.process("a")
+			if err := p.work(fence, order.Order{Kind: order.Start, Backend: "org/m:7b"}, order.Order{Kind: order.Start, Backend: "org/m:7b"}); err != nil {
+				t.Fatal(err)
+			}
+			for _, entry := range p.ended {
+				names[entry.Order.EndpointID] = true
+			}
+		}
+	}
+	if len(names) != 12 || !names["org-m-7b-r-12"] {
+		t.Fatalf("names %v", names)
+	}
+}
+
 func TestPruneKeepsOpenAndRecentOrders(t *testing.T) {
 	w := newWorld(1, false)
 	w.lease(1)
--- a/internal/order/journal/journal.go
+++ b/internal/order/journal/journal.go
@@ -22,6 +22,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 
 	"github.com/samber/oops"
 	"github.com/vmihailenco/msgpack/v5"
@@ -149,7 +150,8 @@
 }
 
 // Append journals new orders in one transaction. It sets their ID, Scope, Fence
-// and Holder. After an error none of them may be sent. Unless the error is
+// and Holder, and the EndpointID of starts that have none to a name that is never
+// used again. After an error none of them may be sent. Unless the error is
 // table.ErrUnavailable the journal must be opened again, since they may have been
 // written, or may yet be; they are then found open now or by the next holder.
 func (j *Journal) Append(ctx context.Context, orders []order.Order) (entries []Entry, err error) {
@@ -162,6 +164,9 @@
 		number := j.last + uint64(i) + 1
 		given.ID = fmt.Sprintf("%s/%d", j.cfg.Scope, number)
 		given.Scope = j.cfg.Scope
+		if given.Kind == order.Start && given.EndpointID == "" {
+			given.EndpointID = endpointName(given.Backend, j.cfg.Scope, number)
+		}
 		given.Fence = j.fence
 		given.Holder = j.cfg.Holder
 		entries = append(entries, Entry{Number: number, Order: given, State: Open, Written: now})
@@ -173,6 +178,12 @@
 	return entries, nil
 }
 
+// endpointName returns a name that can stand in a path and a host name.
+func endpointName(backend, scope string, number uint64) string {
+	plain := strings.NewReplacer("/", "-", ":", "-").Replace(backend)
+	return fmt.Sprintf("%s-%s-%d", plain, scope, number)
+}
+
 // Close records what became of orders, in one transaction.
 func (j *Journal) Close(ctx context.Context, entries []Entry) (err error) {
 	defer func() { err = oops.Wrapf(err, "close orders of %s", j.cfg.Scope) }()
--- a/internal/order/plan/plan.go
+++ b/internal/order/plan/plan.go
@@ -160,7 +160,7 @@
 func (p *Planner) Run(ctx context.Context, term hold.Term) (err error) {
 	defer func() { err = oops.Wrapf(err, "plan capacity") }()
 	defer p.forget()
-	planner := capacity.New(p.cfg.Settings, term.Fence)
+	planner := capacity.New(p.cfg.Settings)
 	recalled := false
 	for {
 		if fence, ready := p.cfg.Ready(); ready && fence == term.Fence {
