--- a/internal/operator/rpc/reference.go
+++ b/internal/operator/rpc/reference.go
@@ -53,11 +53,12 @@
 }
 
 func validate(value any) error {
-	validator, ok := value.(interface{ Validate() error })
-	if !ok {
-		return nil
+	if validator, ok := value.(interface{ Validate() error }); ok {
+		if err := validator.Validate(); err != nil {
+			return err
+		}
 	}
-	return validator.Validate()
+	return entity.CheckText(value)
 }
 
 func (v view) exists(kind entity.Kind, name string) bool {
--- a/internal/operator/rpc/server_test.go
+++ b/internal/operator/rpc/server_test.go
@@ -201,6 +201,11 @@
 			_, err := operatorv1.NewClassesClient(r.conn).Put(as(token), &operatorv1.PutClassRequest{RequestID: "r", Class: nan})
 			return err
 		}, codes.InvalidArgument, "GuaranteedShare"},
+		{"text", func() error {
+			backend := &operatorv1.Backend{Name: "b", Type: "Model", Model: "m\n[Team x]", Slots: 1}
+			_, err := operatorv1.NewBackendsClient(r.conn).Put(as(token), &operatorv1.PutBackendRequest{RequestID: "r", Backend: backend})
+			return err
+		}, codes.InvalidArgument, "Model"},
 		{"reference to nothing", func() error {
 			_, err := operatorv1.NewRoutesClient(r.conn).Put(as(token), &operatorv1.PutRouteRequest{RequestID: "r", Route: route})
 			return err
