Clean old claims while holding the lease

Claims were kept for ever. The holder of a region's lease now moves the epoch on each hour and deletes claims that are older than 24 whole epochs.

--- a/internal/daemon/serve/roles.go
+++ b/internal/daemon/serve/roles.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	coordclaim "github.com/banyanshift/banyanshift/coord/claim"
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/coord/guard"
 	"github.com/banyanshift/banyanshift/coord/lease"
@@ -27,6 +28,10 @@
 	// settleTime is the longest time that an order or a report of an earlier
 	// holder may be under way. It is longer than any call of the platform.
 	settleTime = 3 * clock.Second
+	// claimKeepEpochs is for how many whole hours claims are kept at least.
+	claimKeepEpochs = 24
+	// claimPageSize is how many claims are read and deleted at once.
+	claimPageSize = 200
 	// journalKeep is how many orders the journal keeps at least.
 	journalKeep = 1000
 )
@@ -56,7 +61,7 @@
 	d.buildCapacity()
 	d.hold = hold.New(hold.Config{
 		Clock: d.clock, Logger: d.logger, Scope: region, Lease: d.lease.Valid, Settle: settleTime,
-		Work: []hold.Work{d.dispatcher.Run, d.planner.Run},
+		Work: []hold.Work{d.dispatcher.Run, d.planner.Run, d.cleanClaims},
 	})
 	d.reporter = report.New(report.Config{
 		Table: d.table, Clock: d.clock, Logger: d.logger, Region: region, Daemon: d.settings.Daemon.ID,
@@ -66,6 +71,15 @@
 	return nil
 }
 
+// cleanClaims deletes old claims during a term of the lease.
+func (d *Daemon) cleanClaims(ctx context.Context, _ hold.Term) error {
+	return coordclaim.NewCleaner(coordclaim.CleanerConfig{
+		Table: d.table, Clock: d.clock, Prefix: claimPrefix, EpochKey: claimEpochKey,
+		EpochLength: clock.Hour, Keep: claimKeepEpochs, PageSize: claimPageSize,
+		Active: func() bool { return true },
+	}).Run(ctx)
+}
+
 // self returns this daemon as a member.
 func (d *Daemon) self() member.Member {
 	address := d.settings.Peer.Advertise
