--- /dev/null
+++ b/internal/decide/admit/admit_test.go
@@ -0,0 +1,62 @@
+package admit
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/caller/request"
+)
+
+func TestDecide(t *testing.T) {
+	busy := Situation{Slots: 10, Turnover: 1000, Target: 800, Prefill: 100, RefuseEarly: true}
+	with := func(change func(*Situation)) Situation {
+		s := busy
+		change(&s)
+		return s
+	}
+	for name, c := range map[string]struct {
+		situation Situation
+		verdict   Verdict
+		code      request.Code
+	}{
+		"free slot":          {with(func(s *Situation) { s.Free = 1 }), Wait, ""},
+		"starts in time":     {with(func(s *Situation) { s.Ahead = 5 }), Wait, ""},
+		"late":               {with(func(s *Situation) { s.Ahead = 8 }), Refuse, request.CodeTargetMissed},
+		"late, may wait":     {with(func(s *Situation) { s.Ahead, s.RefuseEarly = 8, false }), Wait, ""},
+		"late, has run":      {with(func(s *Situation) { s.Ahead, s.Resumed = 8, true }), Wait, ""},
+		"late, lower waits":  {with(func(s *Situation) { s.Ahead, s.Lower = 8, true }), Exchange, ""},
+		"waited already":     {with(func(s *Situation) { s.Waited = 700 }), Refuse, request.CodeTargetMissed},
+		"full":               {with(func(s *Situation) { s.Waiting = 500 }), Refuse, request.CodeOverloaded},
+		"full, lower waits":  {with(func(s *Situation) { s.Waiting, s.Lower = 500, true }), Exchange, ""},
+		"full, other excess": {with(func(s *Situation) { s.Waiting, s.Excess = 500, true }), Displace, ""},
+		"higher refused":     {with(func(s *Situation) { s.HigherRefused = true }), Refuse, request.CodeOverloaded},
+		"no endpoint":        {with(func(s *Situation) { s.Slots = 0 }), Refuse, request.CodeNoEndpoint},
+		"no endpoint, waits": {with(func(s *Situation) { s.Slots, s.RefuseEarly = 0, false }), Wait, ""},
+	} {
+		got := Decide(Limits{}, c.situation, rand.New(rand.NewPCG(1, 2)))
+		if got.Verdict != c.verdict || got.Code != c.code {
+			t.Errorf("%s: verdict %d code %q, want %d %q", name, got.Verdict, got.Code, c.verdict, c.code)
+		}
+		if got.Verdict == Refuse && got.RetryAfter <= 0 {
+			t.Errorf("%s: no time to come back", name)
+		}
+	}
+}
+
+func TestRetryAfterSpreads(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	buckets := map[clock.Millis]int{}
+	for range 1000 {
+		after := RetryAfter(Limits{}, 10*clock.Second, rng)
+		if after < 10*clock.Second || after > 20*clock.Second {
+			t.Fatalf("retry after %v, want 10 to 20 s", after)
+		}
+		buckets[after/clock.Second]++
+	}
+	for second, n := range buckets {
+		if n > 160 {
+			t.Errorf("%d of 1000 come back in second %d", n, second)
+		}
+	}
+}
--- /dev/null
+++ b/internal/decide/place/place_test.go
@@ -0,0 +1,202 @@
+package place
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/config/entity"
+)
+
+func newPlacer(config Config, n, slots int) *Placer {
+	p := New(config, rand.New(rand.NewPCG(1, 2)))
+	p.Update(0, list(n), func(entity.Endpoint) int { return slots })
+	return p
+}
+
+func list(n int) []entity.Endpoint {
+	endpoints := make([]entity.Endpoint, n)
+	for i := range endpoints {
+		endpoints[i] = entity.Endpoint{ID: fmt.Sprintf("e%03d", i), Incarnation: "1"}
+	}
+	return endpoints
+}
+
+func prefix(n int, seed uint64) []uint64 {
+	digests := make([]uint64, n)
+	for i := range digests {
+		digests[i] = seed<<32 + uint64(i) + 1
+	}
+	return digests
+}
+
+func TestFollowsThePrefixUntilItCostsMore(t *testing.T) {
+	p := newPlacer(Config{}, 3, 8)
+	r := Request{PromptTokens: 1280, Digests: prefix(20, 1)}
+	p.Sent(0, "e001", "first", 1280, r.Digests)
+	p.FirstToken("e001", "first")
+	choice, _ := p.Choose(1, r)
+	if choice.Endpoint != "e001" || choice.Uncached != 0 {
+		t.Fatalf("chose %+v, want the endpoint with the prefix", choice)
+	}
+	// 4000 tokens that must be computed first cost more than the prefix saves.
+	p.Sent(2, "e001", "big", 4000, nil)
+	if choice, _ := p.Choose(3, r); choice.Endpoint == "e001" {
+		t.Fatal("affinity was kept although it costs more than it saves")
+	}
+}
+
+func TestCacheEventsAndGaps(t *testing.T) {
+	p := newPlacer(Config{}, 2, 8)
+	r := Request{PromptTokens: 640, Digests: prefix(10, 1)}
+	for i, digest := range r.Digests {
+		p.CacheEvents("e000", "1", 1, []CacheEvent{{Sequence: uint64(i + 1), Digest: digest}})
+	}
+	if choice, _ := p.Choose(0, r); choice.Endpoint != "e000" || choice.Uncached != 0 {
+		t.Fatalf("chose %+v", choice)
+	}
+	p.CacheEvents("e000", "1", 50, []CacheEvent{{Sequence: 50, Digest: 1}})
+	if choice, _ := p.Choose(0, r); choice.Uncached != 320 {
+		t.Fatalf("after a gap %d tokens are expected to be computed, want half", choice.Uncached)
+	}
+	p.CacheEvents("e000", "old", 51, []CacheEvent{{Sequence: 51, Evicted: true, Digest: r.Digests[9]}})
+	p.CacheEvents("e000", "1", 51, []CacheEvent{{Sequence: 51, Evicted: true, Digest: r.Digests[9]}})
+	if choice, _ := p.Choose(0, r); choice.Uncached != 640-288 {
+		t.Fatalf("after an eviction %d are expected, want %d", choice.Uncached, 640-288)
+	}
+}
+
+func TestIndexIsBounded(t *testing.T) {
+	p := newPlacer(Config{IndexBlocks: 100}, 2, 8)
+	for i := range 50 {
+		p.Sent(0, "e000", fmt.Sprint(i), 0, prefix(20, uint64(i)))
+	}
+	if n := len(p.index.blocks); n > 100 {
+		t.Fatalf("%d blocks are remembered, want at most 100", n)
+	}
+	p.Update(1, list(0), func(entity.Endpoint) int { return 8 })
+	for i := range 50 {
+		p.Ended(1, "e000", fmt.Sprint(i), Result{})
+	}
+	if n := len(p.index.blocks); n != 0 || len(p.replicas) != 0 {
+		t.Fatalf("%d blocks and %d endpoints are remembered of none", n, len(p.replicas))
+	}
+}
+
+func TestNewIncarnationHasAnEmptyCache(t *testing.T) {
+	p := newPlacer(Config{}, 1, 8)
+	r := Request{PromptTokens: 640, Digests: prefix(10, 1)}
+	p.Sent(0, "e000", "a", 640, r.Digests)
+	again := list(1)
+	again[0].Incarnation = "2"
+	p.Update(1, again, func(entity.Endpoint) int { return 8 })
+	if choice, _ := p.Choose(2, r); choice.Uncached != 640 {
+		t.Fatalf("%d tokens expected, want all 640", choice.Uncached)
+	}
+}
+
+func TestLaggingReportsAreCorrected(t *testing.T) {
+	p := newPlacer(Config{}, 1, 4)
+	p.Sent(1000, "e000", "a", 0, nil)
+	p.Sent(1000, "e000", "b", 0, nil)
+	p.Ended(1500, "e000", "a", Result{})
+	// The report is from when both ran: they are not counted twice.
+	p.Report(1600, Load{Endpoint: "e000", Incarnation: "1", Running: 2, Sequence: 1})
+	if p.Free() != 3 {
+		t.Fatalf("%d slots free, want 3", p.Free())
+	}
+	p.Report(1700, Load{Endpoint: "e000", Incarnation: "1", Running: 4, Sequence: 2})
+	if p.Free() != 1 {
+		t.Fatalf("%d slots free, want 1: two requests of others", p.Free())
+	}
+	p.Report(1800, Load{Endpoint: "e000", Incarnation: "1", Running: 0, Sequence: 1})
+	if p.Free() != 1 {
+		t.Fatal("an older report was taken")
+	}
+}
+
+func run(p *Placer, endpoint string, n int, perToken clock.Millis) {
+	for range n {
+		p.Tokens(endpoint, 10, 10*perToken)
+	}
+}
+
+func TestStragglersAreEjectedWithinTheShare(t *testing.T) {
+	p := newPlacer(Config{}, 9, 8)
+	for i, endpoint := range list(9) {
+		perToken := clock.Millis(20)
+		if i >= 5 {
+			perToken = 200
+		}
+		run(p, endpoint.ID, 5, perToken)
+	}
+	p.Check(0)
+	if p.Ejected() != 3 {
+		t.Fatalf("%d of 9 ejected, want 3, the bounded share", p.Ejected())
+	}
+	for range 72 {
+		choice, found := p.Choose(1, Request{})
+		if !found {
+			break
+		}
+		if r := p.byID[choice.Endpoint]; r.ejected {
+			t.Fatal("chose an ejected endpoint")
+		}
+		p.Sent(1, choice.Endpoint, fmt.Sprint(rand.Uint64()), 0, nil)
+	}
+}
+
+func TestProbeTakesARecoveredEndpointBack(t *testing.T) {
+	p := newPlacer(Config{}, 4, 8)
+	for i, endpoint := range list(4) {
+		run(p, endpoint.ID, 5, clock.Millis(20+180*(i/3)))
+	}
+	if got := p.Check(0); len(got) != 1 || got[0] != "e003" {
+		t.Fatalf("ejected %v", got)
+	}
+	r := Request{Repeatable: true}
+	if choice, _ := p.Choose(4*clock.Second, r); choice.Probe {
+		t.Fatal("probed too early")
+	}
+	if choice, _ := p.Choose(6*clock.Second, Request{}); choice.Probe {
+		t.Fatal("probed with work that may not be repeated")
+	}
+	choice, _ := p.Choose(6*clock.Second, r)
+	if !choice.Probe || choice.Endpoint != "e003" {
+		t.Fatalf("chose %+v, want a probe", choice)
+	}
+	p.Sent(6*clock.Second, "e003", "probe", 0, nil)
+	if again, _ := p.Choose(6*clock.Second, r); again.Probe {
+		t.Fatal("probed twice at once")
+	}
+	run(p, "e003", 20, 20)
+	p.Ended(8*clock.Second, "e003", "probe", Result{})
+	if p.Ejected() != 0 {
+		t.Fatal("a recovered endpoint was not taken back")
+	}
+}
+
+func TestFailuresEject(t *testing.T) {
+	p := newPlacer(Config{}, 3, 8)
+	for i := range 3 {
+		id := fmt.Sprint(i)
+		p.Sent(0, "e001", id, 0, nil)
+		p.Ended(0, "e001", id, Result{Failed: true})
+	}
+	if p.Usable("e001") {
+		t.Fatal("an endpoint that failed three times in a row is still used")
+	}
+}
+
+func TestExcludedOnlyIfNoOthers(t *testing.T) {
+	p := newPlacer(Config{}, 2, 1)
+	r := Request{Exclude: []string{"e000"}}
+	if choice, _ := p.Choose(0, r); choice.Endpoint != "e001" {
+		t.Fatal("chose the excluded endpoint")
+	}
+	p.Sent(0, "e001", "a", 0, nil)
+	if choice, found := p.Choose(0, r); !found || choice.Endpoint != "e000" {
+		t.Fatal("did not fall back to the excluded endpoint")
+	}
+}
--- /dev/null
+++ b/internal/decide/retry/retry_test.go
@@ -0,0 +1,64 @@
+package retry
+
+import (
+	"testing"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+)
+
+func TestOutageCausesNoStorm(t *testing.T) {
+	b := NewBudgets(Config{})
+	retries := 0
+	for range 1000 {
+		if b.Retry("a", "pool") {
+			retries++
+		}
+	}
+	if retries != DefaultBurst {
+		t.Fatalf("%d retries without a success, want %d", retries, DefaultBurst)
+	}
+	if !b.Retry("b", "pool") {
+		t.Fatal("another team's budget was used up")
+	}
+	for range 100 {
+		b.Succeeded("a", "pool")
+	}
+	retries = 0
+	for range 1000 {
+		if b.Retry("a", "pool") {
+			retries++
+		}
+	}
+	if retries < 9 || retries > 10 {
+		t.Fatalf("%d retries after 100 successes, want a tenth", retries)
+	}
+}
+
+func TestHedgesAreBounded(t *testing.T) {
+	h := NewHedges(HedgeConfig{})
+	if h.Due(clock.Minute, true) {
+		t.Fatal("hedged before anything was measured")
+	}
+	hedged := 0
+	for i := range 10_000 {
+		h.FirstToken(clock.Millis(100 + i%100))
+		if h.Due(clock.Second, true) {
+			hedged++
+		}
+	}
+	if hedged > 300 {
+		t.Fatalf("%d of 10000 hedged, want at most 3%%", hedged)
+	}
+	for range 100 {
+		h.FirstToken(100)
+	}
+	if h.Due(clock.Second, false) {
+		t.Fatal("hedged work that may not be repeated")
+	}
+	if h.Due(h.Delay()-1, true) {
+		t.Fatal("hedged too early")
+	}
+	if !h.Due(h.Delay(), true) {
+		t.Fatal("not hedged when due")
+	}
+}
