Keep the cost of a decision nearly flat in the number of endpoints

Cause: after each request the totals were added up over all endpoints, and a block that all endpoints hold was looked through endpoint by endpoint (300 entries for each of 8 blocks). Change: totals follow the one endpoint that changed; a block remembers at most 8 endpoints, those added first are forgotten first. Ruled out: the totals alone (45.7 to about 39 us at 300 endpoints). Before, after (10 teams): 10 endpoints 3.0, 2.5 us; 300 endpoints 45.7, 6.0 us. 10,000 teams: 4.0, 4.8 us; 41.4, 7.6 us. About 12 ns an endpoint, and about 2 us from 10 to 10,000 teams.

--- a/internal/decide/place/index.go
+++ b/internal/decide/place/index.go
@@ -76,6 +76,10 @@
 			return
 		}
 	}
+	if len(holders) >= maxHolders {
+		copy(holders, holders[1:])
+		holders = holders[:maxHolders-1]
+	}
 	x.blocks[digest] = append(holders, holder{owner: int32(number), epoch: o.epoch})
 	if len(o.ring) < x.limit {
 		o.ring = append(o.ring, digest)
@@ -129,6 +133,10 @@
 	return found
 }
 
+// maxHolders bounds how many endpoints are remembered for one block; the one
+// that was added first is forgotten first.
+const maxHolders = 8
+
 // maxMatches bounds how many endpoints are looked up for one request.
 const maxMatches = 8
 
--- a/internal/decide/place/replica.go
+++ b/internal/decide/place/replica.go
@@ -44,6 +44,14 @@
 	probeAt  clock.Millis
 	backoff  clock.Millis
 	events   uint64
+	counted  totals
+}
+
+// totals is what an endpoint adds to the totals of the cell.
+type totals struct {
+	free    int
+	slots   int
+	ejected int
 }
 
 // sent is a request that was sent to an endpoint.
@@ -177,7 +185,7 @@
 	r.sequence = load.Sequence
 	r.remember(now)
 	r.foreign = max(0, load.Running+load.Waiting-r.recent())
-	p.recount()
+	p.count(r)
 }
 
 // Sent records that a request was sent to an endpoint.
@@ -195,7 +203,7 @@
 	if !p.config.IgnorePrefix {
 		p.index.add(r.number, digests)
 	}
-	p.recount()
+	p.count(r)
 }
 
 // FirstToken records that a request has been prefilled.
@@ -227,10 +235,10 @@
 	r.prefilling -= request.uncached
 	delete(r.requests, requestID)
 	p.settle(now, r, request, result)
+	p.count(r)
 	if r.gone {
 		p.sweep()
 	}
-	p.recount()
 }
 
 // delayWeight is the weight of a new sample of the delay.
@@ -257,17 +265,27 @@
 	}
 }
 
-// recount brings the totals up to date.
+// recount adds up the totals anew.
 func (p *Placer) recount() {
 	p.free, p.slots, p.ejected = 0, 0, 0
 	for _, r := range p.replicas {
-		if r.ejected && !r.gone && !r.leaving {
-			p.ejected++
-		}
-		if !r.usable() {
-			continue
-		}
-		p.slots += r.slots
-		p.free += max(0, r.slots-r.occupied())
+		r.counted = totals{}
+		p.count(r)
+	}
+}
+
+// count brings the totals up to date after a change of one endpoint.
+func (p *Placer) count(r *replica) {
+	var now totals
+	if r.ejected && !r.gone && !r.leaving {
+		now.ejected = 1
+	}
+	if r.usable() {
+		now.slots = r.slots
+		now.free = max(0, r.slots-r.occupied())
 	}
+	p.free += now.free - r.counted.free
+	p.slots += now.slots - r.counted.slots
+	p.ejected += now.ejected - r.counted.ejected
+	r.counted = now
 }
