--- a/internal/daemon/serve/roles.go
+++ b/internal/daemon/serve/roles.go
@@ -12,7 +12,6 @@
 	"github.com/banyanshift/banyanshift/internal/order/dispatch"
 	"github.com/banyanshift/banyanshift/internal/order/hold"
 	"github.com/banyanshift/banyanshift/internal/order/journal"
-	"github.com/banyanshift/banyanshift/internal/platform/order"
 	"github.com/banyanshift/banyanshift/internal/platform/usage"
 	"github.com/banyanshift/banyanshift/internal/usage/replicate"
 	"github.com/banyanshift/banyanshift/internal/usage/report"
@@ -132,10 +131,6 @@
 	return &http.Client{Transport: g.Transport(), Timeout: d.settings.Platform.CallTimeout.Duration()}
 }
 
-func (d *Daemon) sendOrder(ctx context.Context, given order.Order) error {
-	return order.New(d.settings.Platform.OrderURL, d.guarded(given.Fence)).Give(ctx, given)
-}
-
 func (d *Daemon) usageClient(fence uint64) usage.Client {
 	return usage.New(d.settings.Platform.UsageURL, d.guarded(fence))
 }
