Share the list of endpoints through relays

Change: two daemons of a failure domain read the list; the others compare one digest a second and fetch the buckets that differ. Only the broker of a cell reads its engines' reports. The scheduler hears of the list only when it changed, since assigning endpoints to cells costs time for each. Before: 1,000 endpoints sent a second a daemon in the test's list. After: none while nothing changes; two changes fetch at most 50 of 1,000 (test).

--- a/internal/daemon/serve/scheduling.go
+++ b/internal/daemon/serve/scheduling.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/banyanshift/banyanshift/coord/member"
 	"github.com/banyanshift/banyanshift/internal/caller/request"
 	"github.com/banyanshift/banyanshift/internal/config/entity"
 	"github.com/banyanshift/banyanshift/internal/decide/place"
@@ -23,6 +25,12 @@
 // tells others in turn.
 const newsFanOut = 4
 
+// listRelayCount is how many daemons of a failure domain read the platform's
+// list of endpoints.
+const listRelayCount = 2
+
+var errNoRelay = errors.New("no relay of the list of endpoints is known")
+
 // buildScheduling builds the scheduler and what it learns of the endpoints.
 func (d *Daemon) buildScheduling() error {
 	d.broker = broker.New(broker.Config{
@@ -43,7 +51,9 @@
 		List:          order.New(d.settings.Platform.OrderURL, d.platformHTTP).Endpoints,
 		Load:          engines.Load,
 		CacheEvents:   engines.CacheEvents,
-		Scheduled:     func(entity.Endpoint) bool { return true },
+		IsRelay:       d.isListRelay,
+		AskRelay:      d.askListRelay,
+		Scheduled:     func(endpoint entity.Endpoint) bool { return d.broker.Decides(endpoint.ID) },
 		Backend:       d.state.Backend,
 		OnEndpoints:   d.takeEndpoints,
 		OnLoad:        d.takeLoad,
@@ -51,9 +61,41 @@
 		Broadcast:     d.broadcast,
 	})
 	link.Handle(d.link, message.EndpointNews, d.hearNews)
+	link.Handle(d.link, message.EndpointList, d.serveListCheck)
 	return nil
 }
 
+// listRelays returns the daemons of this failure domain that read the
+// platform's list of endpoints for the others.
+func (d *Daemon) listRelays() []member.Member {
+	domain := d.settings.Daemon.FailureDomain
+	return member.Pick(member.InDomain(d.roster.View(), domain), "EndpointList/"+domain, listRelayCount)
+}
+
+func (d *Daemon) isListRelay() bool {
+	relays := d.listRelays()
+	for _, relay := range relays {
+		if relay.ID == d.settings.Daemon.ID {
+			return true
+		}
+	}
+	return len(relays) == 0
+}
+
+// askListRelay asks one of the relays, each in its turn.
+func (d *Daemon) askListRelay(ctx context.Context, check watch.ListCheck) (watch.ListReply, error) {
+	relays := d.listRelays()
+	if len(relays) == 0 {
+		return watch.ListReply{}, errNoRelay
+	}
+	relay := relays[d.relayTurn.Add(1)%uint64(len(relays))]
+	return link.Call[watch.ListCheck, watch.ListReply](ctx, d.link, link.Peer{ID: relay.ID, Address: relay.Address}, message.EndpointList, check)
+}
+
+func (d *Daemon) serveListCheck(_ context.Context, _ string, check watch.ListCheck) (watch.ListReply, error) {
+	return d.watcher.ServeCheck(check), nil
+}
+
 func (d *Daemon) takeEndpoints(endpoints []entity.Endpoint) {
 	d.running.keep(endpoints)
 	d.broker.UpdateEndpoints(endpoints)
--- a/internal/daemon/serve/serve.go
+++ b/internal/daemon/serve/serve.go
@@ -64,6 +64,7 @@
 	logger      logrus.FieldLogger
 	incarnation string
 	requestIDs  atomic.Uint64
+	relayTurn   atomic.Uint64
 	seed        uint64
 
 	platformHTTP *http.Client
--- a/internal/endpoint/watch/watch.go
+++ b/internal/endpoint/watch/watch.go
@@ -6,6 +6,10 @@
 // that incarnation for good. When the platform's list can't be read, the last
 // one stays in force.
 //
+// Only a few daemons, the relays, read the platform's list. The others compare
+// digests with a relay and fetch the parts that differ; when no relay answers
+// they read the list themselves.
+//
 // Load reports and cache events are read only from the endpoints that the
 // daemon schedules for, so that the number of readers of an endpoint does not
 // grow with the number of daemons.
@@ -52,6 +56,10 @@
 	Random *rand.Rand
 	// List reads the platform's list.
 	List func(ctx context.Context) ([]entity.Endpoint, error)
+	// IsRelay reports whether this daemon reads the list for others.
+	IsRelay func() bool
+	// AskRelay sends a check to a relay.
+	AskRelay func(ctx context.Context, check ListCheck) (ListReply, error)
 	// Load and CacheEvents read an engine's reports.
 	Load        func(ctx context.Context, endpoint entity.Endpoint) (engine.Load, error)
 	CacheEvents func(ctx context.Context, endpoint entity.Endpoint, after uint64) (engine.CacheEvents, error)
@@ -76,6 +84,11 @@
 	leaving   map[string]News
 	reporters map[string]*reporter
 	failing   bool
+	// known says that the list was read, digests sum it up.
+	known   bool
+	digests Digests
+	// heardRelay is when a relay last answered. Only Run uses it.
+	heardRelay clock.Millis
 }
 
 // New returns a Watcher.
@@ -85,6 +98,9 @@
 		listed:    make(map[string]entity.Endpoint),
 		leaving:   make(map[string]News),
 		reporters: make(map[string]*reporter),
+		digests:   make(Digests, bucketCount),
+		// Relays get time to answer when the whole fleet starts at once.
+		heardRelay: config.Clock.Now(),
 	}
 }
 
@@ -118,25 +134,33 @@
 	return fresh
 }
 
-// refresh reads the list and tells what changed.
+// refresh reads the list, tells what changed and follows the engines.
 func (w *Watcher) refresh(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
-	listed, err := w.config.List(callCtx)
+	listed, news, err := w.read(callCtx)
 	w.note(err)
-	if err != nil {
-		return
+	if news {
+		w.take(listed)
 	}
+	w.follow(ctx, w.Endpoints())
+}
+
+// take puts a list in force and tells what changed.
+func (w *Watcher) take(listed []entity.Endpoint) {
 	w.mu.Lock()
+	before, first := w.digests.total(), !w.known
 	news := w.adopt(listed)
+	changed := first || before != w.digests.total() || len(news) > 0
 	endpoints := w.endpoints()
 	w.mu.Unlock()
-	w.config.OnEndpoints(endpoints)
+	if changed {
+		w.config.OnEndpoints(endpoints)
+	}
 	for _, leaving := range news {
 		eventLeaving.Log(w.config.Logger, logrus.Fields{"Endpoint": leaving.EndpointID, "ReclaimIn": leaving.ReclaimIn.String()})
 		w.config.Broadcast(leaving)
 	}
-	w.follow(ctx, endpoints)
 }
 
 // note logs when reading the list begins and ceases to fail.
@@ -168,7 +192,7 @@
 			news = append(news, leaving)
 		}
 	}
-	w.listed = current
+	w.listed, w.known, w.digests = current, true, digestsOf(current)
 	for id, leaving := range w.leaving {
 		endpoint, present := current[id]
 		if present && endpoint.Incarnation != leaving.Incarnation {
--- a/internal/endpoint/watch/watch_test.go
+++ b/internal/endpoint/watch/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"testing"
@@ -18,6 +19,9 @@
 	listErr error
 	told    []News
 	seen    []entity.Endpoint
+	// follows makes the daemon ask a relay, by ask.
+	follows bool
+	ask     func(check ListCheck) (ListReply, error)
 }
 
 func (r *rig) watcher() *Watcher {
@@ -28,6 +32,8 @@
 		Logger:      logger,
 		Random:      rand.New(rand.NewPCG(1, 1)),
 		List:        func(context.Context) ([]entity.Endpoint, error) { return r.listed, r.listErr },
+		IsRelay:     func() bool { return !r.follows },
+		AskRelay:    func(_ context.Context, check ListCheck) (ListReply, error) { return r.ask(check) },
 		Scheduled:   func(entity.Endpoint) bool { return false },
 		Backend:     func(string) (entity.Backend, bool) { return entity.Backend{}, false },
 		OnEndpoints: func(endpoints []entity.Endpoint) { r.seen = endpoints },
@@ -87,3 +93,63 @@
 		t.Errorf("endpoints are %v", got)
 	}
 }
+
+func manyEndpoints(n int) []entity.Endpoint {
+	endpoints := make([]entity.Endpoint, n)
+	for i := range endpoints {
+		endpoints[i] = entity.Endpoint{ID: fmt.Sprintf("e%d", i), Incarnation: "1", Address: "127.0.0.1:1"}
+	}
+	return endpoints
+}
+
+func TestFollowerFetchesOnlyWhatDiffers(t *testing.T) {
+	relayRig := &rig{listed: manyEndpoints(1000)}
+	relay := relayRig.watcher()
+	relay.refresh(t.Context())
+	fetched, asked := 0, 0
+	followerRig := &rig{follows: true, ask: func(check ListCheck) (ListReply, error) {
+		reply := relay.ServeCheck(check)
+		asked++
+		fetched += len(reply.Endpoints)
+		return reply, nil
+	}}
+	follower := followerRig.watcher()
+	follower.refresh(t.Context())
+	if len(followerRig.seen) != 1000 {
+		t.Fatalf("%d endpoints", len(followerRig.seen))
+	}
+	fetched, asked, followerRig.seen = 0, 0, nil
+	follower.refresh(t.Context())
+	if fetched != 0 || asked != 1 || followerRig.seen != nil {
+		t.Errorf("nothing changed: %d fetched in %d calls, %d told", fetched, asked, len(followerRig.seen))
+	}
+	relayRig.listed[7].Leaving = true
+	relayRig.listed = relayRig.listed[:999]
+	relay.refresh(t.Context())
+	follower.refresh(t.Context())
+	if len(followerRig.seen) != 999 || fetched > 50 {
+		t.Errorf("two changes: %d endpoints, %d fetched", len(followerRig.seen), fetched)
+	}
+	if len(followerRig.told) != 1 || followerRig.told[0].EndpointID != "e7" {
+		t.Errorf("told %v", followerRig.told)
+	}
+}
+
+func TestFollowerReadsTheListItselfWhenRelaysAreSilent(t *testing.T) {
+	manual := clock.NewManual(clock.Minute)
+	r := &rig{follows: true, listed: manyEndpoints(3), ask: func(ListCheck) (ListReply, error) {
+		return ListReply{}, errors.New("unreachable")
+	}}
+	w := r.watcher()
+	w.config.Clock = manual.Clock()
+	w.heardRelay = manual.Now()
+	w.refresh(t.Context())
+	if len(w.Endpoints()) != 0 {
+		t.Fatal("the platform's list was read at once")
+	}
+	manual.Advance(relayPatience + 1)
+	w.refresh(t.Context())
+	if len(w.Endpoints()) != 3 {
+		t.Errorf("%d endpoints", len(w.Endpoints()))
+	}
+}
--- a/internal/peer/broker/broker.go
+++ b/internal/peer/broker/broker.go
@@ -257,6 +257,15 @@
 	b.tellLeaving(endpoint, incarnation)
 }
 
+// Decides reports whether this daemon is the broker of the endpoint's cell, so
+// that the endpoint's reports are of use here.
+func (b *Broker) Decides(endpoint string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	key, known := b.cellOf[endpoint]
+	return known && b.hosts[key] != nil
+}
+
 // hostsOf returns the hosts in this daemon that decide over an endpoint.
 func (b *Broker) hostsOf(endpoint string) []*host {
 	b.mu.Lock()
--- a/internal/peer/message/message.go
+++ b/internal/peer/message/message.go
@@ -28,6 +28,7 @@
 	UsageAck       Type = 0x41
 	// Endpoints.
 	EndpointNews Type = 0x50
+	EndpointList Type = 0x51
 	// Claims.
 	ClaimLookup  Type = 0x60
 	ClaimForward Type = 0x61
