--- a/internal/bench/check/faults.go
+++ b/internal/bench/check/faults.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/bench/verdict"
 	"github.com/banyanshift/banyanshift/internal/config/entity"
 	"github.com/banyanshift/banyanshift/internal/platform/order"
 	"github.com/banyanshift/banyanshift/internal/standin/faultproxy"
@@ -175,9 +176,12 @@
 	link := "endpoint/" + endpoint.ID
 	const pause = 700 * clock.Millisecond
 	for left := s.length; left > 0; left -= pause {
+		cut := verdict.Cut{Endpoint: endpoint.ID, From: s.rig.Clock.Wall()}
 		if err := s.proxy(ctx, link, faultproxy.Fault{Cut: true}); err != nil {
 			return err
 		}
+		cut.To = s.rig.Clock.Wall()
+		s.record(func(in *verdict.Input) { in.Cuts = append(in.Cuts, cut) })
 		_ = s.rig.Clock.Sleep(ctx, pause)
 	}
 	return s.proxy(ctx, link, faultproxy.Fault{})
--- a/internal/bench/verdict/policy.go
+++ b/internal/bench/verdict/policy.go
@@ -54,7 +54,8 @@
 const preemptionSpan = clock.Second
 
 func (j *judge) preempted(call *load.Call, run placed, tier int) {
-	if run.endpoint.LeavingSince > 0 && run.endpoint.LeavingSince <= run.Ended {
+	left := run.endpoint.LeavingSince > 0 && run.endpoint.LeavingSince <= run.Ended
+	if left || j.cut(run) {
 		return
 	}
 	for _, other := range run.endpoint.Runs {
@@ -68,6 +69,20 @@
 	}
 }
 
+// cutSlack allows for the time that an endpoint takes to see a broken
+// connection.
+const cutSlack = 200 * clock.Millisecond
+
+// cut says that a run ended because its connection was broken on purpose.
+func (j *judge) cut(run placed) bool {
+	for _, cut := range j.in.Cuts {
+		if cut.Endpoint == run.endpoint.ID && run.Ended >= cut.From && run.Ended <= cut.To+cutSlack {
+			return true
+		}
+	}
+	return false
+}
+
 // A class starves in a span when it has work all the time and gets none done
 // while other classes of its back end do.
 const (
--- a/internal/bench/verdict/verdict.go
+++ b/internal/bench/verdict/verdict.go
@@ -97,6 +97,13 @@
 	Accepted clock.Millis
 }
 
+// Cut is a span in which the connections to an endpoint were broken.
+type Cut struct {
+	Endpoint string
+	From     clock.Millis
+	To       clock.Millis
+}
+
 // Race is what came of two operators who wrote the same entity at the same
 // time, each expecting that it did not exist.
 type Race struct {
@@ -119,6 +126,7 @@
 	Probes      []Probe
 	Changes     []Change
 	Races       []Race
+	Cuts        []Cut
 	// Started and Ended bound the run.
 	Started clock.Millis
 	Ended   clock.Millis
--- a/internal/bench/verdict/verdict_test.go
+++ b/internal/bench/verdict/verdict_test.go
@@ -162,6 +162,25 @@
 	}
 }
 
+func TestPreemptionIsToldFromACut(t *testing.T) {
+	in := clean()
+	cancelled := run("n")
+	cancelled.End, cancelled.Tokens = record.Cancelled, 3
+	resumed := run("n")
+	resumed.FirstToken, resumed.Tokens = 3, 7
+	in.Calls = append(in.Calls, modelCall("low", "low", completed()))
+	in.Hosts = onEndpoint(cancelled, ranLate("low", cancelled.Ended+100))
+	in.Hosts = append(in.Hosts, onEndpoint(resumed)...)
+	in.Platform = bill(2, 20)
+	if report := Judge(in); report.Violations.TierOrder != 1 {
+		t.Errorf("preempted: got %+v", report.Violations)
+	}
+	in.Cuts = []Cut{{Endpoint: "e", From: cancelled.Ended - 1, To: cancelled.Ended}}
+	if report := Judge(in); report.Violations.TierOrder != 0 {
+		t.Errorf("cut: got %+v", report.Violations)
+	}
+}
+
 func TestFairness(t *testing.T) {
 	tests := []struct {
 		name   string
