--- a/internal/settings/ini/settings_test.go
+++ b/internal/settings/ini/settings_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -186,3 +187,24 @@
 		}
 	}
 }
+
+// TestTableCoversTheStruct finds settings that have no entry in the table, or
+// an entry that fills another field.
+func TestTableCoversTheStruct(t *testing.T) {
+	var settings Settings
+	places := map[any]string{}
+	for _, field := range Fields() {
+		places[field.target(&settings)] = field.Section + "." + field.Name
+	}
+	value := reflect.ValueOf(&settings).Elem()
+	for i := range value.NumField() {
+		section := value.Type().Field(i).Name
+		for j := range value.Field(i).NumField() {
+			name := section + "." + value.Field(i).Type().Field(j).Name
+			pointer := value.Field(i).Field(j).Addr().Interface()
+			if name != tokensSection && places[pointer] != name {
+				t.Errorf("%s is filled by %q", name, places[pointer])
+			}
+		}
+	}
+}
