--- a/coord/member/view.go
+++ b/coord/member/view.go
@@ -393,3 +393,15 @@
 	v.version++
 	v.news.add(v.self)
 }
+
+// SetAddress sets the address of this process, before others have learned it.
+func (v *View) SetAddress(address string) {
+	v.self.Address = address
+	v.version++
+	v.news.add(v.self)
+}
+
+// OnNews reports news that came outside of a probe.
+func (v *View) OnNews(now clock.Millis, news ...Member) {
+	v.mergeAll(now, news)
+}
