--- a/internal/decide/cell/cell.go
+++ b/internal/decide/cell/cell.go
@@ -40,7 +40,7 @@
 const (
 	// DefaultEntryTimeout is how long an entry may be silent before what it
 	// announced is dropped.
-	DefaultEntryTimeout = 3 * clock.Second
+	DefaultEntryTimeout = 2 * clock.Second
 	// DefaultPreemptShare bounds the slots being preempted at one time.
 	DefaultPreemptShare = 0.125
 	// DefaultMaxPreemptions bounds how often one request is preempted for a
--- a/internal/peer/broker/broker.go
+++ b/internal/peer/broker/broker.go
@@ -74,7 +74,7 @@
 	DefaultProgressEvery = 100 * clock.Millisecond
 	// DefaultHeartbeatEvery is how often a daemon with requests at a broker
 	// shows that it is alive.
-	DefaultHeartbeatEvery = 1 * clock.Second
+	DefaultHeartbeatEvery = 500 * clock.Millisecond
 )
 
 // Config holds the rules of a Broker. Zero fields take the defaults.
--- a/internal/peer/broker/peer.go
+++ b/internal/peer/broker/peer.go
@@ -16,8 +16,8 @@
 // pushWithin is how long an entry may take to acknowledge grants, and
 // pushFor for how long they are sent again before the entry is given up.
 const (
-	pushWithin = 1 * clock.Second
-	pushFor    = 3 * clock.Second
+	pushWithin = 500 * clock.Millisecond
+	pushFor    = 1 * clock.Second
 )
 
 // peer gathers the messages for one other daemon. Events for it as a broker
