Promise in status only what a daemon knows

Counts of ejected endpoints and of running and waiting requests are known to the cells' brokers alone; status showed zeros for them. The fields are gone.

--- a/internal/cmdfleet/status/status.go
+++ b/internal/cmdfleet/status/status.go
@@ -111,7 +111,7 @@
 	for _, daemon := range fleet.GetDaemons() {
 		daemons.add(daemon)
 	}
-	backends := section{name: "Backend", columns: []string{"Name", "Firm", "Cheap", "Leaving", "Ejected", "Running", "Waiting", "MilliPricePerHour"}}
+	backends := section{name: "Backend", columns: []string{"Name", "Firm", "Cheap", "Leaving", "MilliPricePerHour"}}
 	for _, backend := range fleet.GetBackends() {
 		backends.add(backend)
 	}
