Pass copies of usage on when their holders end or the table stays down

Owners that ended during the outage left their usage with two peers, which were replaced themselves before the table came back and passed nothing on.

Change: a daemon that ends waits for the table and for its copies, refuses parcels, and passes on the copies that it holds; a holder whose owner is dead and whose table does not answer passes them on as well, once to each heir.

Before: TestRollingReplacementDuringAnOutage has nothing to save in the end. After: all 6 requests of 6 daemons, ended one by one, are saved by the seventh.

--- a/coord/batch/batch_test.go
+++ b/coord/batch/batch_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/coord/table"
@@ -138,6 +140,73 @@
 	}
 }
 
+// TestCopiesOutliveTheirHolders has the owner die and its holders end one after
+// another, all while the table is down.
+func TestCopiesOutliveTheirHolders(t *testing.T) {
+	r, ctx := newRig(t, nil), context.Background()
+	for name, peer := range r.peers {
+		peer.cfg.Copy = r.copy
+		peer.cfg.Heirs = func(string) []string {
+			return slices.DeleteFunc([]string{"p1", "p2", "p3"}, func(heir string) bool { return heir == name || r.refuse[heir] })
+		}
+	}
+	r.memory.SetFault(table.Fault{Down: true})
+	r.owner.Step(ctx)
+	r.owner.Step(ctx)
+	r.alive = false
+	r.manual.Advance(10 * clock.Second)
+	r.sent = 0
+	for range 3 {
+		r.peers["p1"].Rescue(ctx)
+	}
+	if r.sent != 4 || r.peers["p3"].Bytes() != 18 {
+		t.Fatalf("%d batches sent, p3 has %d bytes", r.sent, r.peers["p3"].Bytes())
+	}
+	r.refuse["p1"], r.refuse["p2"] = true, true // both are killed
+	r.memory.SetFault(table.Fault{})
+	r.manual.Advance(10 * clock.Second)
+	r.peers["p3"].Rescue(ctx)
+	r.expectRows(t, "batch 001", "batch 002")
+}
+
+func TestHandOver(t *testing.T) {
+	r, ctx := newRig(t, nil), context.Background()
+	r.owner.Step(ctx)
+	p1 := r.peers["p1"]
+	p1.cfg.Copy = r.copy
+	p1.cfg.Heirs = func(string) []string { return []string{"p3"} }
+	if err := p1.HandOver(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if r.peers["p3"].Bytes() != 9 {
+		t.Fatalf("p3 has %d bytes", r.peers["p3"].Bytes())
+	}
+}
+
+func TestFlushWaitsForCopiesWhileTheTableIsDown(t *testing.T) {
+	r := newRig(t, func(cfg *OwnerConfig) { cfg.Clock = clock.System(); cfg.MinInterval = 1 })
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	r.memory.SetFault(table.Fault{Down: true})
+	tries := 0
+	r.owner.cfg.Copy = func(ctx context.Context, peer string, parcel Parcel) error {
+		r.mu.Lock()
+		tries++
+		failing := tries < 6
+		r.mu.Unlock()
+		if failing {
+			return errors.New("unreachable")
+		}
+		return r.copy(ctx, peer, parcel)
+	}
+	if err := r.owner.Flush(ctx, 0); !errors.Is(err, table.ErrUnavailable) || ctx.Err() != nil {
+		t.Fatalf("%v, %v", err, ctx.Err())
+	}
+	if r.peers["p1"].Bytes() == 0 || r.peers["p2"].Bytes() == 0 {
+		t.Fatal("ended without copies")
+	}
+}
+
 func TestOwnerWronglyTakenForDead(t *testing.T) {
 	r, ctx := newRig(t, nil), context.Background()
 	r.owner.Step(ctx)
@@ -160,7 +229,7 @@
 	if r.peers["p3"].Bytes() != 18 || r.peers["p1"].Bytes() != 9 {
 		t.Fatalf("copies: p1 %d bytes, p3 %d bytes", r.peers["p1"].Bytes(), r.peers["p3"].Bytes())
 	}
-	if err := r.owner.Flush(ctx); err != nil {
+	if err := r.owner.Flush(ctx, 0); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := r.owner.Save(ctx); err != nil {
@@ -219,7 +288,7 @@
 		t.Errorf("%d batches were sent to peers that are full", r.sent)
 	}
 	r.memory.SetFault(table.Fault{})
-	if err := r.owner.Flush(ctx); err != nil {
+	if err := r.owner.Flush(ctx, 0); err != nil {
 		t.Fatal(err)
 	}
 	if rows := r.rows(t); len(rows) != cut {
--- a/coord/batch/copies.go
+++ b/coord/batch/copies.go
@@ -2,15 +2,19 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"sync"
 
+	"github.com/samber/oops"
+
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/coord/table"
 )
 
-// CopiesConfig configures a Copies. All fields must be set but Observe.
+// CopiesConfig configures a Copies. All fields must be set but Heirs, Copy and
+// Observe.
 type CopiesConfig struct {
 	Table  table.Client
 	Clock  clock.Clock
@@ -32,6 +36,11 @@
 	SaveCount int
 	// CallTimeout bounds one call of the table.
 	CallTimeout clock.Millis
+	// Heirs returns the peers to which the copies of an owner are passed on
+	// when the owner is dead and the table does not answer, or when this
+	// process ends. Copy sends them a parcel.
+	Heirs func(incarnation string) []string
+	Copy  func(ctx context.Context, peer string, parcel Parcel) error
 	// Observe is told of rescued batches and of failures; it may be nil.
 	Observe func(incarnation string, batches int, err error)
 }
@@ -52,6 +61,8 @@
 	// heard is when the owner sent a parcel, seen when it was alive.
 	heard clock.Millis
 	seen  clock.Millis
+	// passed are the heirs that have got all copies.
+	passed map[string]bool
 }
 
 // NewCopies returns an empty Copies.
@@ -103,6 +114,7 @@
 		}
 		owner.payloads[sequence] = parcel.Payloads[i]
 		c.bytes += len(parcel.Payloads[i])
+		owner.passed = nil
 	}
 	return nil
 }
@@ -124,10 +136,15 @@
 	}
 }
 
-// Rescue writes the batches of owners that have been dead for Grace.
+// Rescue writes the batches of owners that have been dead for Grace. While the
+// table does not answer, it passes the copies on, so that they outlive this
+// process.
 func (c *Copies) Rescue(ctx context.Context) {
 	for _, incarnation := range c.orphaned() {
 		count, err := c.rescue(ctx, incarnation)
+		if err != nil {
+			_ = c.passOn(ctx, incarnation)
+		}
 		if c.cfg.Observe != nil && (count > 0 || err != nil) {
 			c.cfg.Observe(incarnation, count, err)
 		}
@@ -152,6 +169,79 @@
 	return incarnations
 }
 
+// HandOver passes all copies on to their heirs, before this process ends. Copies
+// of owners that live are passed on too, since those may end before they notice.
+func (c *Copies) HandOver(ctx context.Context) (err error) {
+	defer func() { err = oops.Wrapf(err, "hand over copies") }()
+	c.mu.Lock()
+	incarnations := slices.Sorted(maps.Keys(c.owners))
+	c.mu.Unlock()
+	var failures []error
+	for _, incarnation := range incarnations {
+		failures = append(failures, c.passOn(ctx, incarnation))
+	}
+	return errors.Join(failures...)
+}
+
+// passOn sends the copies of an owner to those of its heirs that have not got
+// them.
+func (c *Copies) passOn(ctx context.Context, incarnation string) error {
+	if c.cfg.Heirs == nil {
+		return nil
+	}
+	var failures []error
+	for _, heir := range c.cfg.Heirs(incarnation) {
+		failures = append(failures, c.passTo(ctx, incarnation, heir))
+	}
+	return errors.Join(failures...)
+}
+
+func (c *Copies) passTo(ctx context.Context, incarnation, heir string) error {
+	parcels := c.inheritance(incarnation, heir)
+	for _, parcel := range parcels {
+		if err := c.send(ctx, heir, parcel); err != nil {
+			return err
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if owner := c.owners[incarnation]; owner != nil && len(parcels) > 0 {
+		if owner.passed == nil {
+			owner.passed = make(map[string]bool)
+		}
+		owner.passed[heir] = true
+	}
+	return nil
+}
+
+func (c *Copies) send(ctx context.Context, heir string, parcel Parcel) error {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout.Duration())
+	defer cancel()
+	return c.cfg.Copy(ctx, heir, parcel)
+}
+
+// inheritance returns the copies of an owner in parcels, none if the heir has got
+// them already.
+func (c *Copies) inheritance(incarnation, heir string) (parcels []Parcel) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	owner := c.owners[incarnation]
+	if owner == nil || owner.passed[heir] {
+		return nil
+	}
+	bytes := maxParcelBytes
+	for _, sequence := range slices.Sorted(maps.Keys(owner.payloads)) {
+		payload := owner.payloads[sequence]
+		if bytes+len(payload) > maxParcelBytes {
+			parcels = append(parcels, Parcel{Incarnation: incarnation, SavedThrough: owner.saved})
+			bytes = 0
+		}
+		bytes += len(payload)
+		parcels[len(parcels)-1].add(Batch{Sequence: sequence, Payload: payload})
+	}
+	return parcels
+}
+
 func (c *Copies) rescue(ctx context.Context, incarnation string) (count int, err error) {
 	for {
 		batches := c.next(incarnation)
--- a/coord/batch/owner.go
+++ b/coord/batch/owner.go
@@ -217,19 +217,41 @@
 	return Save(ctx, o.cfg.Table, o.cfg.Prefix, batches)
 }
 
-// Flush cuts what is left, saves it and tells the peers, for a graceful end. It
-// returns an error when not everything is in the table; the peers that have
-// copies will then write them.
-func (o *Owner) Flush(ctx context.Context) (err error) {
+// Flush cuts what is left and saves it, for a graceful end. While the table does
+// not answer it tries again until patience is over and copies are with as many
+// peers as are wanted, or until ctx ends. It returns an error when not everything
+// is in the table; the peers that have copies will then write them.
+func (o *Owner) Flush(ctx context.Context, patience clock.Millis) (err error) {
 	defer func() { err = oops.Wrapf(err, "flush batches") }()
+	due := o.cfg.Clock.Now() + patience
 	o.cut()
+	for {
+		err = o.saveAll(ctx)
+		o.Step(ctx)
+		if err == nil || (o.cfg.Clock.Now() >= due && o.copied()) {
+			return err
+		}
+		if o.cfg.Clock.Sleep(ctx, max(o.cfg.MinInterval, 1)) != nil {
+			return err
+		}
+	}
+}
+
+func (o *Owner) saveAll(ctx context.Context) (err error) {
 	for left := 1; left > 0 && err == nil; {
 		left, err = o.Save(ctx)
 	}
-	o.Step(ctx)
 	return err
 }
 
+// copied reports whether every unsaved batch has as many copies as are wanted.
+func (o *Owner) copied() bool {
+	wanted := len(o.cfg.Peers())
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.outbox.Copied(wanted) == o.outbox.Len()
+}
+
 // Forget notes that a peer has lost its copies, such as by a restart.
 func (o *Owner) Forget(peer string) {
 	o.mu.Lock()
--- a/internal/usage/replicate/replicate.go
+++ b/internal/usage/replicate/replicate.go
@@ -18,6 +18,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"sync"
 
@@ -55,6 +56,9 @@
 	// batches are written by others.
 	grace   = 10 * clock.Second
 	silence = 60 * clock.Second
+	// patience is how long a daemon that ends waits for the table. After it
+	// the copies suffice.
+	patience = 3 * clock.Second
 )
 
 // Ack answers a parcel.
@@ -64,6 +68,8 @@
 	Incarnation string
 	// Full says that there was no memory for the parcel.
 	Full bool
+	// Leaving says that the daemon ends and keeps no copies any more.
+	Leaving bool
 }
 
 // Config configures a Replicator. All fields must be set.
@@ -90,8 +96,14 @@
 	mu sync.Mutex
 	// incarnations holds that of each peer at its last answer.
 	incarnations map[string]string
+	// leavers are the peers that have said that they end.
+	leavers map[string]bool
+	// ending is set once this daemon ends.
+	ending bool
 }
 
+var errLeaving = errors.New("replicate: peer is leaving")
+
 // Incarnation returns the name under which a daemon's batches are kept. nonce
 // must be new at each start of the process and hold no dot; the daemon's name and
 // a dot before it are left out.
@@ -110,7 +122,7 @@
 
 // New returns a Replicator and registers its handler at the link.
 func New(cfg Config) *Replicator {
-	r := &Replicator{cfg: cfg, incarnations: make(map[string]string)}
+	r := &Replicator{cfg: cfg, incarnations: make(map[string]string), leavers: make(map[string]bool)}
 	r.owner = batch.NewOwner(batch.OwnerConfig{
 		Table: cfg.Table, Clock: cfg.Clock, Prefix: BatchPrefix, Incarnation: cfg.Incarnation,
 		Cut: cfg.Cut, Peers: r.peers, Copy: r.copy, Gone: r.gone,
@@ -120,6 +132,7 @@
 	r.copies = batch.NewCopies(batch.CopiesConfig{
 		Table: cfg.Table, Clock: cfg.Clock, Prefix: BatchPrefix, Alive: r.alive, Grace: grace, Silence: silence,
 		MaxBytes: copyBytes, SaveCount: saveCount, CallTimeout: callTimeout, Observe: r.rescued,
+		Heirs: r.heirs, Copy: r.copy,
 	})
 	link.Handle(cfg.Link, message.UsageReplicate, r.take)
 	return r
@@ -144,33 +157,55 @@
 	}
 }
 
-// Flush writes everything to the table. It is called at shutdown, when Run has
-// ended and no request will be metered any more.
+// Flush writes this daemon's usage to the table, and passes the copies of others
+// on. It is called at shutdown, when Run has ended and no request will be metered
+// any more, and before the link is closed.
 func (r *Replicator) Flush(ctx context.Context) error {
-	return r.owner.Flush(ctx)
+	r.mu.Lock()
+	r.ending = true
+	r.mu.Unlock()
+	err := r.owner.Flush(ctx, patience)
+	return errors.Join(err, r.copies.HandOver(ctx))
+}
+
+// peers returns the daemons that should have copies of this one's batches.
+func (r *Replicator) peers() []string {
+	return r.pick(r.cfg.Incarnation, r.cfg.Self.FailureDomain)
 }
 
-// peers returns the daemons that should have copies: of other failure domains
-// of the region, or failing that, of the region.
-func (r *Replicator) peers() (ids []string) {
-	var apart, near []member.Member
+// heirs returns the daemons that get the copies of another daemon's batches.
+func (r *Replicator) heirs(incarnation string) []string {
+	owner, _ := r.find(ownerID(incarnation))
+	return r.pick(incarnation, owner.FailureDomain)
+}
+
+// pick returns daemons other than this one for a key: of the region and of other
+// failure domains than apart, or failing that, of the region.
+func (r *Replicator) pick(key, apart string) (ids []string) {
+	var distant, near []member.Member
 	for _, m := range r.cfg.View() {
 		switch {
-		case m.ID == r.cfg.Self.ID || m.Region != r.cfg.Self.Region:
-		case m.FailureDomain == r.cfg.Self.FailureDomain:
+		case m.ID == r.cfg.Self.ID || m.Region != r.cfg.Self.Region || r.isLeaver(m.ID):
+		case m.FailureDomain == apart:
 			near = append(near, m)
 		default:
-			apart = append(apart, m)
+			distant = append(distant, m)
 		}
 	}
-	picked := member.Pick(apart, r.cfg.Incarnation, copyCount)
-	picked = append(picked, member.Pick(near, r.cfg.Incarnation, copyCount-len(picked))...)
+	picked := member.Pick(distant, key, copyCount)
+	picked = append(picked, member.Pick(near, key, copyCount-len(picked))...)
 	for _, m := range picked {
 		ids = append(ids, m.ID)
 	}
 	return ids
 }
 
+func (r *Replicator) isLeaver(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leavers[id]
+}
+
 func (r *Replicator) find(id string) (found member.Member, live bool) {
 	for _, m := range r.cfg.View() {
 		if m.ID == id {
@@ -200,22 +235,32 @@
 	if err != nil {
 		return err
 	}
-	if r.restarted(id, ack.Incarnation) {
+	if r.lostCopies(id, ack) {
 		r.owner.Forget(id)
 	}
-	if ack.Full {
+	switch {
+	case ack.Leaving:
+		return errLeaving
+	case ack.Full:
 		return batch.ErrFull
 	}
 	return nil
 }
 
-// restarted notes a peer's incarnation and reports whether it has changed.
-func (r *Replicator) restarted(id, incarnation string) bool {
+// lostCopies takes note of a peer's answer and reports whether the copies that it
+// had are lost.
+func (r *Replicator) lostCopies(id string, ack Ack) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	before, known := r.incarnations[id]
-	r.incarnations[id] = incarnation
-	return known && before != incarnation
+	restarted := known && before != ack.Incarnation
+	r.incarnations[id] = ack.Incarnation
+	if ack.Leaving {
+		r.leavers[id] = true
+	} else if restarted {
+		delete(r.leavers, id)
+	}
+	return restarted || ack.Leaving
 }
 
 // take serves a parcel of another daemon.
@@ -224,6 +269,11 @@
 	if len(parcel.Sequences) != len(parcel.Payloads) || !strings.Contains(parcel.Incarnation, "/") {
 		return ack, errParcel
 	}
-	ack.Full = r.copies.Put(parcel) != nil
+	r.mu.Lock()
+	ack.Leaving = r.ending
+	r.mu.Unlock()
+	if !ack.Leaving {
+		ack.Full = r.copies.Put(parcel) != nil
+	}
 	return ack, nil
 }
--- a/internal/usage/replicate/replicate_test.go
+++ b/internal/usage/replicate/replicate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -166,6 +167,67 @@
 	}
 }
 
+// TestRollingReplacementDuringAnOutage ends one daemon after another, each told to
+// by a graceful shutdown, while the table is down.
+func TestRollingReplacementDuringAnOutage(t *testing.T) {
+	f := newFleet(t, "a", "b", "c", "a", "b", "c", "a")
+	f.memory.SetFault(table.Fault{Down: true})
+	for i, d := range f.daemons[:6] {
+		d.meter.Record(meter.Usage{Team: "t", OutputTokens: 1})
+		d.owner.Step(within(t))
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		f.manual.Advance(patience)
+		go func() { // the flush waits for the table as long as its patience
+			for ctx.Err() == nil {
+				if f.manual.Sleepers() > 0 {
+					f.manual.Advance(minInterval)
+				}
+				time.Sleep(time.Millisecond)
+			}
+		}()
+		if err := d.Flush(ctx); err == nil {
+			t.Fatal("the outage was not brought about")
+		}
+		cancel()
+		f.dead[i].Store(true)
+		d.link.Close()
+	}
+	f.memory.SetFault(table.Fault{})
+	f.manual.Advance(grace)
+	f.daemons[6].copies.Rescue(within(t))
+	if got := f.saved(t); got.Requests != 6 {
+		t.Fatalf("saved %+v", got)
+	}
+}
+
+func TestLeavingDaemonKeepsNoCopies(t *testing.T) {
+	f := newFleet(t, "a", "b", "c", "d")
+	ctx := within(t)
+	leaver := f.daemons[0].peers()[0]
+	for i, m := range f.view {
+		if m.ID == leaver {
+			if err := f.daemons[i].Flush(ctx); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	f.daemons[0].meter.Record(meter.Usage{Team: "t"})
+	f.daemons[0].owner.Step(ctx)
+	f.daemons[0].owner.Step(ctx)
+	if peers := f.daemons[0].peers(); slices.Contains(peers, leaver) || len(peers) != copyCount {
+		t.Fatalf("peers %v", peers)
+	}
+	holders := 0
+	for _, d := range f.daemons {
+		if d.copies.Bytes() > 0 {
+			holders++
+		}
+	}
+	if holders != copyCount {
+		t.Fatalf("%d holders", holders)
+	}
+}
+
 func TestMalformedParcelIsRefused(t *testing.T) {
 	f := newFleet(t, "a", "b")
 	for _, parcel := range []batch.Parcel{
