Give the lease holder orders to give; tell a move from a preemption

It is one only while it waits to go on. The planner had no reason to give orders within a minute, so the pause of the holder met none: the check now changes how many endpoints have to run.

--- a/internal/bench/check/daemons.go
+++ b/internal/bench/check/daemons.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"syscall"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
@@ -31,15 +32,25 @@
 		return err
 	})
 	for _, d := range s.rig.All() {
-		if d.ID == id {
+		// A holder is named by its ID, with its incarnation after a dot.
+		if d.ID == id || strings.HasPrefix(id, d.ID+".") {
 			return d
 		}
 	}
 	return nil
 }
 
-// pauseHolder stops the process of the lease holder for a while.
+// leadTime is the longest time from a reason to give orders to the pause of
+// the holder, who looks for reasons every two seconds.
+const leadTime = 2500 * clock.Millisecond
+
+// pauseHolder gives the lease holder a reason to give orders and stops its
+// process for a while, at a random point.
 func pauseHolder(ctx context.Context, s *strike) error {
+	if err := scale(ctx, s); err != nil {
+		s.say("%v", err)
+	}
+	_ = s.rig.Clock.Sleep(ctx, clock.Millis(s.random.Int64N(int64(leadTime))))
 	d := s.holder(ctx)
 	if d == nil || !s.take(d) {
 		if d = s.pick(s.random, true); d == nil {
--- a/internal/bench/check/faults.go
+++ b/internal/bench/check/faults.go
@@ -40,6 +40,7 @@
 		{"store-lost", 4 * clock.Second, 12 * clock.Second, storeLost},
 		{"pause-holder", 3 * clock.Second, 15 * clock.Second, pauseHolder},
 		{"operators", 0, 0, racingOperators},
+		{"scale", 0, 0, scale},
 		{"partition", 4 * clock.Second, 12 * clock.Second, partition},
 		{"cut-off", 4 * clock.Second, 12 * clock.Second, cutOff},
 		{"kill", 0, 2 * clock.Second, kill},
--- a/internal/bench/check/operators.go
+++ b/internal/bench/check/operators.go
@@ -52,6 +52,34 @@
 	return nil
 }
 
+// scale changes how many endpoints of the model's back end have to run, so
+// that the lease holder has orders to give.
+func scale(ctx context.Context, s *strike) error {
+	d := s.pick(s.random, false)
+	if d == nil {
+		return errNoDaemon
+	}
+	wanted := s.rig.Scenario.Backends[0]
+	least := wanted.MinEndpoints + s.random.IntN(wanted.MaxEndpoints-wanted.MinEndpoints)
+	number := s.next()
+	return s.rig.With(d, func(o *rig.Operator) error {
+		backends := operatorv1.NewBackendsClient(o.Conn())
+		return s.rig.Insist(ctx, o, func(ctx context.Context) error {
+			backend, err := backends.Get(ctx, &operatorv1.GetRequest{Name: wanted.Name})
+			if err != nil {
+				return err
+			}
+			backend.MinEndpoints = int32(least)
+			request := &operatorv1.PutBackendRequest{
+				RequestID: fmt.Sprintf("scale-%d", number), ExpectedRevision: backend.GetRevision(), Backend: backend,
+			}
+			_, err = backends.Put(ctx, request)
+			s.say("at least %d endpoints of %s: %v", least, wanted.Name, err)
+			return err
+		})
+	})
+}
+
 func weightOf(rival int) int32 {
 	return int32(rival) + 1
 }
--- a/internal/bench/verdict/policy.go
+++ b/internal/bench/verdict/policy.go
@@ -63,12 +63,26 @@
 		if !known || j.tiers[otherCall.Class] <= tier || other.Started < run.Ended || other.Started > run.Ended+preemptionSpan {
 			continue
 		}
+		if j.wentOn(call, run, other.Started) {
+			continue
+		}
 		j.violated(&j.report.Violations.TierOrder, "TierOrder", "%s of tier %d was preempted on %s at %s; %s of tier %d started there %s later",
 			call.Nonce, tier, run.endpoint.ID, j.offset(run.Ended), other.Nonce, j.tiers[otherCall.Class], other.Started-run.Ended)
 		return
 	}
 }
 
+// wentOn says that a call whose run was cancelled had gone on elsewhere by an
+// instant: it was moved, not displaced.
+func (j *judge) wentOn(call *load.Call, cancelled placed, by clock.Millis) bool {
+	for _, run := range j.began(call.Nonce) {
+		if run.endpoint != cancelled.endpoint && run.Started >= cancelled.Started && run.Started <= by {
+			return true
+		}
+	}
+	return false
+}
+
 // cutSlack allows for the time that an endpoint takes to see a broken
 // connection.
 const cutSlack = 200 * clock.Millisecond
--- a/internal/bench/verdict/verdict_test.go
+++ b/internal/bench/verdict/verdict_test.go
@@ -166,7 +166,7 @@
 	in := clean()
 	cancelled := run("n")
 	cancelled.End, cancelled.Tokens = record.Cancelled, 3
-	resumed := run("n")
+	resumed := ranLate("n", cancelled.Ended+200)
 	resumed.FirstToken, resumed.Tokens = 3, 7
 	in.Calls = append(in.Calls, modelCall("low", "low", completed()))
 	in.Hosts = onEndpoint(cancelled, ranLate("low", cancelled.Ended+100))
@@ -175,6 +175,14 @@
 	if report := Judge(in); report.Violations.TierOrder != 1 {
 		t.Errorf("preempted: got %+v", report.Violations)
 	}
+	in.Hosts[1].Endpoints[0].Runs[0].Started = cancelled.Ended + 50
+	if report := Judge(in); report.Violations.TierOrder != 0 {
+		t.Errorf("moved before the other started: got %+v", report.Violations)
+	}
+	in.Hosts[1].Endpoints[0].Runs[0].Started = cancelled.Ended + 150
+	if report := Judge(in); report.Violations.TierOrder != 1 {
+		t.Errorf("still waiting when the other started: got %+v", report.Violations)
+	}
 	in.Cuts = []Cut{{Endpoint: "e", From: cancelled.Ended - 1, To: cancelled.Ended}}
 	if report := Judge(in); report.Violations.TierOrder != 0 {
 		t.Errorf("cut: got %+v", report.Violations)
