Use the probed view of the fleet in the daemon

The daemon knew its peers by the platform's list alone, which lags by seconds and does not show a daemon that is dead or cut off: relays, brokers and candidates for leases were picked among the dead, and Ready never saw a minority. The view is now membership's. A leaving daemon says so before it stops to accept, and a claim's owner that is leaving is still asked.

--- a/internal/daemon/serve/callers.go
+++ b/internal/daemon/serve/callers.go
@@ -7,6 +7,7 @@
 	"github.com/samber/oops"
 
 	coordclaim "github.com/banyanshift/banyanshift/coord/claim"
+	"github.com/banyanshift/banyanshift/coord/member"
 	"github.com/banyanshift/banyanshift/internal/caller/claim"
 	"github.com/banyanshift/banyanshift/internal/caller/entry"
 	"github.com/banyanshift/banyanshift/internal/caller/openai"
@@ -58,7 +59,7 @@
 
 func (d *Daemon) buildClaims() *claim.Claims {
 	d.relays = claim.NewRelays(claim.RelaysConfig{
-		Link: d.link, Clock: d.clock, Table: d.table, Self: d.self(), View: d.roster.View, PerSecond: claimsPerSecond,
+		Link: d.link, Clock: d.clock, Table: d.table, Self: d.self(), View: d.members.View, PerSecond: claimsPerSecond,
 	})
 	d.claimStore = coordclaim.New(coordclaim.Config{
 		Table: d.table, Clock: d.clock, Prefix: claimPrefix, EpochKey: claimEpochKey,
@@ -74,9 +75,10 @@
 
 // ownerAlive reports whether the daemon that made a claim may still be running.
 func (d *Daemon) ownerAlive(owner, _ string) bool {
-	for _, m := range d.roster.View() {
+	for _, m := range d.members.View() {
 		if m.ID == owner {
-			return m.Live()
+			// One that is leaving still answers what it has taken.
+			return m.State != member.Dead
 		}
 	}
 	return false
--- a/internal/daemon/serve/operators.go
+++ b/internal/daemon/serve/operators.go
@@ -72,7 +72,7 @@
 func (d *Daemon) daemonStatus() []*operatorv1.Daemon {
 	sequences := d.follower.Sequences()
 	sequences[d.settings.Daemon.ID] = d.state.Sequence()
-	view := d.roster.View()
+	view := d.members.View()
 	daemons := make([]*operatorv1.Daemon, 0, len(view))
 	for _, m := range view {
 		daemons = append(daemons, &operatorv1.Daemon{
@@ -99,7 +99,7 @@
 	defer cancel()
 	own := d.settings.Daemon.Region
 	regions := []string{own}
-	for _, m := range d.roster.View() {
+	for _, m := range d.members.View() {
 		if !slices.Contains(regions, m.Region) {
 			regions = append(regions, m.Region)
 		}
--- a/internal/daemon/serve/roles.go
+++ b/internal/daemon/serve/roles.go
@@ -46,7 +46,7 @@
 	})
 	d.replicator = replicate.New(replicate.Config{
 		Link: d.link, Clock: d.clock, Logger: d.logger, Table: d.table, Self: d.self(),
-		Incarnation: replicate.Incarnation(d.self(), d.incarnation), View: d.roster.View, Cut: d.meter.Cut,
+		Incarnation: replicate.Incarnation(d.self(), d.incarnation), View: d.members.View, Cut: d.meter.Cut,
 	})
 	d.holder = &holderView{daemon: d, key: leaseKey}
 	d.dispatcher = dispatch.New(dispatch.Config{
@@ -94,7 +94,7 @@
 // regionView returns the members of this daemon's region.
 func (d *Daemon) regionView() []member.Member {
 	var regional []member.Member
-	for _, m := range d.roster.View() {
+	for _, m := range d.members.View() {
 		if m.Region == d.settings.Daemon.Region {
 			regional = append(regional, m)
 		}
@@ -104,7 +104,7 @@
 
 // addressOf returns the address of a member.
 func (d *Daemon) addressOf(id string) (address string, found bool) {
-	for _, m := range d.roster.View() {
+	for _, m := range d.members.View() {
 		if m.ID == id {
 			return m.Address, true
 		}
--- a/internal/daemon/serve/scheduling.go
+++ b/internal/daemon/serve/scheduling.go
@@ -39,7 +39,7 @@
 		Policy: broker.Policy(d.settings.Daemon.Policy),
 		Seed:   d.seed,
 	}, broker.Deps{
-		Clock: d.clock, Logger: d.logger, Link: d.link, View: d.roster.View,
+		Clock: d.clock, Logger: d.logger, Link: d.link, View: d.members.View,
 		Class: d.state.Class, Team: d.state.Team, Backend: d.state.Backend,
 	})
 	d.broker.Register(d.link)
@@ -69,7 +69,7 @@
 // platform's list of endpoints for the others.
 func (d *Daemon) listRelays() []member.Member {
 	domain := d.settings.Daemon.FailureDomain
-	return member.Pick(member.InDomain(d.roster.View(), domain), "EndpointList/"+domain, listRelayCount)
+	return member.Pick(member.InDomain(d.members.View(), domain), "EndpointList/"+domain, listRelayCount)
 }
 
 func (d *Daemon) isListRelay() bool {
@@ -131,7 +131,7 @@
 // broadcast tells a few peers, picked at random, of a leaving endpoint.
 func (d *Daemon) broadcast(news watch.News) {
 	d.broker.EndpointLeaving(news.EndpointID, news.Incarnation)
-	view := d.roster.View()
+	view := d.members.View()
 	order := d.random(d.requestIDs.Add(1)).Perm(len(view))
 	told := 0
 	for _, i := range order {
--- a/internal/daemon/serve/serve.go
+++ b/internal/daemon/serve/serve.go
@@ -47,6 +47,7 @@
 	"github.com/banyanshift/banyanshift/internal/order/plan"
 	"github.com/banyanshift/banyanshift/internal/peer/broker"
 	"github.com/banyanshift/banyanshift/internal/peer/link"
+	"github.com/banyanshift/banyanshift/internal/peer/membership"
 	platformtable "github.com/banyanshift/banyanshift/internal/platform/table"
 	"github.com/banyanshift/banyanshift/internal/settings/ini"
 	"github.com/banyanshift/banyanshift/internal/usage/meter"
@@ -73,7 +74,7 @@
 	log          *changelog.Log
 	follower     *follow.Follower
 	link         *link.Link
-	roster       *roster
+	members      *membership.Membership
 	broker       *broker.Broker
 	watcher      *watch.Watcher
 	meter        *meter.Meter
@@ -182,7 +183,7 @@
 		return err
 	}
 	d.broker.Start()
-	d.base.start("Roster", d.roster.Run)
+	d.base.start("Membership", d.members.Run)
 	d.base.start("Configuration", d.follower.Run)
 	d.base.start("Endpoints", d.watcher.Run)
 	d.base.start("Claims", d.claimStore.Run)
@@ -206,6 +207,7 @@
 func (d *Daemon) shutDown() error {
 	eventStopping.Log(d.logger, logrus.Fields{"InFlight": d.callers.InFlight()})
 	d.callers.Drain()
+	d.members.Leave()
 	_ = d.clock.Sleep(context.Background(), d.settings.Daemon.ReadinessDelay)
 	err := d.callers.Shutdown(context.Background())
 	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout.Duration())
