Keep a broker's own waiting requests

Cause: the broker dropped itself as a silent entry after 2 s in which none of its own requests began or made progress, and lost those that waited. Ruled out: a lock or link that hangs; the goroutine dump shows neither. Change: each tick of a host shows that its own daemon is alive. Whatever else a broker may lose, a request is refused 2 s after its limit.

--- a/internal/peer/broker/attempt.go
+++ b/internal/peer/broker/attempt.go
@@ -51,21 +51,44 @@
 func (b *Broker) acquire(ctx context.Context, req *request.Request, exclude []string, resumed bool) (*request.Grant, error) {
 	a := b.register(req, exclude, resumed)
 	b.announceAttempt(a)
+	waiting, stop := b.waitLimit(ctx, req)
+	defer stop()
 	select {
 	case got := <-a.answer:
 		if got.refusal != nil {
 			return nil, got.refusal
 		}
 		return got.grant, nil
-	case <-ctx.Done():
+	case <-waiting.Done():
 		b.abandon(a)
-		return nil, ctx.Err()
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+		refusals.Add(string(request.CodeWaitedTooLong), 1)
+		action := cell.Action{Code: request.CodeWaitedTooLong, RetryAfter: unansweredRetry}
+		return nil, refusal(action, resumed)
 	case <-b.ctx.Done():
 		b.abandon(a)
 		return nil, ErrClosed
 	}
 }
 
+// unansweredAfter is how long beyond its own limit a request waits for an
+// answer of the broker, and unansweredRetry when it may come back.
+const (
+	unansweredAfter = 2 * clock.Second
+	unansweredRetry = 5 * clock.Second
+)
+
+// waitLimit returns a context that ends when the request has waited so long
+// that its broker must have lost it.
+func (b *Broker) waitLimit(ctx context.Context, req *request.Request) (waiting context.Context, stop context.CancelFunc) {
+	if req.MaxWait <= 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, (req.MaxWait + unansweredAfter).Duration())
+}
+
 // register makes an attempt known under a name of its own.
 func (b *Broker) register(req *request.Request, exclude []string, resumed bool) *attempt {
 	now := b.deps.Clock.Now()
--- a/internal/peer/broker/broker_test.go
+++ b/internal/peer/broker/broker_test.go
@@ -277,3 +277,20 @@
 		}
 	}
 }
+
+func TestBrokerKeepsItsOwnWaitingRequests(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 1, 1)
+	s := f.brokers[f.brokerOf(onlyCell)].Scheduler()
+	grant, err := s.Acquire(t.Context(), newRequest("a", "t", 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		time.Sleep(2500 * time.Millisecond) // longer than a silent entry is kept
+		s.Release(grant, request.Outcome{})
+	}()
+	if _, err := s.Acquire(t.Context(), newRequest("b", "t", 0)); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/peer/broker/host.go
+++ b/internal/peer/broker/host.go
@@ -115,8 +115,14 @@
 	}
 }
 
+// tick tells the cell that time has passed, and that this daemon is alive.
 func (h *host) tick() {
-	h.do(func(c *cell.Cell, now clock.Millis) []cell.Action { return c.Tick(now) })
+	h.do(func(c *cell.Cell, now clock.Millis) []cell.Action {
+		if c.Knows(h.broker.config.Self) {
+			c.Heard(now, h.broker.config.Self)
+		}
+		return c.Tick(now)
+	})
 }
 
 func (h *host) report(load place.Load) {
