Authenticate operators before their messages are read

A message of up to MaxMessageBytes was read and decoded before its token was looked at, since interceptors run after that. Calls are now refused by their header; TestStrangersMessagesAreNotRead gets code Internal, from the decoder, in place of Unauthenticated without it. Idle connections are closed after a minute in place of ten, so that strangers hold the 256 places for less long.

--- a/internal/operator/rpc/guard.go
+++ b/internal/operator/rpc/guard.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
+	"google.golang.org/grpc/tap"
 )
 
 // callerKeyPrefix starts the key of every caller. Such a key never
@@ -23,6 +24,8 @@
 
 const bearerPrefix = "Bearer "
 
+var errUnauthenticated = status.Error(codes.Unauthenticated, "the operator token is missing or wrong")
+
 // operatorContextKey is the key of the operator's name in a call's context.
 type operatorContextKey struct{}
 
@@ -51,8 +54,8 @@
 
 // authenticate returns the name of the operator whose token the call carries.
 // It takes the same time whichever token matches.
-func (g *guard) authenticate(ctx context.Context) (name string, err error) {
-	token := bearerToken(ctx)
+func (g *guard) authenticate(ctx context.Context, header metadata.MD) (name string, err error) {
+	token := bearerToken(header)
 	digest := sha256.Sum256([]byte(token))
 	matched := 0
 	for _, operator := range g.operators {
@@ -67,26 +70,27 @@
 	}
 	refusedCalls.Add(1)
 	eventRefused.Log(g.logger, logrus.Fields{"Peer": peerAddress(ctx)})
-	return "", status.Error(codes.Unauthenticated, "the operator token is missing or wrong")
+	return "", errUnauthenticated
 }
 
-// intercept implements grpc.UnaryServerInterceptor.
-func (g *guard) intercept(ctx context.Context, req any, info *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (any, error) {
-	name, err := g.authenticate(ctx)
+// tap implements tap.ServerInHandle: it authenticates a call by its header,
+// before a byte of its message is read.
+func (g *guard) tap(ctx context.Context, info *tap.Info) (context.Context, error) {
+	name, err := g.authenticate(ctx, info.Header)
 	if err != nil {
 		return nil, err
 	}
-	calls.Add(info.FullMethod, 1)
-	return handler(context.WithValue(ctx, operatorContextKey{}, name), req)
+	return context.WithValue(ctx, operatorContextKey{}, name), nil
 }
 
-// interceptStream implements grpc.StreamServerInterceptor. The interface has
-// no streams: this only keeps unknown methods from strangers.
-func (g *guard) interceptStream(srv any, stream grpc.ServerStream, _ *grpc.StreamServerInfo, handler grpc.StreamHandler) error {
-	if _, err := g.authenticate(stream.Context()); err != nil {
-		return err
+// requireOperator refuses a call that was not authenticated, whatever the
+// reason.
+func requireOperator(ctx context.Context, req any, info *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (any, error) {
+	if operatorName(ctx) == "" {
+		return nil, errUnauthenticated
 	}
-	return handler(srv, stream)
+	calls.Add(info.FullMethod, 1)
+	return handler(ctx, req)
 }
 
 func refuseStream(any, grpc.ServerStream) error {
@@ -111,9 +115,8 @@
 	return handler(ctx, req)
 }
 
-func bearerToken(ctx context.Context) string {
-	md, _ := metadata.FromIncomingContext(ctx)
-	values := md.Get("authorization")
+func bearerToken(header metadata.MD) string {
+	values := header.Get("authorization")
 	if len(values) != 1 {
 		return ""
 	}
--- a/internal/operator/rpc/server.go
+++ b/internal/operator/rpc/server.go
@@ -2,9 +2,9 @@
 // checks what they send, proposes changes of the configuration and reads it.
 //
 // Operators show a token; the server knows the SHA-256 digests of all tokens.
-// The key of a caller is refused, whatever the settings say. Messages,
-// headers, connections and calls are bounded, so that malformed input costs
-// little.
+// The key of a caller is refused, whatever the settings say. A call is
+// authenticated by its header, before its message is read. Messages, headers,
+// connections and calls are bounded, so that malformed input costs little.
 //
 // # Usage
 //
@@ -52,7 +52,7 @@
 	keepaliveTime       = 2 * time.Minute
 	keepaliveTimeout    = 20 * time.Second
 	minKeepaliveTime    = 20 * time.Second
-	maxConnectionIdle   = 10 * time.Minute
+	maxConnectionIdle   = time.Minute
 	maxChangesInApply   = 1000
 	maxAuditLimit       = 1000
 	defaultAuditLimit   = 50
@@ -106,9 +106,9 @@
 		return nil, err
 	}
 	options := []grpc.ServerOption{
-		grpc.ChainUnaryInterceptor(s.recoverPanic, guard.intercept, bound),
+		grpc.InTapHandle(guard.tap),
+		grpc.ChainUnaryInterceptor(s.recoverPanic, requireOperator, bound),
 		grpc.UnknownServiceHandler(refuseStream),
-		grpc.StreamInterceptor(guard.interceptStream),
 		grpc.MaxRecvMsgSize(int(config.Settings.MaxMessageBytes)),
 		grpc.MaxConcurrentStreams(maxStreams),
 		grpc.MaxHeaderListSize(maxHeaderBytes),
--- a/internal/operator/rpc/server_test.go
+++ b/internal/operator/rpc/server_test.go
@@ -395,6 +395,32 @@
 	wantCode(t, err, codes.OK)
 }
 
+// rawCodec sends bytes as they are.
+type rawCodec struct{}
+
+func (rawCodec) Marshal(v any) ([]byte, error) { return v.([]byte), nil }
+func (rawCodec) Unmarshal([]byte, any) error   { return nil }
+func (rawCodec) Name() string                  { return "proto" }
+
+// TestStrangersMessagesAreNotRead sends a message that cannot be decoded: only
+// an operator learns that, since a stranger is refused before it is read.
+func TestStrangersMessagesAreNotRead(t *testing.T) {
+	r := newRig(t)
+	const method = "/banyanshift.operator.v1.Teams/Put"
+	malformed := bytes.Repeat([]byte{0xff}, 100)
+	err := r.conn.Invoke(as("wrong"), method, malformed, nil, grpc.ForceCodec(rawCodec{}))
+	wantCode(t, err, codes.Unauthenticated)
+	err = r.conn.Invoke(as(token), method, malformed, nil, grpc.ForceCodec(rawCodec{}))
+	wantCode(t, err, codes.Internal)
+	err = r.conn.Invoke(as("wrong"), "/banyanshift.operator.v1.Teams/Nope", []byte{}, nil, grpc.ForceCodec(rawCodec{}))
+	wantCode(t, err, codes.Unauthenticated)
+	err = r.conn.Invoke(as(token), "/banyanshift.operator.v1.Teams/Nope", []byte{}, nil, grpc.ForceCodec(rawCodec{}))
+	wantCode(t, err, codes.Unimplemented)
+	if !strings.Contains(r.logged.String(), "Peer=\"127.0.0.1:") {
+		t.Errorf("the stranger's address was not logged: %s", r.logged)
+	}
+}
+
 // TestMalformedFramesCostNothing sends bytes that are no HTTP/2, and frames
 // that break its rules, while an operator works.
 func TestMalformedFramesCostNothing(t *testing.T) {
