Hand copies of usage over past peers that end or cannot be reached

The list of daemons lags by seconds.

Change: the hand-over asks for heirs anew, up to five times, and a peer that could not be reached is not picked for five seconds, for copies of own batches as well.

TestHandOverGoesPastPeersThatEnd fails with one round and passes with five; with the hand-over taken out TestRollingReplacementDuringAnOutage fails.

--- a/coord/batch/copies.go
+++ b/coord/batch/copies.go
@@ -169,10 +169,24 @@
 	return incarnations
 }
 
+// maxHandOverRounds is how often HandOver asks for heirs anew.
+const maxHandOverRounds = 5
+
 // HandOver passes all copies on to their heirs, before this process ends. Copies
 // of owners that live are passed on too, since those may end before they notice.
+// Heirs that fail are asked for anew, so that others can take their place.
 func (c *Copies) HandOver(ctx context.Context) (err error) {
 	defer func() { err = oops.Wrapf(err, "hand over copies") }()
+	for range maxHandOverRounds {
+		err = c.passAllOn(ctx)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+	}
+	return err
+}
+
+func (c *Copies) passAllOn(ctx context.Context) error {
 	c.mu.Lock()
 	incarnations := slices.Sorted(maps.Keys(c.owners))
 	c.mu.Unlock()
--- a/internal/usage/replicate/replicate.go
+++ b/internal/usage/replicate/replicate.go
@@ -56,6 +56,9 @@
 	// batches are written by others.
 	grace   = 10 * clock.Second
 	silence = 60 * clock.Second
+	// avoidTime is for how long a peer that could not be reached is not
+	// picked. The list of daemons lags by seconds.
+	avoidTime = 5 * clock.Second
 	// patience is how long a daemon that ends waits for the table. After it
 	// the copies suffice.
 	patience = 3 * clock.Second
@@ -96,8 +99,10 @@
 	mu sync.Mutex
 	// incarnations holds that of each peer at its last answer.
 	incarnations map[string]string
-	// leavers are the peers that have said that they end.
-	leavers map[string]bool
+	// leavers are the peers that have said that they end, unreachable those
+	// that could not be reached, with the instant until which that counts.
+	leavers     map[string]bool
+	unreachable map[string]clock.Millis
 	// ending is set once this daemon ends.
 	ending bool
 }
@@ -122,7 +127,12 @@
 
 // New returns a Replicator and registers its handler at the link.
 func New(cfg Config) *Replicator {
-	r := &Replicator{cfg: cfg, incarnations: make(map[string]string), leavers: make(map[string]bool)}
+	r := &Replicator{
+		cfg:          cfg,
+		incarnations: make(map[string]string),
+		leavers:      make(map[string]bool),
+		unreachable:  make(map[string]clock.Millis),
+	}
 	r.owner = batch.NewOwner(batch.OwnerConfig{
 		Table: cfg.Table, Clock: cfg.Clock, Prefix: BatchPrefix, Incarnation: cfg.Incarnation,
 		Cut: cfg.Cut, Peers: r.peers, Copy: r.copy, Gone: r.gone,
@@ -185,7 +195,7 @@
 	var distant, near []member.Member
 	for _, m := range r.cfg.View() {
 		switch {
-		case m.ID == r.cfg.Self.ID || m.Region != r.cfg.Self.Region || r.isLeaver(m.ID):
+		case m.ID == r.cfg.Self.ID || m.Region != r.cfg.Self.Region || r.avoids(m.ID):
 		case m.FailureDomain == apart:
 			near = append(near, m)
 		default:
@@ -200,10 +210,16 @@
 	return ids
 }
 
-func (r *Replicator) isLeaver(id string) bool {
+// avoids reports whether a peer is not to be picked.
+func (r *Replicator) avoids(id string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.leavers[id]
+	until, failed := r.unreachable[id]
+	if failed && r.cfg.Clock.Now() >= until {
+		delete(r.unreachable, id)
+		failed = false
+	}
+	return r.leavers[id] || failed
 }
 
 func (r *Replicator) find(id string) (found member.Member, live bool) {
@@ -233,6 +249,7 @@
 	peer := link.Peer{ID: m.ID, Address: m.Address}
 	ack, err := link.Call[batch.Parcel, Ack](ctx, r.cfg.Link, peer, message.UsageReplicate, parcel)
 	if err != nil {
+		r.avoid(id)
 		return err
 	}
 	if r.lostCopies(id, ack) {
@@ -247,6 +264,13 @@
 	return nil
 }
 
+// avoid has other peers picked for a while.
+func (r *Replicator) avoid(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unreachable[id] = r.cfg.Clock.Now() + avoidTime
+}
+
 // lostCopies takes note of a peer's answer and reports whether the copies that it
 // had are lost.
 func (r *Replicator) lostCopies(id string, ack Ack) bool {
--- a/internal/usage/replicate/replicate_test.go
+++ b/internal/usage/replicate/replicate_test.go
@@ -228,6 +228,42 @@
 	}
 }
 
+// TestHandOverGoesPastPeersThatEnd has both first heirs fail: one is leaving and
+// one was killed, and the list of daemons does not tell yet.
+func TestHandOverGoesPastPeersThatEnd(t *testing.T) {
+	f := newFleet(t, "a", "b", "c", "d", "e", "f")
+	ctx := within(t)
+	f.daemons[0].meter.Record(meter.Usage{Team: "t"})
+	f.daemons[0].owner.Step(ctx)
+	owner := f.daemons[0].cfg.Incarnation
+	f.dead[0].Store(true)
+	f.memory.SetFault(table.Fault{Down: true})
+	holder := f.find(t, f.daemons[0].peers()[0])
+	failing := holder.heirs(owner)
+	f.find(t, failing[0]).ending = true
+	f.find(t, failing[1]).link.Close()
+	if err := holder.copies.HandOver(ctx); err != nil {
+		t.Fatal(err)
+	}
+	heirs := holder.heirs(owner)
+	for _, heir := range heirs {
+		if slices.Contains(failing, heir) || f.find(t, heir).copies.Bytes() == 0 {
+			t.Errorf("heirs %v, failing %v: %s has %d bytes", heirs, failing, heir, f.find(t, heir).copies.Bytes())
+		}
+	}
+}
+
+func (f *fleet) find(t *testing.T, id string) *daemon {
+	t.Helper()
+	for i, m := range f.view {
+		if m.ID == id {
+			return f.daemons[i]
+		}
+	}
+	t.Fatalf("no daemon %s", id)
+	return nil
+}
+
 func TestMalformedParcelIsRefused(t *testing.T) {
 	f := newFleet(t, "a", "b")
 	for _, parcel := range []batch.Parcel{
