--- a/internal/daemon/serve/serve.go
+++ b/internal/daemon/serve/serve.go
@@ -206,8 +206,8 @@
 // and ends the parts, in this order.
 func (d *Daemon) shutDown() error {
 	eventStopping.Log(d.logger, logrus.Fields{"InFlight": d.callers.InFlight()})
-	d.callers.Drain()
 	d.members.Leave()
+	d.callers.Drain()
 	_ = d.clock.Sleep(context.Background(), d.settings.Daemon.ReadinessDelay)
 	err := d.callers.Shutdown(context.Background())
 	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout.Duration())
--- a/internal/peer/broker/broker.go
+++ b/internal/peer/broker/broker.go
@@ -284,14 +284,18 @@
 	return found
 }
 
-// tickEvery is how often the cells are told that time has passed.
-const tickEvery = 20 * clock.Millisecond
+// tickEvery is how often the cells are told that time has passed, and
+// quietTickEvery that of a daemon that has no request.
+const (
+	tickEvery      = 20 * clock.Millisecond
+	quietTickEvery = 100 * clock.Millisecond
+)
 
 // run does what time brings about.
 func (b *Broker) run() {
 	defer b.tasks.Done()
 	next := upkeep{}
-	for b.deps.Clock.Sleep(b.ctx, tickEvery) == nil {
+	for b.deps.Clock.Sleep(b.ctx, b.tickPause()) == nil {
 		now := b.deps.Clock.Now()
 		if now >= next.progress {
 			next.progress = now + b.config.ProgressEvery
@@ -313,6 +317,22 @@
 	}
 }
 
+// tickPause returns the time until the next tick.
+func (b *Broker) tickPause() clock.Millis {
+	b.mu.Lock()
+	busy := len(b.attempts) > 0 || len(b.rejected) > 0 || len(b.strays) > 0
+	b.mu.Unlock()
+	if busy {
+		return tickEvery
+	}
+	for _, h := range b.allHosts() {
+		if h.busy() {
+			return tickEvery
+		}
+	}
+	return quietTickEvery
+}
+
 // upkeep says when each regular task is due.
 type upkeep struct {
 	progress clock.Millis
--- a/internal/peer/broker/host.go
+++ b/internal/peer/broker/host.go
@@ -115,6 +115,13 @@
 	}
 }
 
+// busy reports whether requests wait or run in the cell.
+func (h *host) busy() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.cell.Waiting() > 0 || h.cell.Running() > 0
+}
+
 // tick tells the cell that time has passed, and that this daemon is alive.
 func (h *host) tick() {
 	h.do(func(c *cell.Cell, now clock.Millis) []cell.Action {
