Tell a daemon sooner that it is cut off

Ready refuses requests in a minority that has lost the store, but Reach counted suspect members as reached until they were dead. It now counts those that are alive. After a domain fell silent four probes are sent at each interval in place of two.

--- a/coord/member/probe.go
+++ b/coord/member/probe.go
@@ -11,7 +11,7 @@
 	v.bury(now)
 	count := 1
 	if now < v.searching {
-		count = 2
+		count = searchProbes
 	}
 	var actions []Action
 	for range count {
--- a/coord/member/view.go
+++ b/coord/member/view.go
@@ -48,9 +48,10 @@
 	// deadOneIn is the part of the probes that goes to dead members, while
 	// there are any.
 	deadOneIn = 3
-	// searchPeriod is how long after a failure domain fell silent the others
-	// are probed at twice the rate.
+	// searchPeriod is how long after a failure domain fell silent searchProbes
+	// are sent at each interval, to learn soon which others are silent.
 	searchPeriod = 10 * clock.Second
+	searchProbes = 4
 	// pauseIntervals is the number of missed intervals from which this process
 	// takes itself to have been paused.
 	pauseIntervals = 4
@@ -147,7 +148,7 @@
 	order   []*entry
 	domains map[string]*domain
 	far     bool
-	// searching is until when probes are sent at twice the rate.
+	// searching is until when searchProbes are sent at each interval.
 	searching clock.Millis
 	probes    map[uint64]*outstanding
 	number    uint64
@@ -188,20 +189,21 @@
 	return slices.Insert(all, selfAt, v.self)
 }
 
-// Reach returns how many members are live, and how many should be: those and
-// the dead ones that the list still names. This process counts.
-func (v *View) Reach() (live, known int) {
-	live, known = 1, 1
+// Reach returns how many members are alive, and how many should be: those, the
+// suspect ones, and the dead ones that the list still names. This process
+// counts.
+func (v *View) Reach() (alive, known int) {
+	alive, known = 1, 1
 	for _, e := range v.order {
 		switch {
-		case e.Live():
-			live++
+		case e.State == Alive:
+			alive++
 			known++
-		case e.State == Dead && e.listed:
+		case e.State == Suspect, e.State == Dead && e.listed:
 			known++
 		}
 	}
-	return live, known
+	return alive, known
 }
 
 // Listed is one entry of the platform's list.
--- a/coord/member/view_test.go
+++ b/coord/member/view_test.go
@@ -266,6 +266,18 @@
 	return true
 }
 
+// minority reports whether all members for which who holds reach half of the
+// fleet or less.
+func (w *world) minority(who func(m Member) bool) bool {
+	for _, id := range w.ids {
+		n := w.nodes[id]
+		if alive, known := n.view.Reach(); who(n.self) && !n.down && 2*alive > known {
+			return false
+		}
+	}
+	return true
+}
+
 func everybody(Member) bool { return true }
 
 func only(id string) func(Member) bool { return func(m Member) bool { return m.ID == id } }
@@ -335,6 +347,20 @@
 	}
 }
 
+func TestDomainThatIsCutOffKnowsIt(t *testing.T) {
+	members := fleet(3, 3)
+	w := newWorld(t, members)
+	w.run(5 * clock.Second)
+	in := func(m Member) bool { return m.FailureDomain == "domain-02" }
+	w.cut = func(a, b Member) bool { return in(a) != in(b) }
+	took := w.runUntil("minority", 15*clock.Second, func() bool { return w.minority(in) })
+	t.Logf("3 of 9 members know that they are a minority %v after they were cut off", took)
+	w.run(2 * clock.Minute)
+	w.cut = func(Member, Member) bool { return false }
+	took = w.runUntil("healed", 15*clock.Second, func() bool { return w.agree(Alive, everybody, everybody) })
+	t.Logf("9 members: all alive again %v after the domain came back", took)
+}
+
 // One pair of failure domains cannot talk to each other. Helpers elsewhere
 // keep everybody alive.
 func TestCutBetweenTwoDomainsKillsNobody(t *testing.T) {
@@ -400,7 +426,9 @@
 	inRegion := func(m Member) bool { return m.Region == "region-1" }
 	outside := func(m Member) bool { return !inRegion(m) }
 	w.cut = func(a, b Member) bool { return inRegion(a) != inRegion(b) }
-	took = w.runUntil("both sides see the other gone", 2*clock.Minute, func() bool {
+	took = w.runUntil("the small side knows that it is small", 30*clock.Second, func() bool { return w.minority(inRegion) })
+	t.Logf("370 members: region that is cut off knows that it is a minority after %v", took)
+	took += w.runUntil("both sides see the other gone", 2*clock.Minute, func() bool {
 		return w.agree(Dead, inRegion, outside) && w.agree(Dead, outside, inRegion)
 	})
 	t.Logf("370 members: region that is cut off seen gone after %v", took)
--- a/internal/config/follow/follow.go
+++ b/internal/config/follow/follow.go
@@ -118,7 +118,7 @@
 	Rand *rand.Rand
 	// View returns the members that this daemon knows, itself included.
 	View func() []member.Member
-	// Reach returns how many daemons are live and how many there should be,
+	// Reach returns how many daemons are alive and how many there should be,
 	// this one included.
 	Reach func() (live, known int)
 	// SnapshotEvery is how many changes follow a snapshot before the next.
--- a/internal/peer/membership/events.go
+++ b/internal/peer/membership/events.go
@@ -20,8 +20,8 @@
 )
 
 var (
-	metricLive  = metric.NewCounter("Membership.Live", "Daemons that this one believes to be live, itself included.")
-	metricKnown = metric.NewCounter("Membership.Known", "Live daemons and dead ones that the platform still lists.")
+	metricLive  = metric.NewCounter("Membership.Live", "Daemons that this one believes to be alive, itself included.")
+	metricKnown = metric.NewCounter("Membership.Known", "Daemons that are alive or suspect, and dead ones that the platform still lists.")
 )
 
 // report logs what changed since the members before, and lets the connections
--- a/internal/peer/membership/membership.go
+++ b/internal/peer/membership/membership.go
@@ -123,9 +123,9 @@
 	return m.changed
 }
 
-// Reach returns how many daemons are live and how many there should be, this
+// Reach returns how many daemons are alive and how many there should be, this
 // one included.
-func (m *Membership) Reach() (live, known int) {
+func (m *Membership) Reach() (alive, known int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.view.Reach()
