--- a/internal/bench/rig/watch.go
+++ b/internal/bench/rig/watch.go
@@ -181,10 +181,11 @@
 		if err != nil {
 			return err
 		}
+		asked := r.Clock.Wall()
 		request := &operatorv1.WithdrawKeyRequest{RequestID: "withdraw-" + keyID, ExpectedRevision: key.GetRevision(), ID: keyID}
 		return r.Insist(ctx, o, func(ctx context.Context) error {
 			response, err := keys.Withdraw(ctx, request)
-			result = verdict.Withdrawal{KeyID: keyID, Team: team, Accepted: r.Clock.Wall(), Pending: response.GetPending()}
+			result = verdict.Withdrawal{KeyID: keyID, Team: team, Asked: asked, Accepted: r.Clock.Wall(), Pending: response.GetPending()}
 			return err
 		})
 	})
--- a/internal/bench/verdict/calls.go
+++ b/internal/bench/verdict/calls.go
@@ -120,23 +120,26 @@
 
 // withdrawals finds work for keys that were withdrawn long before.
 func (j *judge) withdrawals() {
+	last := make(map[string]clock.Millis)
 	for _, call := range j.in.Calls {
 		withdrawal, withdrawn := j.withdraw[call.KeyID]
 		if !withdrawn {
 			continue
 		}
 		for _, run := range j.began(call.Nonce) {
-			late := run.Started - withdrawal.Accepted
-			if late > 0 {
-				j.report.withdrawalTimes = append(j.report.withdrawalTimes, late)
-			}
-			if late > withdrawalLimit {
+			last[call.KeyID] = max(last[call.KeyID], run.Started)
+			if late := run.Started - withdrawal.Accepted; late > withdrawalLimit {
 				j.violated(&j.report.Violations.WithdrawnKeys, "WithdrawnKeys", "%s (%s) ran on %s %s after the withdrawal of key %s (at %s)",
 					call.Nonce, call.Flow, run.endpoint.ID, late, call.KeyID, j.offset(withdrawal.Accepted))
 			}
 		}
 		j.openStreams(call, withdrawal)
 	}
+	for _, withdrawal := range j.in.Withdrawals {
+		at := last[withdrawal.KeyID]
+		j.report.withdrawalTimes = append(j.report.withdrawalTimes, max(0, at-withdrawal.Accepted))
+		j.report.withdrawalAskedTimes = append(j.report.withdrawalAskedTimes, max(0, at-withdrawal.Asked))
+	}
 }
 
 // openStreams finds streams that went on long after their key was withdrawn.
--- a/internal/bench/verdict/report.go
+++ b/internal/bench/verdict/report.go
@@ -71,6 +71,9 @@
 	// daemon's having the change in force.
 	LastRunAfterWithdrawal Spread
 	ConfigurationInForce   Spread
+	// LastRunAfterAsking is LastRunAfterWithdrawal from the moment at which
+	// the withdrawal was sent.
+	LastRunAfterAsking Spread
 	// Outcomes counts refusals and errors by code.
 	Outcomes map[string]int
 	// Samples holds one call and message of each of the Outcomes.
@@ -83,6 +86,8 @@
 	tokens             tokenCount
 	withdrawalTimes    []clock.Millis
 	configurationTimes []clock.Millis
+
+	withdrawalAskedTimes []clock.Millis
 }
 
 // Spread describes measured times. P99 and Max are 0 when there are none.
@@ -229,6 +234,7 @@
 	r.WastedShare = max(0, 1-float64(r.tokens.good)/float64(max(1, r.tokens.all)))
 	r.GoodputPerSecond = float64(r.tokens.good) / max(1, r.tokens.duration.Seconds())
 	r.LastRunAfterWithdrawal = spread(r.withdrawalTimes)
+	r.LastRunAfterAsking = spread(r.withdrawalAskedTimes)
 	r.ConfigurationInForce = spread(r.configurationTimes)
 }
 
@@ -263,6 +269,7 @@
 	r.Spend += other.Spend
 	r.ratios = append(r.ratios, other.ratios...)
 	r.withdrawalTimes = append(r.withdrawalTimes, other.withdrawalTimes...)
+	r.withdrawalAskedTimes = append(r.withdrawalAskedTimes, other.withdrawalAskedTimes...)
 	r.configurationTimes = append(r.configurationTimes, other.configurationTimes...)
 	r.Findings = append(r.Findings, other.Findings...)
 	r.tokens.cheap += other.tokens.cheap
--- a/internal/bench/verdict/table.go
+++ b/internal/bench/verdict/table.go
@@ -38,8 +38,9 @@
 	line("Goodput\t%.0f tokens/s, %.1f%% of tokens wasted", r.GoodputPerSecond, 100*r.WastedShare)
 	line("Worst served team\t%.3f of what it deserved (Jain index %.3f)", r.WorstServed, r.JainIndex)
 	line("Spend\t%.4f, %.1f%% of tokens on cheap endpoints", r.Spend, 100*r.CheapShare)
-	line("Withdrawals\tlast run after %s at most", r.LastRunAfterWithdrawal.Max)
-	line("Configuration\tin force after %s at most", r.ConfigurationInForce.Max)
+	line("Withdrawals\t%d, last run %s after the answer and %s after the request at most",
+		r.LastRunAfterWithdrawal.Count, r.LastRunAfterWithdrawal.Max, r.LastRunAfterAsking.Max)
+	line("Configuration\tin force %s after the answer at most, p99 %s", r.ConfigurationInForce.Max, r.ConfigurationInForce.P99)
 	line("Usage windows\t%d reports", r.Windows)
 	line("Endpoint orders\t%d given", r.Orders)
 	line("")
--- a/internal/bench/verdict/verdict.go
+++ b/internal/bench/verdict/verdict.go
@@ -68,7 +68,9 @@
 type Withdrawal struct {
 	KeyID string
 	Team  string
-	// Accepted is when the daemon had confirmed the withdrawal.
+	// Asked is when the withdrawal was sent, Accepted when the daemon had
+	// confirmed it.
+	Asked    clock.Millis
 	Accepted clock.Millis
 	Pending  bool
 }
