Cut and copy usage while a peer does not answer

Change: each peer has at most one parcel under way, and neither the cut nor the other peer waits for it. A copy has 1 s instead of 2.

TestPausedPeerHoldsUpNobody holds it.

--- a/coord/batch/batch_test.go
+++ b/coord/batch/batch_test.go
@@ -52,7 +52,7 @@
 		Cut:   r.cutNext,
 		Peers: func() []string { return r.targets },
 		Copy:  r.copy, Gone: func(string) bool { return false },
-		MinInterval: 100, BytesPerSecond: 100, SaveInterval: clock.Second, SaveCount: 100, MaxBytes: 1000, CallTimeout: clock.Second,
+		MinInterval: 100, BytesPerSecond: 100, SaveInterval: clock.Second, SaveCount: 100, MaxBytes: 1000, CallTimeout: clock.Second, CopyTimeout: clock.Second,
 	}
 	if change != nil {
 		change(&cfg)
@@ -207,6 +207,35 @@
 	}
 }
 
+// TestPausedPeerHoldsUpNobody has one peer not answer while the owner goes on to
+// cut and to copy to the other.
+func TestPausedPeerHoldsUpNobody(t *testing.T) {
+	r, ctx := newRig(t, nil), context.Background()
+	paused, resumed := make(chan struct{}), make(chan struct{})
+	r.owner.cfg.Copy = func(ctx context.Context, peer string, parcel Parcel) error {
+		if peer == "p1" {
+			close(paused)
+			<-resumed
+		}
+		return r.copy(ctx, peer, parcel)
+	}
+	var sending sync.WaitGroup
+	r.owner.launch(ctx, &sending)
+	<-paused
+	for r.peers["p2"].Bytes() < 3*9 {
+		r.owner.launch(ctx, &sending)
+		time.Sleep(time.Millisecond)
+	}
+	if r.peers["p1"].Bytes() != 0 {
+		t.Fatal("the peer was not paused")
+	}
+	close(resumed)
+	sending.Wait()
+	if r.peers["p1"].Bytes() != 9 {
+		t.Fatalf("p1 has %d bytes", r.peers["p1"].Bytes())
+	}
+}
+
 func TestOwnerWronglyTakenForDead(t *testing.T) {
 	r, ctx := newRig(t, nil), context.Background()
 	r.owner.Step(ctx)
--- a/coord/batch/example_test.go
+++ b/coord/batch/example_test.go
@@ -26,7 +26,7 @@
 		Copy:        func(_ context.Context, _ string, parcel batch.Parcel) error { return copies.Put(parcel) },
 		Gone:        func(string) bool { return false },
 		MinInterval: 250, BytesPerSecond: 1500, SaveInterval: 10 * clock.Second, SaveCount: 100,
-		MaxBytes: 1 << 20, CallTimeout: clock.Second,
+		MaxBytes: 1 << 20, CallTimeout: clock.Second, CopyTimeout: clock.Second,
 	})
 	owner.Step(ctx) // cuts and copies; the owner dies before it saves
 
--- a/coord/batch/owner.go
+++ b/coord/batch/owner.go
@@ -43,8 +43,9 @@
 	// MaxBytes bounds the payloads that wait for the table. From half of it
 	// on the interval between cuts doubles.
 	MaxBytes int
-	// CallTimeout bounds one call of a peer or of the table.
+	// CallTimeout bounds one call of the table, CopyTimeout one of a peer.
 	CallTimeout clock.Millis
+	CopyTimeout clock.Millis
 	// Observe is told of failures; it may be nil.
 	Observe func(what string, err error)
 }
@@ -63,6 +64,8 @@
 	outbox *Outbox
 	// full holds until when a peer is not asked again after ErrFull.
 	full map[string]clock.Millis
+	// busy are the peers that have not answered the last parcel.
+	busy map[string]bool
 	// saving is held while batches are being saved, so that each batch is in
 	// one transaction at a time.
 	saving sync.Mutex
@@ -70,7 +73,7 @@
 
 // NewOwner returns an Owner.
 func NewOwner(cfg OwnerConfig) *Owner {
-	return &Owner{cfg: cfg, outbox: NewOutbox(cfg.Incarnation), full: make(map[string]clock.Millis)}
+	return &Owner{cfg: cfg, outbox: NewOutbox(cfg.Incarnation), full: make(map[string]clock.Millis), busy: make(map[string]bool)}
 }
 
 // Run cuts, copies and saves until ctx ends. Call Flush after that.
@@ -82,8 +85,10 @@
 }
 
 func (o *Owner) copyLoop(ctx context.Context) error {
+	var sending sync.WaitGroup
+	defer sending.Wait()
 	for {
-		sent := o.Step(ctx)
+		sent := o.launch(ctx, &sending)
 		if err := o.cfg.Clock.Sleep(ctx, o.interval(sent)); err != nil {
 			return err
 		}
@@ -122,25 +127,42 @@
 	}
 }
 
-// Step cuts a batch and sends the parcels that are due. It returns the bytes of
-// the payloads sent.
+// Step cuts a batch, sends the parcels that are due and waits for the answers. It
+// returns the bytes of the payloads sent.
 func (o *Owner) Step(ctx context.Context) (sent int) {
+	var sending sync.WaitGroup
+	sent = o.launch(ctx, &sending)
+	sending.Wait()
+	return sent
+}
+
+// launch cuts a batch and begins to send the parcels that are due. A peer that has
+// not answered the last one gets none, and holds up nobody else's.
+func (o *Owner) launch(ctx context.Context, sending *sync.WaitGroup) (sent int) {
 	o.cut()
-	parcels := o.parcels()
-	var group errgroup.Group
-	for peer, parcel := range parcels {
+	for peer, parcel := range o.parcels() {
 		for _, payload := range parcel.Payloads {
 			sent += len(payload)
 		}
-		group.Go(func() error {
-			o.send(ctx, peer, parcel)
-			return nil
-		})
+		sending.Add(1)
+		go (&delivery{owner: o, peer: peer, parcel: parcel, done: sending}).run(ctx)
 	}
-	_ = group.Wait()
 	return sent
 }
 
+// delivery sends one parcel to one peer.
+type delivery struct {
+	owner  *Owner
+	peer   string
+	parcel Parcel
+	done   *sync.WaitGroup
+}
+
+func (d *delivery) run(ctx context.Context) {
+	defer d.done.Done()
+	d.owner.send(ctx, d.peer, d.parcel)
+}
+
 func (o *Owner) cut() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -160,7 +182,15 @@
 			o.outbox.Forget(peer)
 		}
 	}
-	return o.outbox.Parcels(o.askable(), maxParcelBytes)
+	parcels := o.outbox.Parcels(o.askable(), maxParcelBytes)
+	for peer := range parcels {
+		if o.busy[peer] {
+			delete(parcels, peer)
+			continue
+		}
+		o.busy[peer] = true
+	}
+	return parcels
 }
 
 // askable returns the peers that are wanted and have not said that they are full.
@@ -176,12 +206,13 @@
 }
 
 func (o *Owner) send(ctx context.Context, peer string, parcel Parcel) {
-	ctx, cancel := context.WithTimeout(ctx, o.cfg.CallTimeout.Duration())
+	ctx, cancel := context.WithTimeout(ctx, o.cfg.CopyTimeout.Duration())
 	defer cancel()
 	err := o.cfg.Copy(ctx, peer, parcel)
 	o.observe("copy", err)
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	delete(o.busy, peer)
 	switch {
 	case err == nil:
 		o.outbox.Delivered(peer, parcel)
--- a/coord/window/window_test.go
+++ b/coord/window/window_test.go
@@ -289,7 +289,7 @@
 		Copy:  func(_ context.Context, _ string, parcel batch.Parcel) error { return w.copies.Put(parcel) },
 		Gone:  func(string) bool { return false },
 		// The loops do not run; the intervals are not used.
-		SaveCount: 5, MaxBytes: 1 << 20, CallTimeout: clock.Second,
+		SaveCount: 5, MaxBytes: 1 << 20, CallTimeout: clock.Second, CopyTimeout: clock.Second,
 	}))
 }
 
--- a/internal/usage/replicate/replicate.go
+++ b/internal/usage/replicate/replicate.go
@@ -48,6 +48,7 @@
 	saveInterval   = 10 * clock.Second
 	saveCount      = 200
 	callTimeout    = 2 * clock.Second
+	copyTimeout    = clock.Second
 	// ownBytes bounds the batches of this daemon that wait for the table,
 	// copyBytes the copies of others'.
 	ownBytes  = 8 << 20
@@ -137,7 +138,7 @@
 		Table: cfg.Table, Clock: cfg.Clock, Prefix: BatchPrefix, Incarnation: cfg.Incarnation,
 		Cut: cfg.Cut, Peers: r.peers, Copy: r.copy, Gone: r.gone,
 		MinInterval: minInterval, BytesPerSecond: bytesPerSecond, SaveInterval: saveInterval, SaveCount: saveCount,
-		MaxBytes: ownBytes, CallTimeout: callTimeout, Observe: r.failed,
+		MaxBytes: ownBytes, CallTimeout: callTimeout, CopyTimeout: copyTimeout, Observe: r.failed,
 	})
 	r.copies = batch.NewCopies(batch.CopiesConfig{
 		Table: cfg.Table, Clock: cfg.Clock, Prefix: BatchPrefix, Alive: r.alive, Grace: grace, Silence: silence,
