Add failures of the store that meet instead of replacing one another

Two failures of the store at once ended when the first did. They now add up. A minute's outage can be asked for, the share of model requests served in and outside outages is reported, and a bill that is too small names the calls that ended shortly before their daemon.

--- a/internal/bench/check/check.go
+++ b/internal/bench/check/check.go
@@ -85,7 +85,7 @@
 func (o *Options) complete() error {
 	switch {
 	case len(o.Faults) == 1 && o.Faults[0] == "all":
-		o.Faults = names()
+		o.Faults = usual()
 	case len(o.Faults) == 1 && o.Faults[0] == "none":
 		o.Faults = nil
 	}
--- a/internal/bench/check/check_test.go
+++ b/internal/bench/check/check_test.go
@@ -49,7 +49,7 @@
 		faults int
 		fails  bool
 	}{
-		{"all", Options{Faults: []string{"all"}}, len(faults()), false},
+		{"all", Options{Faults: []string{"all"}}, len(usual()), false},
 		{"none", Options{Faults: []string{"none"}}, 0, false},
 		{"some", Options{Faults: []string{"kill", "rolling"}}, 2, false},
 		{"unknown fault", Options{Faults: []string{"kil"}}, 0, true},
--- a/internal/bench/check/checker.go
+++ b/internal/bench/check/checker.go
@@ -9,6 +9,7 @@
 	"github.com/banyanshift/banyanshift/internal/bench/rig"
 	"github.com/banyanshift/banyanshift/internal/bench/verdict"
 	"github.com/banyanshift/banyanshift/internal/standin/load"
+	"github.com/banyanshift/banyanshift/internal/standin/platform"
 )
 
 // checker brings about the failures of one run.
@@ -19,15 +20,18 @@
 
 	mu sync.Mutex
 	// busy holds the daemons that a failure has taken.
-	busy    map[string]bool
-	number  int
-	wg      sync.WaitGroup
-	started clock.Millis
+	busy map[string]bool
+	// platform holds what each failure does to the platform's services.
+	platform map[platform.Service]map[*strike]platform.Fault
+	number   int
+	wg       sync.WaitGroup
+	started  clock.Millis
 }
 
 // check sends the load under the schedule and judges the run.
 func (c *checker) check(ctx context.Context) (verdict.Report, error) {
 	c.busy = make(map[string]bool)
+	c.platform = make(map[platform.Service]map[*strike]platform.Fault)
 	c.started = c.rig.Clock.Now()
 	duration := clock.FromDuration(c.opts.Duration)
 	sending, stop := context.WithTimeout(ctx, c.opts.Duration)
--- a/internal/bench/check/faults.go
+++ b/internal/bench/check/faults.go
@@ -22,32 +22,37 @@
 	shortest clock.Millis
 	longest  clock.Millis
 	act      func(ctx context.Context, s *strike) error
+	// alone faults come once, and only when they are asked for.
+	alone bool
 }
 
 // faults returns all kinds of failure.
 func faults() []fault {
 	return []fault{
-		{"burst", 4 * clock.Second, 10 * clock.Second, burst},
-		{"straggler", 5 * clock.Second, 12 * clock.Second, straggler},
-		{"crash", 2 * clock.Second, 5 * clock.Second, crash},
-		{"lagging-loads", 5 * clock.Second, 12 * clock.Second, laggingLoads},
-		{"bad-answers", 4 * clock.Second, 8 * clock.Second, badAnswers},
-		{"cut-endpoint", 1 * clock.Second, 4 * clock.Second, cutEndpoint},
-		{"withdraw", 0, 0, withdraw},
-		{"reclaim", 4 * clock.Second, 8 * clock.Second, reclaim},
-		{"store-down", 4 * clock.Second, 15 * clock.Second, storeDown},
-		{"store-slow", 4 * clock.Second, 12 * clock.Second, storeSlow},
-		{"store-lost", 4 * clock.Second, 12 * clock.Second, storeLost},
-		{"pause-holder", 3 * clock.Second, 15 * clock.Second, pauseHolder},
-		{"operators", 0, 0, racingOperators},
-		{"scale", 0, 0, scale},
-		{"partition", 4 * clock.Second, 12 * clock.Second, partition},
-		{"cut-off", 4 * clock.Second, 12 * clock.Second, cutOff},
-		{"kill", 0, 2 * clock.Second, kill},
-		{"rolling", 0, 0, rolling},
+		{"burst", 4 * clock.Second, 10 * clock.Second, burst, false},
+		{"straggler", 5 * clock.Second, 12 * clock.Second, straggler, false},
+		{"crash", 2 * clock.Second, 5 * clock.Second, crash, false},
+		{"lagging-loads", 5 * clock.Second, 12 * clock.Second, laggingLoads, false},
+		{"bad-answers", 4 * clock.Second, 8 * clock.Second, badAnswers, false},
+		{"cut-endpoint", 1 * clock.Second, 4 * clock.Second, cutEndpoint, false},
+		{"withdraw", 0, 0, withdraw, false},
+		{"reclaim", 4 * clock.Second, 8 * clock.Second, reclaim, false},
+		{"store-down", 4 * clock.Second, 15 * clock.Second, storeDown, false},
+		{"store-slow", 4 * clock.Second, 12 * clock.Second, storeSlow, false},
+		{"store-lost", 4 * clock.Second, 12 * clock.Second, storeLost, false},
+		{"pause-holder", 3 * clock.Second, 15 * clock.Second, pauseHolder, false},
+		{"operators", 0, 0, racingOperators, false},
+		{"scale", 0, 0, scale, false},
+		{"partition", 4 * clock.Second, 12 * clock.Second, partition, false},
+		{"cut-off", 4 * clock.Second, 12 * clock.Second, cutOff, false},
+		{"kill", 0, 2 * clock.Second, kill, false},
+		{"rolling", 0, 0, rolling, false},
+		{"long-outage", clock.Minute, clock.Minute, storeDown, true},
 	}
 }
 
+// names returns the names of all faults, usual those of the faults that a
+// check has when none are named.
 func names() []string {
 	var all []string
 	for _, f := range faults() {
@@ -56,6 +61,16 @@
 	return all
 }
 
+func usual() []string {
+	var all []string
+	for _, f := range faults() {
+		if !f.alone {
+			all = append(all, f.name)
+		}
+	}
+	return all
+}
+
 func faultNamed(name string) (fault, bool) {
 	for _, f := range faults() {
 		if f.name == name {
@@ -210,22 +225,38 @@
 	return err
 }
 
-// store sets a fault of the table and object store for a while.
+// store sets a fault of some of the platform's services for a while, on top
+// of those that are in force.
 func (s *strike) store(ctx context.Context, f platform.Fault, services ...platform.Service) error {
-	set := func(f platform.Fault) error {
-		for _, service := range services {
-			f.Service = service
-			if err := s.rig.Platform(ctx, http.MethodPost, "/control/fault", f, nil); err != nil {
-				return err
-			}
-		}
-		return nil
-	}
-	if err := set(f); err != nil {
+	if err := s.stack(ctx, s, f, services); err != nil {
 		return err
 	}
 	s.hold(ctx)
-	return set(platform.Fault{})
+	return s.stack(ctx, s, platform.Fault{}, services)
+}
+
+// stack replaces what a strike does to services and puts the sum of all
+// strikes in force.
+func (c *checker) stack(ctx context.Context, by *strike, f platform.Fault, services []platform.Service) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, service := range services {
+		if c.platform[service] == nil {
+			c.platform[service] = make(map[*strike]platform.Fault)
+		}
+		c.platform[service][by] = f
+		sum := platform.Fault{Service: service}
+		for _, other := range c.platform[service] {
+			sum.Down = sum.Down || other.Down
+			sum.Slow = max(sum.Slow, other.Slow)
+			sum.LoseAnswers = max(sum.LoseAnswers, other.LoseAnswers)
+			sum.LoseCalls = max(sum.LoseCalls, other.LoseCalls)
+		}
+		if err := c.rig.Platform(ctx, http.MethodPost, "/control/fault", sum, nil); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func storeDown(ctx context.Context, s *strike) error {
@@ -234,7 +265,11 @@
 		s.say("with all services of the platform")
 		services = append(services, platform.VMList, platform.Order, platform.Usage)
 	}
-	return s.store(ctx, platform.Fault{Down: true}, services...)
+	outage := verdict.Outage{From: s.rig.Clock.Wall()}
+	err := s.store(ctx, platform.Fault{Down: true}, services...)
+	outage.To = s.rig.Clock.Wall()
+	s.record(func(in *verdict.Input) { in.Outages = append(in.Outages, outage) })
+	return err
 }
 
 func storeSlow(ctx context.Context, s *strike) error {
--- a/internal/bench/check/schedule.go
+++ b/internal/bench/check/schedule.go
@@ -33,15 +33,18 @@
 	span := max(clock.Second, duration-startMargin-endMargin)
 	chosen := slices.Clone(faults)
 	for range int(span / repeatEvery) {
-		chosen = append(chosen, faults[random.IntN(len(faults))])
+		if f := faults[random.IntN(len(faults))]; !f.alone {
+			chosen = append(chosen, f)
+		}
 	}
 	events := make([]event, 0, len(chosen))
 	for _, f := range chosen {
 		length := f.shortest + clock.Millis(random.Int64N(int64(f.longest-f.shortest)+1))
-		events = append(events, event{
-			At:     startMargin + clock.Millis(random.Int64N(int64(span))),
-			Length: length, Fault: f, Seed: random.Uint64(),
-		})
+		at := startMargin + clock.Millis(random.Int64N(int64(span)))
+		if f.alone {
+			at = startMargin
+		}
+		events = append(events, event{At: at, Length: length, Fault: f, Seed: random.Uint64()})
 	}
 	slices.SortFunc(events, func(a, b event) int { return int(a.At - b.At) })
 	return events
--- a/internal/bench/verdict/report.go
+++ b/internal/bench/verdict/report.go
@@ -74,6 +74,10 @@
 	// LastRunAfterAsking is LastRunAfterWithdrawal from the moment at which
 	// the withdrawal was sent.
 	LastRunAfterAsking Spread
+	// ServedInOutage and ServedOutside are the shares of model requests that
+	// were completed, of those sent while the store was down and of the rest.
+	ServedInOutage Share
+	ServedOutside  Share
 	// Outcomes counts refusals and errors by code.
 	Outcomes map[string]int
 	// Samples holds one call and message of each of the Outcomes.
@@ -90,6 +94,19 @@
 	withdrawalAskedTimes []clock.Millis
 }
 
+// Share is a part of some requests.
+type Share struct {
+	Requests int
+	Served   int
+}
+
+func (s *Share) add(served bool) {
+	s.Requests++
+	if served {
+		s.Served++
+	}
+}
+
 // Spread describes measured times. P99 and Max are 0 when there are none.
 type Spread struct {
 	Count int
@@ -153,7 +170,22 @@
 		figures := r.Classes[call.Class]
 		figures.add(call, j.firstToken(call))
 		r.Classes[call.Class] = figures
+		j.countOutage(call)
+	}
+}
+
+func (j *judge) countOutage(call *load.Call) {
+	if call.Type != entity.Model {
+		return
+	}
+	into := &j.report.ServedOutside
+	sent := call.Sent()
+	for _, outage := range j.in.Outages {
+		if sent >= outage.From && sent < outage.To {
+			into = &j.report.ServedInOutage
+		}
 	}
+	into.add(call.Outcome() == load.Completed)
 }
 
 // regular says that a call is one that the router should serve.
@@ -264,6 +296,10 @@
 	r.TruncatedAnswers += other.TruncatedAnswers
 	r.UnmarkedRefusals += other.UnmarkedRefusals
 	r.ExposedAtCrash += other.ExposedAtCrash
+	r.ServedInOutage.Requests += other.ServedInOutage.Requests
+	r.ServedInOutage.Served += other.ServedInOutage.Served
+	r.ServedOutside.Requests += other.ServedOutside.Requests
+	r.ServedOutside.Served += other.ServedOutside.Served
 	r.Orders += other.Orders
 	r.Windows += other.Windows
 	r.Spend += other.Spend
--- a/internal/bench/verdict/table.go
+++ b/internal/bench/verdict/table.go
@@ -41,6 +41,8 @@
 	line("Withdrawals\t%d, last run %s after the answer and %s after the request at most",
 		r.LastRunAfterWithdrawal.Count, r.LastRunAfterWithdrawal.Max, r.LastRunAfterAsking.Max)
 	line("Configuration\tin force %s after the answer at most, p99 %s", r.ConfigurationInForce.Max, r.ConfigurationInForce.P99)
+	line("Model requests served\t%d of %d in store outages, %d of %d outside",
+		r.ServedInOutage.Served, r.ServedInOutage.Requests, r.ServedOutside.Served, r.ServedOutside.Requests)
 	line("Usage windows\t%d reports", r.Windows)
 	line("Endpoint orders\t%d given", r.Orders)
 	line("")
--- a/internal/bench/verdict/usage.go
+++ b/internal/bench/verdict/usage.go
@@ -45,11 +45,33 @@
 		}
 		got := billed[key]
 		if problem := limits.check(got); problem != "" {
-			j.violated(&j.report.Violations.UsageMismatches, "UsageMismatches", "team %q, back end %s: %s", key.team, key.backend, problem)
+			j.violated(&j.report.Violations.UsageMismatches, "UsageMismatches", "team %q, back end %s: %s%s", key.team, key.backend, problem, j.beforeExits(key))
 		}
 	}
 }
 
+// hintSpan is how long before a daemon's end its calls are named beside a bill
+// that is too small.
+const hintSpan = 8 * clock.Second
+
+// beforeExits names the calls of an account that ended shortly before their
+// daemon did.
+func (j *judge) beforeExits(key account) string {
+	hint := ""
+	for _, call := range j.in.Calls {
+		if call.Team != key.team || call.Backend != key.backend || call.Outcome() != load.Completed {
+			continue
+		}
+		for _, attempt := range call.Attempts() {
+			exit, ended := j.exits[attempt.Daemon]
+			if ended && attempt.Outcome == load.Completed && attempt.Ended < exit.Ended && attempt.Ended > exit.Ended-hintSpan {
+				hint += fmt.Sprintf("; %s ended %s before %s", call.Nonce, exit.Ended-attempt.Ended, exit.Daemon)
+			}
+		}
+	}
+	return hint
+}
+
 func (b bounds) check(got amount) string {
 	switch {
 	case got.requests < b.least.requests || got.requests > b.most.requests:
--- a/internal/bench/verdict/verdict.go
+++ b/internal/bench/verdict/verdict.go
@@ -106,6 +106,12 @@
 	To       clock.Millis
 }
 
+// Outage is a span in which the platform's store was down.
+type Outage struct {
+	From clock.Millis
+	To   clock.Millis
+}
+
 // Race is what came of two operators who wrote the same entity at the same
 // time, each expecting that it did not exist.
 type Race struct {
@@ -129,6 +135,7 @@
 	Changes     []Change
 	Races       []Race
 	Cuts        []Cut
+	Outages     []Outage
 	// Started and Ended bound the run.
 	Started clock.Millis
 	Ended   clock.Millis
