Keep cutting usage while old batches get new copies

Change: only the new batch and its copies count for the time to the next cut.

TestNewCopiesOfOldBatchesDelayNoCut: 180 ms to the next cut with 50 old batches.

--- a/coord/batch/batch_test.go
+++ b/coord/batch/batch_test.go
@@ -335,6 +335,24 @@
 	}
 }
 
+// TestNewCopiesOfOldBatchesDelayNoCut has a peer replaced while much is unsaved.
+func TestNewCopiesOfOldBatchesDelayNoCut(t *testing.T) {
+	r, ctx := newRig(t, nil), context.Background()
+	var sending sync.WaitGroup
+	for range 50 {
+		r.owner.Step(ctx)
+	}
+	r.targets = []string{"p2", "p3"}
+	bytes := r.owner.launch(ctx, &sending)
+	sending.Wait()
+	if r.peers["p3"].Bytes() != 51*9 {
+		t.Fatalf("p3 has %d bytes", r.peers["p3"].Bytes())
+	}
+	if got := r.owner.interval(bytes); got != 180 { // 9 bytes to each of 2 at 100 a second
+		t.Errorf("next cut after %v", got)
+	}
+}
+
 func TestRowKey(t *testing.T) {
 	b := Batch{Incarnation: "region/a.1", Sequence: 7}
 	incarnation, sequence, err := ParseRowKey(prefix, b.RowKey(prefix))
--- a/coord/batch/owner.go
+++ b/coord/batch/owner.go
@@ -32,7 +32,8 @@
 	// Gone reports whether a peer has died together with its copies.
 	Gone func(peer string) bool
 	// MinInterval is the least time between two cuts. BytesPerSecond bounds
-	// what is sent to peers on average, by waiting longer between cuts.
+	// what new batches and their copies take on average, by waiting longer
+	// between cuts.
 	MinInterval    clock.Millis
 	BytesPerSecond int
 	// SaveInterval is the time between two transactions; it halves while
@@ -88,15 +89,15 @@
 	var sending sync.WaitGroup
 	defer sending.Wait()
 	for {
-		sent := o.launch(ctx, &sending)
-		if err := o.cfg.Clock.Sleep(ctx, o.interval(sent)); err != nil {
+		bytes := o.launch(ctx, &sending)
+		if err := o.cfg.Clock.Sleep(ctx, o.interval(bytes)); err != nil {
 			return err
 		}
 	}
 }
 
-func (o *Owner) interval(sent int) clock.Millis {
-	interval := max(o.cfg.MinInterval, clock.Millis(sent)*clock.Second/clock.Millis(o.cfg.BytesPerSecond))
+func (o *Owner) interval(bytes int) clock.Millis {
+	interval := max(o.cfg.MinInterval, clock.Millis(bytes)*clock.Second/clock.Millis(o.cfg.BytesPerSecond))
 	if o.Bytes() > o.cfg.MaxBytes/2 {
 		interval *= 2
 	}
@@ -127,27 +128,24 @@
 	}
 }
 
-// Step cuts a batch, sends the parcels that are due and waits for the answers. It
-// returns the bytes of the payloads sent.
-func (o *Owner) Step(ctx context.Context) (sent int) {
+// Step cuts a batch, sends the parcels that are due and waits for the answers.
+func (o *Owner) Step(ctx context.Context) {
 	var sending sync.WaitGroup
-	sent = o.launch(ctx, &sending)
+	o.launch(ctx, &sending)
 	sending.Wait()
-	return sent
 }
 
 // launch cuts a batch and begins to send the parcels that are due. A peer that has
-// not answered the last one gets none, and holds up nobody else's.
-func (o *Owner) launch(ctx context.Context, sending *sync.WaitGroup) (sent int) {
-	o.cut()
+// not answered the last one gets none, and holds up nobody else's. It returns the
+// bytes that the new batch takes with all its copies. Older batches that get
+// another copy, since a peer is gone, do not count: cutting must not wait for them.
+func (o *Owner) launch(ctx context.Context, sending *sync.WaitGroup) (bytes int) {
+	size := o.cut()
 	for peer, parcel := range o.parcels() {
-		for _, payload := range parcel.Payloads {
-			sent += len(payload)
-		}
 		sending.Add(1)
 		go (&delivery{owner: o, peer: peer, parcel: parcel, done: sending}).run(ctx)
 	}
-	return sent
+	return size * len(o.cfg.Peers())
 }
 
 // delivery sends one parcel to one peer.
@@ -163,15 +161,19 @@
 	d.owner.send(ctx, d.peer, d.parcel)
 }
 
-func (o *Owner) cut() {
+// cut makes a batch of what there is and returns its size.
+func (o *Owner) cut() (size int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.outbox.Bytes() >= o.cfg.MaxBytes {
-		return
+		return 0
 	}
-	if payload, ok := o.cfg.Cut(); ok {
-		o.outbox.Add(payload)
+	payload, ok := o.cfg.Cut()
+	if !ok {
+		return 0
 	}
+	o.outbox.Add(payload)
+	return len(payload)
 }
 
 func (o *Owner) parcels() map[string]Parcel {
