--- a/internal/caller/claim/claim.go
+++ b/internal/caller/claim/claim.go
@@ -128,9 +128,9 @@
 		c.discard(result, err)
 		return Decision{}, ctx.Err()
 	}
-	c.outage.observe(!errors.Is(err, claim.ErrUnavailable))
+	c.observe(err)
 	if err != nil {
-		return c.failed(team, err), nil
+		return c.failed(err), nil
 	}
 	if result.Outcome == claim.Won {
 		claimsWon.Add(1)
@@ -146,7 +146,20 @@
 	}
 }
 
-func (c *Claims) failed(team string, err error) Decision {
+// observe logs when the table stops answering and when it answers again.
+func (c *Claims) observe(err error) {
+	answered := !errors.Is(err, claim.ErrUnavailable)
+	if !c.outage.observe(answered) {
+		return
+	}
+	if answered {
+		eventAvailable.Log(c.cfg.Logger, nil)
+		return
+	}
+	eventUnavailable.Log(c.cfg.Logger, logrus.Fields{"Error": err.Error()})
+}
+
+func (c *Claims) failed(err error) Decision {
 	var reused *claim.ReusedError
 	switch {
 	case errors.As(err, &reused):
@@ -155,7 +168,6 @@
 		return refuse(refusalReleasing())
 	}
 	refusedStoreDown.Add(1)
-	eventUnavailable.Log(c.cfg.Logger, logrus.Fields{"Team": team, "Error": err})
 	return refuse(refusalStoreDown())
 }
 
--- a/internal/caller/claim/claim_test.go
+++ b/internal/caller/claim/claim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -24,11 +25,12 @@
 	store  *claim.Store
 	manual *clock.Manual
 	alive  bool
+	log    *test.Hook
 }
 
 func newDaemon(t *testing.T, memory *table.Memory, name string) *daemon {
 	t.Helper()
-	logger, _ := test.NewNullLogger()
+	logger, hook := test.NewNullLogger()
 	logger.SetLevel(logrus.DebugLevel)
 	store := claim.New(claim.Config{
 		Table: memory.Client(), Clock: clock.System(), Prefix: "Claim/", EpochKey: "ClaimEpoch",
@@ -37,7 +39,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go store.Run(ctx)
-	d := &daemon{store: store, manual: clock.NewManual(0), alive: true}
+	d := &daemon{store: store, manual: clock.NewManual(0), alive: true, log: hook}
 	d.Claims = New(Config{
 		Store: store, Clock: d.manual.Clock(), Logger: logger,
 		OwnerAlive: func(_, _ string) bool { return d.alive },
@@ -190,6 +192,13 @@
 	a.manual.Advance(probeInterval)
 	expect(t, a.begin(t, "k", patient), Run, "", "")
 	expect(t, a.begin(t, "k2", patient), Run, "", "")
+	var events []any
+	for _, entry := range a.log.AllEntries() {
+		events = append(events, entry.Data["Event"])
+	}
+	if fmt.Sprint(events) != "[1900 1902]" { // one each, whatever was refused
+		t.Errorf("events %v", events)
+	}
 }
 
 func TestCallerWhoHasGoneLeavesNoClaim(t *testing.T) {
--- a/internal/caller/claim/outage.go
+++ b/internal/caller/claim/outage.go
@@ -43,16 +43,15 @@
 	return true
 }
 
-// observe takes note of whether the table answered an attempt.
-func (o *outage) observe(answered bool) {
+// observe takes note of whether the table answered an attempt, and reports
+// whether that differs from the attempt before.
+func (o *outage) observe(answered bool) (changed bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if answered {
-		o.failing = false
-		return
-	}
-	if !o.failing {
-		o.failing = true
+	changed = o.failing == answered
+	if changed && !answered {
 		o.since = o.clock.Now()
 	}
+	o.failing = !answered
+	return changed
 }
--- a/internal/usage/replicate/replicate.go
+++ b/internal/usage/replicate/replicate.go
@@ -104,6 +104,8 @@
 	// that could not be reached, with the instant until which that counts.
 	leavers     map[string]bool
 	unreachable map[string]clock.Millis
+	// logged is when a failure of each step was last logged.
+	logged map[string]clock.Millis
 	// ending is set once this daemon ends.
 	ending bool
 }
@@ -133,6 +135,7 @@
 		incarnations: make(map[string]string),
 		leavers:      make(map[string]bool),
 		unreachable:  make(map[string]clock.Millis),
+		logged:       make(map[string]clock.Millis),
 	}
 	r.owner = batch.NewOwner(batch.OwnerConfig{
 		Table: cfg.Table, Clock: cfg.Clock, Prefix: BatchPrefix, Incarnation: cfg.Incarnation,
