--- a/coord/batch/batch.go
+++ b/coord/batch/batch.go
@@ -8,7 +8,9 @@
 // writes it to the table in transactions that carry several batches. When the
 // owner dies, each peer that has copies writes them under the same identity.
 // Whoever comes first writes the row; for the others it is there already. It
-// does no harm when a peer wrongly takes the owner for dead.
+// does no harm when a peer wrongly takes the owner for dead. While the table does
+// not answer, holders of a dead owner's copies pass them on to other peers, and a
+// holder that ends passes on all that it has.
 //
 // Whoever consumes rows and deletes them must remember which identities it has
 // consumed, since a batch may be written again after that. Package window does.
--- a/internal/order/dispatch/dispatch_test.go
+++ b/internal/order/dispatch/dispatch_test.go
@@ -16,6 +16,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/coord/lease"
 	"github.com/banyanshift/banyanshift/coord/table"
 	"github.com/banyanshift/banyanshift/internal/order/hold"
 	"github.com/banyanshift/banyanshift/internal/order/journal"
@@ -93,7 +94,7 @@
 
 // lease writes the lease's row, as a new holder or a renewal does.
 func (w *world) lease(fence uint64) {
-	value, _ := msgpack.Marshal(struct{ Fence uint64 }{fence})
+	value, _ := msgpack.Marshal(lease.Row{Holder: "x", Fence: fence})
 	_ = w.memory.Client().Commit(context.Background(), table.Txn{Writes: []table.Write{{Key: "Lease/r", Value: value}}})
 }
 
--- a/internal/order/hold/hold.go
+++ b/internal/order/hold/hold.go
@@ -31,6 +31,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/coord/lease"
 	"github.com/banyanshift/banyanshift/coord/table"
 )
 
@@ -201,13 +202,13 @@
 		if err != nil {
 			return table.Condition{}, err
 		}
-		var lease struct{ Fence uint64 }
+		var held lease.Row
 		if row.Version != 0 {
-			if err := msgpack.Unmarshal(row.Value, &lease); err != nil {
+			if err := msgpack.Unmarshal(row.Value, &held); err != nil {
 				return table.Condition{}, err
 			}
 		}
-		if lease.Fence != fence {
+		if held.Fence != fence {
 			return table.Condition{}, ErrPassedOn
 		}
 		return table.Condition{Key: key, Version: row.Version}, nil
--- a/internal/order/hold/hold_test.go
+++ b/internal/order/hold/hold_test.go
@@ -12,6 +12,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/coord/lease"
 	"github.com/banyanshift/banyanshift/coord/table"
 )
 
@@ -125,7 +126,7 @@
 func TestGuard(t *testing.T) {
 	memory, ctx := table.NewMemory(), context.Background()
 	guard := Guard(memory.Client(), "Lease/r")
-	value, _ := msgpack.Marshal(struct{ Fence uint64 }{3})
+	value, _ := msgpack.Marshal(lease.Row{Holder: "x", Fence: 3})
 	put := func() error {
 		return memory.Client().Commit(ctx, table.Txn{Writes: []table.Write{{Key: "Lease/r", Value: value}}})
 	}
