--- a/internal/standin/engine/answer.go
+++ b/internal/standin/engine/answer.go
@@ -20,6 +20,7 @@
 
 const (
 	shortestAnswer    = 16
+	longestAnswer     = 1 << 20
 	answerLengthRange = 64
 )
 
@@ -32,7 +33,7 @@
 // Length returns how many tokens the answer to prompt has.
 func Length(prompt string) int {
 	if n, err := strconv.Atoi(directive(prompt, lengthDirective)); err == nil && n > 0 {
-		return n
+		return min(n, longestAnswer)
 	}
 	return shortestAnswer + int(xxhash.Sum64String(prompt)%answerLengthRange)
 }
