--- a/internal/cli/field/field.go
+++ b/internal/cli/field/field.go
@@ -34,6 +34,10 @@
 // listSeparator separates the elements of a list.
 const listSeparator = ","
 
+// unknownInstant is the text of an instant that is not known, such as the start
+// of the first usage window.
+const unknownInstant = "-"
+
 // ErrUnknown says that the message has no such field.
 var ErrUnknown = errors.New("unknown field")
 
@@ -202,6 +206,8 @@
 	switch {
 	case descriptor.Kind() == protoreflect.BytesKind:
 		return hex.EncodeToString(value.Bytes())
+	case strings.HasSuffix(name, instantSuffix) && value.Int() == 0:
+		return unknownInstant
 	case strings.HasSuffix(name, instantSuffix):
 		return time.UnixMilli(value.Int()).UTC().Format(time.RFC3339)
 	case strings.HasSuffix(name, durationSuffix):
