--- a/internal/bench/check/operators.go
+++ b/internal/bench/check/operators.go
@@ -54,7 +54,7 @@
 
 // scale changes how many endpoints of the model's back end have to run, so
 // that the lease holder has orders to give.
-func scale(ctx context.Context, s *strike) error {
+func scale(ctx context.Context, s *strike) (err error) {
 	d := s.pick(s.random, false)
 	if d == nil {
 		return errNoDaemon
@@ -62,6 +62,7 @@
 	wanted := s.rig.Scenario.Backends[0]
 	least := wanted.MinEndpoints + s.random.IntN(wanted.MaxEndpoints-wanted.MinEndpoints)
 	number := s.next()
+	defer func() { s.say("at least %d endpoints of %s: %v", least, wanted.Name, err) }()
 	return s.rig.With(d, func(o *rig.Operator) error {
 		backends := operatorv1.NewBackendsClient(o.Conn())
 		return s.rig.Insist(ctx, o, func(ctx context.Context) error {
@@ -74,7 +75,6 @@
 				RequestID: fmt.Sprintf("scale-%d", number), ExpectedRevision: backend.GetRevision(), Backend: backend,
 			}
 			_, err = backends.Put(ctx, request)
-			s.say("at least %d endpoints of %s: %v", least, wanted.Name, err)
 			return err
 		})
 	})
