--- a/internal/bench/verdict/verdict_test.go
+++ b/internal/bench/verdict/verdict_test.go
@@ -103,6 +103,12 @@
 		{"WithdrawnKeys", func(in *Input) {
 			in.Withdrawals = []Withdrawal{{KeyID: "k", Accepted: at - withdrawalLimit - 10}}
 		}},
+		{"WithdrawnKeys", func(in *Input) {
+			stream := completed()
+			stream.LastToken = at + withdrawalLimit + 10
+			in.Calls = []*load.Call{modelCall("n", "high", stream)}
+			in.Withdrawals = []Withdrawal{{KeyID: "k", Accepted: at + 6}}
+		}},
 		{"OverlappingOrders", func(in *Input) {
 			in.Platform.Orders = []record.Order{{Order: order.Order{ID: "o"}, Overlap: true}}
 		}},
--- a/internal/standin/load/call.go
+++ b/internal/standin/load/call.go
@@ -47,6 +47,8 @@
 	// none did. Tokens counts those received.
 	FirstToken clock.Millis
 	Tokens     int
+	// LastToken is when the last token of a stream came.
+	LastToken clock.Millis
 	// LongestGap is the longest time between two tokens.
 	LongestGap clock.Millis
 	// Detail says what was wrong with the answer.
