Test that a denial does not wait for the store

With the denial at the taker taken out no test failed, since the daemon learned of it again from its peers' checks. The new test fails then: the taker must refuse the key before it asks the store, and all must while the store has not answered. A guard test that hung when its check was taken out now ends.

--- a/coord/guard/guard_test.go
+++ b/coord/guard/guard_test.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
 )
@@ -95,6 +96,7 @@
 		if n != 0 || !errors.Is(err, ErrNotValid) {
 			t.Errorf("%s: wrote %d, %v", name, n, err)
 		}
+		server.SetReadDeadline(time.Now().Add(10 * time.Second))
 		if got, _ := io.ReadAll(server); len(got) > 0 {
 			t.Errorf("%s: peer received %q", name, got)
 		}
--- a/internal/config/follow/follow_test.go
+++ b/internal/config/follow/follow_test.go
@@ -189,6 +189,36 @@
 	}
 }
 
+// The key is refused everywhere, also by the daemon that took the withdrawal,
+// while the store has not answered yet.
+func TestDenialDoesNotWaitForTheStore(t *testing.T) {
+	fl, revision := withKey(t, 2, 2)
+	taker := fl.nodes[1]
+	answer := make(chan struct{})
+	taker.store.mu.Lock()
+	taker.store.after = func(_ table.Txn, err error) error {
+		if !taker.refuses() {
+			t.Error("the taker asked the store before it denied the key")
+		}
+		<-answer
+		return err
+	}
+	taker.store.mu.Unlock()
+	// The others do not see the log either: only the denial can reach them.
+	fl.storeDown(true, fl.nodes[0], fl.nodes[2], fl.nodes[3])
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		fl.mustPropose(taker, "w1", revision, key(true))
+	}()
+	fl.everywhere("key refused", func(n *node) bool { return n.refuses() && n.follower.Pending() == 1 })
+	close(answer)
+	<-done
+	fl.everywhere("settled", func(n *node) bool {
+		return n.refuses() && n.state.Sequence() == revision+1 && n.follower.Pending() == 0
+	})
+}
+
 // A key is never admitted between its denial and its withdrawal.
 func TestNoGapBetweenDenialAndWithdrawal(t *testing.T) {
 	fl, revision := withKey(t, 2, 2)
