--- a/internal/bench/check/check.go
+++ b/internal/bench/check/check.go
@@ -115,8 +115,8 @@
 		return err
 	}
 	defer func() {
-		if !opts.Keep && !errors.Is(err, factory.ErrViolated) {
-			err = errors.Join(err, os.RemoveAll(dir))
+		if !opts.Keep && err == nil {
+			err = os.RemoveAll(dir)
 			return
 		}
 		opts.progress("logs are in %s", dir)
