--- a/internal/bench/check/check.go
+++ b/internal/bench/check/check.go
@@ -13,7 +13,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"os"
 	"strings"
