Give each port of a rig to one process only

Cause: a fleet of 16 daemons did not come up once: 64 ports were drawn at random from 19,000 one after the other, so with some one in ten such fleets two processes got the same port. Change: a rig hands out ports in turn from a random start. Before: 'the daemons did not come up within 1m0s' at 16 daemons. Conclusion: a fault of the rig and not of the daemons.

--- a/internal/bench/rig/daemon.go
+++ b/internal/bench/rig/daemon.go
@@ -48,7 +48,7 @@
 	d = &Daemon{ID: fmt.Sprintf("entry-%d", number)}
 	d.FailureDomain = r.Scenario.Domains[(number-1)%len(r.Scenario.Domains)]
 	for _, address := range []*string{&d.Caller, &d.Operator, &d.Peer, &d.Metrics} {
-		if *address, err = freeAddress(); err != nil {
+		if *address, err = r.ports.address(); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/bench/rig/rig.go
+++ b/internal/bench/rig/rig.go
@@ -18,6 +18,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -74,6 +75,7 @@
 	hosts       []*Process
 	hostURLs    []string
 	operator    string
+	ports       *portPool
 	ctx         context.Context
 	cancel      context.CancelFunc
 
@@ -89,7 +91,7 @@
 // Start starts a deployment and waits until it serves.
 func Start(ctx context.Context, opts Options) (r *Rig, err error) {
 	defer func() { err = oops.Wrapf(err, "start deployment %s", opts.Scenario.Name) }()
-	r = &Rig{Options: opts, Keys: load.NewKeyring(), Balancer: load.NewBalancer("/readyz", opts.Clock)}
+	r = &Rig{Options: opts, Keys: load.NewKeyring(), Balancer: load.NewBalancer("/readyz", opts.Clock), ports: newPortPool()}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.operator = fmt.Sprintf("operator-token-%d", opts.Seed)
 	for _, step := range []func(context.Context) error{
@@ -322,17 +324,33 @@
 	lastPort  = 31000
 )
 
-// freeAddress returns a loopback address that nobody listens on.
-func freeAddress() (string, error) {
+// portPool hands out ports, each once, so that an address which was given to a
+// process that does not listen yet is not given to another.
+type portPool struct {
+	mu   sync.Mutex
+	next int
+}
+
+func newPortPool() *portPool {
+	return &portPool{next: firstPort + rand.IntN(lastPort-firstPort)}
+}
+
+// address returns a loopback address that nobody listens on.
+func (p *portPool) address() (string, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	var config net.ListenConfig
-	for range 1000 {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+	for range lastPort - firstPort {
+		address := fmt.Sprintf("127.0.0.1:%d", p.next)
+		if p.next++; p.next == lastPort {
+			p.next = firstPort
+		}
 		listener, err := config.Listen(context.Background(), "tcp", address)
 		if err == nil {
 			return address, listener.Close()
 		}
 	}
-	return "", fmt.Errorf("no free port on loopback")
+	return "", errors.New("no free port on loopback")
 }
 
 func digest(token string) string {
