Let the queue of a peer connection grow on demand

Cause: each connection allotted a queue of 4,096 frames, 164 KB; with some 740 connections at 370 daemons that is 121 MB of the 128 MB for control. Change: the queue is a slice that grows to the same limit and is handed over whole to the writer. Before: 163,840 bytes a connection (4,096 frames of 40 bytes, by arithmetic).

--- a/internal/peer/link/conn.go
+++ b/internal/peer/link/conn.go
@@ -23,7 +23,7 @@
 	link *Link
 	net  net.Conn
 	peer string
-	out  chan frame.Frame
+	out  *sendQueue
 	done chan struct{}
 	once sync.Once
 
@@ -36,7 +36,7 @@
 	return &conn{
 		link:    l,
 		net:     netConn,
-		out:     make(chan frame.Frame, queueFrames),
+		out:     newSendQueue(),
 		done:    make(chan struct{}),
 		waiting: make(map[uint64]chan frame.Frame),
 	}
@@ -107,12 +107,10 @@
 		return ErrUnreachable
 	default:
 	}
-	select {
-	case c.out <- f:
-		return nil
-	default:
+	if !c.out.push(f) {
 		return ErrQueueFull
 	}
+	return nil
 }
 
 // loop writes queued frames until the connection ends. Frames that wait
@@ -125,29 +123,25 @@
 		select {
 		case <-c.done:
 			return
-		case f := <-c.out:
-			if err := c.writeAll(buffered, f); err != nil {
+		case <-c.out.ready:
+			if err := c.writeAll(buffered, c.out.take()); err != nil {
 				return
 			}
 		}
 	}
 }
 
-func (c *conn) writeAll(w *bufio.Writer, f frame.Frame) error {
+func (c *conn) writeAll(w *bufio.Writer, frames []frame.Frame) error {
 	if err := c.net.SetWriteDeadline(time.Now().Add(writeTimeout.Duration())); err != nil {
 		return err
 	}
-	for {
+	for _, f := range frames {
 		if err := frame.Write(w, f); err != nil {
 			return err
 		}
 		count(f)
-		select {
-		case f = <-c.out:
-		default:
-			return w.Flush()
-		}
 	}
+	return w.Flush()
 }
 
 func count(f frame.Frame) {
--- a/internal/peer/link/link_test.go
+++ b/internal/peer/link/link_test.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/peer/frame"
 	"github.com/banyanshift/banyanshift/internal/peer/message"
 )
 
@@ -157,3 +158,27 @@
 		t.Errorf("got %q, %v", got.Text, err)
 	}
 }
+
+func TestQueueIsBounded(t *testing.T) {
+	q := newSendQueue()
+	for i := range queueFrames {
+		if !q.push(frame.Frame{ID: uint64(i)}) {
+			t.Fatalf("frame %d was refused", i)
+		}
+	}
+	if q.push(frame.Frame{}) {
+		t.Error("the queue takes more than its limit")
+	}
+	taken := q.take()
+	if len(taken) != queueFrames || taken[7].ID != 7 || !q.push(frame.Frame{}) {
+		t.Errorf("took %d frames", len(taken))
+	}
+}
+
+func BenchmarkConnMemory(b *testing.B) {
+	l := New(Config{ID: "a", Listen: "127.0.0.1:0"}, clock.System(), quiet())
+	b.ReportAllocs()
+	for b.Loop() {
+		newConn(l, nil)
+	}
+}
