Believe an engine's own word that it is leaving

The engines' load reports said so at once, but only the broker of a cell read them, and nobody looked at the field. Change: a daemon that decides for itself reads the reports of the endpoints too, and an engine's own word counts as news and is passed on. Ruled out: a shorter interval of the platform's list, which those daemons do not reach at all. Conclusion: whichever source hears first now includes the endpoint itself.

--- a/internal/endpoint/engine/engine.go
+++ b/internal/endpoint/engine/engine.go
@@ -47,6 +47,8 @@
 	TokensPerSecond float64
 	// Sequence grows with each report.
 	Sequence uint64
+	// Leaving says that the engine has been told that it is taken away.
+	Leaving bool
 }
 
 // CacheEvent says that a prefix has entered or left an engine's cache.
--- a/internal/endpoint/watch/reporter.go
+++ b/internal/endpoint/watch/reporter.go
@@ -61,6 +61,9 @@
 		return
 	}
 	r.watcher.config.OnLoad(r.endpoint, load)
+	if load.Leaving {
+		r.watcher.noteLeaving(News{EndpointID: r.endpoint.ID, Incarnation: r.endpoint.Incarnation})
+	}
 }
 
 func (r *reporter) readCacheEvents(ctx context.Context) {
--- a/internal/endpoint/watch/watch.go
+++ b/internal/endpoint/watch/watch.go
@@ -12,7 +12,8 @@
 //
 // Load reports and cache events are read only from the endpoints that the
 // daemon schedules for, so that the number of readers of an endpoint does not
-// grow with the number of daemons.
+// grow with the number of daemons. A daemon that is cut off from everybody but
+// the endpoints hears there that one is leaving.
 //
 // # Usage
 //
@@ -158,11 +159,23 @@
 		w.config.OnEndpoints(endpoints)
 	}
 	for _, leaving := range news {
-		eventLeaving.Log(w.config.Logger, logrus.Fields{"Endpoint": leaving.EndpointID, "ReclaimIn": leaving.ReclaimIn.String()})
-		w.config.Broadcast(leaving)
+		w.tell(leaving)
 	}
 }
 
+// noteLeaving takes an engine's own word that it is leaving.
+func (w *Watcher) noteLeaving(news News) {
+	if w.Hear(news) {
+		w.tell(news)
+	}
+}
+
+// tell logs news and passes them on to peers.
+func (w *Watcher) tell(news News) {
+	eventLeaving.Log(w.config.Logger, logrus.Fields{"Endpoint": news.EndpointID, "ReclaimIn": news.ReclaimIn.String()})
+	w.config.Broadcast(news)
+}
+
 // note logs when reading the list begins and ceases to fail.
 func (w *Watcher) note(err error) {
 	w.mu.Lock()
--- a/internal/endpoint/watch/watch_test.go
+++ b/internal/endpoint/watch/watch_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/config/entity"
+	"github.com/banyanshift/banyanshift/internal/endpoint/engine"
 )
 
 type rig struct {
@@ -153,3 +154,25 @@
 		t.Errorf("%d endpoints", len(w.Endpoints()))
 	}
 }
+
+func TestEnginesOwnWordIsBelievedAndPassedOn(t *testing.T) {
+	r := &rig{listed: []entity.Endpoint{{ID: "e", Incarnation: "1"}}}
+	w := r.watcher()
+	loads := 0
+	w.config.Load = func(context.Context, entity.Endpoint) (engine.Load, error) {
+		loads++
+		return engine.Load{Leaving: loads > 1}, nil
+	}
+	w.config.OnLoad = func(entity.Endpoint, engine.Load) {}
+	w.refresh(t.Context())
+	reports := &reporter{watcher: w, endpoint: r.listed[0]}
+	reports.readLoad(t.Context())
+	if r.leaving(t) {
+		t.Fatal("leaving before the engine said so")
+	}
+	reports.readLoad(t.Context())
+	reports.readLoad(t.Context())
+	if !r.leaving(t) || len(r.told) != 1 {
+		t.Errorf("leaving %v, told %v", r.leaving(t), r.told)
+	}
+}
--- a/internal/peer/broker/broker.go
+++ b/internal/peer/broker/broker.go
@@ -257,13 +257,11 @@
 	b.tellLeaving(endpoint, incarnation)
 }
 
-// Decides reports whether this daemon is the broker of the endpoint's cell, so
-// that the endpoint's reports are of use here.
+// Decides reports whether this daemon decides over the endpoint now, as the
+// broker of its cell or for itself while that does not answer, so that the
+// endpoint's reports are of use here.
 func (b *Broker) Decides(endpoint string) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	key, known := b.cellOf[endpoint]
-	return known && b.hosts[key] != nil
+	return len(b.hostsOf(endpoint)) > 0
 }
 
 // hostsOf returns the hosts in this daemon that decide over an endpoint.
