Read the platform's lists less often in large fleets

Cause: by their length the lists break the budget of 3 KB a second at the planned size: 370 VMs of some 120 bytes each 5 s are 8.9 KB a second for each daemon, 3,300 endpoints of some 200 bytes each second 660 KB a second for each relay (arithmetic). Change: the list of VMs is read each 0.1 s times its length, at least 5 s, that of endpoints by relays each 2 ms times its length, at least 1 s. Probes carry the news of VMs; engines' own word, load reports and peers those of endpoints. After (arithmetic): 1.2 KB a second for each daemon, 100 KB a second for each of 28 relays.

--- a/internal/bench/slope/measure.go
+++ b/internal/bench/slope/measure.go
@@ -16,6 +16,8 @@
 
 const (
 	mebibyte = 1 << 20
+	// tinyWeights lets many endpoints start at once.
+	tinyWeights = "1024"
 	// percent turns a share of a core into percents.
 	percent = 100
 )
@@ -46,7 +48,7 @@
 	}
 	r, err := rig.Start(ctx, rig.Options{
 		Banyanshift: b.program, Banyanbench: b.self, Dir: dir, Scenario: s, Daemons: daemons, Seed: 1,
-		LogLevel: "warning", Clock: b.Factory.Clock,
+		LogLevel: "warning", EngineFlags: []string{"--weight-bytes", tinyWeights}, Clock: b.Factory.Clock,
 	})
 	if err != nil {
 		return err
--- a/internal/endpoint/watch/watch.go
+++ b/internal/endpoint/watch/watch.go
@@ -35,8 +35,11 @@
 )
 
 const (
-	// listInterval is how often the platform's list is read.
+	// listInterval is how often the list is read.
 	listInterval = 1 * clock.Second
+	// relayIntervalPerEndpoint lengthens the interval at which relays read
+	// the platform's list when it is long.
+	relayIntervalPerEndpoint = 2 * clock.Millisecond
 	// reportInterval is how often an endpoint's load and cache events are read.
 	reportInterval = 500 * clock.Millisecond
 	// callTimeout bounds one call.
@@ -109,13 +112,25 @@
 func (w *Watcher) Run(ctx context.Context) error {
 	for {
 		w.refresh(ctx)
-		jitter := clock.Millis(w.config.Random.Int64N(int64(listInterval / 4)))
-		if err := w.config.Clock.Sleep(ctx, listInterval-jitter); err != nil {
+		interval := w.interval()
+		jitter := clock.Millis(w.config.Random.Int64N(int64(interval / 4)))
+		if err := w.config.Clock.Sleep(ctx, interval-jitter); err != nil {
 			return err
 		}
 	}
 }
 
+// interval returns the time until the list is read again. A check of a relay
+// is cheap however long the list is.
+func (w *Watcher) interval() clock.Millis {
+	if !w.config.IsRelay() {
+		return listInterval
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return max(listInterval, relayIntervalPerEndpoint*clock.Millis(len(w.listed)))
+}
+
 // Endpoints returns the endpoints as known now, leaving ones marked.
 func (w *Watcher) Endpoints() []entity.Endpoint {
 	w.mu.Lock()
--- a/internal/peer/membership/membership.go
+++ b/internal/peer/membership/membership.go
@@ -42,6 +42,9 @@
 	listInterval      = 5 * clock.Second
 	firstListInterval = 500 * clock.Millisecond
 	firstListPeriod   = 10 * clock.Second
+	// listIntervalPerMember lengthens the interval in large fleets, where the
+	// list is long and probes carry the news.
+	listIntervalPerMember = 100 * clock.Millisecond
 	// listTimeout bounds one read of the list.
 	listTimeout = 3 * clock.Second
 	// leavePeers is how many members are told of a leave at once; the news
@@ -166,7 +169,7 @@
 	begun := m.config.Clock.Now()
 	for {
 		m.readList(ctx)
-		interval := listInterval
+		interval := max(listInterval, listIntervalPerMember*clock.Millis(len(m.View())))
 		if m.config.Clock.Now()-begun < firstListPeriod {
 			interval = firstListInterval
 		}
