Doubt a broker that flaps for longer; gather progress for a second

Progress entries cost up to 380 bytes a second for each running request. Change: after a loss the broker's answers count as its return only after 0.2 s, doubling to 5 s with each loss within 3 s of a return; until then the daemon uses its own share of the slots. Progress is gathered for 1 s. After: TestTrustIsWithdrawnLongerFromABrokerThatFlaps; at most 38 bytes a second for each running request (arithmetic over TestBytesOfARequest).

--- a/internal/peer/broker/broker.go
+++ b/internal/peer/broker/broker.go
@@ -71,7 +71,7 @@
 	// DefaultHoldFor is how long a new broker waits for announcements.
 	DefaultHoldFor = 300 * clock.Millisecond
 	// DefaultProgressEvery is how long generated tokens are gathered.
-	DefaultProgressEvery = 100 * clock.Millisecond
+	DefaultProgressEvery = 1 * clock.Second
 	// DefaultHeartbeatEvery is how often a daemon with requests at a broker
 	// shows that it is alive.
 	DefaultHeartbeatEvery = 500 * clock.Millisecond
--- a/internal/peer/broker/peer.go
+++ b/internal/peer/broker/peer.go
@@ -203,7 +203,7 @@
 		return false
 	}
 	if s.down {
-		return true
+		return s.trust.returned(b.deps.Clock.Now())
 	}
 	s.epoch = result.Epoch
 	if result.Resync && !sent.Announce {
--- a/internal/peer/broker/session.go
+++ b/internal/peer/broker/session.go
@@ -21,6 +21,45 @@
 	down   bool
 	events []entryEvent
 	sent   clock.Millis
+	// trust says from when on a broker that is down is believed again.
+	trust trust
+}
+
+const (
+	// firstDoubt is for how long a broker that was lost is not believed, and
+	// longestDoubt for how long at most. It doubles with each loss that comes
+	// within steadyFor of the broker's return.
+	firstDoubt   = 200 * clock.Millisecond
+	longestDoubt = 5 * clock.Second
+	steadyFor    = 3 * clock.Second
+)
+
+// trust keeps a daemon from going back and forth between a broker that answers
+// only now and then and its own share.
+type trust struct {
+	doubt    clock.Millis
+	from     clock.Millis
+	regained clock.Millis
+}
+
+// lost notes that the broker was lost.
+func (t *trust) lost(now clock.Millis) {
+	if t.doubt == 0 || now-t.regained >= steadyFor {
+		t.doubt = firstDoubt
+	} else {
+		t.doubt = min(2*t.doubt, longestDoubt)
+	}
+	t.from = now + t.doubt
+}
+
+// returned reports whether an answer at the instant counts as the broker's
+// return.
+func (t *trust) returned(now clock.Millis) bool {
+	if now < t.from {
+		return false
+	}
+	t.regained = now
+	return true
 }
 
 // maxEvents bounds the events that wait for a broker; beyond it everything is
@@ -95,12 +134,14 @@
 // not answer.
 func (b *Broker) lost(brokerID string, cause error) {
 	var fallbacks []*host
+	now := b.deps.Clock.Now()
 	b.mu.Lock()
 	for _, s := range b.sessions {
 		if s.broker.ID != brokerID || s.down {
 			continue
 		}
 		s.down, s.announce, s.events = true, true, nil
+		s.trust.lost(now)
 		fallback, known := b.fallbacks[s.key]
 		if !known {
 			fallback = b.newHost(s.key, true)
@@ -156,6 +197,7 @@
 		}
 		b.leaveBroker(s)
 		s.broker, s.down, s.announce, s.events, s.epoch = picked[0], false, true, nil, 0
+		s.trust = trust{}
 		moved = append(moved, s)
 	}
 	b.mu.Unlock()
