Tie the settle time of a new holder to the calls of the platform

Cause: a holder waited 3 s before it acted, said to be longer than any call of the platform, while Platform.CallTimeout may be set to a minute. The comment of RepeatableMethods no longer speaks of idempotency keys of model requests, which have no effect.

--- a/internal/config/entity/entity.go
+++ b/internal/config/entity/entity.go
@@ -111,8 +111,7 @@
 	Version string
 	// RepeatableMethods are the HTTP methods of a plain service whose calls
 	// may be repeated, such as GET and HEAD. Calls by other methods run at
-	// most once. Model requests may always be repeated, unless they carry an
-	// idempotency key.
+	// most once. Model requests may always be repeated.
 	RepeatableMethods []string
 	// ChecksFence says that its endpoints refuse orders with an old fence.
 	ChecksFence bool
--- a/internal/daemon/serve/roles.go
+++ b/internal/daemon/serve/roles.go
@@ -24,9 +24,10 @@
 	leaseTTL = 6 * clock.Second
 	// leaseCandidates is how many daemons of a region compete for its lease.
 	leaseCandidates = 3
-	// settleTime is the longest time that an order or a report of an earlier
-	// holder may be under way. It is longer than any call of the platform.
-	settleTime = 3 * clock.Second
+	// settleMargin is how much longer than the longest call of the platform a
+	// new holder waits before it acts, so that orders and reports of an
+	// earlier one are no longer under way.
+	settleMargin = 1 * clock.Second
 	// claimKeepEpochs is for how many whole hours claims are kept at least.
 	claimKeepEpochs = 24
 	// claimPageSize is how many claims are read and deleted at once.
@@ -59,8 +60,9 @@
 	})
 	d.buildCapacity()
 	d.hold = hold.New(hold.Config{
-		Clock: d.clock, Logger: d.logger, Scope: region, Lease: d.lease.Valid, Settle: settleTime,
-		Work: []hold.Work{d.dispatcher.Run, d.planner.Run, d.cleanClaims},
+		Clock: d.clock, Logger: d.logger, Scope: region, Lease: d.lease.Valid,
+		Settle: d.settings.Platform.CallTimeout + settleMargin,
+		Work:   []hold.Work{d.dispatcher.Run, d.planner.Run, d.cleanClaims},
 	})
 	d.reporter = report.New(report.Config{
 		Table: d.table, Clock: d.clock, Logger: d.logger, Region: region, Daemon: d.settings.Daemon.ID,
