Tell a preemption from an answer that was spoilt on purpose

The trace shows that none was a preemption: each run was on the endpoint that the fault bad-answers spoilt at the time, and the daemons' event 1110 says 'chunk of another request', so the router gave the crossed answers up and went on elsewhere, as it must. Change: the engine stand-in marks the runs whose answer it crosses or truncates, and the check does not take the end of just these for a preemption. A test holds that all others are still found. Conclusion: the check is as strict for every run that was answered properly.

--- a/internal/bench/verdict/policy.go
+++ b/internal/bench/verdict/policy.go
@@ -56,7 +56,7 @@
 
 func (j *judge) preempted(call *load.Call, run placed, tier int) {
 	left := run.endpoint.LeavingSince > 0 && run.endpoint.LeavingSince <= run.Ended
-	if left || j.cut(run) {
+	if left || j.cut(run) || run.Spoilt {
 		return
 	}
 	for _, other := range run.endpoint.Runs {
--- a/internal/bench/verdict/verdict_test.go
+++ b/internal/bench/verdict/verdict_test.go
@@ -193,6 +193,15 @@
 	if report := Judge(in); report.Violations.TierOrder != 0 {
 		t.Errorf("cut: got %+v", report.Violations)
 	}
+	in.Cuts = nil
+	in.Hosts[0].Endpoints[0].Runs[0].Spoilt = true
+	if report := Judge(in); report.Violations.TierOrder != 0 {
+		t.Errorf("given up for its answer: got %+v", report.Violations)
+	}
+	in.Hosts[0].Endpoints[0].Runs[0].Spoilt, in.Hosts[0].Endpoints[0].Runs[1].Spoilt = false, true
+	if report := Judge(in); report.Violations.TierOrder != 1 {
+		t.Errorf("the other's answer was spoilt: got %+v", report.Violations)
+	}
 }
 
 func TestFairness(t *testing.T) {
--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -166,6 +166,7 @@
 	e.arrivals++
 	s.arrival = e.arrivals
 	s.fate = e.draw(s)
+	s.run.Spoilt = s.fate.cross || s.fate.truncateAt >= 0
 	e.waiting = append(e.waiting, s)
 	select {
 	case e.wake <- struct{}{}:
--- a/internal/standin/record/record.go
+++ b/internal/standin/record/record.go
@@ -57,6 +57,9 @@
 	PromptTokens int
 	CachedTokens int
 	End          End
+	// Spoilt says that the answer was crossed or truncated on purpose, so
+	// that a router which checks answers gives it up.
+	Spoilt bool
 }
 
 // Order is one order as it was received.
