Conclude a request in one place; share the clients of endpoints

Cause: the model interface and the plain services each turned what ended a request early into the refusal for its caller (withdrawn key first, then 'may have run'), and the daemon built two sets of HTTP clients for its endpoints. Change: entry.Exchange.Conclude serves both; one set of clients and one engine client serve the path of requests and the load reports.

--- a/internal/caller/entry/exchange.go
+++ b/internal/caller/entry/exchange.go
@@ -176,6 +176,26 @@
 	return x.server.deps.Clock.Now()
 }
 
+// Conclude turns what ended a request early into the error to return for it.
+// A withdrawn key goes before all else. A refusal says that the request may
+// have run when mayHaveRun is set, whatever it said itself.
+func (x *Exchange) Conclude(err error, mayHaveRun bool) error {
+	run := request.RunNot
+	if mayHaveRun {
+		run = request.RunUnknown
+	}
+	if errors.Is(context.Cause(x.Context), ErrKeyEnded) {
+		return KeyWithdrawn(run)
+	}
+	var refusal *request.Refusal
+	if !errors.As(err, &refusal) || !mayHaveRun {
+		return err
+	}
+	changed := *refusal
+	changed.Run = run
+	return &changed
+}
+
 // Began reports whether the answer has begun, after which no status can be set.
 func (x *Exchange) Began() bool {
 	return x.began
--- a/internal/caller/openai/run.go
+++ b/internal/caller/openai/run.go
@@ -291,24 +291,14 @@
 	return r.x.Write(body)
 }
 
-// end turns what ended the request early into the answer for the caller.
+// end tells a streaming caller what ended the request early.
 func (r *run) end(err error) error {
-	if errors.Is(context.Cause(r.x.Context), entry.ErrKeyEnded) {
-		err = entry.KeyWithdrawn(r.runState())
-	}
+	err = r.x.Conclude(err, r.mayHaveRun)
 	var refusal *request.Refusal
-	if !errors.As(err, &refusal) {
-		return err
-	}
-	if r.mayHaveRun && refusal.Run == request.RunNot {
-		changed := *refusal
-		changed.Run = request.RunUnknown
-		refusal = &changed
-	}
-	if r.x.Began() {
+	if errors.As(err, &refusal) && r.x.Began() {
 		_ = r.send(entry.EncodeRefusal(refusal))
 	}
-	return refusal
+	return err
 }
 
 // meter records what the caller was given.
--- a/internal/caller/plain/call.go
+++ b/internal/caller/plain/call.go
@@ -47,7 +47,7 @@
 	grant, err := c.acquire()
 	for attempts := 1; ; attempts++ {
 		if err != nil {
-			return c.end(err, mayHaveRun)
+			return c.x.Conclude(err, mayHaveRun)
 		}
 		var answer claim.Answer
 		answer, err = c.attempt(c.x.Context, grant)
@@ -56,12 +56,12 @@
 			return c.send(answer)
 		}
 		if c.x.Context.Err() != nil {
-			return c.end(err, true)
+			return c.x.Conclude(err, true)
 		}
 		mayHaveRun = mayHaveRun || !notRun(err)
 		c.failed(grant, err)
 		if attempts >= maxAttempts || !c.handler.deps.MayRetry(c.x.Request) {
-			return c.end(endpointFailed(), mayHaveRun)
+			return c.x.Conclude(endpointFailed(), mayHaveRun)
 		}
 		grant, err = c.reacquire()
 	}
@@ -84,7 +84,7 @@
 		grant, err = c.reacquire()
 	}
 	claimed.abandon()
-	return c.end(err, false)
+	return c.x.Conclude(err, false)
 }
 
 // attemptOnce claims the call if that is not done yet and hands it over. done
@@ -94,14 +94,14 @@
 	if err != nil || replay != nil {
 		c.handler.deps.Scheduler.Release(grant, request.Outcome{})
 		if err != nil {
-			return true, c.end(err, false)
+			return true, c.x.Conclude(err, false)
 		}
 		return true, c.send(*replay)
 	}
 	if c.x.Context.Err() != nil {
 		c.handler.deps.Scheduler.Release(grant, request.Outcome{})
 		claimed.abandon()
-		return true, c.end(context.Cause(c.x.Context), false)
+		return true, c.x.Conclude(context.Cause(c.x.Context), false)
 	}
 	ctx, cancel := detached(c.x.Context, callTimeout)
 	defer cancel()
@@ -116,7 +116,7 @@
 		return false, nil
 	}
 	claimed.lose()
-	return true, c.end(endpointFailed(), true)
+	return true, c.x.Conclude(endpointFailed(), true)
 }
 
 func (c *call) acquire() (*request.Grant, error) {
@@ -211,21 +211,3 @@
 		RetryAfter: retryAfterFailure, Message: "The service did not answer as it should.",
 	}
 }
-
-// end turns what ended the call into the refusal for the caller.
-func (c *call) end(err error, mayHaveRun bool) error {
-	run := request.RunNot
-	if mayHaveRun {
-		run = request.RunUnknown
-	}
-	if errors.Is(context.Cause(c.x.Context), entry.ErrKeyEnded) {
-		return entry.KeyWithdrawn(run)
-	}
-	var refusal *request.Refusal
-	if !errors.As(err, &refusal) || run == request.RunNot {
-		return err
-	}
-	changed := *refusal
-	changed.Run = run
-	return &changed
-}
--- a/internal/daemon/serve/callers.go
+++ b/internal/daemon/serve/callers.go
@@ -13,9 +13,7 @@
 	"github.com/banyanshift/banyanshift/internal/caller/openai"
 	"github.com/banyanshift/banyanshift/internal/caller/plain"
 	"github.com/banyanshift/banyanshift/internal/caller/request"
-	"github.com/banyanshift/banyanshift/internal/endpoint/engine"
 	"github.com/banyanshift/banyanshift/internal/endpoint/service"
-	"github.com/banyanshift/banyanshift/internal/endpoint/transport"
 	"github.com/banyanshift/banyanshift/internal/usage/meter"
 )
 
@@ -38,19 +36,18 @@
 		Settings: d.settings.Caller, TLS: tlsConfig, Clock: d.clock, Logger: d.logger,
 		State: d.state, Ready: d.follower.Ready, NewID: d.newRequestID,
 	})
-	clients := transport.New(transport.Config{})
 	retries := newRetryBudget()
 	record := d.recorder(retries)
 	scheduler := d.counter.Wrap(d.broker.Scheduler())
 	models := openai.New(openai.Dependencies{
-		Clock: d.clock, Logger: d.logger, State: d.state, Engine: engine.New(clients),
+		Clock: d.clock, Logger: d.logger, State: d.state, Engine: d.engines,
 		Scheduler: scheduler, MayRetry: retries.mayRetry, Meter: record,
 	})
 	d.callers.Handle(http.MethodPost, openai.ChatPath, models.Chat)
 	d.callers.Handle(http.MethodPost, openai.CompletionPath, models.Completion)
 	d.callers.Handle(http.MethodGet, openai.ModelsPath, models.Models)
 	services := plain.New(plain.Dependencies{
-		Clock: d.clock, Logger: d.logger, State: d.state, Service: service.New(clients),
+		Clock: d.clock, Logger: d.logger, State: d.state, Service: service.New(d.clients),
 		Scheduler: scheduler, Claims: d.buildClaims(), MayRetry: retries.mayRetry, Meter: record,
 	})
 	d.callers.HandleRest(services.Serve)
--- a/internal/daemon/serve/scheduling.go
+++ b/internal/daemon/serve/scheduling.go
@@ -43,14 +43,15 @@
 		Class: d.state.Class, Team: d.state.Team, Backend: d.state.Backend,
 	})
 	d.broker.Register(d.link)
-	engines := engine.New(transport.New(transport.Config{}))
+	d.clients = transport.New(transport.Config{})
+	d.engines = engine.New(d.clients)
 	d.watcher = watch.New(watch.Config{
 		Clock:         d.clock,
 		Logger:        d.logger,
 		Random:        d.random(3),
 		List:          order.New(d.settings.Platform.OrderURL, d.platformHTTP).Endpoints,
-		Load:          engines.Load,
-		CacheEvents:   engines.CacheEvents,
+		Load:          d.engines.Load,
+		CacheEvents:   d.engines.CacheEvents,
 		IsRelay:       d.isListRelay,
 		AskRelay:      d.askListRelay,
 		Scheduled:     func(endpoint entity.Endpoint) bool { return d.broker.Decides(endpoint.ID) },
--- a/internal/daemon/serve/serve.go
+++ b/internal/daemon/serve/serve.go
@@ -39,6 +39,8 @@
 	"github.com/banyanshift/banyanshift/internal/caller/entry"
 	"github.com/banyanshift/banyanshift/internal/config/follow"
 	"github.com/banyanshift/banyanshift/internal/config/state"
+	"github.com/banyanshift/banyanshift/internal/endpoint/engine"
+	"github.com/banyanshift/banyanshift/internal/endpoint/transport"
 	"github.com/banyanshift/banyanshift/internal/endpoint/watch"
 	"github.com/banyanshift/banyanshift/internal/operator/rpc"
 	"github.com/banyanshift/banyanshift/internal/order/demand"
@@ -76,6 +78,8 @@
 	link         *link.Link
 	members      *membership.Membership
 	broker       *broker.Broker
+	clients      transport.Clients
+	engines      *engine.Client
 	watcher      *watch.Watcher
 	meter        *meter.Meter
 	claimStore   *coordclaim.Store
