--- a/cmd/banyanbench/main.go
+++ b/cmd/banyanbench/main.go
@@ -1,4 +1,14 @@
-// Command banyanbench is filled in by the packages that it starts.
+// Command banyanbench runs the stand-ins, the load and the checks of
+// banyanshift.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/banyanshift/banyanshift/internal/bench/factory"
+	"github.com/banyanshift/banyanshift/internal/bench/root"
+)
+
+func main() {
+	os.Exit(root.Main(factory.New(), os.Args[1:]))
+}
--- /dev/null
+++ b/internal/bench/root/root.go
@@ -0,0 +1,69 @@
+// Package root assembles the command line of banyanbench.
+//
+// # Usage
+//
+//	os.Exit(root.Main(factory.New(), os.Args[1:]))
+package root
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"github.com/banyanshift/banyanshift/internal/bench/engine"
+	"github.com/banyanshift/banyanshift/internal/bench/factory"
+	"github.com/banyanshift/banyanshift/internal/bench/platform"
+	"github.com/banyanshift/banyanshift/internal/bench/service"
+)
+
+// Exit codes.
+const (
+	exitOK = 0
+	// exitViolated says that a run finished and something that must always
+	// hold did not.
+	exitViolated = 1
+	// exitFailed says that the run could not be carried out.
+	exitFailed = 2
+)
+
+// commands is the list of verbs; each package adds one line.
+func commands(f *factory.Factory) []*cobra.Command {
+	return []*cobra.Command{
+		platform.NewCmdPlatform(f, nil),
+		engine.NewCmdEngine(f, nil),
+		service.NewCmdService(f, nil),
+	}
+}
+
+// NewCmdRoot returns the command banyanbench.
+func NewCmdRoot(f *factory.Factory) *cobra.Command {
+	cmd := &cobra.Command{
+		Use:           "banyanbench <command> [flags]",
+		Short:         "Stand-ins, load and checks for banyanshift",
+		Long:          "Run small stand-ins of what surrounds the router, send load through it,\nand check what must always hold.",
+		SilenceErrors: true,
+		SilenceUsage:  true,
+	}
+	cmd.SetOut(f.Out)
+	cmd.SetErr(f.ErrOut)
+	cmd.AddCommand(commands(f)...)
+	return cmd
+}
+
+// Main runs the command line and returns the exit code.
+func Main(f *factory.Factory, args []string) int {
+	cmd := NewCmdRoot(f)
+	cmd.SetArgs(args)
+	err := cmd.Execute()
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.Is(err, factory.ErrViolated):
+		_, _ = fmt.Fprintln(f.ErrOut, err)
+		return exitViolated
+	default:
+		_, _ = fmt.Fprintln(f.ErrOut, err)
+		return exitFailed
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/answer.go
@@ -0,0 +1,128 @@
+package engine
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/banyanshift/banyanshift/internal/caller/request"
+)
+
+// Directives that a prompt may hold as words.
+const (
+	// lengthDirective fixes the number of tokens of the answer.
+	lengthDirective = "len="
+	// nonceDirective marks the request for the record.
+	nonceDirective = "id="
+)
+
+const (
+	shortestAnswer    = 16
+	answerLengthRange = 64
+)
+
+// Token returns token i of the answer to prompt.
+func Token(prompt string, i int) string {
+	sum := xxhash.Sum64String(prompt + "#" + strconv.Itoa(i))
+	return "w" + strconv.FormatUint(sum&0xffffff, 36) + " "
+}
+
+// Length returns how many tokens the answer to prompt has.
+func Length(prompt string) int {
+	if n, err := strconv.Atoi(directive(prompt, lengthDirective)); err == nil && n > 0 {
+		return n
+	}
+	return shortestAnswer + int(xxhash.Sum64String(prompt)%answerLengthRange)
+}
+
+// Answer returns the whole answer to prompt when the caller allows at most
+// maxTokens, 0 standing for no limit.
+func Answer(prompt string, maxTokens int) string {
+	var text strings.Builder
+	for i := range answerLength(prompt, maxTokens) {
+		text.WriteString(Token(prompt, i))
+	}
+	return text.String()
+}
+
+// Nonce returns the mark that the load tool put into prompt, or "".
+func Nonce(prompt string) string {
+	return directive(prompt, nonceDirective)
+}
+
+func answerLength(prompt string, maxTokens int) int {
+	length := Length(prompt)
+	if maxTokens > 0 {
+		return min(length, maxTokens)
+	}
+	return length
+}
+
+func directive(prompt, name string) string {
+	_, rest, found := strings.Cut(" "+prompt, " "+name)
+	if !found {
+		return ""
+	}
+	fields := strings.Fields(rest)
+	if len(fields) == 0 {
+		return ""
+	}
+	return fields[0]
+}
+
+// prefixDigests returns the digest of each whole block of the prompt.
+func prefixDigests(prompt string) []uint64 {
+	words := strings.Fields(prompt)
+	var digests []uint64
+	for end := request.PrefixBlockTokens; end <= len(words); end += request.PrefixBlockTokens {
+		digests = append(digests, xxhash.Sum64String(strings.Join(words[:end], " ")))
+	}
+	return digests
+}
+
+// body is what the engine reads of a request.
+type body struct {
+	Model    string `json:"model"`
+	Messages []struct {
+		Content json.RawMessage `json:"content"`
+	} `json:"messages"`
+	Prompt      json.RawMessage `json:"prompt"`
+	MaxTokens   int             `json:"max_tokens"`
+	ResumeToken int             `json:"resume_token"`
+	ResumeText  string          `json:"resume_text"`
+}
+
+func (b body) text() string {
+	if len(b.Messages) == 0 {
+		return plainText(b.Prompt)
+	}
+	parts := make([]string, 0, len(b.Messages))
+	for _, message := range b.Messages {
+		parts = append(parts, plainText(message.Content))
+	}
+	return strings.Join(parts, "\n")
+}
+
+// plainText reads a text that is a string, a list of strings or a list of
+// typed parts.
+func plainText(raw json.RawMessage) string {
+	var text string
+	if json.Unmarshal(raw, &text) == nil {
+		return text
+	}
+	var texts []string
+	if json.Unmarshal(raw, &texts) == nil {
+		return strings.Join(texts, "\n")
+	}
+	var parts []struct {
+		Text string `json:"text"`
+	}
+	_ = json.Unmarshal(raw, &parts)
+	texts = nil
+	for _, part := range parts {
+		texts = append(texts, part.Text)
+	}
+	return strings.Join(texts, "\n")
+}
--- /dev/null
+++ b/internal/standin/engine/control.go
@@ -0,0 +1,200 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/platform/order"
+	"github.com/banyanshift/banyanshift/internal/platform/rest"
+	"github.com/banyanshift/banyanshift/internal/standin/host"
+	"github.com/banyanshift/banyanshift/internal/standin/record"
+)
+
+// Load is the answer of /load.
+type Load struct {
+	Incarnation     string
+	Running         int
+	Waiting         int
+	Slots           int
+	KVUsed          int
+	KVTotal         int
+	TokensPerSecond float64
+	Sequence        uint64
+	Leaving         bool
+}
+
+// loadReports holds the load as it was a while ago.
+type loadReports struct {
+	shown   Load
+	next    Load
+	sampled clock.Millis
+}
+
+func (e *engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	host.WriteJSON(w, e.load())
+}
+
+// load returns a report that is between one and two lags old when asked often.
+func (e *engine) load() Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.clock.Now()
+	if e.loads.sampled == 0 || now-e.loads.sampled >= e.config.LoadLag {
+		e.loads.shown = e.loads.next
+		e.loads.next = e.sample(e.loads.next.Sequence + 1)
+		e.loads.sampled = now
+	}
+	if e.loads.shown.Sequence == 0 {
+		e.loads.shown = e.loads.next
+	}
+	return e.loads.shown
+}
+
+func (e *engine) sample(sequence uint64) Load {
+	result := Load{
+		Incarnation: e.spec.Endpoint.Incarnation,
+		Running:     len(e.running), Waiting: len(e.waiting), Slots: e.spec.Slots,
+		KVUsed: e.kvUsed, KVTotal: e.config.KVTokens,
+		Sequence: sequence, Leaving: e.leaving,
+	}
+	if len(e.running) > 0 {
+		result.TokensPerSecond = e.rate
+	}
+	return result
+}
+
+func (e *engine) serveEvents(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	host.WriteJSON(w, e.cache.after(after))
+}
+
+// requestRef names a request of the engine.
+type requestRef struct {
+	RequestID string `json:"RequestId"`
+}
+
+func decode(w http.ResponseWriter, r *http.Request, into any) bool {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(into)
+	if err != nil {
+		http.Error(w, "malformed body", http.StatusBadRequest)
+	}
+	return err == nil
+}
+
+func (e *engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	var ref requestRef
+	if !decode(w, r, &ref) {
+		return
+	}
+	if s := e.find(ref.RequestID); s != nil {
+		e.abandon(s)
+	}
+	host.WriteJSON(w, struct{}{})
+}
+
+// Export is the KV cache of a request, of which the stand-in only keeps the
+// size.
+type Export struct {
+	RequestID string `json:"RequestId"`
+	Tokens    int
+}
+
+func (e *engine) serveExport(w http.ResponseWriter, r *http.Request) {
+	var ref requestRef
+	if !decode(w, r, &ref) {
+		return
+	}
+	s := e.find(ref.RequestID)
+	if s == nil {
+		http.Error(w, "no such request", http.StatusNotFound)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	host.WriteJSON(w, Export{RequestID: ref.RequestID, Tokens: s.kv()})
+}
+
+func (e *engine) serveImport(w http.ResponseWriter, r *http.Request) {
+	var exported Export
+	if !decode(w, r, &exported) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.imported[exported.RequestID] = true
+	host.WriteJSON(w, struct{}{})
+}
+
+// orderBook keeps the orders that came and the state that they set.
+type orderBook struct {
+	spec     host.Spec
+	fences   map[string]uint64
+	accepted map[string]bool
+	received []record.Order
+	model    string
+	role     string
+}
+
+func (b *orderBook) init(spec host.Spec) {
+	b.spec = spec
+	b.model = spec.Model
+	b.fences = make(map[string]uint64)
+	b.accepted = make(map[string]bool)
+}
+
+// take records an order and reports whether it is to be refused.
+func (b *orderBook) take(given order.Order, now clock.Millis) (refused bool) {
+	entry := record.Order{Order: given, Received: now, Repeated: b.accepted[given.ID]}
+	entry.Overlap = given.Fence < b.fences[given.Scope]
+	b.fences[given.Scope] = max(given.Fence, b.fences[given.Scope])
+	entry.Accepted = !entry.Overlap || !b.spec.ChecksFence
+	b.received = append(b.received, entry)
+	if !entry.Accepted || entry.Repeated {
+		return !entry.Accepted
+	}
+	b.accepted[given.ID] = true
+	switch given.Kind {
+	case order.LoadModel:
+		b.model = given.Model
+	case order.SetRole:
+		b.role = given.Role
+	}
+	return false
+}
+
+func (b *orderBook) list() []record.Order {
+	return append([]record.Order(nil), b.received...)
+}
+
+func (e *engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var given order.Order
+	if !decode(w, r, &given) {
+		return
+	}
+	if given.Kind == order.LoadModel || given.Kind == order.LoadAdapter {
+		if loadWeights(r.Context(), e.config, given.Model) != nil {
+			http.Error(w, "weight store", http.StatusServiceUnavailable)
+			return
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.orders.take(given, e.clock.Wall()) {
+		w.WriteHeader(http.StatusConflict)
+		_ = json.NewEncoder(w).Encode(struct{ Code string }{order.CodeOldFence})
+		return
+	}
+	host.WriteJSON(w, struct{}{})
+}
+
+func loadWeights(ctx context.Context, config Config, model string) error {
+	if config.PlatformURL == "" {
+		return nil
+	}
+	path := "/weights/" + url.PathEscape(model) + "?bytes=" + strconv.FormatInt(config.WeightBytes, 10)
+	return rest.New(config.PlatformURL, http.DefaultClient).Call(ctx, http.MethodGet, path, nil, nil)
+}
--- /dev/null
+++ b/internal/standin/host/host.go
@@ -0,0 +1,333 @@
+// Package host runs the endpoints of a stand-in process, each with its own
+// listener, as the platform stand-in tells it to.
+//
+// # Usage
+//
+//	h := host.New(host.Config{Type: entity.Model, New: newEngine, ...})
+//	err := h.Start()       // listens and registers with the platform
+//	defer h.Close()
+package host
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/samber/oops"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/config/entity"
+	"github.com/banyanshift/banyanshift/internal/platform/rest"
+	"github.com/banyanshift/banyanshift/internal/standin/record"
+)
+
+// Spec says which endpoint to start.
+type Spec struct {
+	Endpoint    entity.Endpoint
+	Model       string
+	ChecksFence bool
+	Slots       int
+}
+
+// Fault makes one endpoint misbehave until it is replaced by another Fault.
+type Fault struct {
+	// Straggle multiplies the time of everything; 0 means 1.
+	Straggle float64
+	// Crash ends the endpoint at once.
+	Crash bool
+	// Cross, Truncate, Duplicate and Late are the shares of answers, from 0
+	// to 1, that belong to another request, stop without an end, hold a token
+	// twice, or come after a pause of LateBy.
+	Cross     float64
+	Truncate  float64
+	Duplicate float64
+	Late      float64
+	LateBy    clock.Millis
+}
+
+// Endpoint is one running endpoint. All fields must be set.
+type Endpoint struct {
+	Handler http.Handler
+	// Prepare blocks until the endpoint can serve, for instance until its
+	// weights are there.
+	Prepare func(ctx context.Context) error
+	// Leave says that the endpoint is going to leave.
+	Leave func()
+	// Drain returns when nothing runs any more.
+	Drain func(ctx context.Context)
+	// Close ends everything at once.
+	Close    func()
+	SetFault func(fault Fault)
+	// Record adds runs and orders to the record.
+	Record func(into *record.Endpoint)
+}
+
+// Config configures a Host.
+type Config struct {
+	// ID names the host to the platform.
+	ID             string
+	Type           entity.BackendType
+	Region         string
+	FailureDomains []string
+	// Listen is the address of the control interface.
+	Listen string
+	// PlatformURL is the platform stand-in to register with; none when empty.
+	PlatformURL string
+	// ProxyURL is the fault proxy that each endpoint is reached through; none
+	// when empty.
+	ProxyURL string
+	New      func(spec Spec) *Endpoint
+	Clock    clock.Clock
+}
+
+// Host runs endpoints.
+type Host struct {
+	config Config
+	leaks  *record.Leaks
+	server *http.Server
+	url    string
+
+	mu        sync.Mutex
+	endpoints map[string]*running
+	gone      []*running
+}
+
+type running struct {
+	spec     Spec
+	endpoint *Endpoint
+	server   *http.Server
+	clock    clock.Clock
+
+	mu           sync.Mutex
+	started      clock.Millis
+	leavingSince clock.Millis
+	ended        clock.Millis
+}
+
+// New returns a Host that does not listen yet.
+func New(config Config) *Host {
+	return &Host{config: config, leaks: &record.Leaks{}, endpoints: make(map[string]*running)}
+}
+
+// URL returns the base URL of the control interface of a started host.
+func (h *Host) URL() string {
+	return h.url
+}
+
+// Start listens and registers with the platform.
+func (h *Host) Start() (err error) {
+	defer func() { err = oops.Wrapf(err, "start host %s", h.config.ID) }()
+	listener, err := listen(h.config.Listen)
+	if err != nil {
+		return err
+	}
+	h.url = "http://" + listener.Addr().String()
+	h.server = &http.Server{Handler: h.routes(), ReadHeaderTimeout: clock.Minute.Duration()}
+	go h.run(listener)
+	return h.register()
+}
+
+func listen(address string) (net.Listener, error) {
+	var config net.ListenConfig
+	return config.Listen(context.Background(), "tcp", address)
+}
+
+func (h *Host) run(listener net.Listener) {
+	_ = h.server.Serve(listener)
+}
+
+// Registration tells the platform of a host.
+type Registration struct {
+	ID             string
+	URL            string
+	Type           entity.BackendType
+	Region         string
+	FailureDomains []string
+}
+
+func (h *Host) register() error {
+	if h.config.PlatformURL == "" {
+		return nil
+	}
+	registration := Registration{
+		ID: h.config.ID, URL: h.url, Type: h.config.Type,
+		Region: h.config.Region, FailureDomains: h.config.FailureDomains,
+	}
+	platform := rest.New(h.config.PlatformURL, http.DefaultClient)
+	return platform.Call(context.Background(), http.MethodPut, "/hosts/"+h.config.ID, registration, nil)
+}
+
+// Close ends the host and its endpoints at once.
+func (h *Host) Close() {
+	h.mu.Lock()
+	all := h.endpoints
+	h.endpoints = make(map[string]*running)
+	h.mu.Unlock()
+	for _, r := range all {
+		r.close()
+	}
+	if h.server != nil {
+		_ = h.server.Close()
+	}
+}
+
+// StartEndpoint starts an endpoint and returns the address to reach it by.
+// Starting an endpoint that runs already returns its address.
+func (h *Host) StartEndpoint(ctx context.Context, spec Spec) (address string, err error) {
+	defer func() { err = oops.Wrapf(err, "start endpoint %s", spec.Endpoint.ID) }()
+	if known, ok := h.lookup(spec.Endpoint.ID); ok {
+		return known.spec.Endpoint.Address, nil
+	}
+	listener, err := listen("127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	spec.Endpoint.Address, err = h.advertise(ctx, spec.Endpoint.ID, listener.Addr().String())
+	if err != nil {
+		return "", errors.Join(err, listener.Close())
+	}
+	r := &running{spec: spec, endpoint: h.config.New(spec), clock: h.config.Clock, started: h.config.Clock.Wall()}
+	if err := r.endpoint.Prepare(ctx); err != nil {
+		return "", errors.Join(err, listener.Close())
+	}
+	r.server = &http.Server{Handler: r.endpoint.Handler, ReadHeaderTimeout: clock.Minute.Duration()}
+	h.mu.Lock()
+	h.endpoints[spec.Endpoint.ID] = r
+	h.mu.Unlock()
+	go r.run(record.NewScanner(listener, h.leaks))
+	return spec.Endpoint.Address, nil
+}
+
+// ProxyLink asks the fault proxy for a listener that forwards to Target.
+type ProxyLink struct {
+	Name   string
+	Target string
+}
+
+// ProxyAddress is the proxy's answer to a ProxyLink.
+type ProxyAddress struct {
+	Address string
+}
+
+func (h *Host) advertise(ctx context.Context, id, address string) (string, error) {
+	if h.config.ProxyURL == "" {
+		return address, nil
+	}
+	proxy := rest.New(h.config.ProxyURL, http.DefaultClient)
+	link := ProxyLink{Name: "endpoint/" + id, Target: address}
+	var answer ProxyAddress
+	err := proxy.Call(ctx, http.MethodPost, "/links", link, &answer)
+	return answer.Address, err
+}
+
+func (h *Host) lookup(id string) (*running, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r, ok := h.endpoints[id]
+	return r, ok
+}
+
+func (h *Host) remove(id string) (*running, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r, ok := h.endpoints[id]
+	if ok {
+		delete(h.endpoints, id)
+		h.gone = append(h.gone, r)
+	}
+	return r, ok
+}
+
+// Leave tells an endpoint that it is going to leave.
+func (h *Host) Leave(id string) {
+	if r, ok := h.lookup(id); ok {
+		r.leave()
+	}
+}
+
+// Stop lets an endpoint finish what it runs, for at most grace, and ends it.
+func (h *Host) Stop(id string, grace clock.Millis) {
+	r, ok := h.lookup(id)
+	if !ok {
+		return
+	}
+	r.leave()
+	ctx, cancel := context.WithTimeout(context.Background(), grace.Duration())
+	defer cancel()
+	r.endpoint.Drain(ctx)
+	h.Kill(id)
+}
+
+// Kill ends an endpoint at once, with everything that it runs.
+func (h *Host) Kill(id string) {
+	if r, ok := h.remove(id); ok {
+		r.close()
+	}
+}
+
+// SetFault changes the faults of an endpoint. A crash is told to the platform,
+// which finds out a moment later.
+func (h *Host) SetFault(id string, fault Fault) {
+	r, ok := h.lookup(id)
+	if !ok {
+		return
+	}
+	if !fault.Crash {
+		r.endpoint.SetFault(fault)
+		return
+	}
+	h.Kill(id)
+	if h.config.PlatformURL != "" {
+		platform := rest.New(h.config.PlatformURL, http.DefaultClient)
+		_ = platform.Call(context.Background(), http.MethodDelete, "/endpoints/"+id, nil, nil)
+	}
+}
+
+// Record returns the record of all endpoints, ended ones included.
+func (h *Host) Record() record.Host {
+	h.mu.Lock()
+	all := append([]*running(nil), h.gone...)
+	for _, r := range h.endpoints {
+		all = append(all, r)
+	}
+	h.mu.Unlock()
+	result := record.Host{KeyLeaks: h.leaks.Count()}
+	for _, r := range all {
+		result.Endpoints = append(result.Endpoints, r.record())
+	}
+	return result
+}
+
+func (r *running) run(listener net.Listener) {
+	_ = r.server.Serve(listener)
+}
+
+func (r *running) leave() {
+	r.mu.Lock()
+	if r.leavingSince == 0 {
+		r.leavingSince = r.clock.Wall()
+	}
+	r.mu.Unlock()
+	r.endpoint.Leave()
+}
+
+func (r *running) close() {
+	r.mu.Lock()
+	r.ended = r.clock.Wall()
+	r.mu.Unlock()
+	r.endpoint.Close()
+	_ = r.server.Close()
+}
+
+func (r *running) record() record.Endpoint {
+	r.mu.Lock()
+	result := record.Endpoint{
+		Endpoint: r.spec.Endpoint, LeavingSince: r.leavingSince,
+		Started: r.started, Ended: r.ended,
+	}
+	r.mu.Unlock()
+	r.endpoint.Record(&result)
+	return result
+}
--- /dev/null
+++ b/internal/standin/platform/routes.go
@@ -0,0 +1,53 @@
+package platform
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/banyanshift/banyanshift/internal/standin/host"
+)
+
+func (p *Platform) routes() http.Handler {
+	mux := http.NewServeMux()
+	wrap := p.faults.wrap
+	mux.HandleFunc("POST /table/get", wrap(TableRead, p.tableGet))
+	mux.HandleFunc("POST /table/scan", wrap(TableRead, p.tableScan))
+	mux.HandleFunc("POST /table/commit", wrap(Table, p.tableCommit))
+	mux.HandleFunc("GET /objects/{name...}", wrap(Object, p.objects.get))
+	mux.HandleFunc("PUT /objects/{name...}", wrap(Object, p.objects.put))
+	mux.HandleFunc("GET /vms", wrap(VMList, p.vms.list))
+	mux.HandleFunc("GET /endpoints", wrap(Order, p.endpoints.list))
+	mux.HandleFunc("POST /orders", wrap(Order, p.endpoints.give))
+	mux.HandleFunc("POST /usage/windows", wrap(Usage, p.usage.report))
+	mux.HandleFunc("GET /weights/{model...}", p.weights.serve)
+
+	mux.HandleFunc("PUT /vms/{id}", control(p.vms.put))
+	mux.HandleFunc("DELETE /vms/{id}", control(p.vms.remove))
+	mux.HandleFunc("PUT /views/{viewer}", control(p.vms.putView))
+	mux.HandleFunc("PUT /hosts/{id}", control(p.endpoints.putHost))
+	mux.HandleFunc("DELETE /endpoints/{id}", control(p.endpoints.crashed))
+	mux.HandleFunc("POST /control/start", control(p.endpoints.start))
+	mux.HandleFunc("POST /control/reclaim", control(p.endpoints.reclaim))
+	mux.HandleFunc("POST /control/fault", control(p.setFault))
+	mux.HandleFunc("GET /record", func(w http.ResponseWriter, _ *http.Request) { host.WriteJSON(w, p.Record()) })
+	return viewers(mux)
+}
+
+// control serves a call that only test rigs make; no faults apply to it.
+func control[T any](act func(r *http.Request, in T) answer) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var in T
+		if r.Method != http.MethodDelete {
+			if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+				writeAnswer(w, refuse(http.StatusBadRequest, err.Error()))
+				return
+			}
+		}
+		writeAnswer(w, act(r, in))
+	}
+}
+
+func (p *Platform) setFault(_ *http.Request, fault Fault) answer {
+	p.faults.set(fault)
+	return ok(struct{}{})
+}
--- /dev/null
+++ b/internal/standin/platform/usage.go
@@ -0,0 +1,81 @@
+package platform
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/platform/usage"
+	"github.com/banyanshift/banyanshift/internal/standin/record"
+)
+
+// windows keeps the usage reports.
+type windows struct {
+	clock clock.Clock
+
+	mu      sync.Mutex
+	bodies  map[string][]byte
+	fences  fenceWatch
+	reports []record.Report
+}
+
+func (w *windows) init(clk clock.Clock) {
+	w.clock = clk
+	w.bodies = make(map[string][]byte)
+	w.fences = newFenceWatch()
+}
+
+func (w *windows) report(c call) answer {
+	entry := record.Report{Received: w.clock.Wall(), Sender: c.Header.Get(usage.HeaderSender)}
+	if !c.decode(&entry.Window) || entry.Window.Scope == "" || entry.Window.Number == 0 {
+		return refuse(http.StatusBadRequest, "BadBody")
+	}
+	entry.SenderFence, _ = strconv.ParseUint(c.Header.Get(usage.HeaderFence), 10, 64)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if entry.Sender != "" {
+		entry.Overlap = !w.fences.see(entry.Window.Scope, entry.SenderFence, entry.Sender)
+	}
+	key := fmt.Sprintf("%s/%d", entry.Window.Scope, entry.Window.Number)
+	known, repeated := w.bodies[key]
+	entry.Repeated = repeated
+	entry.Conflict = repeated && !bytes.Equal(known, c.body)
+	w.reports = append(w.reports, entry)
+	if entry.Conflict {
+		return refuse(http.StatusConflict, "Conflict")
+	}
+	w.bodies[key] = c.body
+	return ok(struct{}{})
+}
+
+func (w *windows) record() []record.Report {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]record.Report(nil), w.reports...)
+}
+
+// fenceWatch finds messages of a holder that has been succeeded.
+type fenceWatch struct {
+	greatest map[string]uint64
+	holders  map[string]string
+}
+
+func newFenceWatch() fenceWatch {
+	return fenceWatch{greatest: make(map[string]uint64), holders: make(map[string]string)}
+}
+
+// see reports whether the message is from the newest holder of the scope, and
+// the only one under its fence.
+func (f *fenceWatch) see(scope string, fence uint64, holder string) bool {
+	if fence < f.greatest[scope] {
+		return false
+	}
+	if fence > f.greatest[scope] {
+		f.greatest[scope] = fence
+		f.holders[scope] = holder
+	}
+	return f.holders[scope] == holder
+}
