--- /dev/null
+++ b/internal/cli/resource/resource.go
@@ -0,0 +1,174 @@
+// Package resource implements the verbs that are alike for all nouns: create,
+// edit, list, view and delete.
+//
+// # Usage
+//
+// A noun describes itself with a Resource; the package of each verb calls the
+// method of its name:
+//
+//	func listRun(ctx context.Context, opts *ListOptions) error {
+//		return shared.Resource.List(ctx, opts.IO, opts.Client, &opts.Format)
+//	}
+package resource
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/banyanshift/banyanshift/internal/cli/change"
+	"github.com/banyanshift/banyanshift/internal/cli/client"
+	"github.com/banyanshift/banyanshift/internal/cli/exit"
+	"github.com/banyanshift/banyanshift/internal/cli/field"
+	"github.com/banyanshift/banyanshift/internal/cli/output"
+	"github.com/banyanshift/banyanshift/internal/cli/streams"
+	operatorv1 "github.com/banyanshift/banyanshift/proto/operator/v1"
+)
+
+// Connect returns a client.
+type Connect func() (*client.Client, error)
+
+// Resource describes a noun. All fields must be set.
+type Resource struct {
+	// Noun names the entity in messages, such as "team".
+	Noun string
+	// New returns an empty message.
+	New func() proto.Message
+	// Flags are the flags of create and edit.
+	Flags []field.Flag
+	// Columns are the fields that a list shows.
+	Columns []string
+	Get     func(ctx context.Context, c *client.Client, name string) (proto.Message, error)
+	GetAll  func(ctx context.Context, c *client.Client) ([]proto.Message, error)
+	Put     func(ctx context.Context, c *client.Client, requestID string, expected uint64, message proto.Message) (*operatorv1.ChangeResponse, error)
+	Remove  func(ctx context.Context, c *client.Client, req *operatorv1.DeleteRequest) (*operatorv1.ChangeResponse, error)
+}
+
+// Create makes an entity from the flags.
+func (r *Resource) Create(ctx context.Context, io *streams.Streams, connect Connect, options *change.Options, name string, flags *field.Flags) error {
+	message := r.New()
+	if err := flags.Fill(message); err != nil {
+		return err
+	}
+	if err := field.Set(message, "Name", name); err != nil {
+		return err
+	}
+	return r.put(ctx, io, connect, options, "Created", 0, message)
+}
+
+// Edit reads an entity, lets adjust change it and writes it back.
+func (r *Resource) Edit(ctx context.Context, io *streams.Streams, connect Connect, options *change.Options, name string, adjust func(proto.Message) error) (err error) {
+	c, err := connect()
+	if err != nil {
+		return err
+	}
+	defer CloseClient(c, &err)
+	message, err := r.Get(ctx, c, name)
+	if err != nil {
+		return err
+	}
+	if err := adjust(message); err != nil {
+		return err
+	}
+	response, err := r.Put(ctx, c, options.ID(), options.Revision(Revision(message)), message)
+	return options.Report(io, "Edited", response, err)
+}
+
+func (r *Resource) put(ctx context.Context, io *streams.Streams, connect Connect, options *change.Options, verb string, expected uint64, message proto.Message) (err error) {
+	c, err := connect()
+	if err != nil {
+		return err
+	}
+	defer CloseClient(c, &err)
+	response, err := r.Put(ctx, c, options.ID(), expected, message)
+	return options.Report(io, verb, response, err)
+}
+
+// List prints all entities.
+func (r *Resource) List(ctx context.Context, io *streams.Streams, connect Connect, format *output.Format) (err error) {
+	c, err := connect()
+	if err != nil {
+		return err
+	}
+	defer CloseClient(c, &err)
+	messages, err := r.GetAll(ctx, c)
+	if err != nil {
+		return err
+	}
+	return output.List(io, format, messages, r.Columns)
+}
+
+// View prints one entity.
+func (r *Resource) View(ctx context.Context, io *streams.Streams, connect Connect, format *output.Format, name string) (err error) {
+	c, err := connect()
+	if err != nil {
+		return err
+	}
+	defer CloseClient(c, &err)
+	message, err := r.Get(ctx, c, name)
+	if err != nil {
+		return err
+	}
+	return output.View(io, format, message)
+}
+
+// Delete deletes one entity, after asking unless yes is set.
+func (r *Resource) Delete(ctx context.Context, io *streams.Streams, connect Connect, options *change.Options, name string, yes bool) (err error) {
+	if !yes {
+		if err := Confirm(io, fmt.Sprintf("Delete %s %s?", r.Noun, name)); err != nil {
+			return err
+		}
+	}
+	c, err := connect()
+	if err != nil {
+		return err
+	}
+	defer CloseClient(c, &err)
+	expected := options.Expected
+	if expected == 0 {
+		message, err := r.Get(ctx, c, name)
+		if err != nil {
+			return err
+		}
+		expected = Revision(message)
+	}
+	response, err := r.Remove(ctx, c, &operatorv1.DeleteRequest{RequestID: options.ID(), ExpectedRevision: expected, Name: name})
+	return options.Report(io, "Deleted", response, err)
+}
+
+// Confirm asks a question and returns an error unless the answer is yes.
+func Confirm(io *streams.Streams, question string) error {
+	if !io.Interactive {
+		return exit.Usagef("--yes is needed when the input is not a terminal")
+	}
+	if _, err := fmt.Fprintf(io.ErrOut, "%s [y/N] ", question); err != nil {
+		return err
+	}
+	answer, err := bufio.NewReader(io.In).ReadString('\n')
+	if err != nil {
+		return err
+	}
+	if strings.EqualFold(strings.TrimSpace(answer), "y") {
+		return nil
+	}
+	return exit.Usagef("nothing was changed")
+}
+
+// Revision returns the revision of an entity.
+func Revision(message proto.Message) uint64 {
+	revised, ok := message.(interface{ GetRevision() uint64 })
+	if !ok {
+		panic("resource: the message has no field Revision")
+	}
+	return revised.GetRevision()
+}
+
+// CloseClient closes c, in a deferred call, and sets err unless it is set.
+func CloseClient(c *client.Client, err *error) {
+	if closeErr := c.Close(); *err == nil {
+		*err = closeErr
+	}
+}
--- /dev/null
+++ b/internal/cli/root/root.go
@@ -0,0 +1,110 @@
+// Package root assembles the command line of banyanshift.
+//
+// # Usage
+//
+//	os.Exit(root.Main(factory.New(serve.Run), os.Args[1:]))
+package root
+
+import (
+	"context"
+	"fmt"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/banyanshift/banyanshift/internal/cli/exit"
+	"github.com/banyanshift/banyanshift/internal/cli/factory"
+	configapply "github.com/banyanshift/banyanshift/internal/cmdconfig/apply"
+	daemonserve "github.com/banyanshift/banyanshift/internal/cmddaemon/serve"
+	fleetstatus "github.com/banyanshift/banyanshift/internal/cmdfleet/status"
+)
+
+// IDs of the groups of commands in the help.
+const (
+	groupFleet         = "fleet"
+	groupConfiguration = "configuration"
+	groupRecords       = "records"
+)
+
+// NewCmdRoot returns the command banyanshift.
+func NewCmdRoot(f *factory.Factory) *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "banyanshift <noun> <verb> [flags]",
+		Short: "Route language-model traffic of many teams",
+		Long: `Run and operate banyanshift, a router for language-model traffic of many teams.
+
+Commands talk to any daemon of the fleet. On a terminal they print tables, in a
+pipe rows separated by tabs, and with --json objects.`,
+		Example: `  $ banyanshift serve --settings banyanshift.ini
+  $ banyanshift apply -f fleet.ini --dry-run
+  $ banyanshift key create --team everest
+  $ banyanshift status`,
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		Args:          unknownCommand,
+		RunE:          showHelp,
+	}
+	cmd.SetOut(f.IO.Out)
+	cmd.SetErr(f.IO.ErrOut)
+	cmd.SetIn(f.IO.In)
+	cmd.SetFlagErrorFunc(flagError)
+	f.AddFlags(cmd.PersistentFlags())
+	cmd.AddGroup(
+		&cobra.Group{ID: groupFleet, Title: "Fleet:"},
+		&cobra.Group{ID: groupConfiguration, Title: "Configuration:"},
+		&cobra.Group{ID: groupRecords, Title: "Records:"},
+	)
+	add(cmd, groupFleet, daemonserve.NewCmdServe(f, nil), fleetstatus.NewCmdStatus(f, nil), newFleet(f), newBackend(f))
+	add(cmd, groupConfiguration, newTeam(f), newKey(f), newClass(f), newRoute(f), newConfig(f), configapply.NewCmdApply(f, nil))
+	add(cmd, groupRecords, newUsage(f), newAudit(f))
+	cmd.AddCommand(newExitCodes())
+	return cmd
+}
+
+func add(cmd *cobra.Command, group string, children ...*cobra.Command) {
+	for _, child := range children {
+		child.GroupID = group
+		cmd.AddCommand(child)
+	}
+}
+
+// newExitCodes returns the help topic "exit-codes".
+func newExitCodes() *cobra.Command {
+	return &cobra.Command{Use: "exit-codes", Short: "Exit codes of all commands", Long: exit.Help}
+}
+
+// unknownCommand refuses arguments of a command that only has verbs.
+func unknownCommand(cmd *cobra.Command, args []string) error {
+	if len(args) == 0 {
+		return nil
+	}
+	message := fmt.Sprintf("there is no command %q in %q", args[0], cmd.CommandPath())
+	if suggestions := cmd.SuggestionsFor(args[0]); len(suggestions) > 0 {
+		message += "; did you mean " + strings.Join(suggestions, " or ") + "?"
+	}
+	return exit.Usagef("%s\n\nSee %s --help", message, cmd.CommandPath())
+}
+
+func showHelp(cmd *cobra.Command, _ []string) error {
+	return cmd.Help()
+}
+
+func flagError(cmd *cobra.Command, err error) error {
+	return exit.Usagef("%v\n\nSee %s --help", err, cmd.CommandPath())
+}
+
+// Main runs the command line until it ends or the process is told to stop, and
+// returns the exit code.
+func Main(f *factory.Factory, args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	cmd := NewCmdRoot(f)
+	cmd.SetArgs(args)
+	err := cmd.ExecuteContext(ctx)
+	if err != nil {
+		f.Warnf("%s", exit.Message(err))
+	}
+	return int(exit.CodeOf(err))
+}
--- /dev/null
+++ b/internal/cmdbackend/edit/edit.go
@@ -0,0 +1,60 @@
+// Package edit implements the command "banyanshift backend edit".
+//
+// # Usage
+//
+//	cmd := edit.NewCmdEdit(f, nil)
+package edit
+
+import (
+	"context"
+
+	"github.com/spf13/cobra"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/banyanshift/banyanshift/internal/cli/change"
+	"github.com/banyanshift/banyanshift/internal/cli/exit"
+	"github.com/banyanshift/banyanshift/internal/cli/factory"
+	"github.com/banyanshift/banyanshift/internal/cli/field"
+	"github.com/banyanshift/banyanshift/internal/cli/resource"
+	"github.com/banyanshift/banyanshift/internal/cli/streams"
+	"github.com/banyanshift/banyanshift/internal/cmdbackend/shared"
+)
+
+// Options are the inputs of the command.
+type Options struct {
+	IO     *streams.Streams
+	Client resource.Connect
+	Name   string
+	Change change.Options
+	Flags  *field.Flags
+}
+
+// NewCmdEdit returns the command. Tests pass runF in place of its execution.
+func NewCmdEdit(f *factory.Factory, runF func(context.Context, *Options) error) *cobra.Command {
+	opts := &Options{IO: f.IO, Client: f.Client}
+	cmd := &cobra.Command{
+		Use:   "edit <name>",
+		Short: "Change some fields of a back end",
+		Example: `  $ banyanshift backend edit ledger-70b --max-endpoints 12
+  $ banyanshift backend edit ledger-70b --firm-only`,
+		Args: exit.ExactArgs("name"),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			opts.Name = args[0]
+			if runF != nil {
+				return runF(cmd.Context(), opts)
+			}
+			return editRun(cmd.Context(), opts)
+		},
+	}
+	opts.Change.AddFlags(cmd)
+	opts.Change.AddRevisionFlag(cmd)
+	opts.Flags = field.AddWithoutDefaults(cmd.Flags(), shared.Resource.New(), shared.Resource.Flags)
+	return cmd
+}
+
+func editRun(ctx context.Context, opts *Options) error {
+	adjust := func(message proto.Message) error {
+		return opts.Flags.Overwrite(message, false)
+	}
+	return shared.Resource.Edit(ctx, opts.IO, opts.Client, &opts.Change, opts.Name, adjust)
+}
--- /dev/null
+++ b/internal/cmdclass/create/create.go
@@ -0,0 +1,54 @@
+// Package create implements the command "banyanshift class create".
+//
+// # Usage
+//
+//	cmd := create.NewCmdCreate(f, nil)
+package create
+
+import (
+	"context"
+
+	"github.com/spf13/cobra"
+
+	"github.com/banyanshift/banyanshift/internal/cli/change"
+	"github.com/banyanshift/banyanshift/internal/cli/exit"
+	"github.com/banyanshift/banyanshift/internal/cli/factory"
+	"github.com/banyanshift/banyanshift/internal/cli/field"
+	"github.com/banyanshift/banyanshift/internal/cli/resource"
+	"github.com/banyanshift/banyanshift/internal/cli/streams"
+	"github.com/banyanshift/banyanshift/internal/cmdclass/shared"
+)
+
+// Options are the inputs of the command.
+type Options struct {
+	IO     *streams.Streams
+	Client resource.Connect
+	Name   string
+	Change change.Options
+	Flags  *field.Flags
+}
+
+// NewCmdCreate returns the command. Tests pass runF in place of its execution.
+func NewCmdCreate(f *factory.Factory, runF func(context.Context, *Options) error) *cobra.Command {
+	opts := &Options{IO: f.IO, Client: f.Client}
+	cmd := &cobra.Command{
+		Use:     "create <name>",
+		Short:   "Create a class",
+		Example: `  $ banyanshift class create quick-question --tier 0 --first-token-target 780ms --max-wait 2s --refuse-early`,
+		Args:    exit.ExactArgs("name"),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			opts.Name = args[0]
+			if runF != nil {
+				return runF(cmd.Context(), opts)
+			}
+			return createRun(cmd.Context(), opts)
+		},
+	}
+	opts.Change.AddFlags(cmd)
+	opts.Flags = field.Add(cmd.Flags(), shared.Resource.New(), shared.Resource.Flags)
+	return cmd
+}
+
+func createRun(ctx context.Context, opts *Options) error {
+	return shared.Resource.Create(ctx, opts.IO, opts.Client, &opts.Change, opts.Name, opts.Flags)
+}
--- /dev/null
+++ b/internal/cmdclass/list/list.go
@@ -0,0 +1,50 @@
+// Package list implements the command "banyanshift class list".
+//
+// # Usage
+//
+//	cmd := list.NewCmdList(f, nil)
+package list
+
+import (
+	"context"
+
+	"github.com/spf13/cobra"
+
+	"github.com/banyanshift/banyanshift/internal/cli/exit"
+	"github.com/banyanshift/banyanshift/internal/cli/factory"
+	"github.com/banyanshift/banyanshift/internal/cli/output"
+	"github.com/banyanshift/banyanshift/internal/cli/resource"
+	"github.com/banyanshift/banyanshift/internal/cli/streams"
+	"github.com/banyanshift/banyanshift/internal/cmdclass/shared"
+)
+
+// Options are the inputs of the command.
+type Options struct {
+	IO     *streams.Streams
+	Client resource.Connect
+	Format output.Format
+}
+
+// NewCmdList returns the command. Tests pass runF in place of its execution.
+func NewCmdList(f *factory.Factory, runF func(context.Context, *Options) error) *cobra.Command {
+	opts := &Options{IO: f.IO, Client: f.Client}
+	cmd := &cobra.Command{
+		Use:   "list",
+		Short: "List the classes",
+		Example: `  $ banyanshift class list
+  $ banyanshift class list --json=Name,Revision`,
+		Args: exit.ExactArgs(),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if runF != nil {
+				return runF(cmd.Context(), opts)
+			}
+			return listRun(cmd.Context(), opts)
+		},
+	}
+	opts.Format.AddFlag(cmd, shared.Resource.New())
+	return cmd
+}
+
+func listRun(ctx context.Context, opts *Options) error {
+	return shared.Resource.List(ctx, opts.IO, opts.Client, &opts.Format)
+}
--- /dev/null
+++ b/internal/cmdfleet/status/status.go
@@ -0,0 +1,159 @@
+// Package status implements the commands "banyanshift status" and "banyanshift
+// fleet status".
+//
+// # Usage
+//
+//	cmd := status.NewCmdStatus(f, nil)
+package status
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+
+	"github.com/spf13/cobra"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/banyanshift/banyanshift/internal/cli/exit"
+	"github.com/banyanshift/banyanshift/internal/cli/factory"
+	"github.com/banyanshift/banyanshift/internal/cli/field"
+	"github.com/banyanshift/banyanshift/internal/cli/output"
+	"github.com/banyanshift/banyanshift/internal/cli/resource"
+	"github.com/banyanshift/banyanshift/internal/cli/streams"
+	operatorv1 "github.com/banyanshift/banyanshift/proto/operator/v1"
+)
+
+// Options are the inputs of the command.
+type Options struct {
+	IO     *streams.Streams
+	Client resource.Connect
+	Format output.Format
+}
+
+// NewCmdStatus returns the command. Tests pass runF in place of its execution.
+func NewCmdStatus(f *factory.Factory, runF func(context.Context, *Options) error) *cobra.Command {
+	opts := &Options{IO: f.IO, Client: f.Client}
+	cmd := &cobra.Command{
+		Use:   "status",
+		Short: "Show the fleet at a glance",
+		Long: `Show the fleet as the answering daemon sees it: the daemons and the configuration
+that each has in force, the endpoints of each back end, the service of each class,
+and who gives the orders of each region.
+
+In a pipe each row starts with the name of its table.`,
+		Example: `  $ banyanshift status
+  $ banyanshift status --json=Daemons,Leases`,
+		Args: exit.ExactArgs(),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if runF != nil {
+				return runF(cmd.Context(), opts)
+			}
+			return statusRun(cmd.Context(), opts)
+		},
+	}
+	opts.Format.AddFlag(cmd, &operatorv1.FleetStatus{})
+	return cmd
+}
+
+func statusRun(ctx context.Context, opts *Options) (err error) {
+	c, err := opts.Client()
+	if err != nil {
+		return err
+	}
+	defer resource.CloseClient(c, &err)
+	fleet, err := c.Fleet.Status(ctx, &operatorv1.FleetStatusRequest{})
+	if err != nil {
+		return err
+	}
+	if opts.Format.JSON {
+		return output.View(opts.IO, &opts.Format, fleet)
+	}
+	return show(opts.IO, fleet)
+}
+
+// section is one table of the status.
+type section struct {
+	name    string
+	columns []string
+	rows    [][]string
+}
+
+func show(io *streams.Streams, fleet *operatorv1.FleetStatus) error {
+	for i, s := range sections(fleet) {
+		if !io.Terminal {
+			for j := range s.rows {
+				s.rows[j] = append([]string{s.name}, s.rows[j]...)
+			}
+		} else if i > 0 {
+			if _, err := fmt.Fprintln(io.Out); err != nil {
+				return err
+			}
+		}
+		if err := output.Table(io, s.columns, s.rows); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func sections(fleet *operatorv1.FleetStatus) []section {
+	all := []section{{
+		name:    "Fleet",
+		columns: []string{"AnsweredBy", "Configuration", "Store", "PendingChanges"},
+		rows: [][]string{{
+			fleet.GetAnsweredBy(),
+			strconv.FormatUint(fleet.GetConfigSequence(), 10),
+			storeText(fleet.GetStoreReachable()),
+			strconv.Itoa(int(fleet.GetPendingChanges())),
+		}},
+	}}
+	daemons := section{name: "Daemon", columns: []string{"ID", "Address", "Region", "FailureDomain", "State", "ConfigSequence"}}
+	for _, daemon := range fleet.GetDaemons() {
+		daemons.add(daemon)
+	}
+	backends := section{name: "Backend", columns: []string{"Name", "Firm", "Cheap", "Leaving", "Ejected", "Running", "Waiting", "MilliPricePerHour"}}
+	for _, backend := range fleet.GetBackends() {
+		backends.add(backend)
+	}
+	leases := section{name: "Lease", columns: []string{"Scope", "Holder", "Fence"}}
+	for _, lease := range fleet.GetLeases() {
+		leases.add(lease)
+	}
+	return append(all, daemons, backends, classes(fleet), leases)
+}
+
+// classes adds the attainment to the figures of the classes.
+func classes(fleet *operatorv1.FleetStatus) section {
+	columns := []string{"Name", "Tier", "Requests", "Met", "Refused", "Waiting"}
+	s := section{name: "Class", columns: columns}
+	for _, class := range fleet.GetClasses() {
+		s.add(class)
+		last := len(s.rows) - 1
+		s.rows[last] = append(s.rows[last], attainment(class))
+	}
+	s.columns = append(s.columns, "Attainment")
+	return s
+}
+
+func (s *section) add(message proto.Message) {
+	row := make([]string, len(s.columns))
+	for i, column := range s.columns {
+		row[i] = field.Text(message, column)
+	}
+	s.rows = append(s.rows, row)
+}
+
+// attainment is the part of all requests that met their target.
+func attainment(class *operatorv1.ClassStatus) string {
+	if class.GetRequests() == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.1f%%", 100*float64(class.GetMet())/float64(class.GetRequests()))
+}
+
+func storeText(reachable bool) string {
+	if reachable {
+		return "reachable"
+	}
+	return "unreachable"
+}
--- /dev/null
+++ b/internal/cmdkey/withdraw/withdraw.go
@@ -0,0 +1,68 @@
+// Package withdraw implements the command "banyanshift key withdraw".
+//
+// # Usage
+//
+//	cmd := withdraw.NewCmdWithdraw(f, nil)
+package withdraw
+
+import (
+	"context"
+
+	"github.com/spf13/cobra"
+
+	"github.com/banyanshift/banyanshift/internal/cli/change"
+	"github.com/banyanshift/banyanshift/internal/cli/exit"
+	"github.com/banyanshift/banyanshift/internal/cli/factory"
+	"github.com/banyanshift/banyanshift/internal/cli/resource"
+	"github.com/banyanshift/banyanshift/internal/cli/streams"
+	operatorv1 "github.com/banyanshift/banyanshift/proto/operator/v1"
+)
+
+// Options are the inputs of the command.
+type Options struct {
+	IO     *streams.Streams
+	Client resource.Connect
+	ID     string
+	Change change.Options
+}
+
+// NewCmdWithdraw returns the command. Tests pass runF in place of its
+// execution.
+func NewCmdWithdraw(f *factory.Factory, runF func(context.Context, *Options) error) *cobra.Command {
+	opts := &Options{IO: f.IO, Client: f.Client}
+	cmd := &cobra.Command{
+		Use:   "withdraw <id>",
+		Short: "Refuse a key from now on",
+		Long: `Refuse a key from now on, for ever. Streams that are open with it end with an
+error; calls that may not be repeated and are already running end by themselves.
+
+While the store is down the key is refused in the daemons that can be reached, and
+the command ends with exit code 6. The withdrawal is written once the store is back.`,
+		Example: `  $ banyanshift key withdraw 5f0c9a1be2d34c77`,
+		Args:    exit.ExactArgs("id"),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			opts.ID = args[0]
+			if runF != nil {
+				return runF(cmd.Context(), opts)
+			}
+			return withdrawRun(cmd.Context(), opts)
+		},
+	}
+	opts.Change.AddFlags(cmd)
+	opts.Change.AddRevisionFlag(cmd)
+	return cmd
+}
+
+func withdrawRun(ctx context.Context, opts *Options) (err error) {
+	c, err := opts.Client()
+	if err != nil {
+		return err
+	}
+	defer resource.CloseClient(c, &err)
+	response, err := c.Keys.Withdraw(ctx, &operatorv1.WithdrawKeyRequest{
+		RequestID:        opts.Change.ID(),
+		ExpectedRevision: opts.Change.Expected,
+		ID:               opts.ID,
+	})
+	return opts.Change.Report(opts.IO, "Withdrawn", response, err)
+}
--- /dev/null
+++ b/internal/cmdteam/delete/delete.go
@@ -0,0 +1,54 @@
+// Package delete implements the command "banyanshift team delete".
+//
+// # Usage
+//
+//	cmd := delete.NewCmdDelete(f, nil)
+package delete
+
+import (
+	"context"
+
+	"github.com/spf13/cobra"
+
+	"github.com/banyanshift/banyanshift/internal/cli/change"
+	"github.com/banyanshift/banyanshift/internal/cli/exit"
+	"github.com/banyanshift/banyanshift/internal/cli/factory"
+	"github.com/banyanshift/banyanshift/internal/cli/resource"
+	"github.com/banyanshift/banyanshift/internal/cli/streams"
+	"github.com/banyanshift/banyanshift/internal/cmdteam/shared"
+)
+
+// Options are the inputs of the command.
+type Options struct {
+	IO     *streams.Streams
+	Client resource.Connect
+	Name   string
+	Yes    bool
+	Change change.Options
+}
+
+// NewCmdDelete returns the command. Tests pass runF in place of its execution.
+func NewCmdDelete(f *factory.Factory, runF func(context.Context, *Options) error) *cobra.Command {
+	opts := &Options{IO: f.IO, Client: f.Client}
+	cmd := &cobra.Command{
+		Use:     "delete <name>",
+		Short:   "Delete a team",
+		Example: `  $ banyanshift team delete everest --yes`,
+		Args:    exit.ExactArgs("name"),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			opts.Name = args[0]
+			if runF != nil {
+				return runF(cmd.Context(), opts)
+			}
+			return deleteRun(cmd.Context(), opts)
+		},
+	}
+	opts.Change.AddFlags(cmd)
+	opts.Change.AddRevisionFlag(cmd)
+	cmd.Flags().BoolVar(&opts.Yes, "yes", false, "delete without asking")
+	return cmd
+}
+
+func deleteRun(ctx context.Context, opts *Options) error {
+	return shared.Resource.Delete(ctx, opts.IO, opts.Client, &opts.Change, opts.Name, opts.Yes)
+}
--- a/internal/operator/rpc/errors.go
+++ b/internal/operator/rpc/errors.go
@@ -26,6 +26,17 @@
 	return detailed.Err()
 }
 
+// storeUnavailable returns an UNAVAILABLE error with a detail, which tells it
+// from the error of a connection that broke.
+func storeUnavailable(message string) error {
+	st := status.New(codes.Unavailable, message)
+	detailed, err := st.WithDetails(&errdetails.ErrorInfo{Reason: "STORE_UNAVAILABLE", Domain: "banyanshift"})
+	if err != nil {
+		return st.Err()
+	}
+	return detailed.Err()
+}
+
 func notFound(kind, name string) error {
 	return status.Errorf(codes.NotFound, "there is no %s %q", kind, name)
 }
@@ -47,7 +58,7 @@
 	case errors.Is(err, table.ErrUnknown):
 		return status.Error(codes.Unknown, "the outcome is not known: send the change again with the same request ID")
 	case errors.Is(err, table.ErrUnavailable):
-		return status.Error(codes.Unavailable, "the store cannot be reached; nothing was changed")
+		return storeUnavailable("the store cannot be reached; nothing was changed")
 	}
 	return readError(err)
 }
@@ -60,7 +71,7 @@
 	case errors.Is(err, context.Canceled):
 		return status.Error(codes.Canceled, err.Error())
 	case errors.Is(err, table.ErrUnavailable):
-		return status.Error(codes.Unavailable, "the store cannot be reached")
+		return storeUnavailable("the store cannot be reached")
 	}
 	return status.Error(codes.Internal, err.Error())
 }
--- a/internal/operator/rpc/read.go
+++ b/internal/operator/rpc/read.go
@@ -122,15 +122,15 @@
 		action = actionCreate
 	}
 	return &operatorv1.AuditEntry{
-		Sequence:   c.Sequence,
-		UnixMillis: int64(c.Wall),
-		Actor:      c.Actor,
-		RequestID:  c.RequestID,
-		Kind:       string(kind),
-		Name:       name,
-		Action:     action,
-		Before:     auditText(write.Entity, write.Before),
-		After:      auditText(write.Entity, write.Value),
+		Sequence:       c.Sequence,
+		TimeUnixMillis: int64(c.Wall),
+		Actor:          c.Actor,
+		RequestID:      c.RequestID,
+		Kind:           string(kind),
+		Name:           name,
+		Action:         action,
+		Before:         auditText(write.Entity, write.Before),
+		After:          auditText(write.Entity, write.Value),
 	}
 }
 
