--- a/internal/bench/root/root.go
+++ b/internal/bench/root/root.go
@@ -14,6 +14,7 @@
 	"github.com/banyanshift/banyanshift/internal/bench/engine"
 	"github.com/banyanshift/banyanshift/internal/bench/factory"
 	"github.com/banyanshift/banyanshift/internal/bench/platform"
+	"github.com/banyanshift/banyanshift/internal/bench/proxy"
 	"github.com/banyanshift/banyanshift/internal/bench/service"
 )
 
@@ -33,6 +34,7 @@
 		platform.NewCmdPlatform(f, nil),
 		engine.NewCmdEngine(f, nil),
 		service.NewCmdService(f, nil),
+		proxy.NewCmdProxy(f, nil),
 	}
 }
 
--- /dev/null
+++ b/internal/standin/faultproxy/proxy.go
@@ -0,0 +1,206 @@
+// Package faultproxy forwards TCP connections and spoils them on command: it
+// refuses, cuts, stalls and delays them, and loses answers. Each link has a
+// name, a listener and a target; faults go to the links whose name matches a
+// pattern.
+//
+// # Usage
+//
+//	p := faultproxy.New(1, clock.System())
+//	err := p.Start("127.0.0.1:0")
+//	address, err := p.Link("platform/d1", "127.0.0.1:8000")
+//	p.SetFault(faultproxy.Rule{Pattern: "platform/*", Fault: faultproxy.Fault{Stall: true}})
+//
+// The control interface takes a host.ProxyLink at POST /links and a Rule at
+// POST /faults.
+package faultproxy
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"path"
+	"slices"
+	"sync"
+
+	"github.com/samber/oops"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/standin/host"
+)
+
+// Fault is what happens to the connections of a link.
+type Fault struct {
+	// Refuse closes new connections at once.
+	Refuse bool
+	// Cut closes the connections that exist when the fault is set.
+	Cut bool
+	// Stall keeps connections open and forwards nothing, in either direction.
+	Stall bool
+	// StallAnswers forwards only from the client to the target.
+	StallAnswers bool
+	// Delay holds back each piece of data, plus a random time up to Jitter.
+	Delay  clock.Millis
+	Jitter clock.Millis
+	// LoseAnswers is the share, from 0 to 1, of pieces of data from the target
+	// in place of which the connection is cut.
+	LoseAnswers float64
+}
+
+// Rule gives a fault to all links whose name matches a pattern of path.Match,
+// in place of what they had.
+type Rule struct {
+	Pattern string
+	Fault   Fault
+}
+
+// Proxy is a set of links.
+type Proxy struct {
+	clock  clock.Clock
+	server *http.Server
+	url    string
+
+	mu     sync.Mutex
+	random *rand.Rand
+	links  map[string]*link
+	rules  []Rule
+}
+
+// New returns a Proxy that does not listen yet.
+func New(seed uint64, clk clock.Clock) *Proxy {
+	return &Proxy{clock: clk, random: rand.New(rand.NewPCG(seed, 5)), links: make(map[string]*link)}
+}
+
+func listen(address string) (net.Listener, error) {
+	var config net.ListenConfig
+	return config.Listen(context.Background(), "tcp", address)
+}
+
+// Start listens for control calls at address.
+func (p *Proxy) Start(address string) (err error) {
+	defer func() { err = oops.Wrapf(err, "start fault proxy") }()
+	listener, err := listen(address)
+	if err != nil {
+		return err
+	}
+	p.url = "http://" + listener.Addr().String()
+	p.server = &http.Server{Handler: p.routes(), ReadHeaderTimeout: clock.Minute.Duration()}
+	go p.run(listener)
+	return nil
+}
+
+func (p *Proxy) run(listener net.Listener) {
+	_ = p.server.Serve(listener)
+}
+
+// URL returns the base URL of the control interface.
+func (p *Proxy) URL() string {
+	return p.url
+}
+
+// Close ends all links.
+func (p *Proxy) Close() {
+	p.mu.Lock()
+	links := p.links
+	p.links = make(map[string]*link)
+	p.mu.Unlock()
+	for _, l := range links {
+		l.close()
+	}
+	if p.server != nil {
+		_ = p.server.Close()
+	}
+}
+
+// Link returns the address that forwards to target under name. A link that
+// exists gets the new target.
+func (p *Proxy) Link(name, target string) (address string, err error) {
+	defer func() { err = oops.Wrapf(err, "link %s", name) }()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if known, ok := p.links[name]; ok {
+		known.setTarget(target)
+		return known.listener.Addr().String(), nil
+	}
+	listener, err := listen("127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	l := &link{proxy: p, target: target, listener: listener, conns: make(map[net.Conn]bool)}
+	l.changed = make(chan struct{})
+	for _, rule := range p.rules {
+		if matches(rule.Pattern, name) {
+			l.fault = rule.Fault
+		}
+	}
+	p.links[name] = l
+	go l.run()
+	return listener.Addr().String(), nil
+}
+
+func matches(pattern, name string) bool {
+	matched, err := path.Match(pattern, name)
+	return err == nil && matched
+}
+
+// SetFault applies a rule to the links that exist and to those made later.
+func (p *Proxy) SetFault(rule Rule) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rules = slices.DeleteFunc(p.rules, func(old Rule) bool { return old.Pattern == rule.Pattern })
+	p.rules = append(p.rules, rule)
+	for name, l := range p.links {
+		if matches(rule.Pattern, name) {
+			l.setFault(rule.Fault)
+		}
+	}
+}
+
+// chance is true with the given probability.
+func (p *Proxy) chance(share float64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.random.Float64() < share
+}
+
+func (p *Proxy) jitter(most clock.Millis) clock.Millis {
+	if most <= 0 {
+		return 0
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return clock.Millis(p.random.Int64N(int64(most) + 1))
+}
+
+func (p *Proxy) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /links", func(w http.ResponseWriter, r *http.Request) {
+		var wanted host.ProxyLink
+		if !decode(w, r, &wanted) {
+			return
+		}
+		address, err := p.Link(wanted.Name, wanted.Target)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		host.WriteJSON(w, host.ProxyAddress{Address: address})
+	})
+	mux.HandleFunc("POST /faults", func(w http.ResponseWriter, r *http.Request) {
+		var rule Rule
+		if decode(w, r, &rule) {
+			p.SetFault(rule)
+			host.WriteJSON(w, struct{}{})
+		}
+	})
+	return mux
+}
+
+func decode(w http.ResponseWriter, r *http.Request, into any) bool {
+	err := json.NewDecoder(r.Body).Decode(into)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	}
+	return err == nil
+}
