--- a/Makefile
+++ b/Makefile
@@ -39,3 +39,11 @@
 	protoc --go_out=. --go_opt=paths=source_relative \
 		--go-grpc_out=. --go-grpc_opt=paths=source_relative \
 		proto/operator/v1/operator.proto
+
+# Writes the pages that are made from the code. Tests hold them fresh.
+.PHONY: docs
+docs:
+	go build -o bin/banyanshift ./cmd/banyanshift
+	bin/banyanshift docs settings >docs/SETTINGS.md
+	bin/banyanshift docs events >docs/EVENTS.md
+	bin/banyanshift docs metrics >docs/METRICS.md
--- a/internal/cli/change/change.go
+++ b/internal/cli/change/change.go
@@ -134,7 +134,11 @@
 		return err
 	}
 	confirmed := len(response.GetConfirmed())
-	_, err := fmt.Fprintf(io.Out, "In force in %d of %d daemons, change %d.\n",
-		confirmed, confirmed+len(response.GetUnconfirmed()), response.GetSequence())
+	place := fmt.Sprintf("change %d", response.GetSequence())
+	if response.GetPending() {
+		place = "not in the store yet"
+	}
+	_, err := fmt.Fprintf(io.Out, "In force in %d of %d daemons, %s.\n",
+		confirmed, confirmed+len(response.GetUnconfirmed()), place)
 	return err
 }
--- a/internal/cli/root/nouns.go
+++ b/internal/cli/root/nouns.go
@@ -19,6 +19,9 @@
 	configcheck "github.com/banyanshift/banyanshift/internal/cmdconfig/check"
 	configexample "github.com/banyanshift/banyanshift/internal/cmdconfig/example"
 	configexport "github.com/banyanshift/banyanshift/internal/cmdconfig/export"
+	docsevents "github.com/banyanshift/banyanshift/internal/cmddocs/events"
+	docsmetrics "github.com/banyanshift/banyanshift/internal/cmddocs/metrics"
+	docssettings "github.com/banyanshift/banyanshift/internal/cmddocs/settings"
 	fleetstatus "github.com/banyanshift/banyanshift/internal/cmdfleet/status"
 	keycreate "github.com/banyanshift/banyanshift/internal/cmdkey/create"
 	keylist "github.com/banyanshift/banyanshift/internal/cmdkey/list"
@@ -122,3 +125,14 @@
 		auditlist.NewCmdList(f, nil),
 	)
 }
+
+// newDocs returns the hidden command that writes pages of the documentation.
+func newDocs(f *factory.Factory) *cobra.Command {
+	cmd := newNoun("docs", "Print pages of the documentation",
+		docssettings.NewCmdSettings(f, nil),
+		docsevents.NewCmdEvents(f, nil),
+		docsmetrics.NewCmdMetrics(f, nil),
+	)
+	cmd.Hidden = true
+	return cmd
+}
--- a/internal/cli/root/root.go
+++ b/internal/cli/root/root.go
@@ -59,7 +59,7 @@
 	add(cmd, groupFleet, daemonserve.NewCmdServe(f, nil), fleetstatus.NewCmdStatus(f, nil), newFleet(f), newBackend(f))
 	add(cmd, groupConfiguration, newTeam(f), newKey(f), newClass(f), newRoute(f), newConfig(f), configapply.NewCmdApply(f, nil))
 	add(cmd, groupRecords, newUsage(f), newAudit(f))
-	cmd.AddCommand(newExitCodes())
+	cmd.AddCommand(newExitCodes(), newDocs(f))
 	return cmd
 }
 
--- /dev/null
+++ b/internal/cmddocs/metrics/metrics.go
@@ -0,0 +1,44 @@
+// Package metrics implements the command "banyanshift docs metrics".
+//
+// # Usage
+//
+//	cmd := metrics.NewCmdMetrics(f, nil)
+package metrics
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"github.com/banyanshift/banyanshift/internal/cli/exit"
+	"github.com/banyanshift/banyanshift/internal/cli/factory"
+	"github.com/banyanshift/banyanshift/internal/cli/streams"
+	"github.com/banyanshift/banyanshift/internal/observe/catalogue"
+)
+
+// Options are the inputs of the command.
+type Options struct {
+	IO *streams.Streams
+}
+
+// NewCmdMetrics returns the command. Tests pass runF in place of its execution.
+func NewCmdMetrics(f *factory.Factory, runF func(*Options) error) *cobra.Command {
+	opts := &Options{IO: f.IO}
+	return &cobra.Command{
+		Use:     "metrics",
+		Short:   "Print the page on the metrics of a daemon",
+		Example: `  $ banyanshift docs metrics > docs/METRICS.md`,
+		Args:    exit.ExactArgs(),
+		RunE: func(*cobra.Command, []string) error {
+			if runF != nil {
+				return runF(opts)
+			}
+			return metricsRun(opts)
+		},
+	}
+}
+
+func metricsRun(opts *Options) error {
+	_, err := fmt.Fprint(opts.IO.Out, catalogue.Metrics())
+	return err
+}
--- a/internal/operator/rpc/keys.go
+++ b/internal/operator/rpc/keys.go
@@ -79,11 +79,18 @@
 
 // Get implements operatorv1.KeysServer.
 func (k *keys) Get(_ context.Context, req *operatorv1.GetRequest) (*operatorv1.Key, error) {
-	return get(k.server, entity.KindKey, req.GetName(), k.server.config.State.Key, keyMessage)
+	key, found := k.server.config.State.Key(req.GetName())
+	if !found {
+		return nil, notFound("Key", req.GetName())
+	}
+	return keyMessage(key, k.server.revision(entity.KindKey, key.ID)), nil
 }
 
 // List implements operatorv1.KeysServer.
 func (k *keys) List(_ context.Context, req *operatorv1.ListKeysRequest) (*operatorv1.ListKeysResponse, error) {
-	all := list(k.server, entity.KindKey, k.server.config.State.Keys(req.GetTeam()), keyID, keyMessage)
-	return &operatorv1.ListKeysResponse{Keys: all}, nil
+	response := &operatorv1.ListKeysResponse{}
+	for _, key := range k.server.config.State.Keys(req.GetTeam()) {
+		response.Keys = append(response.Keys, keyMessage(key, k.server.revision(entity.KindKey, key.ID)))
+	}
+	return response, nil
 }
--- a/internal/operator/rpc/nouns.go
+++ b/internal/operator/rpc/nouns.go
@@ -12,30 +12,11 @@
 	return s.propose(ctx, req.GetRequestID(), change{kind: kind, name: req.GetName(), expected: req.GetExpectedRevision()})
 }
 
-// get returns the message of the entity that the request names.
-func get[E, M any](s *Server, kind entity.Kind, name string, find func(string) (E, bool), message func(E, uint64) M) (m M, err error) {
-	found, ok := find(name)
-	if !ok {
-		return m, notFound(string(kind), name)
-	}
-	return message(found, s.config.State.Revision(kind, name)), nil
-}
-
-// list returns the messages of all entities.
-func list[E, M any](s *Server, kind entity.Kind, all []E, name func(E) string, message func(E, uint64) M) []M {
-	messages := make([]M, len(all))
-	for i, e := range all {
-		messages[i] = message(e, s.config.State.Revision(kind, name(e)))
-	}
-	return messages
+// revision returns the revision of an entity in force.
+func (s *Server) revision(kind entity.Kind, name string) uint64 {
+	return s.config.State.Revision(kind, name)
 }
 
-func teamName(t entity.Team) string       { return t.Name }
-func classNameOf(c entity.Class) string   { return c.Name }
-func routeName(r entity.Route) string     { return r.Name }
-func backendName(b entity.Backend) string { return b.Name }
-func keyID(k entity.Key) string           { return k.ID }
-
 type teams struct {
 	operatorv1.UnimplementedTeamsServer
 	server *Server
@@ -54,13 +35,20 @@
 
 // Get implements operatorv1.TeamsServer.
 func (t *teams) Get(_ context.Context, req *operatorv1.GetRequest) (*operatorv1.Team, error) {
-	return get(t.server, entity.KindTeam, req.GetName(), t.server.config.State.Team, teamMessage)
+	found, ok := t.server.config.State.Team(req.GetName())
+	if !ok {
+		return nil, notFound("Team", req.GetName())
+	}
+	return teamMessage(found, t.server.revision(entity.KindTeam, found.Name)), nil
 }
 
 // List implements operatorv1.TeamsServer.
 func (t *teams) List(context.Context, *operatorv1.ListRequest) (*operatorv1.ListTeamsResponse, error) {
-	all := list(t.server, entity.KindTeam, t.server.config.State.Teams(), teamName, teamMessage)
-	return &operatorv1.ListTeamsResponse{Teams: all}, nil
+	response := &operatorv1.ListTeamsResponse{}
+	for _, found := range t.server.config.State.Teams() {
+		response.Teams = append(response.Teams, teamMessage(found, t.server.revision(entity.KindTeam, found.Name)))
+	}
+	return response, nil
 }
 
 type classes struct {
@@ -81,13 +69,20 @@
 
 // Get implements operatorv1.ClassesServer.
 func (c *classes) Get(_ context.Context, req *operatorv1.GetRequest) (*operatorv1.Class, error) {
-	return get(c.server, entity.KindClass, req.GetName(), c.server.config.State.Class, classMessage)
+	found, ok := c.server.config.State.Class(req.GetName())
+	if !ok {
+		return nil, notFound("Class", req.GetName())
+	}
+	return classMessage(found, c.server.revision(entity.KindClass, found.Name)), nil
 }
 
 // List implements operatorv1.ClassesServer.
 func (c *classes) List(context.Context, *operatorv1.ListRequest) (*operatorv1.ListClassesResponse, error) {
-	all := list(c.server, entity.KindClass, c.server.config.State.Classes(), classNameOf, classMessage)
-	return &operatorv1.ListClassesResponse{Classes: all}, nil
+	response := &operatorv1.ListClassesResponse{}
+	for _, found := range c.server.config.State.Classes() {
+		response.Classes = append(response.Classes, classMessage(found, c.server.revision(entity.KindClass, found.Name)))
+	}
+	return response, nil
 }
 
 type routes struct {
@@ -108,13 +103,20 @@
 
 // Get implements operatorv1.RoutesServer.
 func (r *routes) Get(_ context.Context, req *operatorv1.GetRequest) (*operatorv1.Route, error) {
-	return get(r.server, entity.KindRoute, req.GetName(), r.server.config.State.Route, routeMessage)
+	found, ok := r.server.config.State.Route(req.GetName())
+	if !ok {
+		return nil, notFound("Route", req.GetName())
+	}
+	return routeMessage(found, r.server.revision(entity.KindRoute, found.Name)), nil
 }
 
 // List implements operatorv1.RoutesServer.
 func (r *routes) List(context.Context, *operatorv1.ListRequest) (*operatorv1.ListRoutesResponse, error) {
-	all := list(r.server, entity.KindRoute, r.server.config.State.Routes(), routeName, routeMessage)
-	return &operatorv1.ListRoutesResponse{Routes: all}, nil
+	response := &operatorv1.ListRoutesResponse{}
+	for _, found := range r.server.config.State.Routes() {
+		response.Routes = append(response.Routes, routeMessage(found, r.server.revision(entity.KindRoute, found.Name)))
+	}
+	return response, nil
 }
 
 type backends struct {
@@ -135,11 +137,18 @@
 
 // Get implements operatorv1.BackendsServer.
 func (b *backends) Get(_ context.Context, req *operatorv1.GetRequest) (*operatorv1.Backend, error) {
-	return get(b.server, entity.KindBackend, req.GetName(), b.server.config.State.Backend, backendMessage)
+	found, ok := b.server.config.State.Backend(req.GetName())
+	if !ok {
+		return nil, notFound("Backend", req.GetName())
+	}
+	return backendMessage(found, b.server.revision(entity.KindBackend, found.Name)), nil
 }
 
 // List implements operatorv1.BackendsServer.
 func (b *backends) List(context.Context, *operatorv1.ListRequest) (*operatorv1.ListBackendsResponse, error) {
-	all := list(b.server, entity.KindBackend, b.server.config.State.Backends(), backendName, backendMessage)
-	return &operatorv1.ListBackendsResponse{Backends: all}, nil
+	response := &operatorv1.ListBackendsResponse{}
+	for _, found := range b.server.config.State.Backends() {
+		response.Backends = append(response.Backends, backendMessage(found, b.server.revision(entity.KindBackend, found.Name)))
+	}
+	return response, nil
 }
--- a/internal/operator/rpc/server.go
+++ b/internal/operator/rpc/server.go
@@ -33,6 +33,7 @@
 	"google.golang.org/grpc/keepalive"
 
 	"github.com/banyanshift/banyanshift/coord/changelog"
+	"github.com/banyanshift/banyanshift/internal/config/follow"
 	"github.com/banyanshift/banyanshift/internal/config/state"
 	"github.com/banyanshift/banyanshift/internal/platform/usage"
 	"github.com/banyanshift/banyanshift/internal/settings/ini"
@@ -59,18 +60,7 @@
 )
 
 // Outcome is what became of a proposed change.
-type Outcome struct {
-	// Sequence is the place of the change in the log; 0 while it is Pending.
-	Sequence uint64
-	// Revisions are the new revisions by entity name, such as "Team/everest".
-	Revisions map[string]uint64
-	// Confirmed and Unconfirmed are the IDs of the live daemons that have and
-	// have not said that the change is in force.
-	Confirmed   []string
-	Unconfirmed []string
-	// Pending changes are in force and not in the store yet.
-	Pending bool
-}
+type Outcome = follow.Outcome
 
 // SealedWindow is a usage window that has been closed for billing.
 type SealedWindow struct {
