--- a/internal/cli/factory/factory.go
+++ b/internal/cli/factory/factory.go
@@ -42,7 +42,7 @@
 	// Client connects to the daemon that the flags and the environment name.
 	Client func() (*client.Client, error)
 	// Serve runs the daemon until the context ends.
-	Serve func(ctx context.Context, settings ini.Settings, logger logrus.FieldLogger) error
+	Serve func(ctx context.Context, settings ini.Settings, logger *logrus.Logger) error
 	// Flags are the values of the flags that all commands have.
 	Flags *Flags
 }
@@ -56,7 +56,7 @@
 }
 
 // New returns the factory of the real program.
-func New(serve func(ctx context.Context, settings ini.Settings, logger logrus.FieldLogger) error) *Factory {
+func New(serve func(ctx context.Context, settings ini.Settings, logger *logrus.Logger) error) *Factory {
 	f := &Factory{IO: streams.System(), Getenv: os.Getenv, Serve: serve, Flags: &Flags{}}
 	f.Client = f.dial
 	return f
--- a/internal/cmddaemon/serve/serve.go
+++ b/internal/cmddaemon/serve/serve.go
@@ -22,7 +22,7 @@
 // Options are the inputs of the command.
 type Options struct {
 	IO       *streams.Streams
-	Serve    func(ctx context.Context, settings ini.Settings, logger logrus.FieldLogger) error
+	Serve    func(ctx context.Context, settings ini.Settings, logger *logrus.Logger) error
 	Settings string
 }
 
