--- a/internal/cli/root/root_test.go
+++ b/internal/cli/root/root_test.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -260,6 +261,35 @@
 	r.must(exit.OK, "apply", "-f", r.file("[Backend big]\nDelete = true\n[Route chat]\nDelete = true\n"))
 }
 
+func TestLargeFileIsAppliedInParts(t *testing.T) {
+	r := newRig(t)
+	var file, deletions strings.Builder
+	file.WriteString("[Route chat]\nBackend = big\nClasses = quick\nTeams = t7\n[Class quick]\nFirstTokenTarget = 1s\nMaxWait = 1s\n" +
+		"[Backend big]\nType = Model\nModel = m\nMaxEndpoints = 1\nSlots = 1\n")
+	deletions.WriteString("[Team t7]\nDelete = true\n[Class quick]\nDelete = true\n[Backend big]\nDelete = true\n[Route chat]\nDelete = true\n")
+	for i := range 1200 {
+		fmt.Fprintf(&file, "[Team t%d]\nWeight = 1\n", i)
+		if i != 7 {
+			fmt.Fprintf(&deletions, "[Team t%d]\nDelete = true\n", i)
+		}
+	}
+	path := r.file(file.String())
+	r.must(exit.Usage, "apply", "-f", path)
+	out, _ := r.must(exit.OK, "apply", "-f", path, "--dry-run")
+	if lines := strings.Count(out, "\n"); lines < 1203 {
+		t.Errorf("dry run printed %d lines", lines)
+	}
+	r.must(exit.OK, "apply", "-f", path, "--in-parts")
+	out, _ = r.must(exit.OK, "config", "export")
+	if got := strings.Count(out, "[Team "); got != 1200 || !strings.Contains(out, "[Route chat]") {
+		t.Errorf("export has %d teams", got)
+	}
+	r.must(exit.OK, "apply", "-f", r.file(deletions.String()), "--in-parts")
+	if out, _ = r.must(exit.OK, "config", "export"); strings.Contains(out, "[") {
+		t.Errorf("export still has %q", out[:80])
+	}
+}
+
 func TestApplyListsAllProblemsWithLines(t *testing.T) {
 	r := newRig(t)
 	path := r.file("[Teem x]\n[Team]\n[Team a]\nWeight = x\nSize = 1\nDelete = no\nName = b\n")
--- a/internal/cmdconfig/apply/apply.go
+++ b/internal/cmdconfig/apply/apply.go
@@ -8,9 +8,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
+	"slices"
 
 	"github.com/spf13/cobra"
 	"google.golang.org/protobuf/proto"
@@ -29,14 +31,19 @@
 // standardInput is the name of the file that stands for standard input.
 const standardInput = "-"
 
+// partSize is the greatest number of changes in one transaction.
+const partSize = 1000
+
 // Options are the inputs of the command.
 type Options struct {
 	IO     *streams.Streams
 	Client resource.Connect
 	Path   string
 	DryRun bool
-	Change change.Options
-	Format output.Format
+	// InParts allows several transactions.
+	InParts bool
+	Change  change.Options
+	Format  output.Format
 }
 
 // NewCmdApply returns the command. Tests pass runF in place of its execution.
@@ -47,7 +54,8 @@
 		Short: "Make the configuration agree with a file",
 		Long: `Create, edit and delete all entities of a file in one transaction, or none of them.
 Entities that the file does not name stay as they are. If somebody else changes
-one of the entities meanwhile, nothing is changed.
+one of the entities meanwhile, nothing is changed. A transaction holds at most
+1000 changes; --in-parts applies a larger file in several.
 
 The file is in INI form. Each section names the kind of an entity and its name:
 
@@ -88,6 +96,7 @@
 	}
 	cmd.Flags().StringVarP(&opts.Path, "file", "f", "", "file to apply, - for standard input")
 	cmd.Flags().BoolVar(&opts.DryRun, "dry-run", false, "show the differences and change nothing")
+	cmd.Flags().BoolVar(&opts.InParts, "in-parts", false, "apply a large file in several transactions, each of which succeeds or fails by itself")
 	opts.Change.AddRequestIDFlag(cmd)
 	opts.Format.AddFlag(cmd, &operatorv1.ApplyResponse{})
 	return cmd
@@ -107,11 +116,35 @@
 	if err != nil {
 		return err
 	}
-	if len(changes) == 0 {
+	switch {
+	case len(changes) == 0:
 		return report(opts, &operatorv1.ApplyResponse{})
+	case opts.DryRun || len(changes) <= partSize:
+		return applyPart(ctx, opts, c, opts.Change.ID(), changes)
+	case !opts.InParts:
+		return exit.Usagef("%d changes do not fit into one transaction of %d; give --in-parts to apply them in several", len(changes), partSize)
 	}
+	return applyParts(ctx, opts, c, changes)
+}
+
+// applyParts applies the changes in several transactions, what others refer to
+// first.
+func applyParts(ctx context.Context, opts *Options, c *client.Client, changes []*operatorv1.EntityChange) error {
+	sortForParts(changes)
+	parts := slices.Collect(slices.Chunk(changes, partSize))
+	for i, part := range parts {
+		requestID := fmt.Sprintf("%s.%d", opts.Change.ID(), i+1)
+		err := applyPart(ctx, opts, c, requestID, part)
+		if err != nil && !errors.Is(err, exit.ErrPending) {
+			return fmt.Errorf("part %d of %d: %w\nThe parts before it are in force. Run the command again, without --request-id, to go on", i+1, len(parts), err)
+		}
+	}
+	return nil
+}
+
+func applyPart(ctx context.Context, opts *Options, c *client.Client, requestID string, changes []*operatorv1.EntityChange) error {
 	response, err := c.Config.Apply(ctx, &operatorv1.ApplyRequest{
-		RequestID: opts.Change.ID(),
+		RequestID: requestID,
 		Changes:   changes,
 		DryRun:    opts.DryRun,
 	})
--- a/internal/operator/rpc/apply.go
+++ b/internal/operator/rpc/apply.go
@@ -30,7 +30,7 @@
 	if len(req.GetChanges()) == 0 {
 		return nil, invalid("Changes", "is empty")
 	}
-	if len(req.GetChanges()) > maxChangesInApply {
+	if len(req.GetChanges()) > maxChangesInApply && !req.GetDryRun() {
 		return nil, invalid("Changes", "has %d entries, at most %d fit into one transaction", len(req.GetChanges()), maxChangesInApply)
 	}
 	changes, err := decodeChanges(req.GetChanges())
