--- a/internal/bench/rig/operator.go
+++ b/internal/bench/rig/operator.go
@@ -82,7 +82,7 @@
 
 func (r *Rig) apply(ctx context.Context, o *Operator) error {
 	request := &operatorv1.ApplyRequest{RequestID: "rig-apply", Changes: entityChanges(r.Scenario)}
-	return r.insist(ctx, o, func(ctx context.Context) error {
+	return r.Insist(ctx, o, func(ctx context.Context) error {
 		_, err := operatorv1.NewConfigClient(o.conn).Apply(ctx, request)
 		return err
 	})
@@ -91,7 +91,7 @@
 // CreateKey creates a key and hands it to the callers of the team.
 func (r *Rig) CreateKey(ctx context.Context, o *Operator, team, requestID string) error {
 	var created *operatorv1.CreateKeyResponse
-	err := r.insist(ctx, o, func(ctx context.Context) (err error) {
+	err := r.Insist(ctx, o, func(ctx context.Context) (err error) {
 		created, err = operatorv1.NewKeysClient(o.conn).Create(ctx, &operatorv1.CreateKeyRequest{RequestID: requestID, Team: team})
 		return err
 	})
@@ -105,8 +105,8 @@
 	return nil
 }
 
-// insist repeats a call with the same request ID until its outcome is known.
-func (r *Rig) insist(ctx context.Context, o *Operator, call func(ctx context.Context) error) (err error) {
+// Insist repeats a call with the same request ID until its outcome is known.
+func (r *Rig) Insist(ctx context.Context, o *Operator, call func(ctx context.Context) error) (err error) {
 	deadline := r.Clock.Now() + readyTime
 	for r.Clock.Now() < deadline {
 		attempt, cancel := context.WithTimeout(o.Context(ctx), callTime.Duration())
--- a/internal/bench/rig/watch.go
+++ b/internal/bench/rig/watch.go
@@ -60,7 +60,7 @@
 	}
 	var response *operatorv1.ChangeResponse
 	err = w.rig.With(d, func(o *Operator) error {
-		return w.rig.insist(ctx, o, func(ctx context.Context) (err error) {
+		return w.rig.Insist(ctx, o, func(ctx context.Context) (err error) {
 			response, err = operatorv1.NewRoutesClient(o.conn).Put(ctx, request)
 			return err
 		})
@@ -174,7 +174,7 @@
 	err = r.With(d, func(o *Operator) error {
 		keys := operatorv1.NewKeysClient(o.conn)
 		var key *operatorv1.Key
-		err := r.insist(ctx, o, func(ctx context.Context) (err error) {
+		err := r.Insist(ctx, o, func(ctx context.Context) (err error) {
 			key, err = keys.Get(ctx, &operatorv1.GetRequest{Name: keyID})
 			return err
 		})
@@ -182,7 +182,7 @@
 			return err
 		}
 		request := &operatorv1.WithdrawKeyRequest{RequestID: "withdraw-" + keyID, ExpectedRevision: key.GetRevision(), ID: keyID}
-		return r.insist(ctx, o, func(ctx context.Context) error {
+		return r.Insist(ctx, o, func(ctx context.Context) error {
 			response, err := keys.Withdraw(ctx, request)
 			result = verdict.Withdrawal{KeyID: keyID, Team: team, Accepted: r.Clock.Wall(), Pending: response.GetPending()}
 			return err
--- a/internal/bench/root/root.go
+++ b/internal/bench/root/root.go
@@ -11,6 +11,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/banyanshift/banyanshift/internal/bench/check"
 	"github.com/banyanshift/banyanshift/internal/bench/demo"
 	"github.com/banyanshift/banyanshift/internal/bench/engine"
 	"github.com/banyanshift/banyanshift/internal/bench/factory"
@@ -37,6 +38,7 @@
 		service.NewCmdService(f, nil),
 		proxy.NewCmdProxy(f, nil),
 		demo.NewCmdDemo(f, nil),
+		check.NewCmdCheck(f, nil),
 	}
 }
 
--- a/internal/bench/verdict/calls.go
+++ b/internal/bench/verdict/calls.go
@@ -157,6 +157,7 @@
 // configuration finds daemons without an accepted change, and such that went
 // back to an earlier one.
 func (j *judge) configuration() {
+	j.races()
 	newest := make(map[string]int)
 	seen := make(map[string]map[int]bool)
 	for _, probe := range j.in.Probes {
@@ -180,6 +181,18 @@
 	}
 }
 
+// races finds changes of which two were accepted, or none is in force.
+func (j *judge) races() {
+	for _, race := range j.in.Races {
+		if race.Accepted > 1 {
+			j.violated(&j.report.Violations.Configuration, "Configuration", "%s was created by %d operators at the same time", race.Entity, race.Accepted)
+		}
+		for _, daemon := range race.Differing {
+			j.violated(&j.report.Violations.Configuration, "Configuration", "%s does not have the accepted value of %s in force", daemon, race.Entity)
+		}
+	}
+}
+
 // due returns the newest version that must be in force at an instant.
 func (j *judge) due(at clock.Millis) int {
 	due := 0
--- a/internal/bench/verdict/verdict.go
+++ b/internal/bench/verdict/verdict.go
@@ -97,6 +97,17 @@
 	Accepted clock.Millis
 }
 
+// Race is what came of two operators who wrote the same entity at the same
+// time, each expecting that it did not exist.
+type Race struct {
+	Entity string
+	// Accepted counts the operators whose change was accepted.
+	Accepted int
+	// Differing names the daemons that later had another value than the
+	// accepted one.
+	Differing []string
+}
+
 // Input is everything that a run left behind.
 type Input struct {
 	Scenario    scenario.Scenario
@@ -107,6 +118,7 @@
 	Exits       []Exit
 	Probes      []Probe
 	Changes     []Change
+	Races       []Race
 	// Started and Ended bound the run.
 	Started clock.Millis
 	Ended   clock.Millis
--- a/internal/standin/host/host.go
+++ b/internal/standin/host/host.go
@@ -45,6 +45,8 @@
 	Duplicate float64
 	Late      float64
 	LateBy    clock.Millis
+	// LoadLag makes load reports lag further behind than usual.
+	LoadLag clock.Millis
 }
 
 // Endpoint is one running endpoint. All fields must be set.
--- a/internal/standin/load/balancer.go
+++ b/internal/standin/load/balancer.go
@@ -111,6 +111,14 @@
 	return ready
 }
 
+// IsReady says that a daemon takes requests.
+func (b *Balancer) IsReady(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t, known := b.targets[id]
+	return known && t.ready
+}
+
 // pick returns a ready daemon, or any when none is known to be.
 func (b *Balancer) pick() (id, url string) {
 	b.mu.Lock()
