--- a/internal/cli/factory/factory.go
+++ b/internal/cli/factory/factory.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/pflag"
 
+	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/cli/client"
 	"github.com/banyanshift/banyanshift/internal/cli/exit"
 	"github.com/banyanshift/banyanshift/internal/cli/streams"
@@ -36,7 +37,8 @@
 
 // Factory holds the dependencies of all commands. All fields must be set.
 type Factory struct {
-	IO *streams.Streams
+	IO    *streams.Streams
+	Clock clock.Clock
 	// Getenv reads the environment.
 	Getenv func(name string) string
 	// Client connects to the daemon that the flags and the environment name.
@@ -57,7 +59,7 @@
 
 // New returns the factory of the real program.
 func New(serve func(ctx context.Context, settings ini.Settings, logger *logrus.Logger) error) *Factory {
-	f := &Factory{IO: streams.System(), Getenv: os.Getenv, Serve: serve, Flags: &Flags{}}
+	f := &Factory{IO: streams.System(), Clock: clock.System(), Getenv: os.Getenv, Serve: serve, Flags: &Flags{}}
 	f.Client = f.dial
 	return f
 }
--- a/internal/cli/root/root_test.go
+++ b/internal/cli/root/root_test.go
@@ -43,7 +43,9 @@
 	token    string
 	terminal bool
 	input    string
-	serve    func(context.Context, ini.Settings, *logrus.Logger) error
+	// sleep runs in place of each pause of a command.
+	sleep func()
+	serve func(context.Context, ini.Settings, *logrus.Logger) error
 }
 
 func newRig(t *testing.T) *rig {
@@ -103,6 +105,12 @@
 	var out, errOut bytes.Buffer
 	f := factory.New(r.serve)
 	*f.IO = streams.Streams{In: strings.NewReader(r.input), Out: &out, ErrOut: &errOut, Terminal: r.terminal, Interactive: r.input != ""}
+	f.Clock.Sleep = func(ctx context.Context, _ clock.Millis) error {
+		if r.sleep != nil {
+			r.sleep()
+		}
+		return ctx.Err()
+	}
 	environment := map[string]string{factory.ServerVariable: r.address, factory.TokenVariable: r.token}
 	f.Getenv = func(name string) string { return environment[name] }
 	code = exit.Code(Main(f, args))
@@ -279,7 +287,16 @@
 	if lines := strings.Count(out, "\n"); lines < 1203 {
 		t.Errorf("dry run printed %d lines", lines)
 	}
+	pauses := 0
+	r.sleep = func() {
+		pauses++
+		r.memory.SetFault(table.Fault{Down: pauses == 2 || pauses == 3})
+	}
 	r.must(exit.OK, "apply", "-f", path, "--in-parts")
+	if pauses != 9 {
+		t.Errorf("paused %d times, want 7 between parts and 2 while the store is down", pauses)
+	}
+	r.sleep = nil
 	out, _ = r.must(exit.OK, "config", "export")
 	if got := strings.Count(out, "[Team "); got != 1200 || !strings.Contains(out, "[Route chat]") {
 		t.Errorf("export has %d teams", got)
