--- a/internal/caller/openai/events.go
+++ b/internal/caller/openai/events.go
@@ -1,6 +1,8 @@
 package openai
 
 import (
+	"expvar"
+
 	"github.com/sirupsen/logrus"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
@@ -26,6 +28,19 @@
 	}
 }
 
+// FirstTokens returns for how many requests of the class the first token came,
+// and for how many of them within the class's target, in this process.
+func FirstTokens(class string) (came, inTime int64) {
+	return count(firstToken, class), count(firstTokenMet, class)
+}
+
+func count(counts *expvar.Map, key string) int64 {
+	if counter, ok := counts.Get(key).(*expvar.Int); ok {
+		return counter.Value()
+	}
+	return 0
+}
+
 func observeCompletion(req *request.Request) {
 	completions.Add(req.Class, 1)
 }
--- a/internal/cmdfleet/status/status.go
+++ b/internal/cmdfleet/status/status.go
@@ -124,7 +124,7 @@
 
 // classes adds the attainment to the figures of the classes.
 func classes(fleet *operatorv1.FleetStatus) section {
-	columns := []string{"Name", "Tier", "Requests", "Met", "Refused", "Waiting"}
+	columns := []string{"Name", "Tier", "FirstTokens", "InTime"}
 	s := section{name: "Class", columns: columns}
 	for _, class := range fleet.GetClasses() {
 		s.add(class)
@@ -143,12 +143,12 @@
 	s.rows = append(s.rows, row)
 }
 
-// attainment is the part of all requests that met their target.
+// attainment is the part of the first tokens that came in time.
 func attainment(class *operatorv1.ClassStatus) string {
-	if class.GetRequests() == 0 {
+	if class.GetFirstTokens() == 0 {
 		return "-"
 	}
-	return fmt.Sprintf("%.1f%%", 100*float64(class.GetMet())/float64(class.GetRequests()))
+	return fmt.Sprintf("%.1f%%", 100*float64(class.GetInTime())/float64(class.GetFirstTokens()))
 }
 
 func storeText(reachable bool) string {
--- a/internal/daemon/serve/operators.go
+++ b/internal/daemon/serve/operators.go
@@ -4,6 +4,9 @@
 	"context"
 	"slices"
 
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/coord/lease"
+	"github.com/banyanshift/banyanshift/internal/caller/openai"
 	"github.com/banyanshift/banyanshift/internal/config/entity"
 	"github.com/banyanshift/banyanshift/internal/operator/rpc"
 	"github.com/banyanshift/banyanshift/internal/usage/report"
@@ -14,12 +17,16 @@
 // are shown at most besides those asked for.
 const unreportedWindows = 100
 
+// leaseStatusTimeout bounds the reads of other regions' leases.
+const leaseStatusTimeout = 700 * clock.Millisecond
+
 // buildOperators builds the operators' interface.
 func (d *Daemon) buildOperators() (err error) {
 	d.operators, err = rpc.New(rpc.Config{
 		Settings: d.settings.Operator,
 		State:    d.state,
 		Propose:  d.follower.Propose,
+		Outcome:  d.log.Outcome,
 		Audit:    d.log.Tail,
 		Usage:    d.sealedUsage,
 		Fleet:    d.fleet,
@@ -48,7 +55,7 @@
 }
 
 // fleet describes the fleet as this daemon sees it.
-func (d *Daemon) fleet(context.Context) (*operatorv1.FleetStatus, error) {
+func (d *Daemon) fleet(ctx context.Context) (*operatorv1.FleetStatus, error) {
 	status := &operatorv1.FleetStatus{
 		AnsweredBy:     d.settings.Daemon.ID,
 		ConfigSequence: d.state.Sequence(),
@@ -56,6 +63,8 @@
 		PendingChanges: int32(d.follower.Pending()),
 		Daemons:        d.daemonStatus(),
 		Backends:       d.backendStatus(),
+		Classes:        d.classStatus(),
+		Leases:         d.leaseStatus(ctx),
 	}
 	return status, nil
 }
@@ -74,6 +83,42 @@
 	return daemons
 }
 
+func (d *Daemon) classStatus() []*operatorv1.ClassStatus {
+	var statuses []*operatorv1.ClassStatus
+	for _, class := range d.state.Classes() {
+		came, inTime := openai.FirstTokens(class.Name)
+		statuses = append(statuses, &operatorv1.ClassStatus{Name: class.Name, Tier: int32(class.Tier), FirstTokens: came, InTime: inTime})
+	}
+	return statuses
+}
+
+// leaseStatus returns who holds the lease of this region, as last seen, and of
+// the others, if the store answers soon.
+func (d *Daemon) leaseStatus(ctx context.Context) []*operatorv1.Lease {
+	ctx, cancel := context.WithTimeout(ctx, leaseStatusTimeout.Duration())
+	defer cancel()
+	own := d.settings.Daemon.Region
+	regions := []string{own}
+	for _, m := range d.roster.View() {
+		if !slices.Contains(regions, m.Region) {
+			regions = append(regions, m.Region)
+		}
+	}
+	slices.Sort(regions)
+	var statuses []*operatorv1.Lease
+	for _, region := range regions {
+		row := d.holder.seen()
+		if region != own {
+			var err error
+			if row, err = lease.Peek(ctx, d.table, leasePrefix+region); err != nil {
+				continue
+			}
+		}
+		statuses = append(statuses, &operatorv1.Lease{Scope: region, Holder: row.Holder, Fence: row.Fence})
+	}
+	return statuses
+}
+
 func (d *Daemon) backendStatus() []*operatorv1.BackendStatus {
 	byName := make(map[string]*operatorv1.BackendStatus)
 	var statuses []*operatorv1.BackendStatus
--- a/internal/operator/rpc/change.go
+++ b/internal/operator/rpc/change.go
@@ -28,12 +28,23 @@
 
 // propose checks the changes and makes them in one transaction.
 func (s *Server) propose(ctx context.Context, requestID string, changes ...change) (*operatorv1.ChangeResponse, error) {
-	if err := s.check(changes); err != nil {
+	if err := checkRequestID(requestID); err != nil {
+		return nil, err
+	}
+	if err := s.check(changes); err != nil && !s.madeBefore(ctx, requestID) {
 		return nil, err
 	}
 	return s.proposeUnchecked(ctx, requestID, changes...)
 }
 
+// madeBefore reports whether the request ID has made a change already. Such a
+// change is not checked against the configuration of today: proposing it again
+// returns its outcome.
+func (s *Server) madeBefore(ctx context.Context, requestID string) bool {
+	_, found, err := s.config.Outcome(ctx, requestID)
+	return err == nil && found
+}
+
 // proposeUnchecked is propose for changes that need no check of references.
 func (s *Server) proposeUnchecked(ctx context.Context, requestID string, changes ...change) (*operatorv1.ChangeResponse, error) {
 	if err := checkRequestID(requestID); err != nil {
--- a/internal/operator/rpc/server.go
+++ b/internal/operator/rpc/server.go
@@ -12,6 +12,7 @@
 //		Settings: settings.Operator,
 //		State:    configState,
 //		Propose:  propose,
+//		Outcome:  log.Outcome,
 //		Audit:    log.Tail,
 //		Usage:    usageWindows,
 //		Fleet:    fleetStatus,
@@ -77,6 +78,8 @@
 	// Propose makes a change. Its errors match those of coord/changelog and
 	// coord/table.
 	Propose func(ctx context.Context, proposal changelog.Proposal) (Outcome, error)
+	// Outcome returns the change that a request ID has made, if it made one.
+	Outcome func(ctx context.Context, requestID string) (changelog.Change, bool, error)
 	// Audit returns at most limit changes that follow the sequence after.
 	Audit func(ctx context.Context, after uint64, limit int) ([]changelog.Change, error)
 	// Usage returns the latest sealed windows, at most limit, latest first.
--- a/internal/operator/rpc/server_test.go
+++ b/internal/operator/rpc/server_test.go
@@ -69,7 +69,8 @@
 			}
 			return outcome, r.state.Apply(change)
 		},
-		Audit: log.Tail,
+		Outcome: log.Outcome,
+		Audit:   log.Tail,
 		Usage: func(context.Context, int) ([]SealedWindow, error) {
 			return []SealedWindow{
 				{Window: usage.Window{Number: 2, Start: 2000, Lines: []usage.Line{{Team: "everest"}, {Team: "lhotse"}}}},
@@ -164,6 +165,40 @@
 	wantCode(t, err, codes.OK)
 }
 
+// TestRetryAfterTheWorldMovedOn sends a change again whose references are gone
+// by now: its outcome has not changed.
+func TestRetryAfterTheWorldMovedOn(t *testing.T) {
+	r := newRig(t)
+	if _, err := putTeam(r, "t", "everest", 0, 1); err != nil {
+		t.Fatal(err)
+	}
+	keys := operatorv1.NewKeysClient(r.conn)
+	created, err := keys.Create(as(token), &operatorv1.CreateKeyRequest{RequestID: "k", Team: "everest"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := keys.Withdraw(as(token), &operatorv1.WithdrawKeyRequest{RequestID: "w", ID: created.GetKey().GetID()}); err != nil {
+		t.Fatal(err)
+	}
+	remove := &operatorv1.DeleteRequest{RequestID: "d", Name: "everest", ExpectedRevision: 1}
+	first, err := operatorv1.NewTeamsClient(r.conn).Delete(as(token), remove)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := putTeam(r, "t2", "everest", 0, 1); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := keys.Create(as(token), &operatorv1.CreateKeyRequest{RequestID: "k2", Team: "everest"}); err != nil {
+		t.Fatal(err)
+	}
+	again, err := operatorv1.NewTeamsClient(r.conn).Delete(as(token), remove)
+	if err != nil || again.GetSequence() != first.GetSequence() {
+		t.Errorf("second outcome is %v, %v; want sequence %d", again, err, first.GetSequence())
+	}
+	_, err = operatorv1.NewTeamsClient(r.conn).Delete(as(token), &operatorv1.DeleteRequest{RequestID: "d2", Name: "everest", ExpectedRevision: 5})
+	wantCode(t, err, codes.FailedPrecondition)
+}
+
 func TestStoreFailures(t *testing.T) {
 	r := newRig(t)
 	r.memory.SetFault(table.Fault{Down: true})
