--- /dev/null
+++ b/internal/cli/root/docs_test.go
@@ -0,0 +1,62 @@
+package root
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/banyanshift/banyanshift/internal/cli/factory"
+)
+
+// commandLine finds command lines in a page: in blocks of code and between
+// backticks.
+var commandLine = regexp.MustCompile("(?m)(?:^    |`)(?:\\$ )?banyanshift ([a-z][^`\n|>]*)")
+
+// TestPagesNameRealCommands holds the commands in the documentation to what the
+// program understands.
+func TestPagesNameRealCommands(t *testing.T) {
+	pages, err := filepath.Glob("../../../docs/*/*.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	top, err := filepath.Glob("../../../docs/*.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	pages = append(append(pages, top...), "../../../README.md")
+	found := 0
+	for _, page := range pages {
+		text, err := os.ReadFile(page)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, match := range commandLine.FindAllStringSubmatch(string(text), -1) {
+			found++
+			if err := understands(strings.Fields(match[1])); err != nil {
+				t.Errorf("%s: banyanshift %s: %v", filepath.Base(page), match[1], err)
+			}
+		}
+	}
+	if found < 20 {
+		t.Errorf("only %d commands were found", found)
+	}
+}
+
+// understands reports whether there is such a command with such flags.
+func understands(args []string) error {
+	root := NewCmdRoot(factory.New(nil))
+	root.InitDefaultCompletionCmd()
+	cmd, rest, err := root.Find(args)
+	if err != nil {
+		return err
+	}
+	if err := cmd.ParseFlags(rest); err != nil {
+		return err
+	}
+	if !cmd.HasSubCommands() {
+		return nil
+	}
+	return cmd.ValidateArgs(cmd.Flags().Args())
+}
