--- a/internal/bench/latency/latency.go
+++ b/internal/bench/latency/latency.go
@@ -22,6 +22,7 @@
 
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/bench/factory"
+	"github.com/banyanshift/banyanshift/internal/bench/probe"
 	"github.com/banyanshift/banyanshift/internal/bench/rig"
 	"github.com/banyanshift/banyanshift/internal/bench/scenario"
 	"github.com/banyanshift/banyanshift/internal/config/entity"
@@ -147,7 +148,7 @@
 	fast := []string{"--step-us", "500", "--step-request-us", "0", "--prefill-us", "1"}
 	return o.with(ctx, program, dir, fast, func(r *rig.Rig) error {
 		daemon := r.All()[0]
-		before, err := usageOf(ctx, daemon)
+		before, err := probe.Read(ctx, daemon.Process.PID(), daemon.Metrics)
 		if err != nil {
 			return err
 		}
@@ -156,16 +157,16 @@
 		if err = errors.Join(err, profile.wait()); err != nil {
 			return err
 		}
-		after, err := usageOf(ctx, daemon)
+		after, err := probe.Read(ctx, daemon.Process.PID(), daemon.Metrics)
 		if err != nil {
 			return err
 		}
-		result.Saturated = saturation(streams, after.minus(before))
+		result.Saturated = saturation(streams, after.Minus(before))
 		return nil
 	})
 }
 
-func saturation(streams Streams, used usage) Saturated {
+func saturation(streams Streams, used probe.Usage) Saturated {
 	answers, generated := float64(streams.Answers), float64(streams.Tokens)
 	if answers == 0 || generated == 0 {
 		return Saturated{}
--- a/internal/bench/root/root.go
+++ b/internal/bench/root/root.go
@@ -19,6 +19,7 @@
 	"github.com/banyanshift/banyanshift/internal/bench/platform"
 	"github.com/banyanshift/banyanshift/internal/bench/proxy"
 	"github.com/banyanshift/banyanshift/internal/bench/service"
+	"github.com/banyanshift/banyanshift/internal/bench/slope"
 )
 
 // Exit codes.
@@ -41,6 +42,7 @@
 		demo.NewCmdDemo(f, nil),
 		check.NewCmdCheck(f, nil),
 		latency.NewCmdLatency(f, nil),
+		slope.NewCmdSlope(f, nil),
 	}
 }
 
--- /dev/null
+++ b/internal/bench/slope/measure.go
@@ -0,0 +1,140 @@
+package slope
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/bench/probe"
+	"github.com/banyanshift/banyanshift/internal/bench/rig"
+	"github.com/banyanshift/banyanshift/internal/bench/scenario"
+	"github.com/banyanshift/banyanshift/internal/config/entity"
+	"github.com/banyanshift/banyanshift/internal/standin/record"
+)
+
+const (
+	mebibyte = 1 << 20
+	// percent turns a share of a core into percents.
+	percent = 100
+)
+
+// fleet returns a scenario of three failure domains with one model, whose
+// endpoints are all there from the start.
+func fleet(perDomain int) scenario.Scenario {
+	domains := []string{"slope-1", "slope-2", "slope-3"}
+	endpoints := perDomain * len(domains)
+	return scenario.Scenario{
+		Name: "slope", Region: "slope", Domains: domains,
+		Teams:   []entity.Team{{Name: "first", Weight: 1}},
+		Classes: []entity.Class{{Name: "usual", FirstTokenTarget: clock.Minute, MaxWait: 10 * clock.Minute}},
+		Backends: []entity.Backend{{
+			Name: "model", Type: entity.Model, Model: "slope-model", Version: "1",
+			MinEndpoints: endpoints, MaxEndpoints: endpoints, Slots: 8,
+		}},
+		Routes: []entity.Route{{Name: "slope-model", Backend: "model", Classes: []string{"usual"}, Teams: []string{"first"}}},
+		Pools:  []scenario.Pool{{Backend: "model", Model: "slope-model", FirmPerDomain: perDomain}},
+	}
+}
+
+// with runs act on a fleet.
+func (b *bench) with(ctx context.Context, s scenario.Scenario, daemons int, act func(r *rig.Rig) error) error {
+	dir, err := os.MkdirTemp(b.dir, "rig-")
+	if err != nil {
+		return err
+	}
+	r, err := rig.Start(ctx, rig.Options{
+		Banyanshift: b.program, Banyanbench: b.self, Dir: dir, Scenario: s, Daemons: daemons, Seed: 1,
+		LogLevel: "warning", Clock: b.Factory.Clock,
+	})
+	if err != nil {
+		return err
+	}
+	defer r.Close()
+	return act(r)
+}
+
+// sample is what a fleet used in one measurement.
+type sample struct {
+	seconds float64
+	daemons []probe.Usage
+	commits float64
+	reads   float64
+}
+
+// observe lets the fleet settle and measures it while act runs; act may be nil.
+func (b *bench) observe(ctx context.Context, r *rig.Rig, act func(ctx context.Context) error) (s sample, err error) {
+	if err := b.Factory.Clock.Sleep(ctx, clock.FromDuration(b.Settle)); err != nil {
+		return s, err
+	}
+	before, platformBefore, err := readAll(ctx, r)
+	if err != nil {
+		return s, err
+	}
+	measuring, stop := context.WithTimeout(ctx, b.Duration)
+	defer stop()
+	if act != nil {
+		if err := act(measuring); err != nil && measuring.Err() == nil {
+			return s, err
+		}
+	}
+	<-measuring.Done()
+	after, platformAfter, err := readAll(ctx, r)
+	if err != nil {
+		return s, err
+	}
+	for i := range after {
+		s.daemons = append(s.daemons, after[i].Minus(before[i]))
+	}
+	s.seconds = s.daemons[0].At
+	s.commits = float64(platformAfter.Commits - platformBefore.Commits)
+	s.reads = float64(platformAfter.Reads - platformBefore.Reads)
+	return s, nil
+}
+
+func readAll(ctx context.Context, r *rig.Rig) (used []probe.Usage, platform record.Platform, err error) {
+	if err := r.Platform(ctx, http.MethodGet, "/record", nil, &platform); err != nil {
+		return nil, platform, err
+	}
+	for _, d := range r.All() {
+		read, err := probe.Read(ctx, d.Process.PID(), d.Metrics)
+		if err != nil {
+			return nil, platform, fmt.Errorf("daemon %s: %w", d.ID, err)
+		}
+		used = append(used, read)
+	}
+	return used, platform, nil
+}
+
+// mean returns the mean over the daemons.
+func (s sample) mean(of func(u probe.Usage) float64) float64 {
+	var sum float64
+	for _, u := range s.daemons {
+		sum += of(u)
+	}
+	return sum / float64(len(s.daemons))
+}
+
+// worst returns the greatest value of any daemon.
+func (s sample) worst(of func(u probe.Usage) float64) float64 {
+	var greatest float64
+	for _, u := range s.daemons {
+		greatest = max(greatest, of(u))
+	}
+	return greatest
+}
+
+// addControl adds what the fleet spent on control.
+func (s sample) addControl(to *Series, x float64) {
+	bytes := func(u probe.Usage) float64 { return probe.Total(u.PeerBytes) / s.seconds }
+	cores := func(u probe.Usage) float64 { return u.CPUSeconds / s.seconds * percent }
+	to.add("peer bytes/s sent, mean daemon", x, s.mean(bytes))
+	to.add("peer bytes/s sent, worst daemon", x, s.worst(bytes))
+	to.add("peer messages/s sent, mean daemon", x, s.mean(func(u probe.Usage) float64 { return probe.Total(u.PeerMessages) / s.seconds }))
+	to.add("processor, % of a core, mean daemon", x, s.mean(cores))
+	to.add("processor, % of a core, worst daemon", x, s.worst(cores))
+	to.add("resident MiB, mean daemon", x, s.mean(func(u probe.Usage) float64 { return u.ResidentBytes / mebibyte }))
+	to.add("table transactions/s, whole fleet", x, s.commits/s.seconds)
+	to.add("table reads/s, whole fleet", x, s.reads/s.seconds)
+}
