--- a/internal/bench/root/root.go
+++ b/internal/bench/root/root.go
@@ -16,6 +16,7 @@
 	"github.com/banyanshift/banyanshift/internal/bench/engine"
 	"github.com/banyanshift/banyanshift/internal/bench/factory"
 	"github.com/banyanshift/banyanshift/internal/bench/latency"
+	"github.com/banyanshift/banyanshift/internal/bench/load"
 	"github.com/banyanshift/banyanshift/internal/bench/platform"
 	"github.com/banyanshift/banyanshift/internal/bench/proxy"
 	"github.com/banyanshift/banyanshift/internal/bench/service"
@@ -39,6 +40,7 @@
 		engine.NewCmdEngine(f, nil),
 		service.NewCmdService(f, nil),
 		proxy.NewCmdProxy(f, nil),
+		load.NewCmdLoad(f, nil),
 		demo.NewCmdDemo(f, nil),
 		check.NewCmdCheck(f, nil),
 		latency.NewCmdLatency(f, nil),
--- a/internal/bench/verdict/policy.go
+++ b/internal/bench/verdict/policy.go
@@ -43,8 +43,9 @@
 		}
 		for _, run := range j.began(other.Nonce) {
 			if run.FirstToken == 0 && run.Started > attempt.Ended+tierSlack {
-				j.violated(&j.report.Violations.TierOrder, "TierOrder", "%s of tier %d was shed with %s at %s; %s of tier %d waited since %s and ran at %s",
-					call.Nonce, tier, attempt.Code, j.offset(attempt.Ended), other.Nonce, otherTier, j.offset(other.Sent()), j.offset(run.Started))
+				j.violated(&j.report.Violations.TierOrder, "TierOrder", "%s of tier %d was shed by %s with %s at %s; %s of tier %d waited at %s since %s and ran at %s",
+					call.Nonce, tier, attempt.Daemon, attempt.Code, j.offset(attempt.Ended),
+					other.Nonce, otherTier, daemonOf(other), j.offset(other.Sent()), j.offset(run.Started))
 				return
 			}
 		}
@@ -66,12 +67,22 @@
 		if j.wentOn(call, run, other.Started) {
 			continue
 		}
-		j.violated(&j.report.Violations.TierOrder, "TierOrder", "%s of tier %d was preempted on %s at %s; %s of tier %d started there %s later",
-			call.Nonce, tier, run.endpoint.ID, j.offset(run.Ended), other.Nonce, j.tiers[otherCall.Class], other.Started-run.Ended)
+		j.violated(&j.report.Violations.TierOrder, "TierOrder", "%s of tier %d at %s was preempted on %s at %s; %s of tier %d at %s started there %s later",
+			call.Nonce, tier, daemonOf(call), run.endpoint.ID, j.offset(run.Ended),
+			other.Nonce, j.tiers[otherCall.Class], daemonOf(otherCall), other.Started-run.Ended)
 		return
 	}
 }
 
+// daemonOf returns the daemon that a call was first sent to.
+func daemonOf(call *load.Call) string {
+	attempts := call.Attempts()
+	if len(attempts) == 0 {
+		return "no daemon"
+	}
+	return attempts[0].Daemon
+}
+
 // wentOn says that a call whose run was cancelled had gone on elsewhere by an
 // instant: it was moved, not displaced.
 func (j *judge) wentOn(call *load.Call, cancelled placed, by clock.Millis) bool {
--- a/internal/bench/verdict/verdict.go
+++ b/internal/bench/verdict/verdict.go
@@ -173,6 +173,15 @@
 	return j.report
 }
 
+// Measure works out the figures and judges the answers of a run whose
+// stand-ins' records are not at hand.
+func Measure(in Input) Report {
+	j := newJudge(in)
+	j.answers()
+	j.figures()
+	return j.report
+}
+
 func newJudge(in Input) *judge {
 	j := &judge{
 		in: in, byNonce: make(map[string]*load.Call), runs: make(map[string][]placed),
