--- a/internal/cli/resource/resource.go
+++ b/internal/cli/resource/resource.go
@@ -14,6 +14,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 
@@ -154,7 +155,7 @@
 	if strings.EqualFold(strings.TrimSpace(answer), "y") {
 		return nil
 	}
-	return exit.Usagef("nothing was changed")
+	return errors.New("not confirmed; nothing was changed")
 }
 
 // Revision returns the revision of an entity.
--- a/internal/operator/rpc/server_test.go
+++ b/internal/operator/rpc/server_test.go
@@ -6,6 +6,7 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -165,6 +166,28 @@
 	wantCode(t, err, codes.OK)
 }
 
+func TestOneOfRacingOperatorsWins(t *testing.T) {
+	const operators = 8
+	r := newRig(t)
+	if _, err := putTeam(r, "t", "everest", 0, 1); err != nil {
+		t.Fatal(err)
+	}
+	outcomes := make(chan codes.Code, operators)
+	for i := range operators {
+		go func() {
+			_, err := putTeam(r, fmt.Sprintf("r%d", i), "everest", 1, int32(i+2))
+			outcomes <- status.Code(err)
+		}()
+	}
+	counts := map[codes.Code]int{}
+	for range operators {
+		counts[<-outcomes]++
+	}
+	if counts[codes.OK] != 1 || counts[codes.Aborted] != operators-1 {
+		t.Errorf("outcomes are %v", counts)
+	}
+}
+
 // TestRetryAfterTheWorldMovedOn sends a change again whose references are gone
 // by now: its outcome has not changed.
 func TestRetryAfterTheWorldMovedOn(t *testing.T) {
