--- a/internal/cli/root/root.go
+++ b/internal/cli/root/root.go
@@ -9,6 +9,7 @@
 	"context"
 	"fmt"
 	"os/signal"
+	"runtime/debug"
 	"strings"
 	"syscall"
 
@@ -41,6 +42,7 @@
   $ banyanshift apply -f fleet.ini --dry-run
   $ banyanshift key create --team everest
   $ banyanshift status`,
+		Version:       version(),
 		SilenceErrors: true,
 		SilenceUsage:  true,
 		Args:          unknownCommand,
@@ -75,6 +77,22 @@
 	return &cobra.Command{Use: "exit-codes", Short: "Exit codes of all commands", Long: exit.Help}
 }
 
+// version returns the version of the module, with the commit that the program
+// was built from if the build recorded it.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	text := info.Main.Version
+	for _, setting := range info.Settings {
+		if setting.Key == "vcs.revision" {
+			text += " " + setting.Value
+		}
+	}
+	return strings.TrimSpace(text + " " + info.GoVersion)
+}
+
 // unknownCommand refuses arguments of a command that only has verbs.
 func unknownCommand(cmd *cobra.Command, args []string) error {
 	if len(args) == 0 {
--- a/internal/operator/rpc/events.go
+++ b/internal/operator/rpc/events.go
@@ -25,4 +25,6 @@
 var (
 	calls        = metric.NewMap("Operator.Calls", "Authenticated calls of operators, by method.")
 	refusedCalls = metric.NewCounter("Operator.Refused", "Calls refused for a missing or wrong operator token.")
+
+	refusedConnections = metric.NewCounter("Operator.RefusedConnections", "Connections refused because their address had too many open already.")
 )
--- a/internal/operator/rpc/server.go
+++ b/internal/operator/rpc/server.go
@@ -44,6 +44,7 @@
 // Limits that keep a client from using up the daemon.
 const (
 	maxConnections      = 256
+	maxAddressConns     = 32
 	maxStreams          = 32
 	maxHeaderBytes      = 16 << 10
 	handshakeTimeout    = 10 * time.Second
@@ -152,7 +153,7 @@
 	if err != nil {
 		return err
 	}
-	s.listener = netutil.LimitListener(listener, maxConnections)
+	s.listener = netutil.LimitListener(newAddressLimiter(listener, maxAddressConns), maxConnections)
 	eventServing.Log(s.logger, logrus.Fields{"Address": s.Address()})
 	go s.run()
 	return nil
--- a/internal/operator/rpc/server_test.go
+++ b/internal/operator/rpc/server_test.go
@@ -479,3 +479,34 @@
 		t.Error(err)
 	}
 }
+
+// TestStrangerCannotTakeAllPlaces opens connections from one address until it
+// is refused, and then lets an operator in who comes from there once a place
+// is free.
+func TestStrangerCannotTakeAllPlaces(t *testing.T) {
+	r := newRig(t)
+	var conns []net.Conn
+	for range maxAddressConns {
+		conn, err := net.Dial("tcp", r.server.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conns = append(conns, conn)
+	}
+	refused, err := net.Dial("tcp", r.server.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer refused.Close()
+	_ = refused.SetReadDeadline(time.Now().Add(20 * time.Second))
+	// The server speaks first on a connection that it takes.
+	if n, err := refused.Read(make([]byte, 1)); err == nil || n > 0 {
+		t.Error("a connection beyond the limit was served")
+	}
+	conns[0].Close()
+	ctx, cancel := context.WithTimeout(as(token), 20*time.Second)
+	defer cancel()
+	_, err = operatorv1.NewTeamsClient(r.conn).List(ctx, &operatorv1.ListRequest{}, grpc.WaitForReady(true))
+	wantCode(t, err, codes.OK)
+}
