--- /dev/null
+++ b/internal/bench/compare/workload.go
@@ -0,0 +1,166 @@
+package compare
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/bench/rig"
+	"github.com/banyanshift/banyanshift/internal/bench/scenario"
+	"github.com/banyanshift/banyanshift/internal/config/entity"
+	"github.com/banyanshift/banyanshift/internal/standin/host"
+	"github.com/banyanshift/banyanshift/internal/standin/load"
+)
+
+// The fleet of a comparison. Nine engines of eight slots, which take 26 ms for
+// a token when all slots are used, generate about 2,770 tokens a second: that
+// is 69 requests of 40 tokens.
+const (
+	backend      = "pool"
+	modelName    = "compared"
+	region       = "region-1"
+	perDomain    = 3
+	slots        = 8
+	capacity     = 69.0
+	teamCount    = 10
+	promptTokens = 60
+	minOutput    = 20
+	maxOutput    = 60
+)
+
+// workload is one kind of load, with what is done to the fleet meanwhile.
+type workload struct {
+	name  string
+	flows func(duration clock.Millis) []load.Flow
+	skew  float64
+	// strike is done after a quarter of the time; nil for nothing.
+	strike func(ctx context.Context, r *rig.Rig) error
+}
+
+func workloads() []workload {
+	return []workload{
+		{name: "steady", flows: steady},
+		{name: "burst", flows: burst},
+		{name: "flood", flows: flood},
+		{name: "lengths", flows: lengths},
+		{name: "straggler", flows: steady, strike: straggle},
+		{name: "crash", flows: steady, strike: crash},
+		{name: "domain", flows: steady, strike: loseDomain},
+		{name: "skew", flows: flood, skew: 0.6},
+	}
+}
+
+func workloadNames() []string {
+	var names []string
+	for _, w := range workloads() {
+		names = append(names, w.name)
+	}
+	return names
+}
+
+func classes() []entity.Class {
+	return []entity.Class{
+		{Name: "interactive", Tier: 0, FirstTokenTarget: 800, MaxWait: 20 * clock.Second},
+		{Name: "standard", Tier: 1, FirstTokenTarget: 2500, MaxWait: 20 * clock.Second, GuaranteedShare: 0.1},
+		{Name: "batch", Tier: 3, FirstTokenTarget: 8000, MaxWait: 20 * clock.Second, GuaranteedShare: 0.05},
+	}
+}
+
+// compared returns the scenario of a workload.
+func compared(w workload, duration clock.Millis) scenario.Scenario {
+	s := scenario.Scenario{
+		Name: w.name, Region: region, Domains: []string{"domain-1", "domain-2", "domain-3"},
+		Classes: classes(), Flows: w.flows(duration),
+		Pools: []scenario.Pool{{Backend: backend, Model: modelName, FirmPerDomain: perDomain}},
+	}
+	endpoints := perDomain * len(s.Domains)
+	s.Backends = []entity.Backend{{
+		Name: backend, Type: entity.Model, Model: modelName, Version: "1", ChecksFence: true,
+		MinEndpoints: endpoints, MaxEndpoints: endpoints, FirmOnly: true, Slots: slots,
+	}}
+	route := entity.Route{Name: modelName, Backend: backend}
+	for _, class := range s.Classes {
+		route.Classes = append(route.Classes, class.Name)
+	}
+	for i := range teamCount {
+		s.Teams = append(s.Teams, entity.Team{Name: team(i), Weight: 1})
+		route.Teams = append(route.Teams, team(i))
+	}
+	s.Routes = []entity.Route{route}
+	return s
+}
+
+func team(i int) string {
+	return fmt.Sprintf("team-%d", i)
+}
+
+// flow returns a flow at a part of the capacity.
+func flow(teamName, class string, part float64) load.Flow {
+	at := slices.IndexFunc(classes(), func(c entity.Class) bool { return c.Name == class })
+	return load.Flow{
+		Name: class, Team: teamName, Class: class, Route: modelName, Backend: backend, Type: entity.Model,
+		PerSecond: part * capacity, FirstTokenTarget: classes()[at].FirstTokenTarget,
+		PromptTokens: promptTokens, MinOutput: minOutput, MaxOutput: maxOutput,
+	}
+}
+
+func steady(clock.Millis) []load.Flow {
+	var flows []load.Flow
+	for i := range teamCount {
+		flows = append(flows,
+			flow(team(i), "interactive", 0.03), flow(team(i), "standard", 0.02), flow(team(i), "batch", 0.01))
+	}
+	return flows
+}
+
+// burst is a steady top tier, and a lowest class at three times the capacity
+// for half of the time.
+func burst(duration clock.Millis) []load.Flow {
+	var flows []load.Flow
+	for i := range teamCount {
+		flows = append(flows, flow(team(i), "interactive", 0.04))
+	}
+	low := flow(team(0), "batch", 0.1)
+	low.Burst, low.BurstEvery, low.BurstLength = 30, duration, duration/2
+	return append(flows, low)
+}
+
+// flood is one team at ten times the load of each of nine others.
+func flood(clock.Millis) []load.Flow {
+	flows := []load.Flow{flow(team(0), "standard", 1.2)}
+	for i := 1; i < teamCount; i++ {
+		flows = append(flows, flow(team(i), "standard", 0.12))
+	}
+	return flows
+}
+
+// lengths sets a team with long answers against one with short ones, each
+// asking for more than half of the capacity.
+func lengths(clock.Millis) []load.Flow {
+	long, short := flow(team(0), "standard", 0.25), flow(team(1), "standard", 2.5)
+	long.MinOutput, long.MaxOutput = 120, 200
+	short.MinOutput, short.MaxOutput = 12, 20
+	return []load.Flow{long, short}
+}
+
+func endpointID(domain string, i int) string {
+	return fmt.Sprintf("%s-%s-%d", backend, domain, i)
+}
+
+func straggle(ctx context.Context, r *rig.Rig) error {
+	return r.Endpoint(ctx, endpointID("domain-1", 0), host.Fault{Straggle: 10})
+}
+
+func crash(ctx context.Context, r *rig.Rig) error {
+	return r.Endpoint(ctx, endpointID("domain-1", 0), host.Fault{Crash: true})
+}
+
+func loseDomain(ctx context.Context, r *rig.Rig) error {
+	for i := range perDomain {
+		if err := r.Endpoint(ctx, endpointID("domain-1", i), host.Fault{Crash: true}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/bench/root/root.go
+++ b/internal/bench/root/root.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/banyanshift/banyanshift/internal/bench/check"
+	"github.com/banyanshift/banyanshift/internal/bench/compare"
 	"github.com/banyanshift/banyanshift/internal/bench/demo"
 	"github.com/banyanshift/banyanshift/internal/bench/engine"
 	"github.com/banyanshift/banyanshift/internal/bench/factory"
@@ -44,6 +45,7 @@
 		demo.NewCmdDemo(f, nil),
 		check.NewCmdCheck(f, nil),
 		latency.NewCmdLatency(f, nil),
+		compare.NewCmdCompare(f, nil),
 		slope.NewCmdSlope(f, nil),
 	}
 }
--- a/internal/standin/load/balancer.go
+++ b/internal/standin/load/balancer.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
@@ -17,6 +19,10 @@
 	// ReadyPath is the path of the readiness check.
 	readyPath string
 
+	// Skew is the share of the requests, from 0 to 1, that goes to the first
+	// ready daemon by name before the rest is spread evenly.
+	Skew float64
+
 	mu      sync.Mutex
 	targets map[string]*target
 }
@@ -137,5 +143,8 @@
 		return "", ""
 	}
 	chosen := all[rand.IntN(len(all))]
+	if b.Skew > 0 && rand.Float64() < b.Skew {
+		chosen = slices.MinFunc(all, func(a, b *target) int { return strings.Compare(a.id, b.id) })
+	}
 	return chosen.id, chosen.url
 }
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -152,9 +152,10 @@
 func (s *source) run(ctx context.Context, flows *sync.WaitGroup) {
 	defer flows.Done()
 	clk := s.load.clock
-	next := float64(clk.Now())
+	begun := float64(clk.Now())
+	next := begun
 	for {
-		rate := s.flow.PerSecond * s.load.factor(s.flow.Name) * s.flow.burst(clk.Now())
+		rate := s.flow.PerSecond * s.load.factor(s.flow.Name) * s.flow.burst(clock.Millis(next-begun))
 		next += s.random.ExpFloat64() / max(rate, minRate) * float64(clock.Second)
 		next = max(next, float64(clk.Now()-clock.Second))
 		if clk.Sleep(ctx, clock.Millis(next)-clk.Now()) != nil {
