--- a/internal/bench/root/root.go
+++ b/internal/bench/root/root.go
@@ -18,6 +18,7 @@
 	"github.com/banyanshift/banyanshift/internal/bench/factory"
 	"github.com/banyanshift/banyanshift/internal/bench/latency"
 	"github.com/banyanshift/banyanshift/internal/bench/load"
+	"github.com/banyanshift/banyanshift/internal/bench/mutate"
 	"github.com/banyanshift/banyanshift/internal/bench/platform"
 	"github.com/banyanshift/banyanshift/internal/bench/proxy"
 	"github.com/banyanshift/banyanshift/internal/bench/service"
@@ -47,6 +48,7 @@
 		latency.NewCmdLatency(f, nil),
 		compare.NewCmdCompare(f, nil),
 		slope.NewCmdSlope(f, nil),
+		mutate.NewCmdMutate(f, nil),
 	}
 }
 
