Serve callers on the users' platform through platform/ and a gateway

Cause: the product speaks its own protocols to its own platform; nothing of it could stand in front of replicas that register themselves in a store and take opaque requests.

Ruled out: a second role for control (everything it could decide rests on the same store and messages); the standard HTTP transport towards endpoints (it repeats requests when a kept connection was closed, and hands a late answer to the next request); a second reader of settings (the deploy template fills the project's own INI file).

Change: `banyanshift gateway`, one program and one role. New in the project's own words: relay (pass-through path of a request), http1 (client of endpoints), document, roster, feed, fleet (common picture of the daemons), balance, budget, supply, tally, billing, stock. platform/ translates callers, endpoints, configuration, store and duties.

--- /dev/null
+++ b/internal/daemon/gateway/duties.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"slices"
+
+	"github.com/banyanshift/banyanshift/coord/guard"
+	"github.com/banyanshift/banyanshift/coord/lease"
+	"github.com/banyanshift/banyanshift/internal/decide/supply"
+	"github.com/banyanshift/banyanshift/internal/order/hold"
+	"github.com/banyanshift/banyanshift/internal/order/stock"
+	"github.com/banyanshift/banyanshift/internal/usage/billing"
+)
+
+// leaseKey is the row of the lease under which usage is reported and endpoints
+// are ordered.
+const leaseKey = "Lease/Duties"
+
+// buildDuties builds the lease and what its holder does.
+func (d *Daemon) buildDuties() {
+	d.lease = lease.New(lease.Config{
+		Table: d.table, Clock: d.clock, Key: leaseKey, Holder: d.incarnation, TTL: d.settings.Bounds.LeaseTime, Rand: d.random(5),
+	})
+	biller := billing.New(billing.Config{
+		Table: d.table, Clock: d.clock, Logger: d.logger, Tally: d.tally, Collect: d.fleet.Collect,
+		Guard: hold.Guard(d.table, leaseKey), Report: d.report,
+	})
+	keeper := stock.New(stock.Config{Clock: d.clock, Logger: d.logger, Wanted: d.wanted, Send: d.order})
+	d.hold = hold.New(hold.Config{
+		Clock: d.clock, Logger: d.logger, Scope: leaseKey, Lease: d.lease.Valid, Settle: d.settings.Bounds.LeaseTime,
+		Work: []hold.Work{biller.Work, keeper.Work},
+	})
+}
+
+// dutyCall describes a call of the holder under a fence. Its client refuses to
+// write once the lease has passed on.
+func (d *Daemon) dutyCall(fence uint64) DutyCall {
+	g := guard.New(guard.ForFence(d.hold.Lease, fence), d.clock)
+	return DutyCall{
+		Address: d.settings.Platform.Duties, Holder: d.settings.Daemon.ID, Fence: fence,
+		Client: &http.Client{Transport: g.Transport()},
+	}
+}
+
+func (d *Daemon) report(ctx context.Context, fence uint64, window billing.Window) error {
+	return d.platform.Report(ctx, d.dutyCall(fence), window)
+}
+
+func (d *Daemon) order(ctx context.Context, fence uint64, order supply.Order) error {
+	return d.platform.Order(ctx, d.dutyCall(fence), order)
+}
+
+// wanted returns the orders that should stand now.
+func (d *Daemon) wanted() []supply.Order {
+	index, _ := d.document.Held()
+	if index == nil {
+		return nil
+	}
+	var orders []supply.Order
+	for _, backend := range index.Backends() {
+		orders = append(orders, supply.Decide(supply.Input{Backend: backend, Domains: d.domainsOf(backend.Name)})...)
+	}
+	return orders
+}
+
+// domainsOf returns the failure domains in which a back end runs.
+func (d *Daemon) domainsOf(backend string) []string {
+	list := d.listed.Load()
+	if list == nil {
+		return nil
+	}
+	var domains []string
+	for _, endpoint := range *list {
+		if endpoint.Backend == backend && !slices.Contains(domains, endpoint.FailureDomain) {
+			domains = append(domains, endpoint.FailureDomain)
+		}
+	}
+	slices.Sort(domains)
+	return domains
+}
--- a/internal/daemon/serve/events.go
+++ b/internal/daemon/serve/events.go
@@ -13,6 +13,4 @@
 		"Requests in flight are answered to their end before the process exits.")
 	eventStopped = event.New(1003, logrus.InfoLevel, "daemon stopped",
 		"Every request was answered and usage was handed on.")
-	eventTaskFailed = event.New(1004, logrus.ErrorLevel, "a part of the daemon failed",
-		"The daemon goes on without it. Look at the error and replace the VM.")
 )
--- a/internal/daemon/serve/serve.go
+++ b/internal/daemon/serve/serve.go
@@ -39,9 +39,11 @@
 	"github.com/banyanshift/banyanshift/internal/caller/entry"
 	"github.com/banyanshift/banyanshift/internal/config/follow"
 	"github.com/banyanshift/banyanshift/internal/config/state"
+	"github.com/banyanshift/banyanshift/internal/daemon/background"
 	"github.com/banyanshift/banyanshift/internal/endpoint/engine"
 	"github.com/banyanshift/banyanshift/internal/endpoint/transport"
 	"github.com/banyanshift/banyanshift/internal/endpoint/watch"
+	"github.com/banyanshift/banyanshift/internal/observe/server"
 	"github.com/banyanshift/banyanshift/internal/operator/rpc"
 	"github.com/banyanshift/banyanshift/internal/order/demand"
 	"github.com/banyanshift/banyanshift/internal/order/dispatch"
@@ -97,11 +99,11 @@
 	reporter     *report.Reporter
 	callers      *entry.Server
 	operators    *rpc.Server
-	metrics      *metricsServer
+	metrics      *server.Server
 
 	// base has the parts that end last, usage what writes usage, roles what
 	// the holder of the lease does, and candidacy the lease itself.
-	base, usage, roles, candidacy *background
+	base, usage, roles, candidacy *background.Group
 }
 
 // Run serves until the context ends, and then shuts down gracefully.
@@ -126,12 +128,13 @@
 		counter:  demand.NewCounter(clk),
 		running:  &runningCounts{counts: make(map[string]int)},
 	}
-	d.base, d.usage = newBackground(d.logger), newBackground(d.logger)
-	d.roles, d.candidacy = newBackground(d.logger), newBackground(d.logger)
+	d.base, d.usage = background.New(d.logger), background.New(d.logger)
+	d.roles, d.candidacy = background.New(d.logger), background.New(d.logger)
+	d.metrics = server.New(settings.Metrics.Listen, d.logger)
 	if err := d.identify(); err != nil {
 		return nil, err
 	}
-	steps := []func() error{d.buildPlatform, d.buildPeers, d.buildScheduling, d.buildRoles, d.buildCallers, d.buildOperators, d.buildMetrics}
+	steps := []func() error{d.buildPlatform, d.buildPeers, d.buildScheduling, d.buildRoles, d.buildCallers, d.buildOperators}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return nil, err
@@ -187,17 +190,17 @@
 		return err
 	}
 	d.broker.Start()
-	d.base.start("Membership", d.members.Run)
-	d.base.start("Configuration", d.follower.Run)
-	d.base.start("Endpoints", d.watcher.Run)
-	d.base.start("Claims", d.claimStore.Run)
-	d.base.start("ClaimRelay", d.relays.Run)
-	d.base.start("Holder", d.holder.Run)
-	d.base.start("Demand", d.teller.Run)
-	d.usage.start("Usage", d.replicator.Run)
-	d.candidacy.start("Lease", d.lease.Run)
-	d.roles.start("Roles", d.hold.Run)
-	d.roles.start("UsageReports", d.reporter.Run)
+	d.base.Start("Membership", d.members.Run)
+	d.base.Start("Configuration", d.follower.Run)
+	d.base.Start("Endpoints", d.watcher.Run)
+	d.base.Start("Claims", d.claimStore.Run)
+	d.base.Start("ClaimRelay", d.relays.Run)
+	d.base.Start("Holder", d.holder.Run)
+	d.base.Start("Demand", d.teller.Run)
+	d.usage.Start("Usage", d.replicator.Run)
+	d.candidacy.Start("Lease", d.lease.Run)
+	d.roles.Start("Roles", d.hold.Run)
+	d.roles.Start("UsageReports", d.reporter.Run)
 	for _, start := range []func() error{d.operators.Start, d.metrics.Start, d.callers.Start} {
 		if err := start(); err != nil {
 			return err
@@ -216,14 +219,14 @@
 	err := d.callers.Shutdown(context.Background())
 	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout.Duration())
 	defer cancel()
-	d.usage.stop()
+	d.usage.Stop()
 	err = errors.Join(err, d.replicator.Flush(ctx), d.claimStore.Flush(ctx))
 	d.reporter.Flush(ctx)
-	d.roles.stop()
-	d.candidacy.stop()
+	d.roles.Stop()
+	d.candidacy.Stop()
 	d.operators.Close()
 	d.broker.Close()
-	d.base.stop()
+	d.base.Stop()
 	d.link.Close()
 	return errors.Join(err, d.metrics.Close())
 }
--- a/internal/observe/catalogue/catalogue_test.go
+++ b/internal/observe/catalogue/catalogue_test.go
@@ -7,7 +7,8 @@
 	"testing"
 	"unicode"
 
-	// The daemon imports every package that declares events and metrics.
+	// The daemons import every package that declares events and metrics.
+	_ "github.com/banyanshift/banyanshift/internal/daemon/gateway"
 	_ "github.com/banyanshift/banyanshift/internal/daemon/serve"
 	"github.com/banyanshift/banyanshift/internal/observe/catalogue"
 	"github.com/banyanshift/banyanshift/internal/observe/event"
--- /dev/null
+++ b/internal/peer/fleet/board.go
@@ -0,0 +1,206 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"sync"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/caller/relay"
+	"github.com/banyanshift/banyanshift/internal/decide/balance"
+	"github.com/banyanshift/banyanshift/internal/decide/budget"
+	"github.com/banyanshift/banyanshift/internal/endpoint/roster"
+)
+
+const (
+	// maxJobAge is after how long a job whose end was not heard of is
+	// forgotten.
+	maxJobAge = 30 * clock.Second
+	// expireInterval is the time between two searches for such jobs.
+	expireInterval = 5 * clock.Second
+	// minReturn and maxReturn bound the Retry-After of refused requests.
+	minReturn = 300 * clock.Millisecond
+	maxReturn = 3 * clock.Second
+)
+
+// Board schedules the requests of this daemon on the common picture of the
+// fleet. It is safe for concurrent use.
+type Board struct {
+	clock clock.Clock
+	// daemons returns how many daemons share the retry budget.
+	daemons func() int
+
+	mu        sync.Mutex
+	balancer  *balance.Balancer
+	budget    *budget.Budget
+	rng       *rand.Rand
+	addresses map[string]string
+	engines   map[string]bool
+	nextJob   uint64
+	expired   clock.Millis
+	pending   news
+	sentAt    []clock.Millis
+}
+
+// NewBoard returns a Board that knows no endpoints.
+func NewBoard(clk clock.Clock, rules budget.Rules, daemons func() int, rng *rand.Rand) *Board {
+	return &Board{
+		clock:     clk,
+		daemons:   daemons,
+		balancer:  balance.New(),
+		budget:    budget.New(rules),
+		rng:       rng,
+		addresses: make(map[string]string),
+		engines:   make(map[string]bool),
+		nextJob:   uint64(rng.Uint32()) << 32,
+	}
+}
+
+// SetEndpoints replaces the endpoints.
+func (b *Board) SetEndpoints(endpoints []roster.Endpoint) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	known := make([]balance.Endpoint, 0, len(endpoints))
+	clear(b.addresses)
+	for _, endpoint := range endpoints {
+		known = append(known, endpoint.Endpoint)
+		b.addresses[endpoint.ID] = endpoint.Address
+		b.engines[endpoint.ID] = endpoint.CacheTokens > 0
+	}
+	for id := range b.engines {
+		if _, listed := b.addresses[id]; !listed {
+			delete(b.engines, id)
+		}
+	}
+	b.balancer.SetEndpoints(b.clock.Now(), known)
+}
+
+// Scheduler returns the functions that the path of a request uses.
+func (b *Board) Scheduler() relay.Scheduler {
+	return relay.Scheduler{
+		Place: b.place, FirstToken: b.firstToken, Ended: b.ended, Load: b.load, Moved: b.moved, Offered: b.offered, Retry: b.retry,
+	}
+}
+
+// place chooses an endpoint for a request of this daemon.
+func (b *Board) place(request balance.Request, timeLeft clock.Millis) (relay.Placement, relay.Refusal) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	b.expire(now)
+	choice, found := b.balancer.Choose(now, request)
+	if !found {
+		return relay.Placement{}, relay.Refusal{Reason: "no endpoint of the back end can take the request", RetryAfter: b.returnAfter(minReturn)}
+	}
+	if choice.FirstToken > timeLeft {
+		return relay.Placement{}, relay.Refusal{Reason: "cannot be served within its time limit", RetryAfter: b.returnAfter(choice.FirstToken - timeLeft)}
+	}
+	b.nextJob++
+	job := balance.Job{
+		ID: b.nextJob, Endpoint: choice.Endpoint, Parts: request.Parts, Uncached: choice.Uncached,
+		Output: request.Output, Priority: request.Priority, Expected: choice.FirstToken,
+	}
+	b.balancer.Sent(now, job)
+	if b.engines[choice.Endpoint] {
+		b.pending.Sent = append(b.pending.Sent, sentJob{Job: job})
+		b.sentAt = append(b.sentAt, now)
+	}
+	return relay.Placement{Job: job.ID, Endpoint: choice.Endpoint, Address: b.addresses[choice.Endpoint], Expected: choice.FirstToken}, relay.Refusal{}
+}
+
+// returnAfter spreads callers that were refused.
+func (b *Board) returnAfter(wait clock.Millis) clock.Millis {
+	base := min(max(wait, minReturn), maxReturn)
+	return base + clock.Millis(b.rng.Int64N(int64(base/2)+1))
+}
+
+func (b *Board) expire(now clock.Millis) {
+	if now-b.expired < expireInterval {
+		return
+	}
+	b.expired = now
+	b.balancer.Expire(now, maxJobAge)
+}
+
+func (b *Board) firstToken(p relay.Placement) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.balancer.FirstToken(b.clock.Now(), p.Job)
+	if b.engines[p.Endpoint] {
+		b.pending.First = append(b.pending.First, p.Job)
+	}
+}
+
+func (b *Board) ended(p relay.Placement, outcome balance.Outcome) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.balancer.Ended(b.clock.Now(), p.Job, outcome)
+	if b.engines[p.Endpoint] {
+		b.pending.Ended = append(b.pending.Ended, p.Job)
+	}
+}
+
+func (b *Board) load(endpoint string, load relay.Load) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.balancer.Load(b.clock.Now(), endpoint, load.Running, load.Waiting, load.Slots)
+}
+
+// moved takes an endpoint whose address belongs to another out of use.
+func (b *Board) moved(endpoint string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.balancer.Leaving(endpoint)
+}
+
+func (b *Board) offered(backend string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget.Offered(b.clock.Now(), backend)
+}
+
+func (b *Board) retry(backend string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budget.Retry(b.clock.Now(), backend, b.daemons())
+}
+
+// Leaving notes that an endpoint is leaving, for the peers as well.
+func (b *Board) Leaving(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.balancer.Leaving(id)
+	b.pending.Leaving = append(b.pending.Leaving, id)
+}
+
+// take returns what happened since the last call.
+func (b *Board) take() news {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	for i := range b.pending.Sent {
+		b.pending.Sent[i].Age = now - b.sentAt[i]
+	}
+	taken := b.pending
+	b.pending = news{}
+	b.sentAt = nil
+	return taken
+}
+
+// hear takes in what happened at a peer.
+func (b *Board) hear(n news) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	for _, sent := range n.Sent {
+		b.balancer.Heard(now, sent.Job, sent.Age)
+	}
+	for _, id := range n.First {
+		b.balancer.FirstToken(now, id)
+	}
+	for _, id := range n.Ended {
+		b.balancer.Ended(now, id, balance.Succeeded)
+	}
+	for _, id := range n.Leaving {
+		b.balancer.Leaving(id)
+	}
+}
--- a/internal/peer/link/call.go
+++ b/internal/peer/link/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/samber/oops"
 
@@ -52,10 +53,24 @@
 // Send sends a one-way message to a peer. It does not wait; the message is
 // lost when the peer is unreachable.
 func Send[Body any](l *Link, peer Peer, t message.Type, body Body) error {
+	return Broadcast(l, []Peer{peer}, t, body)
+}
+
+// Broadcast sends a one-way message to several peers, encoded once. The error
+// joins those of the peers that it could not be queued for.
+func Broadcast[Body any](l *Link, peers []Peer, t message.Type, body Body) error {
 	encoded, err := frame.Encode(body)
 	if err != nil {
 		return err
 	}
+	var failures []error
+	for _, peer := range peers {
+		failures = append(failures, l.send(peer, t, encoded))
+	}
+	return errors.Join(failures...)
+}
+
+func (l *Link) send(peer Peer, t message.Type, encoded []byte) error {
 	out, err := l.outletTo(peer)
 	if err != nil {
 		return err
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -88,6 +88,9 @@
 	// TLS has the certificate, and the authority of the fleet both as root
 	// and as client authority; nil for plain text on loopback.
 	TLS *tls.Config
+	// PlainText allows addresses off loopback without TLS, for networks that
+	// only the fleet's VMs can reach.
+	PlainText bool
 	// Dial replaces the dialer, for tests; may be nil.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -177,7 +180,7 @@
 
 // checkPlainText refuses addresses off loopback when there is no TLS.
 func (l *Link) checkPlainText(address string) error {
-	if l.config.TLS != nil {
+	if l.config.TLS != nil || l.config.PlainText {
 		return nil
 	}
 	host, _, err := net.SplitHostPort(address)
--- a/internal/peer/message/message.go
+++ b/internal/peer/message/message.go
@@ -34,4 +34,10 @@
 	ClaimForward Type = 0x61
 	// Capacity.
 	DemandReport Type = 0x70
+	// The fleet's common picture.
+	FleetPing      Type = 0x80
+	FleetNews      Type = 0x81
+	FleetDocument  Type = 0x82
+	FleetEndpoints Type = 0x83
+	FleetUsage     Type = 0x84
 )
--- a/internal/settings/ini/field.go
+++ b/internal/settings/ini/field.go
@@ -16,6 +16,7 @@
 	Duration Type = "duration"
 	Size     Type = "size"
 	Count    Type = "number"
+	Fraction Type = "fraction"
 )
 
 // Field describes one setting.
--- a/internal/settings/ini/value.go
+++ b/internal/settings/ini/value.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"net/url"
 	"regexp"
@@ -30,6 +31,13 @@
 // set parses value into the field's place in settings. The error says what
 // would be right.
 func (f Field) set(settings *Settings, value string) error {
+	return f.Assign(f.target(settings), value)
+}
+
+// Assign parses value into target, which is a *string, *int, *int64, *float64
+// or *clock.Millis as the field's type asks. The error says what would be
+// right.
+func (f Field) Assign(target any, value string) error {
 	if value == "" {
 		if f.Required {
 			return errors.New("must not be empty")
@@ -39,13 +47,17 @@
 		}
 		return fmt.Errorf("must not be empty; leave the line out for the default %s", f.Default)
 	}
-	switch target := f.target(settings).(type) {
+	switch target := target.(type) {
 	case *string:
 		if err := f.checkText(value); err != nil {
 			return err
 		}
 		*target = value
 		return nil
+	case *float64:
+		number, err := parseFraction(value)
+		*target = number
+		return err
 	case *clock.Millis:
 		number, err := f.number(value)
 		*target = clock.Millis(number)
@@ -115,6 +127,14 @@
 	return number, nil
 }
 
+func parseFraction(value string) (float64, error) {
+	number, err := strconv.ParseFloat(value, 64)
+	if err != nil || number < 0 || math.IsNaN(number) || math.IsInf(number, 0) {
+		return 0, errors.New("must be a number such as 0.2")
+	}
+	return number, nil
+}
+
 func parseDuration(value string) (int64, error) {
 	duration, err := time.ParseDuration(value)
 	if err != nil {
--- /dev/null
+++ b/internal/usage/tally/tally.go
@@ -0,0 +1,147 @@
+// Package tally counts the requests of each team by windows of the time of day.
+//
+// Every daemon counts its own requests under its incarnation, and keeps what it
+// has heard of the counts of others. Counts only grow, so that copies of them
+// merge by the greater figure, in any order and any number of times.
+//
+// # Usage
+//
+//	t := tally.New(incarnation, 5*clock.Second)
+//	t.Add("himal", wall)
+//	t.Merge(entriesOfAnother)
+//	sums := t.Sum(window)
+package tally
+
+import (
+	"sync"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+)
+
+// keepWindows is how many windows are remembered.
+const keepWindows = 12
+
+// Entry is the count of one team in one window at one daemon.
+type Entry struct {
+	Window int64
+	Source string
+	Team   string
+	Count  int64
+}
+
+type cell struct {
+	source string
+	team   string
+}
+
+// Tally holds counts. It is safe for concurrent use.
+type Tally struct {
+	self   string
+	length clock.Millis
+
+	mu      sync.Mutex
+	windows map[int64]map[cell]int64
+	// fresh are the own counts that changed since they were last taken.
+	fresh map[int64]map[string]bool
+}
+
+// New returns an empty Tally of the process run self, with windows of that
+// length, which begin with the epoch.
+func New(self string, length clock.Millis) *Tally {
+	return &Tally{self: self, length: length, windows: make(map[int64]map[cell]int64), fresh: make(map[int64]map[string]bool)}
+}
+
+// Window returns the number of the window of a time of day.
+func (t *Tally) Window(wall clock.Millis) int64 {
+	return int64(wall / t.length)
+}
+
+// End returns the time of day at which a window ends.
+func (t *Tally) End(window int64) clock.Millis {
+	return clock.Millis(window+1) * t.length
+}
+
+// Add counts a request of this daemon.
+func (t *Tally) Add(team string, wall clock.Millis) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	window := t.Window(wall)
+	t.cells(window)[cell{source: t.self, team: team}]++
+	if t.fresh[window] == nil {
+		t.fresh[window] = make(map[string]bool)
+	}
+	t.fresh[window][team] = true
+}
+
+func (t *Tally) cells(window int64) map[cell]int64 {
+	cells := t.windows[window]
+	if cells == nil {
+		cells = make(map[cell]int64)
+		t.windows[window] = cells
+		t.prune(window)
+	}
+	return cells
+}
+
+// prune forgets windows that are long past.
+func (t *Tally) prune(newest int64) {
+	for window := range t.windows {
+		if window < newest-keepWindows {
+			delete(t.windows, window)
+			delete(t.fresh, window)
+		}
+	}
+}
+
+// TakeFresh returns the own counts that changed since the last call.
+func (t *Tally) TakeFresh() []Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var entries []Entry
+	for window, teams := range t.fresh {
+		for team := range teams {
+			count := t.windows[window][cell{source: t.self, team: team}]
+			entries = append(entries, Entry{Window: window, Source: t.self, Team: team, Count: count})
+		}
+	}
+	clear(t.fresh)
+	return entries
+}
+
+// Entries returns all counts of the windows from first on.
+func (t *Tally) Entries(first int64) []Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var entries []Entry
+	for window, cells := range t.windows {
+		if window < first {
+			continue
+		}
+		for c, count := range cells {
+			entries = append(entries, Entry{Window: window, Source: c.source, Team: c.team, Count: count})
+		}
+	}
+	return entries
+}
+
+// Merge takes in counts that others hold.
+func (t *Tally) Merge(entries []Entry) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, entry := range entries {
+		cells := t.cells(entry.Window)
+		c := cell{source: entry.Source, team: entry.Team}
+		cells[c] = max(cells[c], entry.Count)
+	}
+}
+
+// Sum returns the count of each team in a window over all daemons.
+func (t *Tally) Sum(window int64) map[string]int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sums := make(map[string]int64)
+	for c, count := range t.windows[window] {
+		sums[c.team] += count
+	}
+	return sums
+}
