--- /dev/null
+++ b/internal/caller/relay/relay_test.go
@@ -0,0 +1,447 @@
+package relay_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/caller/relay"
+	"github.com/banyanshift/banyanshift/internal/config/document"
+	"github.com/banyanshift/banyanshift/internal/decide/balance"
+	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
+)
+
+// wire is a plain translation of the test's own.
+func wire() relay.Wire {
+	return relay.Wire{
+		DecodeCall: func(r *http.Request) (relay.Call, error) {
+			if r.Header.Get("Id") == "" {
+				return relay.Call{}, errors.New("no id")
+			}
+			return relay.Call{
+				ID: r.Header.Get("Id"), Method: r.Method, Host: "api.example", Path: r.URL.Path, Target: r.RequestURI,
+				Key: r.Header.Get("Key"), LastEvent: r.Header.Get("Last"), TimeLeft: clock.Second, HeaderBytes: len(r.Header.Get("Padding")),
+			}, nil
+		},
+		EncodeAttempt: func(call *relay.Call, a relay.Attempt) []byte {
+			return fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: e\r\nId: %s\r\nTeam: %s\r\nLast: %s\r\nFor: %s\r\n", call.Method, call.Target, call.ID, a.Team, a.ResumeAfter, a.Endpoint)
+		},
+		DecodeAnswer: func(status int, header http.Header) relay.AnswerHead {
+			return relay.AnswerHead{NotRun: header.Get("Not-Run") != "", OtherEndpoint: status == http.StatusMisdirectedRequest, Sealed: header.Get("Seal") != ""}
+		},
+	}
+}
+
+// fixture is a handler before some endpoints.
+type fixture struct {
+	t         *testing.T
+	caller    *httptest.Server
+	endpoints []*httptest.Server
+	log       *logtest.Hook
+
+	mu       sync.Mutex
+	config   relay.Configuration
+	tokens   int
+	outcomes []balance.Outcome
+	begun    int
+	runs     []string
+}
+
+// newFixture starts one endpoint for each function.
+func newFixture(t *testing.T, serve ...http.HandlerFunc) *fixture {
+	f := &fixture{t: t, tokens: 10}
+	for i, handle := range serve {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			f.mu.Lock()
+			f.runs = append(f.runs, fmt.Sprintf("e%d:%s", i, r.Header.Get("Last")))
+			f.mu.Unlock()
+			w.Header().Set("Id", r.Header.Get("Id"))
+			handle(w, r)
+		}))
+		t.Cleanup(server.Close)
+		f.endpoints = append(f.endpoints, server)
+	}
+	route := func(name string, kind document.Kind, attempts int) document.Route {
+		return document.Route{Name: name, Host: "api.example", Prefix: "/" + name + "/", Kind: kind, Attempts: attempts, Timeout: clock.Second, Shares: []document.Share{{Backend: "b"}}}
+	}
+	resumable := route("resumable", document.Streaming, 2)
+	resumable.Resumable = true
+	f.config = relay.Configuration{Current: true, Index: document.NewIndex(document.Document{
+		Version: 1,
+		Routes:  []document.Route{route("pay", document.NonIdempotent, 2), route("look", document.Idempotent, 2), route("stream", document.Streaming, 2), resumable},
+		Teams:   []document.Team{{Name: "himal", Keys: []string{"k"}}},
+		Limits:  document.Limits{MaxHeaderBytes: 1000, MaxBodyBytes: 100},
+	})}
+	logger, hook := logtest.NewNullLogger()
+	logger.SetLevel(logrus.DebugLevel)
+	f.log = hook
+	pool := http1.New(http1.Config{Clock: clock.System(), Belongs: func(status int, header http.Header, id string) bool {
+		return header.Get("Id") == id
+	}})
+	handler := relay.New(relay.Config{
+		Clock: clock.System(), Logger: logger, Wire: wire(), Pool: pool, Scheduler: f.scheduler(),
+		Configuration: func() relay.Configuration { return f.config },
+		Began: func(string, clock.Millis) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.begun++
+		},
+	})
+	f.caller = httptest.NewServer(handler)
+	t.Cleanup(f.caller.Close)
+	return f
+}
+
+// scheduler places requests on the endpoints in turn.
+func (f *fixture) scheduler() relay.Scheduler {
+	return relay.Scheduler{
+		Place: func(r balance.Request, _ clock.Millis) (relay.Placement, relay.Refusal) {
+			for i, e := range f.endpoints {
+				id := fmt.Sprint("e", i)
+				tried := false
+				for _, x := range r.Exclude {
+					tried = tried || x == id
+				}
+				if !tried {
+					return relay.Placement{Endpoint: id, Address: strings.TrimPrefix(e.URL, "http://")}, relay.Refusal{}
+				}
+			}
+			return relay.Placement{}, relay.Refusal{Reason: "no endpoint", RetryAfter: 700}
+		},
+		FirstToken: func(relay.Placement) {},
+		Ended: func(_ relay.Placement, o balance.Outcome) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.outcomes = append(f.outcomes, o)
+		},
+		Load:    func(string, relay.Load) {},
+		Moved:   func(string) {},
+		Offered: func(string) {},
+		Retry: func(string) bool {
+			f.tokens--
+			return f.tokens >= 0
+		},
+	}
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (f *fixture) send(path string, fields ...string) reply {
+	return f.sendBody(path, "", fields...)
+}
+
+func (f *fixture) sendBody(path, body string, fields ...string) reply {
+	r, err := http.NewRequest(http.MethodPost, f.caller.URL+path, strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	r.Header.Set("Id", "r1")
+	r.Header.Set("Key", "k")
+	for i := 0; i+1 < len(fields); i += 2 {
+		r.Header.Set(fields[i], fields[i+1])
+	}
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer answer.Body.Close()
+	data, err := io.ReadAll(answer.Body)
+	return reply{status: answer.StatusCode, header: answer.Header, body: string(data), err: err}
+}
+
+func (f *fixture) expect(got reply, status int, body string) {
+	f.t.Helper()
+	if got.err != nil || got.status != status || (body != "" && got.body != body) {
+		f.t.Errorf("got %d %q, %v; want %d %q", got.status, got.body, got.err, status, body)
+	}
+}
+
+func (f *fixture) expectRuns(want ...string) {
+	f.t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if strings.Join(f.runs, " ") != strings.Join(want, " ") {
+		f.t.Errorf("endpoints were sent %v, want %v", f.runs, want)
+	}
+}
+
+func ok(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Seal", "s")
+	_, _ = io.WriteString(w, "fine")
+}
+
+func status(code int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Seal", "s")
+		w.WriteHeader(code)
+		_, _ = io.WriteString(w, "broken")
+	}
+}
+
+func notRun(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// reset ends the connection without an answer.
+func reset(w http.ResponseWriter, _ *http.Request) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err == nil {
+		_ = conn.Close()
+	}
+}
+
+// events streams events with the IDs from first to last and then breaks off, or
+// ends where whole is set. Half of another event follows a broken one.
+func events(first, last int, whole bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		var body bytes.Buffer
+		for i := first; i <= last; i++ {
+			fmt.Fprintf(&body, "id: %d\ndata: piece %d\n\n", i, i)
+		}
+		if !whole {
+			fmt.Fprintf(&body, "id: %d\ndata: pi", last+1)
+		}
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", r.Header.Get("Id"), body.Len(), body.String())
+		if whole {
+			_, _ = io.WriteString(conn, "0\r\n\r\n")
+		}
+	}
+}
+
+func pieces(first, last int) string {
+	text := ""
+	for i := first; i <= last; i++ {
+		text += fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
+	}
+	return text
+}
+
+func TestAnswerPassesUnchanged(t *testing.T) {
+	f := newFixture(t, ok)
+	got := f.send("/pay/1")
+	f.expect(got, 200, "fine")
+	if got.header.Get("Seal") != "s" {
+		t.Error("the endpoint's proof is missing")
+	}
+	if f.begun != 1 {
+		t.Errorf("the request was counted %d times", f.begun)
+	}
+}
+
+func TestNonIdempotentRequestIsSentOnce(t *testing.T) {
+	for name, first := range map[string]http.HandlerFunc{"reset": reset, "500": status(500)} {
+		f := newFixture(t, first, ok)
+		got := f.send("/pay/1")
+		if got.status != 502 && got.status != 500 {
+			t.Errorf("%s: got %d, which says too much", name, got.status)
+		}
+		f.expectRuns("e0:")
+	}
+}
+
+func TestRequestThatDidNotRunGoesElsewhere(t *testing.T) {
+	f := newFixture(t, notRun, ok)
+	f.expect(f.send("/pay/1"), 200, "fine")
+	f.expectRuns("e0:", "e1:")
+}
+
+func TestRefusalSaysWhenToComeBack(t *testing.T) {
+	f := newFixture(t, notRun, notRun)
+	got := f.send("/pay/1")
+	f.expect(got, 503, "")
+	if got.header.Get("Retry-After") == "" {
+		t.Error("the caller is not told when to come back")
+	}
+}
+
+func TestIdempotentRequestIsRepeated(t *testing.T) {
+	for name, first := range map[string]http.HandlerFunc{"reset": reset, "500": status(500), "truncated": truncated, "unproved": unproved} {
+		f := newFixture(t, first, ok)
+		t.Run(name, func(t *testing.T) {
+			f.expect(f.send("/look/1"), 200, "fine")
+		})
+	}
+}
+
+// truncated announces more than it sends.
+func truncated(w http.ResponseWriter, r *http.Request) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Length: 100\r\n\r\nhalf", r.Header.Get("Id"))
+	_ = conn.Close()
+}
+
+// unproved succeeds without the endpoint's proof.
+func unproved(w http.ResponseWriter, _ *http.Request) {
+	_, _ = io.WriteString(w, "not mine")
+}
+
+func TestRepeatsStayWithinAttemptsAndBudget(t *testing.T) {
+	f := newFixture(t, status(500), status(500), ok)
+	f.expect(f.send("/look/1"), 500, "broken")
+	f.expectRuns("e0:", "e1:")
+	spent := newFixture(t, status(500), ok)
+	spent.tokens = 0
+	spent.expect(spent.send("/look/1"), 500, "broken")
+	spent.expectRuns("e0:")
+}
+
+func TestStreamPassesEventByEvent(t *testing.T) {
+	f := newFixture(t, events(1, 3, true))
+	f.expect(f.send("/stream/1"), 200, pieces(1, 3))
+	f.expectRuns("e0:")
+}
+
+func TestBrokenStreamIsSeenToBeIncomplete(t *testing.T) {
+	f := newFixture(t, events(1, 3, false), events(1, 5, true))
+	got := f.send("/stream/1")
+	if got.err == nil || got.body != pieces(1, 3) {
+		t.Errorf("got %q, %v; want three whole events and an error", got.body, got.err)
+	}
+	f.expectRuns("e0:")
+}
+
+func TestResumableStreamGoesOnAfterItsLastWholeEvent(t *testing.T) {
+	f := newFixture(t, events(1, 3, false), events(4, 6, true))
+	f.expect(f.send("/resumable/1"), 200, pieces(1, 6))
+	f.expectRuns("e0:", "e1:3")
+	if f.begun != 1 {
+		t.Errorf("the request was counted %d times", f.begun)
+	}
+}
+
+func TestResumedStreamRepeatsAndMissesNothing(t *testing.T) {
+	f := newFixture(t, events(1, 3, false), events(2, 5, true))
+	f.expect(f.send("/resumable/1"), 200, pieces(1, 5))
+	gap := newFixture(t, events(1, 3, false), events(5, 6, true))
+	got := gap.send("/resumable/1")
+	if got.err == nil || got.body != pieces(1, 3) {
+		t.Errorf("got %q, %v; want an incomplete stream instead of one with a gap", got.body, got.err)
+	}
+}
+
+func TestWhatTheConfigurationForbidsIsDenied(t *testing.T) {
+	f := newFixture(t, ok)
+	f.expect(f.send("/none/1"), 404, "")
+	f.expect(f.send("/pay/1", "Key", "other"), 401, "")
+	f.expect(f.send("/pay/1", "Id", ""), 400, "")
+	f.expect(f.sendBody("/pay/1", strings.Repeat("x", 101)), 413, "")
+	f.expect(f.send("/pay/1", "Padding", strings.Repeat("x", 1001)), 431, "")
+	f.expectRuns()
+}
+
+func TestOutdatedDaemonDeniesNothingForGood(t *testing.T) {
+	f := newFixture(t, ok)
+	f.config.Current = false
+	f.expect(f.send("/none/1"), 503, "")
+	f.expect(f.send("/pay/1", "Key", "other"), 503, "")
+	f.expect(f.send("/pay/1"), 200, "fine")
+	f.config.Isolated = true
+	f.expect(f.send("/pay/1"), 503, "")
+	f.config = relay.Configuration{}
+	f.expect(f.send("/pay/1"), 503, "")
+}
+
+func TestTimeLimitEndsWithATrueStatus(t *testing.T) {
+	f := newFixture(t, func(http.ResponseWriter, *http.Request) { time.Sleep(1300 * time.Millisecond) })
+	began := time.Now()
+	f.expect(f.send("/pay/1"), 504, "")
+	if took := time.Since(began); took > 1250*time.Millisecond {
+		t.Errorf("the answer took %v, its route allows 1s", took)
+	}
+}
+
+func TestCallerThatLeavesEndsTheWork(t *testing.T) {
+	stopped := make(chan struct{})
+	f := newFixture(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		select {
+		case <-r.Context().Done():
+			close(stopped)
+		case <-time.After(2 * time.Second):
+		}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	r, _ := http.NewRequestWithContext(ctx, http.MethodPost, f.caller.URL+"/pay/1", strings.NewReader("body"))
+	r.Header.Set("Id", "r1")
+	r.Header.Set("Key", "k")
+	time.AfterFunc(50*time.Millisecond, cancel)
+	if answer, err := http.DefaultClient.Do(r); err == nil {
+		_ = answer.Body.Close()
+	}
+	select {
+	case <-stopped:
+	case <-time.After(500 * time.Millisecond):
+		t.Error("the endpoint goes on working for a caller that has left")
+	}
+}
+
+func TestSmuggledRequestIsPartOfTheBody(t *testing.T) {
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		w.Header().Set("Seal", "s")
+		_, _ = w.Write(body)
+	})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.caller.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	inner := "POST /pay/2 HTTP/1.1\r\nHost: h\r\nId: r2\r\nKey: k\r\n\r\n"
+	fmt.Fprintf(conn, "POST /pay/1 HTTP/1.1\r\nHost: h\r\nId: r1\r\nKey: k\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(inner), inner)
+	_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err == nil {
+		body, _ := io.ReadAll(answer.Body)
+		_ = answer.Body.Close()
+		if answer.StatusCode == 200 && string(body) != inner {
+			t.Errorf("the endpoint was sent the body %q", body)
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.runs) > 1 {
+		t.Errorf("one request became %v", f.runs)
+	}
+}
+
+func TestFailedRequestIsLoggedWithItsAttempts(t *testing.T) {
+	f := newFixture(t, status(500), reset)
+	f.send("/look/1")
+	numbers := map[any]int{}
+	for _, entry := range f.log.AllEntries() {
+		if entry.Data["Request"] == "r1" {
+			numbers[entry.Data["Event"]]++
+		}
+	}
+	if numbers[1130] != 2 || numbers[1131] != 2 || numbers[1133] != 1 {
+		t.Errorf("events by number: %v; want two placements, two failures and one end", numbers)
+	}
+}
--- /dev/null
+++ b/internal/endpoint/http1/http1_test.go
@@ -0,0 +1,277 @@
+package http1_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
+)
+
+// endpoint is a server that answers with prepared bytes.
+type endpoint struct {
+	t        *testing.T
+	listener net.Listener
+	serve    func(conn net.Conn, n int)
+
+	mu    sync.Mutex
+	conns int
+}
+
+func newEndpoint(t *testing.T, serve func(conn net.Conn, n int)) *endpoint {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &endpoint{t: t, listener: listener, serve: serve}
+	t.Cleanup(func() { _ = listener.Close() })
+	go e.run()
+	return e
+}
+
+func (e *endpoint) run() {
+	for {
+		conn, err := e.listener.Accept()
+		if err != nil {
+			return
+		}
+		e.mu.Lock()
+		e.conns++
+		n := e.conns
+		e.mu.Unlock()
+		go func() {
+			defer conn.Close()
+			e.serve(conn, n)
+		}()
+	}
+}
+
+func (e *endpoint) connections() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.conns
+}
+
+func newPool() *http1.Pool {
+	return http1.New(http1.Config{Clock: clock.System(), Belongs: func(_ int, header http.Header, id string) bool {
+		return header.Get("Id") == id
+	}})
+}
+
+func request(id string) http1.Request {
+	return http1.Request{ID: id, Method: "POST", Head: []byte("POST /x HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n"), GiveUp: clock.System().Now() + 2000}
+}
+
+// get sends a request and returns the body of the answer.
+func get(p *http1.Pool, e *endpoint, r http1.Request) (string, error) {
+	answer, err := p.Do(context.Background(), "e1", e.listener.Addr().String(), r)
+	if err != nil {
+		return "", err
+	}
+	defer answer.Close()
+	body, err := io.ReadAll(answer)
+	return string(body), err
+}
+
+// readRequest reads a request and returns its ID; it is empty at the end.
+func readRequest(reader *bufio.Reader) string {
+	r, err := http.ReadRequest(reader)
+	if err != nil {
+		return ""
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	return r.Header.Get("Id")
+}
+
+func reply(conn net.Conn, id, body string) {
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nContent-Length: "+itoa(len(body))+"\r\n\r\n"+body)
+}
+
+func itoa(n int) string {
+	if n < 10 {
+		return string(rune('0' + n))
+	}
+	return itoa(n/10) + string(rune('0'+n%10))
+}
+
+func TestConnectionIsKept(t *testing.T) {
+	e := newEndpoint(t, func(conn net.Conn, _ int) {
+		reader := bufio.NewReader(conn)
+		for id := readRequest(reader); id != ""; id = readRequest(reader) {
+			reply(conn, id, "answer to "+id)
+		}
+	})
+	pool := newPool()
+	for _, id := range []string{"a", "b", "c"} {
+		if body, err := get(pool, e, request(id)); err != nil || body != "answer to "+id {
+			t.Fatalf("%s: %q, %v", id, body, err)
+		}
+	}
+	if e.connections() != 1 {
+		t.Errorf("%d connections were opened for three requests", e.connections())
+	}
+}
+
+func TestLateAnswerOfAnEarlierRequestIsPassedOver(t *testing.T) {
+	e := newEndpoint(t, func(conn net.Conn, _ int) {
+		reader := bufio.NewReader(conn)
+		first := readRequest(reader)
+		reply(conn, first, "first")
+		second := readRequest(reader)
+		reply(conn, first, "first once more")
+		reply(conn, second, "second")
+	})
+	pool := newPool()
+	if body, err := get(pool, e, request("a")); err != nil || body != "first" {
+		t.Fatal(body, err)
+	}
+	if body, err := get(pool, e, request("b")); err != nil || body != "second" {
+		t.Errorf("got %q, %v", body, err)
+	}
+}
+
+func TestConnectionWithStrayBytesIsNotUsedAgain(t *testing.T) {
+	e := newEndpoint(t, func(conn net.Conn, _ int) {
+		reader := bufio.NewReader(conn)
+		id := readRequest(reader)
+		reply(conn, id, "right")
+		reply(conn, id, "stray")
+		readRequest(reader)
+	})
+	pool := newPool()
+	for _, id := range []string{"a", "b"} {
+		if body, err := get(pool, e, request(id)); err != nil || body != "right" {
+			t.Fatal(body, err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if e.connections() != 2 {
+		t.Errorf("%d connections, want one for each request", e.connections())
+	}
+}
+
+func TestClosedConnectionIsNoticedBeforeItIsUsed(t *testing.T) {
+	e := newEndpoint(t, func(conn net.Conn, _ int) {
+		id := readRequest(bufio.NewReader(conn))
+		reply(conn, id, "ok")
+	})
+	pool := newPool()
+	for _, id := range []string{"a", "b", "c"} {
+		if _, err := get(pool, e, request(id)); err != nil {
+			t.Fatalf("%s: %v", id, err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func TestAnswerThatBreaksOffIsAFailure(t *testing.T) {
+	for name, sent := range map[string]string{
+		"in the body":  "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 10\r\n\r\nhalf",
+		"in a chunk":   "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\na\r\nhalf",
+		"in the head":  "HTTP/1.1 200 OK\r\nId: a\r\nConte",
+		"with garbage": "\x00\x01 not an answer\r\n\r\n",
+		"at once":      "",
+	} {
+		e := newEndpoint(t, func(conn net.Conn, _ int) {
+			readRequest(bufio.NewReader(conn))
+			_, _ = io.WriteString(conn, sent)
+		})
+		_, err := get(newPool(), e, request("a"))
+		var failure *http1.Failure
+		if !errors.As(err, &failure) || !failure.Sent {
+			t.Errorf("%s: got %v, want a failure of a request that was sent", name, err)
+		}
+	}
+}
+
+func TestAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
+	e := newEndpoint(t, func(conn net.Conn, _ int) {
+		readRequest(bufio.NewReader(conn))
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nwhole")
+	})
+	if body, err := get(newPool(), e, request("a")); err != nil || body != "whole" {
+		t.Errorf("got %q, %v", body, err)
+	}
+}
+
+func TestAnswerWithoutLengthThatIsResetIsAFailure(t *testing.T) {
+	e := newEndpoint(t, func(conn net.Conn, _ int) {
+		readRequest(bufio.NewReader(conn))
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nhalf")
+		time.Sleep(20 * time.Millisecond)
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	})
+	if body, err := get(newPool(), e, request("a")); err == nil {
+		t.Errorf("got %q as if it were whole", body)
+	}
+}
+
+func TestRequestThatCannotBeSentHasNotRun(t *testing.T) {
+	e := newEndpoint(t, nil)
+	_ = e.listener.Close()
+	_, err := get(newPool(), e, request("a"))
+	var failure *http1.Failure
+	if !errors.As(err, &failure) || failure.Sent || !failure.Refused {
+		t.Errorf("got %v, want a failure of a request that was not sent", err)
+	}
+}
+
+func TestEarlyAnswerToALongBodyClosesTheConnection(t *testing.T) {
+	e := newEndpoint(t, func(conn net.Conn, _ int) {
+		reader := bufio.NewReaderSize(conn, 16)
+		for {
+			line, err := reader.ReadString('\n')
+			if err != nil {
+				return
+			}
+			if strings.TrimSpace(line) == "" {
+				break
+			}
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 413 Too Large\r\nId: a\r\nContent-Length: 0\r\n\r\n")
+		time.Sleep(200 * time.Millisecond)
+	})
+	long := request("a")
+	long.Body = bytes.Repeat([]byte("x"), 8<<20)
+	pool := newPool()
+	if _, err := get(pool, e, long); err != nil {
+		t.Fatal(err)
+	}
+	short := request("a")
+	if _, err := get(pool, e, short); err != nil {
+		t.Fatal(err)
+	}
+	if e.connections() != 2 {
+		t.Error("the connection was used again while the endpoint waited for the rest of the body")
+	}
+}
+
+func TestEndOfContextClosesTheConnection(t *testing.T) {
+	closed := make(chan struct{})
+	e := newEndpoint(t, func(conn net.Conn, _ int) {
+		reader := bufio.NewReader(conn)
+		readRequest(reader)
+		_, _ = reader.ReadByte()
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	_, err := newPool().Do(ctx, "e1", e.listener.Addr().String(), request("a"))
+	if !errors.Is(err, context.Canceled) {
+		t.Errorf("got %v", err)
+	}
+	select {
+	case <-closed:
+	case <-time.After(time.Second):
+		t.Error("the endpoint was not told to stop")
+	}
+}
--- /dev/null
+++ b/internal/endpoint/roster/roster_test.go
@@ -0,0 +1,112 @@
+package roster_test
+
+import (
+	"testing"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/decide/balance"
+	"github.com/banyanshift/banyanshift/internal/endpoint/roster"
+)
+
+type fixture struct {
+	clock *clock.Manual
+	*roster.Roster
+	last []roster.Endpoint
+}
+
+func newFixture() *fixture {
+	f := &fixture{clock: clock.NewManual(1000)}
+	f.Roster = roster.New(f.clock.Clock(), func(list []roster.Endpoint) { f.last = list })
+	return f
+}
+
+func entry(id string, born int64) roster.Endpoint {
+	return roster.Endpoint{Endpoint: balance.Endpoint{ID: id, Backend: "books", Incarnation: born}, Address: "127.0.0.1:1"}
+}
+
+// pass lets time go by while the table confirms the list at short intervals.
+func (f *fixture) pass(d clock.Millis) {
+	for range d / 500 {
+		f.clock.Advance(500)
+		f.Update(nil, nil, 0, f.clock.Now())
+	}
+}
+
+func (f *fixture) ids() string {
+	ids := ""
+	for _, e := range f.last {
+		ids += e.ID
+		if e.Leaving {
+			ids += "(leaving)"
+		}
+		if e.Missing {
+			ids += "(missing)"
+		}
+	}
+	return ids
+}
+
+func (f *fixture) expect(t *testing.T, want string) {
+	t.Helper()
+	if got := f.ids(); got != want {
+		t.Errorf("endpoints are %q, want %q", got, want)
+	}
+}
+
+func TestRemovedEntryIsGoneAtOnce(t *testing.T) {
+	f := newFixture()
+	f.Replace([]roster.Endpoint{entry("a", 1), entry("b", 1)}, 1, f.clock.Now())
+	f.pass(clock.Second)
+	f.Update(nil, []string{"a"}, 2, f.clock.Now())
+	f.expect(t, "b")
+}
+
+func TestEntryThatLapsedInAnOutageHasTimeToComeBack(t *testing.T) {
+	f := newFixture()
+	f.Replace([]roster.Endpoint{entry("a", 1), entry("b", 1)}, 1, f.clock.Now())
+	f.clock.Advance(9 * clock.Second)
+	f.Replace([]roster.Endpoint{entry("b", 1)}, 2, f.clock.Now())
+	f.expect(t, "a(missing)b")
+	f.pass(clock.Second)
+	f.Update([]roster.Endpoint{entry("a", 1)}, nil, 3, f.clock.Now())
+	f.expect(t, "ab")
+	f.pass(3 * clock.Second)
+	f.expect(t, "ab")
+}
+
+func TestEntryStillMissingAfterAnOutageIsGone(t *testing.T) {
+	f := newFixture()
+	f.Replace([]roster.Endpoint{entry("a", 1), entry("b", 1)}, 1, f.clock.Now())
+	f.clock.Advance(9 * clock.Second)
+	f.Replace([]roster.Endpoint{entry("b", 1)}, 2, f.clock.Now())
+	f.pass(2500 * clock.Millisecond)
+	f.expect(t, "b")
+}
+
+func TestLeavingIsNotTakenBackByOlderNews(t *testing.T) {
+	f := newFixture()
+	f.Replace([]roster.Endpoint{entry("a", 1)}, 1, f.clock.Now())
+	f.Leaving("a")
+	f.expect(t, "a(leaving)")
+	f.Update([]roster.Endpoint{entry("a", 1)}, nil, 2, f.clock.Now())
+	f.expect(t, "a(leaving)")
+}
+
+func TestEndpointThatStartsAnewUnderItsOldID(t *testing.T) {
+	f := newFixture()
+	f.Replace([]roster.Endpoint{entry("a", 1)}, 1, f.clock.Now())
+	f.Leaving("a")
+	f.Update([]roster.Endpoint{entry("a", 2)}, nil, 2, f.clock.Now())
+	f.expect(t, "a")
+	f.Update([]roster.Endpoint{entry("a", 1)}, nil, 3, f.clock.Now())
+	if f.last[0].Incarnation != 2 {
+		t.Error("an entry of an earlier start must not replace that of a later one")
+	}
+}
+
+func TestOlderListOfAPeerIsPassedOver(t *testing.T) {
+	f := newFixture()
+	f.Replace([]roster.Endpoint{entry("a", 1)}, 7, f.clock.Now())
+	f.Replace([]roster.Endpoint{entry("b", 1)}, 6, f.clock.Now())
+	f.expect(t, "a")
+}
