Order as many cheap endpoints as allowed, firm ones for those reclaimed

Orders for cheap ones that were not to be had were repeated every 3 s only.

Orders that follow the load at once flapped: an endpoint was ordered and taken away before it served.

Change: supply orders one firm endpoint a failure domain (none in the dearest while it has cheap ones), cheap ones up to the bound, and firm ones for missing cheap ones while the back end was loaded in the last 8 s. The roster drops missing entries in time, and daemons tell each other which entries are gone.

--- a/internal/daemon/gateway/duties.go
+++ b/internal/daemon/gateway/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"slices"
 
@@ -73,23 +74,39 @@
 	}
 	var orders []supply.Order
 	for _, backend := range index.Backends() {
-		orders = append(orders, supply.Decide(supply.Input{Backend: backend, Domains: d.domainsOf(backend.Name)})...)
+		busy, serving := d.board.Busy(backend.Name)
+		orders = append(orders, d.planner.Decide(d.clock.Now(), supply.Input{
+			Backend: backend, Domains: d.domainsOf(backend.Name), Busy: busy, Serving: serving,
+		})...)
 	}
 	return orders
 }
 
-// domainsOf returns the failure domains in which a back end runs.
-func (d *Daemon) domainsOf(backend string) []string {
+// domainsOf returns the failure domains in which a back end runs, in the order
+// of their names.
+func (d *Daemon) domainsOf(backend string) []supply.Domain {
 	list := d.listed.Load()
 	if list == nil {
 		return nil
 	}
-	var domains []string
+	cheap := make(map[string]int)
 	for _, endpoint := range *list {
-		if endpoint.Backend == backend && !slices.Contains(domains, endpoint.FailureDomain) {
-			domains = append(domains, endpoint.FailureDomain)
+		if endpoint.Backend != backend {
+			continue
 		}
+		serving := endpoint.Cheap && !endpoint.Leaving && !endpoint.Missing
+		cheap[endpoint.FailureDomain] += count(serving)
+	}
+	var domains []supply.Domain
+	for _, name := range slices.Sorted(maps.Keys(cheap)) {
+		domains = append(domains, supply.Domain{Name: name, Cheap: cheap[name]})
 	}
-	slices.Sort(domains)
 	return domains
 }
+
+func count(holds bool) int {
+	if holds {
+		return 1
+	}
+	return 0
+}
--- a/internal/daemon/gateway/follow.go
+++ b/internal/daemon/gateway/follow.go
@@ -13,6 +13,10 @@
 // it believes as often; what the others confirm in between comes from them.
 const followWait = 2 * clock.Second
 
+// tellers is how many daemons tell the others of endpoints that leave or are
+// gone, which most others read in the store themselves.
+const tellers = 5
+
 // followDocument returns the follower of the configuration.
 func (d *Daemon) followDocument() *feed.Follower {
 	return feed.New(feed.Config{
@@ -115,6 +119,7 @@
 // noteChanges logs how the list differs from the one before, and tells the peers
 // which endpoints are leaving.
 func (d *Daemon) noteChanges(list []roster.Endpoint) {
+	tells := d.fleet.Rank() < tellers
 	before := make(map[string]roster.Endpoint)
 	if old := d.listed.Load(); old != nil {
 		for _, endpoint := range *old {
@@ -127,7 +132,7 @@
 		if known && old.Leaving == endpoint.Leaving && old.Missing == endpoint.Missing && old.Incarnation == endpoint.Incarnation {
 			continue
 		}
-		if endpoint.Leaving && (!known || !old.Leaving) {
+		if tells && endpoint.Leaving && (!known || !old.Leaving) {
 			d.board.Leaving(endpoint.ID)
 		}
 		eventEndpointChanged.Log(d.logger, logrus.Fields{
@@ -136,6 +141,9 @@
 		})
 	}
 	for id := range before {
+		if tells {
+			d.board.Gone(id)
+		}
 		eventEndpointChanged.Log(d.logger, logrus.Fields{"Endpoint": id, "Gone": true})
 	}
 }
--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -99,6 +99,7 @@
 	pool     *http1.Pool
 	lease    *lease.Lease
 	hold     *hold.Hold
+	planner  *supply.Planner
 	handler  *relay.Handler
 	callers  *http.Server
 	ready    *http.Server
@@ -127,7 +128,7 @@
 // New builds a daemon that does nothing yet.
 func New(settings gateway.Settings, platform Platform, clk clock.Clock, logger logrus.FieldLogger) (d *Daemon, err error) {
 	defer func() { err = oops.Wrapf(err, "build gateway") }()
-	d = &Daemon{settings: settings, platform: platform, clock: clk, logger: logger.WithField("Daemon", settings.Daemon.ID)}
+	d = &Daemon{settings: settings, platform: platform, clock: clk, logger: logger.WithField("Daemon", settings.Daemon.ID), planner: supply.New()}
 	var random [16]byte
 	if _, err := rand.Read(random[:]); err != nil {
 		return nil, err
@@ -257,6 +258,7 @@
 	}
 	d.base.Start("Configuration", d.followDocument().Run)
 	d.base.Start("Endpoints", d.followEndpoints().Run)
+	d.base.Start("Roster", d.roster.Run)
 	d.base.Start("Fleet", d.fleet.Run)
 	d.candidacy.Start("Lease", d.lease.Run)
 	d.duties.Start("Duties", d.hold.Run)
--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -313,6 +313,22 @@
 	}
 }
 
+// Busy returns how many endpoints' worth of time the prompts of a back end took
+// lately, and how many endpoints it has that can be given work.
+func (b *Balancer) Busy(now clock.Millis, backend string) (busy float64, serving int) {
+	p := b.backends[backend]
+	if p == nil {
+		return 0, 0
+	}
+	for _, r := range p.members {
+		busy += r.recentPrefill(now) / float64(recentSpan)
+		if !r.Leaving {
+			serving++
+		}
+	}
+	return busy, serving
+}
+
 // Expire forgets jobs that are older than maxAge, whose end was not heard of.
 func (b *Balancer) Expire(now, maxAge clock.Millis) {
 	for id, j := range b.jobs {
--- a/internal/endpoint/roster/roster.go
+++ b/internal/endpoint/roster/roster.go
@@ -15,6 +15,7 @@
 package roster
 
 import (
+	"context"
 	"sort"
 	"sync"
 
@@ -22,8 +23,13 @@
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
 )
 
-// returnTime is how long after an outage of the table live endpoints are back.
-const returnTime = 2 * clock.Second
+const (
+	// returnTime is how long after an outage of the table live endpoints are
+	// back.
+	returnTime = 2 * clock.Second
+	// dropInterval is the time between two looks for entries that are not.
+	dropInterval = 200 * clock.Millisecond
+)
 
 // Endpoint is an endpoint with its address.
 type Endpoint struct {
@@ -196,6 +202,31 @@
 	r.publish()
 }
 
+// Gone notes that an endpoint is gone, as another daemon saw it in the table. It
+// decides about an entry that is missing here; others are the table's.
+func (r *Roster) Gone(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if entry, found := r.endpoints[id]; found && entry.Missing {
+		delete(r.endpoints, id)
+		r.publish()
+	}
+}
+
+// Run drops entries that do not come back in time, until ctx ends.
+func (r *Roster) Run(ctx context.Context) error {
+	for {
+		if err := r.clock.Sleep(ctx, dropInterval); err != nil {
+			return err
+		}
+		r.mu.Lock()
+		if r.dropMissing() {
+			r.publish()
+		}
+		r.mu.Unlock()
+	}
+}
+
 // publish hands the list to the owner.
 func (r *Roster) publish() {
 	r.changed(r.list())
--- a/internal/endpoint/roster/roster_test.go
+++ b/internal/endpoint/roster/roster_test.go
@@ -1,7 +1,9 @@
 package roster_test
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
@@ -157,3 +159,44 @@
 	f.Update(nil, nil, 2, f.clock.Now())
 	f.expect(t, "b")
 }
+
+func TestMissingEntryIsGoneInTimeWithoutNews(t *testing.T) {
+	f := newFixture()
+	f.Replace([]roster.Endpoint{entry("a", 1), entry("b", 1)}, 1, f.clock.Now())
+	f.Lost()
+	f.clock.Advance(9 * clock.Second)
+	f.Replace([]roster.Endpoint{entry("b", 1)}, 2, f.clock.Now())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = f.Run(ctx)
+	}()
+	for range 24 {
+		for f.clock.Sleepers() == 0 {
+			time.Sleep(100 * time.Microsecond)
+		}
+		f.clock.Advance(100)
+	}
+	for f.clock.Sleepers() == 0 {
+		time.Sleep(100 * time.Microsecond)
+	}
+	cancel()
+	<-done
+	f.expect(t, "b")
+}
+
+// TestPeerKnowsThatAMissingEntryIsGone: a daemon that lost the table alone
+// takes the word of one that did not.
+func TestPeerKnowsThatAMissingEntryIsGone(t *testing.T) {
+	f := newFixture()
+	f.Replace([]roster.Endpoint{entry("a", 1), entry("b", 1)}, 1, f.clock.Now())
+	f.Gone("b")
+	f.expect(t, "ab")
+	f.Lost()
+	f.clock.Advance(9 * clock.Second)
+	f.Replace([]roster.Endpoint{entry("b", 1)}, 2, f.clock.Now())
+	f.expect(t, "a(missing)b")
+	f.Gone("a")
+	f.expect(t, "b")
+}
--- a/internal/order/stock/stock.go
+++ b/internal/order/stock/stock.go
@@ -39,7 +39,7 @@
 	// retryDelay is the pause after an order that failed, and emptyDelay
 	// that after one for endpoints that are not to be had.
 	retryDelay = clock.Second
-	emptyDelay = 3 * clock.Second
+	emptyDelay = clock.Second
 )
 
 // Config configures a Keeper. All fields must be set.
--- a/internal/peer/fleet/board.go
+++ b/internal/peer/fleet/board.go
@@ -164,6 +164,14 @@
 	return b.budget.Retry(b.clock.Now(), backend, b.daemons())
 }
 
+// Busy returns how many endpoints' worth of time the prompts of a back end took
+// lately, and how many endpoints it has that can be given work.
+func (b *Board) Busy(backend string) (busy float64, serving int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.balancer.Busy(b.clock.Now(), backend)
+}
+
 // Leaving notes that an endpoint is leaving, for the peers as well.
 func (b *Board) Leaving(id string) {
 	b.mu.Lock()
@@ -172,6 +180,13 @@
 	b.pending.Leaving = append(b.pending.Leaving, id)
 }
 
+// Gone notes that the entry of an endpoint was removed, for the peers.
+func (b *Board) Gone(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.pending.Gone = append(b.pending.Gone, id)
+}
+
 // take returns what happened since the last call.
 func (b *Board) take() news {
 	b.mu.Lock()
--- a/internal/peer/fleet/fleet.go
+++ b/internal/peer/fleet/fleet.go
@@ -370,6 +370,9 @@
 	for _, id := range n.Leaving {
 		f.config.Roster.Leaving(id)
 	}
+	for _, id := range n.Gone {
+		f.config.Roster.Gone(id)
+	}
 	f.config.Tally.Merge(n.Usage)
 	return struct{}{}, nil
 }
--- a/internal/peer/fleet/message.go
+++ b/internal/peer/fleet/message.go
@@ -43,11 +43,12 @@
 	First   []uint64
 	Ended   []uint64
 	Leaving []string
+	Gone    []string
 	Usage   []tally.Entry
 }
 
 func (n *news) empty() bool {
-	return len(n.Sent) == 0 && len(n.First) == 0 && len(n.Ended) == 0 && len(n.Leaving) == 0 && len(n.Usage) == 0
+	return len(n.Sent) == 0 && len(n.First) == 0 && len(n.Ended) == 0 && len(n.Leaving) == 0 && len(n.Gone) == 0 && len(n.Usage) == 0
 }
 
 // sentJob is a request that was sent to an endpoint Age ago.
