Refuse long prompts of less urgent requests early in a flood

Found on the way: the memory that jobs need was counted with the shared parts of each, so that every endpoint seemed full; firm endpoints that replace cheap ones were taken away while these came back, with what waited there; a rank that a team's own priority gives refused small requests for what long ones had caused.

Change: balance.Admit refuses what would wait longer behind others than its rank and its own size allow, while more urgent work is there, and what could not begin in its time. Memory counts what is not shared. While loaded, firm orders do not go down.

--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -67,6 +67,8 @@
 	Output int
 	// Priority is the rank of the request; 0 is the most urgent.
 	Priority int
+	// Begun requests have been answered in part.
+	Begun bool
 	// Exclude names endpoints that must not be chosen.
 	Exclude []string
 }
--- a/internal/decide/balance/estimate.go
+++ b/internal/decide/balance/estimate.go
@@ -79,7 +79,7 @@
 	if full := r.jobs + 1 - r.Slots; full > 0 {
 		e.firstToken += float64(full) * slotWait
 	}
-	if r.held+prompt+request.Output > r.CacheTokens {
+	if r.held+uncached+request.Output > r.CacheTokens {
 		e.firstToken += memoryWait
 	}
 	e.cost = e.firstToken + own*harmShare*float64(r.harmed(request.Priority))
--- a/internal/decide/balance/replica.go
+++ b/internal/decide/balance/replica.go
@@ -45,7 +45,7 @@
 	pending int
 	// urgent counts running jobs by priority.
 	running [priorities]int
-	// held is the number of tokens of all jobs.
+	// held is the memory that the jobs need besides shared parts, in tokens.
 	held int
 	// busyUntil is when the prompts that it has are expected to be computed.
 	busyUntil clock.Millis
@@ -79,7 +79,7 @@
 	r.jobs++
 	r.waiting[j.ID] = j
 	r.pending += j.Uncached
-	r.held += promptTokens(j.Parts) + j.Output
+	r.held += j.Uncached + j.Output
 	if r.CacheTokens == 0 {
 		return
 	}
@@ -90,10 +90,6 @@
 	r.cache.add(j.Parts, r.CacheTokens)
 }
 
-func promptTokens(parts []Part) int {
-	return Request{Parts: parts}.Prompt()
-}
-
 func (r *replica) firstToken(now clock.Millis, j *job, p *pool) {
 	j.first = true
 	r.running[rank(j.Priority)]++
@@ -104,7 +100,7 @@
 
 func (r *replica) remove(now clock.Millis, j *job, p *pool) {
 	r.jobs--
-	r.held -= promptTokens(j.Parts) + j.Output
+	r.held -= j.Uncached + j.Output
 	if j.first {
 		r.running[rank(j.Priority)]--
 		return
--- a/internal/decide/supply/supply.go
+++ b/internal/decide/supply/supply.go
@@ -67,11 +67,19 @@
 type Planner struct {
 	// loaded is when each back end was loaded last.
 	loaded map[string]clock.Millis
+	// firm is the number of firm endpoints that was wanted last.
+	firm map[place]int
+}
+
+// place is a back end in a failure domain.
+type place struct {
+	backend string
+	domain  string
 }
 
 // New returns a Planner that has seen no load.
 func New() *Planner {
-	return &Planner{loaded: make(map[string]clock.Millis)}
+	return &Planner{loaded: make(map[string]clock.Millis), firm: make(map[place]int)}
 }
 
 // Decide returns the wanted numbers of the back end, none where they are not
@@ -90,6 +98,13 @@
 			standing = 0
 		}
 		firm, cheap := domain.wanted(scaling, standing, loaded)
+		at := place{backend: input.Backend.Name, domain: domain.Name}
+		if loaded && firm < p.firm[at] {
+			// An endpoint that is taken away loses what waits there.
+			firm = min(p.firm[at], scaling.Max-min(domain.Cheap, cheap))
+			cheap = scaling.Max - firm
+		}
+		p.firm[at] = firm
 		orders = append(orders,
 			Order{Backend: input.Backend.Name, FailureDomain: domain.Name, Count: firm},
 			Order{Backend: input.Backend.Name, FailureDomain: domain.Name, Cheap: true, Count: cheap})
--- a/internal/decide/supply/supply_test.go
+++ b/internal/decide/supply/supply_test.go
@@ -70,6 +70,21 @@
 	}
 }
 
+// TestNothingIsTakenAwayUnderLoad: firm endpoints stay while the cheap ones that
+// they replace come back, since an endpoint that leaves loses what waits there.
+func TestNothingIsTakenAwayUnderLoad(t *testing.T) {
+	p := supply.New()
+	before := total(t, p.Decide(0, input(6, 12, 0, 0, 5)), false)
+	for now := clock.Second; now < 6*clock.Second; now += clock.Second {
+		cheap := int(min(now/clock.Second, 3))
+		orders := p.Decide(now, input(6, 12, cheap, cheap, 5))
+		if firm := total(t, orders, false); firm < before {
+			t.Fatalf("%d firm endpoints after %v, %d before", firm, now, before)
+		}
+		total(t, orders, true)
+	}
+}
+
 func TestOthersScaleNothing(t *testing.T) {
 	if orders := supply.New().Decide(0, supply.Input{Backend: document.Backend{Name: "desk"}}); len(orders) != 0 {
 		t.Errorf("ordered %v", orders)
--- a/internal/peer/fleet/board.go
+++ b/internal/peer/fleet/board.go
@@ -91,8 +91,11 @@
 	if !found {
 		return relay.Placement{}, relay.Refusal{Reason: "no endpoint of the back end can take the request", RetryAfter: b.returnAfter(minReturn)}
 	}
-	if choice.FirstToken > timeLeft {
-		return relay.Placement{}, relay.Refusal{Reason: "cannot be served within its time limit", RetryAfter: b.returnAfter(choice.FirstToken - timeLeft)}
+	if excess, admitted := b.balancer.Admit(request, choice, timeLeft); !admitted {
+		return relay.Placement{}, relay.Refusal{
+			Reason:     "overloaded: first token expected after " + choice.FirstToken.String(),
+			RetryAfter: b.returnAfter(excess),
+		}
 	}
 	b.nextJob++
 	job := balance.Job{
