Let the least urgent wait less behind others

Change: 0.4 s. Ruled out: nothing more; two prompts of 17,000 tokens fill it, so that endpoints stay busy.

--- a/internal/decide/balance/admit.go
+++ b/internal/decide/balance/admit.go
@@ -12,7 +12,7 @@
 // delays every more urgent request that comes after it.
 const (
 	patienceOfSecond = 1500 * clock.Millisecond
-	patienceOfOthers = 800 * clock.Millisecond
+	patienceOfOthers = 400 * clock.Millisecond
 	// longPrompt is the time that a long prompt takes at an idle endpoint.
 	longPrompt = 250 * clock.Millisecond
 	// servedShare is the part of the time left in which a request must be
