--- a/internal/caller/relay/explain_test.go
+++ b/internal/caller/relay/explain_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -55,6 +57,12 @@
 			f.tokens = 0
 			return f
 		}, "/pay/1", "exhausted retry budget"},
+		"late": {func() *fixture {
+			return newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+				time.Sleep(300 * time.Millisecond)
+				ok(w, r)
+			})
+		}, "/pay/1", "late: answer began after"},
 		"overload": {func() *fixture {
 			f := newFixture(t, ok)
 			f.refusal = relay.Refusal{Reason: "overloaded: first token expected after 9s", RetryAfter: 500}
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -118,6 +118,7 @@
 		copyHeader(x.w.Header(), p.answer.Header)
 		x.w.WriteHeader(p.answer.Status)
 	}
+	x.trace.passed(x.handler.config.Clock.Now())
 	if _, err := x.w.Write(data); err != nil {
 		return err
 	}
--- a/internal/caller/relay/trace.go
+++ b/internal/caller/relay/trace.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"strconv"
 
 	"github.com/sirupsen/logrus"
@@ -21,6 +22,8 @@
 		"A request got its final answer. Status 0 means that the connection ended without one.")
 
 	requests = metric.NewCounter("Relay.Requests", "Requests whose head was read.")
+	started  = metric.NewHistograms("Relay.FirstEvent", "Time from a request to the first event of its stream in ms, by priority.")
+	served   = metric.NewHistograms("Relay.Served", "Time from a request to the end of its answer in ms, by priority and status.")
 	ended    = metric.NewMap("Relay.Ended", "Requests by the status of their final answer; 0 for those that were broken off or abandoned.")
 )
 
@@ -38,6 +41,11 @@
 	done      bool
 	tries     int
 	decisions []decision
+	// first is when the first event of a stream was passed on, and gap the
+	// longest pause after it.
+	first clock.Millis
+	wrote clock.Millis
+	gap   clock.Millis
 }
 
 type decision struct {
@@ -62,7 +70,38 @@
 }
 
 func (t *trace) firstEvent(x *exchange) {
-	t.decisions = append(t.decisions, decision{event: eventFirstEvent, at: x.handler.config.Clock.Now(), fields: logrus.Fields{}})
+	now := x.handler.config.Clock.Now()
+	if t.first == 0 {
+		t.first = now
+	}
+	t.decisions = append(t.decisions, decision{event: eventFirstEvent, at: now, fields: logrus.Fields{}})
+}
+
+// passed notes that events of a stream were passed on.
+func (t *trace) passed(now clock.Millis) {
+	if t.wrote != 0 {
+		t.gap = max(t.gap, now-t.wrote)
+	}
+	t.wrote = now
+}
+
+// late says what took longer than the route's targets, empty where nothing did.
+func (x *exchange) late(ended clock.Millis) string {
+	t := &x.trace
+	if x.route == nil || x.route.Target <= 0 {
+		return ""
+	}
+	begun := ended
+	if t.first != 0 {
+		begun = t.first
+	}
+	switch {
+	case begun-x.arrived > x.route.Target:
+		return fmt.Sprintf("answer began after %v, the target is %v", begun-x.arrived, x.route.Target)
+	case x.route.EventGapTarget > 0 && t.gap > x.route.EventGapTarget:
+		return fmt.Sprintf("events paused for %v, the target is %v", t.gap, x.route.EventGapTarget)
+	}
+	return ""
 }
 
 func (t *trace) end(status int, reason string) {
@@ -77,8 +116,11 @@
 	}
 	t.done = true
 	ended.Add(strconv.Itoa(t.status), 1)
-	took := x.handler.config.Clock.Now() - x.arrived
-	if !t.notable() && requests.Value()%sampleEvery != 0 {
+	now := x.handler.config.Clock.Now()
+	took := now - x.arrived
+	late := x.late(now)
+	x.measure(took)
+	if !t.notable() && late == "" && requests.Value()%sampleEvery != 0 {
 		return
 	}
 	logger := x.handler.config.Logger.WithField("Request", x.call.ID)
@@ -95,9 +137,24 @@
 	if t.reason != "" {
 		fields["Reason"] = t.reason
 	}
+	if late != "" {
+		fields["Late"] = late
+	}
 	eventEnded.Log(logger, fields)
 }
 
+// measure records how long the request took.
+func (x *exchange) measure(took clock.Millis) {
+	if x.route == nil {
+		return
+	}
+	rank := "Priority" + strconv.Itoa(x.priority())
+	served.Record(rank+"."+strconv.Itoa(x.trace.status), took)
+	if x.trace.first != 0 {
+		started.Record(rank, x.trace.first-x.arrived)
+	}
+}
+
 // notable reports whether the request was refused, failed or repeated.
 func (t *trace) notable() bool {
 	return t.status < 200 || t.status > 299 || t.tries > 1
--- a/internal/daemon/gateway/events.go
+++ b/internal/daemon/gateway/events.go
@@ -1,9 +1,13 @@
 package gateway
 
 import (
+	"context"
+
 	"github.com/sirupsen/logrus"
 
+	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/observe/event"
+	"github.com/banyanshift/banyanshift/internal/observe/metric"
 )
 
 var (
@@ -24,3 +28,37 @@
 	eventEndpointUnreadable = event.New(1211, logrus.WarnLevel, "entry of an endpoint cannot be read",
 		"The entry names no endpoint that can be used; it is passed over.")
 )
+
+// Gauges of what the daemon believes; they are set each second.
+var (
+	gaugeVersion  = metric.NewCounter("Gateway.Version", "Version of the configuration in force.")
+	gaugeAge      = metric.NewCounter("Gateway.VersionAge", "Milliseconds since the configuration was known to be the newest.")
+	gaugeListAge  = metric.NewCounter("Gateway.EndpointsAge", "Milliseconds since the list of endpoints was known to be right.")
+	gaugeDaemons  = metric.NewCounter("Gateway.Daemons", "Daemons of the fleet that this one knows, itself included.")
+	gaugeInFlight = metric.NewCounter("Gateway.InFlight", "Requests that are being served.")
+	gaugeFence    = metric.NewCounter("Gateway.Fence", "Fence of the lease that this daemon holds; 0 when it holds none.")
+)
+
+// gaugeInterval is the time between two settings of the gauges.
+const gaugeInterval = clock.Second
+
+// runGauges sets the gauges until ctx ends.
+func (d *Daemon) runGauges(ctx context.Context) error {
+	for {
+		now := d.clock.Now()
+		if index, confirmed := d.document.Held(); index != nil {
+			gaugeVersion.Set(index.Version())
+			gaugeAge.Set(int64(now - confirmed))
+		}
+		if list := d.roster.State(); list.Known {
+			gaugeListAge.Set(int64(now - list.AsOf))
+		}
+		gaugeDaemons.Set(int64(d.fleet.Daemons()))
+		gaugeInFlight.Set(int64(d.handler.Active()))
+		fence, _, _ := d.lease.Valid()
+		gaugeFence.Set(int64(fence))
+		if err := d.clock.Sleep(ctx, gaugeInterval); err != nil {
+			return err
+		}
+	}
+}
--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -260,6 +260,7 @@
 	d.base.Start("Endpoints", d.followEndpoints().Run)
 	d.base.Start("Roster", d.roster.Run)
 	d.base.Start("Fleet", d.fleet.Run)
+	d.base.Start("Gauges", d.runGauges)
 	d.candidacy.Start("Lease", d.lease.Run)
 	d.duties.Start("Duties", d.hold.Run)
 	eventStarted.Log(d.logger, logrus.Fields{"Incarnation": d.incarnation, "Callers": d.settings.Caller.Listen, "Peers": d.settings.Peer.Listen})
--- a/internal/observe/explain/explain.go
+++ b/internal/observe/explain/explain.go
@@ -49,6 +49,7 @@
 	Endpoint string
 	Address  string
 	Reason   string
+	Late     string
 	Error    string
 	Status   int
 	Tries    int
@@ -161,6 +162,8 @@
 	}
 	failed, found := last(timeline, eventAttemptFailed)
 	switch {
+	case end.Late != "":
+		return "late: " + end.Late + placementNote(timeline)
 	case end.Status >= 200 && end.Status < 300 && found:
 		return "served after a failed attempt: " + failed.Reason
 	case end.Status >= 200 && end.Status < 300:
@@ -173,6 +176,15 @@
 	return "endpoint crash or lost connection: " + failed.Endpoint + ", " + failed.Reason + endpointNote(failed.Endpoint, context)
 }
 
+// placementNote says where the request was sent and what was expected there.
+func placementNote(timeline []Line) string {
+	placed, found := last(timeline, eventPlaced)
+	if !found {
+		return ""
+	}
+	return fmt.Sprintf("; endpoint %s was expected to begin after %v, try %d", placed.Endpoint, placed.Expected, placed.Try)
+}
+
 func last(lines []Line, number int) (found Line, ok bool) {
 	for _, line := range lines {
 		if line.Event == number {
--- a/internal/peer/fleet/fleet_test.go
+++ b/internal/peer/fleet/fleet_test.go
@@ -5,7 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"net"
+	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -46,21 +47,20 @@
 	return index, raw
 }
 
-// freeAddress returns a loopback address that nobody listens on.
-func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
+// loopbacks counts the loopback addresses that were given out.
+var loopbacks atomic.Int64
+
+// ownAddress returns an address for one daemon. A port of a shared address could
+// be taken by a connection between its choice and its use.
+func ownAddress() string {
+	return fmt.Sprintf("127.%d.%d.1:8082", 120+os.Getpid()%100, loopbacks.Add(1))
 }
 
 // start starts a daemon that registers in the table.
 func start(t *testing.T, id string, rows table.Client, seeds ...string) *daemon {
 	logger, _ := logtest.NewNullLogger()
 	clk := clock.System()
-	d := &daemon{address: freeAddress(t), document: document.NewHolder(), tally: tally.New(id, clock.Second)}
+	d := &daemon{address: ownAddress(), document: document.NewHolder(), tally: tally.New(id, clock.Second)}
 	d.link = link.New(link.Config{ID: id, Listen: d.address}, clk, logger)
 	rng := rand.New(rand.NewPCG(1, 2))
 	d.board = fleet.NewBoard(clk, budget.Rules{Ratio: 0.2, Extra: 10, Window: clock.Second}, func() int { return d.fleet.Daemons() }, rng)
