Wire the platform to the gateway in one place; explain errors before lateness

Cause: the program and the tests each put the translation together; explain called a request late that had ended with an endpoint's error, and showed the endpoints as every daemon saw them.

Change: platform.Gateway; explain looks at the status first and at the request's own daemon; a failed attempt is logged with its time. Behaviour of the gateway is the same. Ruled out: nothing was to be found out.

Conclusion: tests as before, no assertion changed.

--- a/cmd/banyangateway/main.go
+++ b/cmd/banyangateway/main.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -14,14 +13,11 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
-	"github.com/banyanshift/banyanshift/coord/table"
 	"github.com/banyanshift/banyanshift/internal/cli/exit"
 	"github.com/banyanshift/banyanshift/internal/cli/streams"
 	gatewayserve "github.com/banyanshift/banyanshift/internal/cmdgateway/serve"
 	gatewaydaemon "github.com/banyanshift/banyanshift/internal/daemon/gateway"
-	"github.com/banyanshift/banyanshift/internal/decide/supply"
 	"github.com/banyanshift/banyanshift/internal/settings/gateway"
-	"github.com/banyanshift/banyanshift/internal/usage/billing"
 	"github.com/banyanshift/banyanshift/platform"
 )
 
@@ -44,29 +40,5 @@
 
 // serve runs the gateway on the users' platform.
 func serve(ctx context.Context, settings gateway.Settings, logger *logrus.Logger) error {
-	return gatewaydaemon.Run(ctx, settings, translated(), clock.System(), logger)
-}
-
-// translated returns the platform as the gateway sees it.
-func translated() gatewaydaemon.Platform {
-	return gatewaydaemon.Platform{
-		Store: func(address string, httpClient *http.Client) (table.Client, table.Feed) {
-			store := platform.NewStore(address, httpClient)
-			return store.Client(), store.Feed()
-		},
-		DocumentPrefix: platform.DocumentPrefix,
-		DocumentKey:    platform.DocumentKey,
-		DecodeDocument: platform.DecodeDocument,
-		EndpointPrefix: platform.EndpointPrefix,
-		DecodeEndpoint: platform.DecodeEndpoint,
-		EndpointID:     platform.EndpointID,
-		Wire:           platform.Wire(),
-		Belongs:        platform.Belongs,
-		Report: func(ctx context.Context, call gatewaydaemon.DutyCall, window billing.Window) error {
-			return platform.NewDuties(call.Address, call.Holder, call.Fence, call.Client).Report(ctx, window)
-		},
-		Order: func(ctx context.Context, call gatewaydaemon.DutyCall, order supply.Order) error {
-			return platform.NewDuties(call.Address, call.Holder, call.Fence, call.Client).Order(ctx, order)
-		},
-	}
+	return gatewaydaemon.Run(ctx, settings, platform.Gateway(), clock.System(), logger)
 }
--- a/internal/caller/relay/answer.go
+++ b/internal/caller/relay/answer.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		s.Ended(placement, balance.Failed)
 		x.attempts.last = err.Error()
-		x.trace.lost("answer broke off", placement, err)
+		x.lost("answer broke off", placement, err)
 		return lost
 	}
 	held := &heldAnswer{status: answer.Status, header: answer.Header, body: body}
@@ -47,12 +47,12 @@
 		s.Ended(placement, balance.Failed)
 		x.attempts.answer = held
 		x.attempts.last = "endpoint answered " + strconv.Itoa(answer.Status)
-		x.trace.lost(x.attempts.last, placement, nil)
+		x.lost(x.attempts.last, placement, nil)
 		return x.afterError(held)
 	case answer.Status < http.StatusMultipleChoices && !head.Sealed:
 		s.Ended(placement, balance.Failed)
 		x.attempts.last = "answer without the endpoint's proof"
-		x.trace.lost(x.attempts.last, placement, nil)
+		x.lost(x.attempts.last, placement, nil)
 		return lost
 	}
 	s.FirstToken(placement)
--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -185,11 +185,11 @@
 	}
 	if !sent {
 		s.Ended(placement, balance.Unreachable)
-		x.trace.lost("endpoint unreachable", placement, err)
+		x.lost("endpoint unreachable", placement, err)
 		return notSent
 	}
 	s.Ended(placement, balance.Failed)
-	x.trace.lost("no answer from endpoint", placement, err)
+	x.lost("no answer from endpoint", placement, err)
 	if x.route.Kind != document.Streaming {
 		x.countBegun(sentWall)
 	}
@@ -203,7 +203,7 @@
 	s.Moved(placement.Endpoint)
 	x.attempts.sent--
 	x.attempts.last = "another endpoint has the address"
-	x.trace.lost(x.attempts.last, placement, nil)
+	x.lost(x.attempts.last, placement, nil)
 	return notSent
 }
 
@@ -211,7 +211,7 @@
 func (x *exchange) turnedAway(placement Placement, status int) result {
 	x.handler.config.Scheduler.Ended(placement, balance.Failed)
 	x.attempts.last = "endpoint did not run the request: " + http.StatusText(status)
-	x.trace.lost(x.attempts.last, placement, nil)
+	x.lost(x.attempts.last, placement, nil)
 	return notRun
 }
 
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -25,7 +25,7 @@
 	if !head.Sealed {
 		s.Ended(placement, balance.Failed)
 		x.attempts.last = "stream without the endpoint's proof"
-		x.trace.lost(x.attempts.last, placement, nil)
+		x.lost(x.attempts.last, placement, nil)
 		return lost
 	}
 	p := &streamPass{exchange: x, placement: placement, answer: answer, events: newSplitter(x.stream.lastID)}
@@ -39,7 +39,7 @@
 	case err != nil:
 		s.Ended(placement, balance.Failed)
 		x.attempts.last = "stream broke off: " + err.Error()
-		x.trace.lost("stream broke off", placement, err)
+		x.lost("stream broke off", placement, err)
 		return lost
 	}
 	s.Ended(placement, balance.Succeeded)
--- a/internal/caller/relay/trace.go
+++ b/internal/caller/relay/trace.go
@@ -61,12 +61,13 @@
 	}})
 }
 
-func (t *trace) lost(reason string, p Placement, err error) {
+// lost notes an attempt that failed.
+func (x *exchange) lost(reason string, p Placement, err error) {
 	fields := logrus.Fields{"Endpoint": p.Endpoint, "Reason": reason}
 	if err != nil {
 		fields["Error"] = err.Error()
 	}
-	t.decisions = append(t.decisions, decision{event: eventAttemptFailed, fields: fields})
+	x.trace.decisions = append(x.trace.decisions, decision{event: eventAttemptFailed, at: x.handler.config.Clock.Now(), fields: fields})
 }
 
 func (t *trace) firstEvent(x *exchange) {
--- a/internal/cmdlog/explain/explain.go
+++ b/internal/cmdlog/explain/explain.go
@@ -61,6 +61,15 @@
 // printLine prints what a line says, without the fields that it leaves empty.
 func printLine(out io.Writer, when string, line explain.Line) {
 	text := when + line.Daemon + " " + line.Message
+	if line.Gone {
+		text += ", gone"
+	}
+	if line.Leaving {
+		text += ", leaving"
+	}
+	if line.Late != "" {
+		text += ", late: " + line.Late
+	}
 	for _, field := range []struct{ name, value string }{
 		{"endpoint", line.Endpoint}, {"address", line.Address}, {"reason", line.Reason}, {"error", line.Error}, {"route", line.Route}, {"team", line.Team},
 	} {
--- a/internal/observe/explain/explain.go
+++ b/internal/observe/explain/explain.go
@@ -113,8 +113,8 @@
 	return line, json.Unmarshal(text[start:], &line) == nil && line.Event != 0
 }
 
-// related returns the lines about the endpoints of the request, and about the
-// store as its daemon saw it.
+// related returns what the daemon of the request saw of its endpoints and of the
+// store.
 func related(timeline, others []Line) []Line {
 	var endpoints, daemons []string
 	for _, line := range timeline {
@@ -123,11 +123,11 @@
 	}
 	var found []Line
 	for _, line := range others {
+		if !slices.Contains(daemons, line.Daemon) {
+			continue
+		}
 		store := line.Event == eventStoreLost || line.Event == eventStoreRegained
-		switch {
-		case line.Event == eventEndpoint && slices.Contains(endpoints, line.Endpoint):
-			found = append(found, line)
-		case store && slices.Contains(daemons, line.Daemon):
+		if store || (line.Event == eventEndpoint && slices.Contains(endpoints, line.Endpoint)) {
 			found = append(found, line)
 		}
 	}
@@ -162,7 +162,7 @@
 	}
 	failed, found := last(timeline, eventAttemptFailed)
 	switch {
-	case end.Late != "":
+	case end.Status >= 200 && end.Status < 300 && end.Late != "":
 		return "late: " + end.Late + placementNote(timeline)
 	case end.Status >= 200 && end.Status < 300 && found:
 		return "served after a failed attempt: " + failed.Reason
