--- a/Makefile
+++ b/Makefile
@@ -45,5 +45,6 @@
 docs:
 	go build -o bin/banyanshift ./cmd/banyanshift
 	bin/banyanshift docs settings >docs/SETTINGS.md
+	bin/banyanshift docs settings --gateway >docs/GATEWAY-SETTINGS.md
 	bin/banyanshift docs events >docs/EVENTS.md
 	bin/banyanshift docs metrics >docs/METRICS.md
--- a/internal/settings/ini/markdown.go
+++ b/internal/settings/ini/markdown.go
@@ -38,10 +38,15 @@
 		if field.Section != section {
 			continue
 		}
-		fmt.Fprintf(out, "| `%s` | %s | %s | %s | %s |\n", field.Name, field.Type, field.defaultText(), field.rangeText(), field.Help)
+		out.WriteString(field.Row())
 	}
 }
 
+// Row returns the line of the field in a table of settings.
+func (f Field) Row() string {
+	return fmt.Sprintf("| `%s` | %s | %s | %s | %s |\n", f.Name, f.Type, f.defaultText(), f.rangeText(), f.Help)
+}
+
 func (f Field) defaultText() string {
 	switch {
 	case f.Required:
