--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -105,7 +105,7 @@
 	ready    *http.Server
 	metrics  *server.Server
 	stopping atomic.Bool
-	// unreadable counts entries of endpoints that could not be read.
+	// listed is the last list of endpoints that the roster handed out.
 	listed atomic.Pointer[[]roster.Endpoint]
 
 	base, duties, candidacy *background.Group
--- a/internal/decide/balance/replica.go
+++ b/internal/decide/balance/replica.go
@@ -43,7 +43,7 @@
 	jobs    int
 	waiting map[uint64]*job
 	pending int
-	// urgent counts running jobs by priority.
+	// running counts the jobs that have begun to generate, by rank.
 	running [priorities]int
 	// held is the memory that the jobs need besides shared parts, in tokens.
 	held int
@@ -67,6 +67,7 @@
 // priorities is how many ranks are told apart.
 const priorities = 4
 
+// rank returns the rank of a priority; 0 is the most urgent.
 func rank(priority int) int {
 	return min(max(priority, 0), priorities-1)
 }
--- a/internal/endpoint/http1/pool.go
+++ b/internal/endpoint/http1/pool.go
@@ -77,11 +77,10 @@
 type conn struct {
 	net    net.Conn
 	reader *bufio.Reader
-	// address is where it leads, with the identity of the endpoint.
+	// key identifies the endpoint that it leads to.
 	key string
 	// until is when the connection must no longer be used.
 	until clock.Millis
-	used  bool
 }
 
 // New returns an empty Pool.
@@ -96,7 +95,7 @@
 	return &Pool{config: config, idle: make(map[string][]*conn)}
 }
 
-// Forget closes the idle connections to the endpoints that keep refuses.
+// Forget closes the idle connections to the endpoints for which keep is false.
 func (p *Pool) Forget(keep func(key string) bool) {
 	p.mu.Lock()
 	var dropped []*conn
@@ -140,7 +139,6 @@
 
 // put keeps a connection for later requests, unless it must not be used again.
 func (p *Pool) put(c *conn, idle clock.Millis) {
-	c.used = true
 	c.until = p.config.Clock.Now() + min(idle-idleMargin, maxIdle)
 	p.mu.Lock()
 	conns := p.idle[c.key]
--- a/internal/order/stock/stock.go
+++ b/internal/order/stock/stock.go
@@ -36,10 +36,8 @@
 const (
 	interval    = 500 * clock.Millisecond
 	callTimeout = clock.Second
-	// retryDelay is the pause after an order that failed, and emptyDelay
-	// that after one for endpoints that are not to be had.
+	// retryDelay is the pause after an order that failed.
 	retryDelay = clock.Second
-	emptyDelay = clock.Second
 )
 
 // Config configures a Keeper. All fields must be set.
@@ -112,9 +110,6 @@
 		return
 	}
 	current.notBefore = now + retryDelay
-	if errors.Is(err, ErrNoneAvailable) {
-		current.notBefore = now + emptyDelay
-	}
 	orders[key] = current
 	fields["Error"] = err.Error()
 	eventRefused.Log(k.config.Logger, fields)
--- a/internal/peer/fleet/fleet.go
+++ b/internal/peer/fleet/fleet.go
@@ -24,38 +24,18 @@
 	"sync"
 	"time"
 
-	"github.com/samber/oops"
 	"github.com/sirupsen/logrus"
-	"github.com/vmihailenco/msgpack/v5"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/coord/table"
 	"github.com/banyanshift/banyanshift/internal/config/document"
 	"github.com/banyanshift/banyanshift/internal/endpoint/roster"
-	"github.com/banyanshift/banyanshift/internal/observe/event"
 	"github.com/banyanshift/banyanshift/internal/peer/link"
 	"github.com/banyanshift/banyanshift/internal/peer/message"
 	"github.com/banyanshift/banyanshift/internal/usage/tally"
 )
 
-var (
-	eventPeerJoined = event.New(1410, logrus.InfoLevel, "peer joined",
-		"Another daemon of the fleet was found.")
-	eventPeerLost = event.New(1411, logrus.WarnLevel, "peer does not answer",
-		"A daemon has not answered for several pings; its connection is opened anew.")
-	eventPeerRegained = event.New(1412, logrus.InfoLevel, "peer answers again",
-		"A daemon that did not answer does so again.")
-	eventPeerForgotten = event.New(1413, logrus.InfoLevel, "peer forgotten",
-		"A daemon has not answered for long and is taken to be gone.")
-	eventVersionFetched = event.New(1520, logrus.InfoLevel, "configuration taken from a peer",
-		"A peer had a newer version of the configuration than this daemon.")
-	eventFetchFailed = event.New(1521, logrus.WarnLevel, "fetching from a peer failed",
-		"What a peer had newer could not be fetched; the next ping tries again.")
-	eventRegisterFailed = event.New(1414, logrus.WarnLevel, "registering in the table failed",
-		"Other daemons cannot find this one through the table yet; it is tried again.")
-)
-
 const (
 	// pingInterval is the time between two pings of a peer in a fleet of
 	// pingPeers; in a larger one it grows in proportion, so that a daemon
@@ -123,11 +103,7 @@
 // link, which must not have been started.
 func New(config Config) *Fleet {
 	f := &Fleet{config: config, peers: make(map[string]*peer)}
-	link.Handle(config.Link, message.FleetPing, f.servePing)
-	link.Handle(config.Link, message.FleetNews, f.serveNews)
-	link.Handle(config.Link, message.FleetDocument, f.serveDocument)
-	link.Handle(config.Link, message.FleetEndpoints, f.serveEndpoints)
-	link.Handle(config.Link, message.FleetUsage, f.serveUsage)
+	f.serve()
 	return f
 }
 
@@ -305,112 +281,3 @@
 	}
 	f.config.Tally.Merge(answer.Entries)
 }
-
-// listLoop registers this daemon in the table and reads who else is there.
-func (f *Fleet) listLoop(ctx context.Context) error {
-	registered := false
-	for {
-		err := f.list(ctx, &registered)
-		delay := listInterval
-		if err != nil {
-			eventRegisterFailed.Log(f.config.Logger, logrus.Fields{"Error": err.Error()})
-			delay = listDelay + clock.Millis(f.config.Rand.Int64N(int64(listDelay)))
-		}
-		if err := f.config.Clock.Sleep(ctx, delay); err != nil {
-			return err
-		}
-	}
-}
-
-func (f *Fleet) list(ctx context.Context, registered *bool) (err error) {
-	defer func() { err = oops.Wrapf(err, "list daemons") }()
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout.Duration())
-	defer cancel()
-	if !*registered {
-		value, err := msgpack.Marshal(vm{ID: f.config.Self.ID, Address: f.config.Self.Address})
-		if err != nil {
-			return err
-		}
-		write := table.Write{Key: rowPrefix + f.config.Self.ID, Value: value}
-		if err := f.config.Table.Commit(ctx, table.Txn{Writes: []table.Write{write}}); err != nil {
-			return err
-		}
-		*registered = true
-	}
-	const most = 500
-	rows, err := f.config.Table.Scan(ctx, rowPrefix, "", most)
-	if err != nil {
-		return err
-	}
-	for _, row := range rows {
-		var other vm
-		if err := msgpack.Unmarshal(row.Value, &other); err != nil {
-			f.config.Logger.WithError(err).WithField("Key", row.Key).Warn("row of a daemon cannot be read")
-			continue
-		}
-		f.meet(other.ID, other.Address)
-	}
-	return nil
-}
-
-func (f *Fleet) servePing(_ context.Context, _ string, request ping) (pong, error) {
-	f.meet(request.ID, request.Address)
-	now := f.config.Clock.Now()
-	answer := pong{ID: f.config.Self.ID}
-	if index, confirmed := f.config.Document.Held(); index != nil {
-		answer.Version, answer.VersionAge = index.Version(), now-confirmed
-	}
-	if list := f.config.Roster.State(); list.Known {
-		answer.ListRevision, answer.ListDigest, answer.ListAge = list.Revision, list.Digest, now-list.AsOf
-	}
-	answer.Peers = f.introduce(request.Peers)
-	return answer, nil
-}
-
-// introduce lists the peers for a daemon that knows another number of them.
-func (f *Fleet) introduce(known int) []vm {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var peers []vm
-	for _, p := range f.peers {
-		if p.everAnswered {
-			peers = append(peers, vm{ID: p.id, Address: p.address})
-		}
-	}
-	if len(peers) == known {
-		return nil
-	}
-	return peers
-}
-
-func (f *Fleet) serveNews(_ context.Context, _ string, n news) (struct{}, error) {
-	f.config.Board.hear(n)
-	for _, id := range n.Leaving {
-		f.config.Roster.Leaving(id)
-	}
-	for _, id := range n.Gone {
-		f.config.Roster.Gone(id)
-	}
-	f.config.Tally.Merge(n.Usage)
-	return struct{}{}, nil
-}
-
-func (f *Fleet) serveDocument(_ context.Context, _ string, request documentRequest) (documentAnswer, error) {
-	index, confirmed := f.config.Document.Held()
-	if index == nil || index.Version() <= request.Version {
-		return documentAnswer{}, nil
-	}
-	return documentAnswer{Raw: f.config.Document.Raw(), Age: f.config.Clock.Now() - confirmed}, nil
-}
-
-func (f *Fleet) serveEndpoints(context.Context, string, endpointsRequest) (endpointsAnswer, error) {
-	list, revision, asOf, known := f.config.Roster.List()
-	if !known {
-		return endpointsAnswer{}, nil
-	}
-	return endpointsAnswer{Endpoints: list, Revision: revision, Age: f.config.Clock.Now() - asOf}, nil
-}
-
-func (f *Fleet) serveUsage(_ context.Context, _ string, request usageRequest) (usageAnswer, error) {
-	return usageAnswer{Entries: f.config.Tally.Entries(request.First)}, nil
-}
--- /dev/null
+++ b/internal/peer/fleet/serve.go
@@ -0,0 +1,79 @@
+package fleet
+
+import (
+	"context"
+
+	"github.com/banyanshift/banyanshift/internal/peer/link"
+	"github.com/banyanshift/banyanshift/internal/peer/message"
+)
+
+// serve registers the handlers of what other daemons ask and tell.
+func (f *Fleet) serve() {
+	link.Handle(f.config.Link, message.FleetPing, f.servePing)
+	link.Handle(f.config.Link, message.FleetNews, f.serveNews)
+	link.Handle(f.config.Link, message.FleetDocument, f.serveDocument)
+	link.Handle(f.config.Link, message.FleetEndpoints, f.serveEndpoints)
+	link.Handle(f.config.Link, message.FleetUsage, f.serveUsage)
+}
+
+func (f *Fleet) servePing(_ context.Context, _ string, request ping) (pong, error) {
+	f.meet(request.ID, request.Address)
+	now := f.config.Clock.Now()
+	answer := pong{ID: f.config.Self.ID}
+	if index, confirmed := f.config.Document.Held(); index != nil {
+		answer.Version, answer.VersionAge = index.Version(), now-confirmed
+	}
+	if list := f.config.Roster.State(); list.Known {
+		answer.ListRevision, answer.ListDigest, answer.ListAge = list.Revision, list.Digest, now-list.AsOf
+	}
+	answer.Peers = f.introduce(request.Peers)
+	return answer, nil
+}
+
+// introduce lists the peers for a daemon that knows another number of them.
+func (f *Fleet) introduce(known int) []vm {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var peers []vm
+	for _, p := range f.peers {
+		if p.everAnswered {
+			peers = append(peers, vm{ID: p.id, Address: p.address})
+		}
+	}
+	if len(peers) == known {
+		return nil
+	}
+	return peers
+}
+
+func (f *Fleet) serveNews(_ context.Context, _ string, n news) (struct{}, error) {
+	f.config.Board.hear(n)
+	for _, id := range n.Leaving {
+		f.config.Roster.Leaving(id)
+	}
+	for _, id := range n.Gone {
+		f.config.Roster.Gone(id)
+	}
+	f.config.Tally.Merge(n.Usage)
+	return struct{}{}, nil
+}
+
+func (f *Fleet) serveDocument(_ context.Context, _ string, request documentRequest) (documentAnswer, error) {
+	index, confirmed := f.config.Document.Held()
+	if index == nil || index.Version() <= request.Version {
+		return documentAnswer{}, nil
+	}
+	return documentAnswer{Raw: f.config.Document.Raw(), Age: f.config.Clock.Now() - confirmed}, nil
+}
+
+func (f *Fleet) serveEndpoints(context.Context, string, endpointsRequest) (endpointsAnswer, error) {
+	list, revision, asOf, known := f.config.Roster.List()
+	if !known {
+		return endpointsAnswer{}, nil
+	}
+	return endpointsAnswer{Endpoints: list, Revision: revision, Age: f.config.Clock.Now() - asOf}, nil
+}
+
+func (f *Fleet) serveUsage(_ context.Context, _ string, request usageRequest) (usageAnswer, error) {
+	return usageAnswer{Entries: f.config.Tally.Entries(request.First)}, nil
+}
