Read the configuration once a request

Cause: the filters of a request each asked for the configuration in force, so that a version that came in between could give the route by one document and the team by the next, and three times the locks were taken.

Change: the exchange keeps what was in force when the request came. The attempts that were not sent or not run share one branch; Balancer.Usable, which nothing called, is gone. No test was changed.

--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -71,18 +71,15 @@
 		switch x.attempt(placement) {
 		case answered, abandoned:
 			return
-		case notSent:
-			x.attempts.tried = append(x.attempts.tried, placement.Endpoint)
-		case notRun:
-			x.attempts.tried = append(x.attempts.tried, placement.Endpoint)
 		case failed, lost:
-			x.attempts.tried = append(x.attempts.tried, placement.Endpoint)
 			x.attempts.mayHaveRun = true
 			if !x.route.Repeatable() {
 				x.conclude(Refusal{Reason: x.attempts.last})
 				return
 			}
+		case notSent, notRun:
 		}
+		x.attempts.tried = append(x.attempts.tried, placement.Endpoint)
 	}
 	x.conclude(Refusal{Reason: x.attempts.last, RetryAfter: staleRetry})
 }
--- a/internal/caller/relay/exchange.go
+++ b/internal/caller/relay/exchange.go
@@ -27,7 +27,10 @@
 	r       *http.Request
 	arrived clock.Millis
 
-	call  Call
+	call Call
+	// configuration is what was in force when the request came.
+	configuration Configuration
+
 	route *document.Route
 	team  *document.Team
 	body  []byte
@@ -66,6 +69,7 @@
 // find looks up the route.
 func (x *exchange) find() bool {
 	config := x.handler.config.Configuration()
+	x.configuration = config
 	if config.Index == nil {
 		x.refuse(http.StatusServiceUnavailable, Refusal{Reason: "no configuration is known yet", RetryAfter: staleRetry})
 		return false
@@ -80,7 +84,7 @@
 	}
 	route, found := config.Index.Route(x.call.Host, x.call.Path)
 	if !found {
-		x.deny(config, http.StatusNotFound, "no route for host and path")
+		x.deny(http.StatusNotFound, "no route for host and path")
 		return false
 	}
 	x.route = route
@@ -104,8 +108,8 @@
 
 // deny refuses for good what the configuration does not allow; a daemon that
 // cannot tell whether a newer configuration does, refuses for now.
-func (x *exchange) deny(config Configuration, status int, reason string) {
-	if !config.Current {
+func (x *exchange) deny(status int, reason string) {
+	if !x.configuration.Current {
 		x.refuse(http.StatusServiceUnavailable, Refusal{Reason: "configuration may be outdated: " + reason, RetryAfter: staleRetry})
 		return
 	}
@@ -114,14 +118,14 @@
 
 // authenticate finds the team of the key.
 func (x *exchange) authenticate() bool {
-	config := x.handler.config.Configuration()
-	team, known := config.Index.Team(x.call.Key)
+	index := x.configuration.Index
+	team, known := index.Team(x.call.Key)
 	if known {
 		x.team = team
 		return true
 	}
-	if config.Index.NeedsKey(x.route) {
-		x.deny(config, http.StatusUnauthorized, "unknown key")
+	if index.NeedsKey(x.route) {
+		x.deny(http.StatusUnauthorized, "unknown key")
 		return false
 	}
 	return true
@@ -145,7 +149,7 @@
 
 // readBody reads the whole body, so that the request can be sent again.
 func (x *exchange) readBody() bool {
-	limit := x.handler.config.Configuration().Index.Limits().MaxBodyBytes
+	limit := x.configuration.Index.Limits().MaxBodyBytes
 	if x.r.ContentLength > limit {
 		x.refuse(http.StatusRequestEntityTooLarge, Refusal{Reason: "body too large"})
 		return false
--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -209,12 +209,6 @@
 	}
 }
 
-// Usable reports whether the endpoint may be given work.
-func (b *Balancer) Usable(id string) bool {
-	r := b.replicas[id]
-	return r != nil && !r.Leaving
-}
-
 // Choose returns the best endpoint for the request. It changes nothing.
 func (b *Balancer) Choose(now clock.Millis, request Request) (choice Choice, found bool) {
 	p := b.backends[request.Backend]
