--- a/internal/cli/factory/factory.go
+++ b/internal/cli/factory/factory.go
@@ -21,7 +21,6 @@
 	"github.com/banyanshift/banyanshift/internal/cli/client"
 	"github.com/banyanshift/banyanshift/internal/cli/exit"
 	"github.com/banyanshift/banyanshift/internal/cli/streams"
-	"github.com/banyanshift/banyanshift/internal/settings/gateway"
 	"github.com/banyanshift/banyanshift/internal/settings/ini"
 )
 
@@ -46,8 +45,6 @@
 	Client func() (*client.Client, error)
 	// Serve runs the daemon until the context ends.
 	Serve func(ctx context.Context, settings ini.Settings, logger *logrus.Logger) error
-	// ServeGateway runs the gateway until the context ends.
-	ServeGateway func(ctx context.Context, settings gateway.Settings, logger *logrus.Logger) error
 	// Flags are the values of the flags that all commands have.
 	Flags *Flags
 }
--- a/internal/cli/root/root.go
+++ b/internal/cli/root/root.go
@@ -20,7 +20,6 @@
 	configapply "github.com/banyanshift/banyanshift/internal/cmdconfig/apply"
 	daemonserve "github.com/banyanshift/banyanshift/internal/cmddaemon/serve"
 	fleetstatus "github.com/banyanshift/banyanshift/internal/cmdfleet/status"
-	gatewayserve "github.com/banyanshift/banyanshift/internal/cmdgateway/serve"
 )
 
 // IDs of the groups of commands in the help.
@@ -59,7 +58,7 @@
 		&cobra.Group{ID: groupConfiguration, Title: "Configuration:"},
 		&cobra.Group{ID: groupRecords, Title: "Records:"},
 	)
-	add(cmd, groupFleet, daemonserve.NewCmdServe(f, nil), gatewayserve.NewCmdGateway(f, nil), fleetstatus.NewCmdStatus(f, nil), newFleet(f), newBackend(f))
+	add(cmd, groupFleet, daemonserve.NewCmdServe(f, nil), fleetstatus.NewCmdStatus(f, nil), newFleet(f), newBackend(f))
 	add(cmd, groupConfiguration, newTeam(f), newKey(f), newClass(f), newRoute(f), newConfig(f), configapply.NewCmdApply(f, nil))
 	add(cmd, groupRecords, newUsage(f), newAudit(f))
 	cmd.AddCommand(newExitCodes(), newDocs(f))
--- a/internal/cmdgateway/serve/serve.go
+++ b/internal/cmdgateway/serve/serve.go
@@ -1,9 +1,9 @@
-// Package serve implements the command "banyanshift gateway", which runs the
-// daemon on a platform whose store others write.
+// Package serve implements the command "banyangateway", which runs the daemon on
+// a platform whose store others write.
 //
 // # Usage
 //
-//	cmd := serve.NewCmdGateway(f, nil)
+//	cmd := serve.NewCmdGateway(serve.Dependencies{IO: streams.System(), Getenv: os.Getenv, Serve: run}, nil)
 package serve
 
 import (
@@ -16,7 +16,6 @@
 	"github.com/spf13/cobra"
 
 	"github.com/banyanshift/banyanshift/internal/cli/exit"
-	"github.com/banyanshift/banyanshift/internal/cli/factory"
 	"github.com/banyanshift/banyanshift/internal/cli/streams"
 	daemon "github.com/banyanshift/banyanshift/internal/daemon/gateway"
 	settings "github.com/banyanshift/banyanshift/internal/settings/gateway"
@@ -25,23 +24,30 @@
 // SettingsVariable names the settings file where the flag does not.
 const SettingsVariable = "BANYANSHIFT_SETTINGS"
 
+// Dependencies are what the command depends on. All fields must be set.
+type Dependencies struct {
+	IO     *streams.Streams
+	Getenv func(name string) string
+	// Serve runs the daemon until the context ends.
+	Serve func(ctx context.Context, settings settings.Settings, logger *logrus.Logger) error
+}
+
 // Options are the inputs of the command.
 type Options struct {
-	IO       *streams.Streams
-	Serve    func(ctx context.Context, settings settings.Settings, logger *logrus.Logger) error
+	Dependencies
 	Settings string
 }
 
 // NewCmdGateway returns the command. Tests pass runF in place of its execution.
-func NewCmdGateway(f *factory.Factory, runF func(context.Context, *Options) error) *cobra.Command {
-	opts := &Options{IO: f.IO, Serve: f.ServeGateway}
+func NewCmdGateway(d Dependencies, runF func(context.Context, *Options) error) *cobra.Command {
+	opts := &Options{Dependencies: d}
 	cmd := &cobra.Command{
-		Use:   "gateway [--settings <file>]",
+		Use:   "banyangateway [--settings <file>]",
 		Short: "Run the gateway on a platform",
 		Long: `Run the gateway until it gets SIGTERM or SIGINT. It follows the configuration and
 the endpoints in the platform's store, passes requests on, and shares the work of
 reporting usage and ordering endpoints with the other gateways.`,
-		Example: `  $ banyanshift gateway --settings gateway.ini`,
+		Example: `  $ banyangateway --settings gateway.ini`,
 		Args:    exit.ExactArgs(),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if opts.Settings == "" {
@@ -53,7 +59,7 @@
 			return gatewayRun(cmd.Context(), opts)
 		},
 	}
-	cmd.Flags().StringVar(&opts.Settings, "settings", f.Getenv(SettingsVariable), "settings file of the gateway (or "+SettingsVariable+")")
+	cmd.Flags().StringVar(&opts.Settings, "settings", d.Getenv(SettingsVariable), "settings file of the gateway (or "+SettingsVariable+")")
 	return cmd
 }
 
