--- /dev/null
+++ b/internal/caller/relay/explain_test.go
@@ -0,0 +1,83 @@
+package relay_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/banyanshift/banyanshift/internal/caller/relay"
+	"github.com/banyanshift/banyanshift/internal/observe/explain"
+)
+
+// lines returns the log of the fixture as a daemon writes it.
+func (f *fixture) lines(t *testing.T) *bytes.Buffer {
+	var out bytes.Buffer
+	formatter := &logrus.JSONFormatter{}
+	for _, entry := range f.log.AllEntries() {
+		line, err := formatter.Format(entry)
+		if err != nil {
+			t.Fatal(err)
+		}
+		out.WriteString("12.3 gateway-1 " + string(line))
+	}
+	return &out
+}
+
+// TestLogsAloneTellTheCause plants faults and asks for the cause of what the
+// caller saw.
+func TestLogsAloneTellTheCause(t *testing.T) {
+	faults := map[string]struct {
+		plant func() *fixture
+		path  string
+		want  string
+	}{
+		"endpoint crash": {func() *fixture { return newFixture(t, reset) }, "/pay/1", "endpoint crash or lost connection: e0"},
+		"endpoint error": {func() *fixture { return newFixture(t, status(500)) }, "/pay/1", "endpoint error: e0 answered 500"},
+		"store away": {func() *fixture {
+			f := newFixture(t, ok)
+			f.config.Isolated = true
+			return f
+		}, "/pay/1", "store away"},
+		"store away at the start": {func() *fixture {
+			f := newFixture(t, ok)
+			f.config = relay.Configuration{}
+			return f
+		}, "/pay/1", "store away"},
+		"old configuration": {func() *fixture {
+			f := newFixture(t, ok)
+			f.config.Current = false
+			return f
+		}, "/new/1", "old configuration"},
+		"exhausted budget": {func() *fixture {
+			f := newFixture(t, notRun, ok)
+			f.tokens = 0
+			return f
+		}, "/pay/1", "exhausted retry budget"},
+		"overload": {func() *fixture {
+			f := newFixture(t, ok)
+			f.refusal = relay.Refusal{Reason: "overloaded: first token expected after 9s", RetryAfter: 500}
+			return f
+		}, "/pay/1", "overload"},
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			f := fault.plant()
+			f.send(fault.path)
+			report, err := explain.Find(f.lines(t), "r1")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !strings.HasPrefix(report.Cause, fault.want) {
+				t.Errorf("found %q, want %q", report.Cause, fault.want)
+			}
+		})
+	}
+}
+
+func TestUnknownRequestIsSaidToBeUnknown(t *testing.T) {
+	if _, err := explain.Find(strings.NewReader("no json\n{\"Event\":1}\n"), "r9"); err == nil {
+		t.Error("explained a request that no line is about")
+	}
+}
--- a/internal/caller/relay/relay_test.go
+++ b/internal/caller/relay/relay_test.go
@@ -59,6 +59,8 @@
 	outcomes []balance.Outcome
 	begun    int
 	runs     []string
+	// refusal makes the scheduler refuse everything.
+	refusal relay.Refusal
 }
 
 // newFixture starts one endpoint for each function.
@@ -110,6 +112,9 @@
 func (f *fixture) scheduler() relay.Scheduler {
 	return relay.Scheduler{
 		Place: func(r balance.Request, _ clock.Millis) (relay.Placement, relay.Refusal) {
+			if f.refusal.Reason != "" {
+				return relay.Placement{}, f.refusal
+			}
 			for i, e := range f.endpoints {
 				id := fmt.Sprint("e", i)
 				tried := false
--- a/internal/cli/root/root.go
+++ b/internal/cli/root/root.go
@@ -20,6 +20,7 @@
 	configapply "github.com/banyanshift/banyanshift/internal/cmdconfig/apply"
 	daemonserve "github.com/banyanshift/banyanshift/internal/cmddaemon/serve"
 	fleetstatus "github.com/banyanshift/banyanshift/internal/cmdfleet/status"
+	logexplain "github.com/banyanshift/banyanshift/internal/cmdlog/explain"
 )
 
 // IDs of the groups of commands in the help.
@@ -60,7 +61,7 @@
 	)
 	add(cmd, groupFleet, daemonserve.NewCmdServe(f, nil), fleetstatus.NewCmdStatus(f, nil), newFleet(f), newBackend(f))
 	add(cmd, groupConfiguration, newTeam(f), newKey(f), newClass(f), newRoute(f), newConfig(f), configapply.NewCmdApply(f, nil))
-	add(cmd, groupRecords, newUsage(f), newAudit(f))
+	add(cmd, groupRecords, newUsage(f), newAudit(f), logexplain.NewCmdExplain(f, nil))
 	cmd.AddCommand(newExitCodes(), newDocs(f))
 	return cmd
 }
--- a/internal/cmddocs/events/events.go
+++ b/internal/cmddocs/events/events.go
@@ -13,6 +13,7 @@
 	"github.com/banyanshift/banyanshift/internal/cli/exit"
 	"github.com/banyanshift/banyanshift/internal/cli/factory"
 	"github.com/banyanshift/banyanshift/internal/cli/streams"
+
 	// The page is that of both daemons.
 	_ "github.com/banyanshift/banyanshift/internal/daemon/gateway"
 	"github.com/banyanshift/banyanshift/internal/observe/catalogue"
--- a/internal/cmdgateway/serve/serve.go
+++ b/internal/cmdgateway/serve/serve.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
@@ -18,12 +19,16 @@
 	"github.com/banyanshift/banyanshift/internal/cli/exit"
 	"github.com/banyanshift/banyanshift/internal/cli/streams"
 	daemon "github.com/banyanshift/banyanshift/internal/daemon/gateway"
+	"github.com/banyanshift/banyanshift/internal/observe/logline"
 	settings "github.com/banyanshift/banyanshift/internal/settings/gateway"
 )
 
 // SettingsVariable names the settings file where the flag does not.
 const SettingsVariable = "BANYANSHIFT_SETTINGS"
 
+// closeTimeout bounds writing the last lines of the log.
+const closeTimeout = 300 * time.Millisecond
+
 // Dependencies are what the command depends on. All fields must be set.
 type Dependencies struct {
 	IO     *streams.Streams
@@ -68,8 +73,10 @@
 	if err != nil {
 		return exit.Usagef("%v", err)
 	}
+	lines := logline.New(opts.IO.Out)
+	defer lines.Close(closeTimeout)
 	logger := logrus.New()
-	logger.SetOutput(opts.IO.Out)
+	logger.SetOutput(lines)
 	logger.SetFormatter(&logrus.JSONFormatter{})
 	daemon.Reload(loaded, logger)
 	r := &reloader{path: opts.Settings, logger: logger, signals: make(chan os.Signal, 1)}
--- a/internal/daemon/gateway/follow.go
+++ b/internal/daemon/gateway/follow.go
@@ -9,9 +9,26 @@
 	"github.com/banyanshift/banyanshift/internal/platform/feed"
 )
 
-// followWait is how long one call waits for changes. Each daemon confirms what
-// it believes as often; what the others confirm in between comes from them.
-const followWait = 2 * clock.Second
+const (
+	// readerWait is how long one call of a reader waits for changes. A reader
+	// confirms what it believes as often; what others confirm in between
+	// comes from them.
+	readerWait = 2 * clock.Second
+	// readers is how many daemons call the store as often as that. All learn
+	// of changes at once; the others hear from the readers when their own
+	// call has fallen silent.
+	readers = 9
+	// otherWait is how long one call of the other daemons waits.
+	otherWait = 15 * clock.Second
+)
+
+// followWait returns how long the next call of the store waits for changes.
+func (d *Daemon) followWait() clock.Millis {
+	if d.fleet.Rank() < readers {
+		return readerWait
+	}
+	return otherWait
+}
 
 // tellers is how many daemons tell the others of endpoints that leave or are
 // gone, which most others read in the store themselves.
@@ -20,7 +37,7 @@
 // followDocument returns the follower of the configuration.
 func (d *Daemon) followDocument() *feed.Follower {
 	return feed.New(feed.Config{
-		Feed: d.feed, Clock: d.clock, Logger: d.logger, Prefix: d.platform.DocumentPrefix, Wait: followWait,
+		Feed: d.feed, Clock: d.clock, Logger: d.logger, Prefix: d.platform.DocumentPrefix, Wait: d.followWait,
 		OnAll: d.takeDocument, OnChanges: d.takeDocument, Rand: d.random(3),
 	})
 }
@@ -49,7 +66,7 @@
 // followEndpoints returns the follower of the entries of endpoints.
 func (d *Daemon) followEndpoints() *feed.Follower {
 	return feed.New(feed.Config{
-		Feed: d.feed, Clock: d.clock, Logger: d.logger, Prefix: d.platform.EndpointPrefix, Wait: followWait,
+		Feed: d.feed, Clock: d.clock, Logger: d.logger, Prefix: d.platform.EndpointPrefix, Wait: d.followWait,
 		OnAll: d.replaceEndpoints, OnChanges: d.updateEndpoints, OnLost: d.roster.Lost, Rand: d.random(4),
 	})
 }
--- a/internal/endpoint/roster/roster.go
+++ b/internal/endpoint/roster/roster.go
@@ -16,9 +16,12 @@
 
 import (
 	"context"
+	"fmt"
 	"sort"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
 )
@@ -50,6 +53,7 @@
 	mu        sync.Mutex
 	endpoints map[string]Endpoint
 	revision  uint64
+	digest    uint64
 	known     bool
 	// confirmed is as of when the list is known to be right.
 	confirmed clock.Millis
@@ -229,7 +233,48 @@
 
 // publish hands the list to the owner.
 func (r *Roster) publish() {
-	r.changed(r.list())
+	list := r.list()
+	r.digest = digestOf(list)
+	r.changed(list)
+}
+
+// digestOf is the same for lists of the same endpoints in the same state.
+func digestOf(list []Endpoint) uint64 {
+	hash := xxhash.New()
+	for _, entry := range list {
+		if !entry.Missing {
+			_, _ = fmt.Fprintf(hash, "%s %d %t\n", entry.ID, entry.Incarnation, entry.Leaving)
+		}
+	}
+	return hash.Sum64()
+}
+
+// State describes the list in short.
+type State struct {
+	// Known is false while no list was seen.
+	Known bool
+	// Digest is the same at daemons that have the same list.
+	Digest uint64
+	// Revision is that of the newest answer of the table.
+	Revision uint64
+	// AsOf is the instant as of which the list is known to be right.
+	AsOf clock.Millis
+}
+
+// State returns the state of the list.
+func (r *Roster) State() State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return State{Known: r.known, Digest: r.digest, Revision: r.revision, AsOf: r.confirmed}
+}
+
+// Confirm notes that a daemon with the same list knew it to be right at asOf.
+func (r *Roster) Confirm(digest uint64, asOf clock.Millis) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.known && r.digest == digest {
+		r.confirmed = max(r.confirmed, asOf)
+	}
 }
 
 func (r *Roster) list() []Endpoint {
--- a/internal/peer/fleet/fleet.go
+++ b/internal/peer/fleet/fleet.go
@@ -57,13 +57,20 @@
 )
 
 const (
+	// pingInterval is the time between two pings of a peer in a fleet of
+	// pingPeers; in a larger one it grows in proportion, so that a daemon
+	// sends and answers no more of them.
 	pingInterval = 700 * clock.Millisecond
+	pingPeers    = 11
 	pingTimeout  = clock.Second
 	fetchTimeout = 2 * clock.Second
-	// newsInterval is the time between two batches of news.
-	newsInterval = 100 * clock.Millisecond
-	// reachable is for how long an answered ping counts.
-	reachable = 2500 * clock.Millisecond
+	// newsInterval is the time between two batches of news in a fleet of
+	// newsPeers; in a larger one it grows in proportion, up to maxNewsInterval.
+	newsInterval    = 100 * clock.Millisecond
+	maxNewsInterval = 300 * clock.Millisecond
+	newsPeers       = 40
+	// reachSlack is how much longer than two pings an answer counts.
+	reachSlack = 1100 * clock.Millisecond
 	// forgetAfter is how long a silent peer is remembered.
 	forgetAfter = 20 * clock.Second
 	// reopenAfter is how many pings go unanswered before the connection is
@@ -193,6 +200,16 @@
 	return false, 2*reached < known
 }
 
+// interval returns the time between two pings of a peer. The lock must be held.
+func (f *Fleet) interval() clock.Millis {
+	return pingInterval * clock.Millis(max(len(f.peers), pingPeers)) / pingPeers
+}
+
+// isReached reports whether the peer answers. The lock must be held.
+func (f *Fleet) isReached(p *peer, now clock.Millis) bool {
+	return p.everAnswered && p.failures < reopenAfter && now-p.answered <= 2*f.interval()+reachSlack
+}
+
 // reach returns how many peers are known and how many of them answer.
 func (f *Fleet) reach(now clock.Millis) (known, reached int) {
 	f.mu.Lock()
@@ -202,7 +219,7 @@
 			continue
 		}
 		known++
-		if now-p.answered <= reachable {
+		if f.isReached(p, now) {
 			reached++
 		}
 	}
@@ -217,7 +234,7 @@
 	defer f.mu.Unlock()
 	rank := 0
 	for _, p := range f.peers {
-		if p.everAnswered && now-p.answered <= reachable && p.id < f.config.Self.ID {
+		if f.isReached(p, now) && p.id < f.config.Self.ID {
 			rank++
 		}
 	}
@@ -231,7 +248,7 @@
 	defer f.mu.Unlock()
 	var peers []link.Peer
 	for _, p := range f.peers {
-		if p.everAnswered && now-p.answered <= reachable {
+		if f.isReached(p, now) {
 			peers = append(peers, link.Peer{Address: p.address})
 		}
 	}
@@ -241,7 +258,8 @@
 // newsLoop tells the peers what happens here.
 func (f *Fleet) newsLoop(ctx context.Context) error {
 	for {
-		if err := f.config.Clock.Sleep(ctx, newsInterval); err != nil {
+		interval := newsInterval * clock.Millis(max(f.Daemons(), newsPeers)) / newsPeers
+		if err := f.config.Clock.Sleep(ctx, min(interval, maxNewsInterval)); err != nil {
 			return err
 		}
 		f.tell()
@@ -342,8 +360,8 @@
 	if index, confirmed := f.config.Document.Held(); index != nil {
 		answer.Version, answer.VersionAge = index.Version(), now-confirmed
 	}
-	if _, revision, asOf, known := f.config.Roster.List(); known {
-		answer.Revision, answer.RevisionAge = revision, now-asOf
+	if list := f.config.Roster.State(); list.Known {
+		answer.ListRevision, answer.ListDigest, answer.ListAge = list.Revision, list.Digest, now-list.AsOf
 	}
 	answer.Peers = f.introduce(request.Peers)
 	return answer, nil
--- a/internal/peer/fleet/message.go
+++ b/internal/peer/fleet/message.go
@@ -23,9 +23,12 @@
 	// how long ago it was known to be the newest.
 	Version    int64
 	VersionAge clock.Millis
-	// Revision is that of the list of endpoints, 0 when none is known.
-	Revision    uint64
-	RevisionAge clock.Millis
+	// ListRevision is that of the list of endpoints, 0 when none is known,
+	// ListDigest the digest of its content, and ListAge how long ago it was
+	// known to be right.
+	ListRevision uint64
+	ListDigest   uint64
+	ListAge      clock.Millis
 	// Peers names the known daemons if their number is another than that in
 	// the ping.
 	Peers []vm
--- a/internal/peer/fleet/peer.go
+++ b/internal/peer/fleet/peer.go
@@ -10,10 +10,10 @@
 	"github.com/banyanshift/banyanshift/internal/peer/message"
 )
 
-// listAge is from which age on the own list of endpoints is refreshed from
-// peers, and lostListAge while this daemon cannot read the table.
+// listAge is from which age on the own list of endpoints is replaced by another
+// one of a peer, and lostListAge while this daemon cannot read the table.
 const (
-	listAge     = 3500 * clock.Millisecond
+	listAge     = 1500 * clock.Millisecond
 	lostListAge = 700 * clock.Millisecond
 )
 
@@ -39,13 +39,19 @@
 			p.fleet.forget(p)
 			return nil
 		}
-		if err := c.Sleep(ctx, pingInterval); err != nil {
+		if err := c.Sleep(ctx, p.interval()); err != nil {
 			return err
 		}
 	}
 	return ctx.Err()
 }
 
+func (p *peer) interval() clock.Millis {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	return p.fleet.interval()
+}
+
 func (p *peer) lastSign() clock.Millis {
 	p.fleet.mu.Lock()
 	defer p.fleet.mu.Unlock()
@@ -143,19 +149,32 @@
 	return nil
 }
 
-// learnEndpoints fetches the peer's list of endpoints if this daemon's own is
-// old and the peer's is not.
+// learnEndpoints takes the peer's word for how long ago the own list of endpoints
+// was right, or fetches the peer's if the own one is old and another.
 func (p *peer) learnEndpoints(ctx context.Context, asked clock.Millis, answer pong) {
 	f := p.fleet
-	_, revision, asOf, known := f.config.Roster.List()
-	now := f.config.Clock.Now()
+	own := f.config.Roster.State()
+	asOf := asked - answer.ListAge
+	if answer.ListRevision == 0 || (own.Known && asOf <= own.AsOf) {
+		return
+	}
+	if own.Known && answer.ListDigest == own.Digest {
+		f.config.Roster.Confirm(own.Digest, asOf)
+		return
+	}
 	oldest := listAge
 	if f.config.Roster.IsLost() {
 		oldest = lostListAge
 	}
-	if answer.Revision == 0 || (known && (now-asOf < oldest || asked-answer.RevisionAge <= asOf || answer.Revision < revision)) {
+	if own.Known && (f.config.Clock.Now()-own.AsOf < oldest || answer.ListRevision < own.Revision) {
 		return
 	}
+	p.fetchEndpoints(ctx)
+}
+
+func (p *peer) fetchEndpoints(ctx context.Context) {
+	f := p.fleet
+	asked := f.config.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout.Duration())
 	defer cancel()
 	fetched, err := link.Call[endpointsRequest, endpointsAnswer](ctx, f.config.Link, link.Peer{Address: p.address}, message.FleetEndpoints, endpointsRequest{})
@@ -164,6 +183,6 @@
 		return
 	}
 	if fetched.Revision != 0 {
-		f.config.Roster.ReplaceFromPeer(fetched.Endpoints, fetched.Revision, now-fetched.Age)
+		f.config.Roster.ReplaceFromPeer(fetched.Endpoints, fetched.Revision, asked-fetched.Age)
 	}
 }
--- a/internal/platform/feed/feed.go
+++ b/internal/platform/feed/feed.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	f := feed.New(feed.Config{Feed: client, Clock: clk, Logger: logger, Prefix: "Endpoints/", Wait: clock.Second,
+//	f := feed.New(feed.Config{Feed: client, Clock: clk, Logger: logger, Prefix: "Endpoints/", Wait: wait,
 //		OnAll: replace, OnChanges: update, Rand: rng})
 //	go f.Run(ctx)
 package feed
@@ -54,8 +54,8 @@
 	Clock  clock.Clock
 	Logger logrus.FieldLogger
 	Prefix string
-	// Wait is how long one call waits for changes.
-	Wait clock.Millis
+	// Wait returns how long the next call waits for changes.
+	Wait func() clock.Millis
 	// OnAll takes all rows, and OnChanges rows that have changed; a deleted
 	// row has Version 0. The rows are known to stand so as of the instant.
 	OnAll     func(rows []table.Row, revision uint64, asOf clock.Millis)
@@ -101,7 +101,7 @@
 // step makes one call.
 func (f *Follower) step(ctx context.Context) error {
 	asOf := f.config.Clock.Now()
-	wait := f.config.Wait
+	wait := f.config.Wait()
 	if f.lost {
 		wait = min(wait, firstWait)
 	}
