--- a/internal/decide/balance/admit.go
+++ b/internal/decide/balance/admit.go
@@ -13,39 +13,64 @@
 const (
 	patienceOfSecond = 1500 * clock.Millisecond
 	patienceOfOthers = 400 * clock.Millisecond
+	// mostPatienceOfOthers is below patienceOfSecond, so that a long prompt
+	// of the second rank is let in where none of a lower one is.
+	mostPatienceOfOthers = 1200 * clock.Millisecond
 	// longPrompt is the time that a long prompt takes at an idle endpoint.
 	longPrompt = 250 * clock.Millisecond
 	// servedShare is the part of the time left in which a request must be
 	// expected to begin.
 	servedShare = 0.8
+	// deferSpan is how long after the refusal of a request for its wait less
+	// urgent ones have only deferShare of their patience.
+	deferSpan  = clock.Second
+	deferShare = 0.25
 )
 
 // Admit reports whether a request for which an endpoint was chosen should run
 // there. If not, it returns how much sooner it would have to begin.
-func (b *Balancer) Admit(request Request, choice Choice, timeLeft clock.Millis) (excess clock.Millis, admitted bool) {
+func (b *Balancer) Admit(now clock.Millis, request Request, choice Choice, timeLeft clock.Millis) (excess clock.Millis, admitted bool) {
 	if request.Begun {
 		return 0, true
 	}
 	allowed := clock.Millis(servedShare * float64(timeLeft))
-	if patience, limited := b.patience(request); limited {
+	if patience, limited := b.patience(now, request); limited {
 		own := b.prompt(request, choice)
 		patience = patience * longPrompt / min(max(own, 1), longPrompt)
+		if rank(request.Priority) > 1 {
+			patience = min(patience, mostPatienceOfOthers)
+		}
 		allowed = min(allowed, baseTime+own+patience)
 	}
 	return choice.FirstToken - allowed, choice.FirstToken <= allowed
 }
 
+// Refused records that a request was refused, here or by another daemon, though
+// nothing but other prompts stood in its way.
+func (b *Balancer) Refused(now clock.Millis, backend string, priority int) {
+	b.backend(backend).refusedUntil[rank(priority)] = now + deferSpan
+}
+
 // patience returns how long the request may wait behind others; limited is
 // false where it is the most urgent work that the back end has.
-func (b *Balancer) patience(request Request) (patience clock.Millis, limited bool) {
+func (b *Balancer) patience(now clock.Millis, request Request) (patience clock.Millis, limited bool) {
 	p := b.backends[request.Backend]
-	if p == nil || len(request.Parts) == 0 || !p.hasMoreUrgent(rank(request.Priority)) {
+	if p == nil || len(request.Parts) == 0 {
 		return 0, false
 	}
-	if rank(request.Priority) == 1 {
-		return patienceOfSecond, true
+	own := rank(request.Priority)
+	refused := p.refusesMoreUrgent(now, own)
+	if !refused && !p.hasMoreUrgent(own) {
+		return 0, false
+	}
+	patience = patienceOfOthers
+	if own == 1 {
+		patience = patienceOfSecond
+	}
+	if refused {
+		patience = clock.Millis(deferShare * float64(patience))
 	}
-	return patienceOfOthers, true
+	return patience, true
 }
 
 // prompt is the time in which an idle endpoint computes the prompt.
@@ -57,6 +82,16 @@
 	return clock.Millis(b.backends[request.Backend].prefillTime(r, choice.Uncached))
 }
 
+// refusesMoreUrgent reports whether more urgent requests were refused lately.
+func (p *pool) refusesMoreUrgent(now clock.Millis, than int) bool {
+	for _, until := range p.refusedUntil[:than] {
+		if now < until {
+			return true
+		}
+	}
+	return false
+}
+
 // hasMoreUrgent reports whether more urgent requests run or wait somewhere.
 func (p *pool) hasMoreUrgent(than int) bool {
 	for _, r := range p.members {
--- a/internal/decide/balance/admit_test.go
+++ b/internal/decide/balance/admit_test.go
@@ -105,7 +105,8 @@
 				result.refused++
 				continue
 			}
-			if _, admitted := b.Admit(request, choice, c.limit); !admitted {
+			if _, admitted := b.Admit(now, request, choice, c.limit); !admitted {
+				b.Refused(now, "b", c.priority)
 				result.refused++
 				continue
 			}
@@ -164,6 +165,21 @@
 	}
 }
 
+// TestCheapPromptsOfLowRankDoNotCrowdOutUrgentOnes: prompts that are mostly
+// cached cost little each and come in numbers; what they leave must be enough
+// for longer prompts that are more urgent.
+func TestCheapPromptsOfLowRankDoNotCrowdOutUrgentOnes(t *testing.T) {
+	histories := class{name: "histories", every: 200, prompt: 9000, topics: 1, shared: 1, output: 60, priority: 1, limit: 4 * clock.Second}
+	reviews := class{name: "reviews", every: 30, prompt: 1500, topics: 10, shared: 13300, output: 120, priority: 2, limit: 8 * clock.Second}
+	results := play(2, 30*clock.Second, 3*clock.Second, questions, histories, reviews)
+	if r := results["histories"]; r.refused > r.asked/10 {
+		t.Errorf("histories: %+v; want few refused while reviews are let in", *r)
+	}
+	if r := results["reviews"]; r.asked-r.refused < r.asked/5 {
+		t.Errorf("reviews: %+v; want what the others leave to be used", *r)
+	}
+}
+
 // TestSharedPartsAreComputedSeldom: prompts go where their parts are cached.
 func TestSharedPartsAreComputedSeldom(t *testing.T) {
 	b := balance.New()
--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -41,8 +41,10 @@
 	Slots int
 	// CacheTokens is the size of the key-value cache; 0 for plain services.
 	CacheTokens int
-	// Leaving endpoints get no new requests.
-	Leaving bool
+	// Leaving endpoints get new requests only through ChooseLeaving, until
+	// LeavesAt, which is when they may be gone; 0 where it is not known.
+	Leaving  bool
+	LeavesAt clock.Millis
 	// Cheap endpoints can be taken away with seconds' notice.
 	Cheap bool
 }
@@ -90,6 +92,8 @@
 	// FirstToken is the expected time to the first token, or to the whole
 	// answer of a plain service.
 	FirstToken clock.Millis
+	// Waits says what FirstToken is made of.
+	Waits Waits
 }
 
 // Job is a request that was sent to an endpoint, by this daemon or another.
@@ -137,6 +141,8 @@
 	work float64
 	// failures is the mean share of requests that fail.
 	failures float64
+	// refusedUntil is until when a refusal is taken for recent, by rank.
+	refusedUntil [priorities]clock.Millis
 }
 
 // job is a Job that has not ended.
@@ -209,30 +215,57 @@
 	}
 }
 
+// Moved marks an endpoint whose address belongs to another; it is not chosen
+// again.
+func (b *Balancer) Moved(id string) {
+	if r := b.replicas[id]; r != nil {
+		r.Leaving = true
+		r.moved = true
+	}
+}
+
 // Choose returns the best endpoint for the request. It changes nothing.
 func (b *Balancer) Choose(now clock.Millis, request Request) (choice Choice, found bool) {
 	p := b.backends[request.Backend]
 	if p == nil {
 		return Choice{}, false
 	}
-	choice, found = p.choose(now, request, false)
+	choice, found = p.choose(now, request, func(r *replica, _ estimate) bool { return !r.Leaving && now >= r.ejectedUntil })
 	if !found {
-		choice, found = p.choose(now, request, true)
+		choice, found = p.choose(now, request, func(r *replica, _ estimate) bool { return !r.Leaving })
 	}
 	return choice, found
 }
 
-// choose takes the least cost; ejected endpoints count only if asked for.
-func (p *pool) choose(now clock.Millis, request Request, ejected bool) (choice Choice, found bool) {
+// ChooseLeaving returns the best endpoint among those that are leaving and stay
+// long enough to answer the request. It is for requests that no other endpoint
+// can serve in time.
+func (b *Balancer) ChooseLeaving(now clock.Millis, request Request) (choice Choice, found bool) {
+	p := b.backends[request.Backend]
+	if p == nil {
+		return Choice{}, false
+	}
+	return p.choose(now, request, func(r *replica, e estimate) bool {
+		answered := clock.Millis(e.waits.total()) + clock.Millis(request.Output)*tokenTime
+		stay := r.LeavesAt - now
+		return r.Leaving && !r.moved && now >= r.ejectedUntil && stay >= minStay && answered <= stay
+	})
+}
+
+// choose takes the least cost among the endpoints that are eligible.
+func (p *pool) choose(now clock.Millis, request Request, eligible func(r *replica, e estimate) bool) (choice Choice, found bool) {
 	best := 0.0
 	for _, r := range p.members {
-		if r.Leaving || (!ejected && now < r.ejectedUntil) || excluded(request.Exclude, r.ID) {
+		if excluded(request.Exclude, r.ID) {
 			continue
 		}
 		e := p.estimate(now, r, request)
+		if !eligible(r, e) {
+			continue
+		}
 		if !found || e.cost < best {
 			best, found = e.cost, true
-			choice = Choice{Endpoint: r.ID, Uncached: e.uncached, FirstToken: clock.Millis(e.firstToken)}
+			choice = Choice{Endpoint: r.ID, Uncached: e.uncached, FirstToken: clock.Millis(e.waits.total()), Waits: e.waits}
 		}
 	}
 	return choice, found
--- a/internal/decide/balance/estimate.go
+++ b/internal/decide/balance/estimate.go
@@ -25,15 +25,21 @@
 	otherDomainPerKB = 1.5
 	// failureCost is the cost of an endpoint of which every request fails.
 	failureCost = 1500
+	// minStay is the least time until which a leaving endpoint gets new
+	// requests; some of it may pass before they arrive.
+	minStay = 900 * clock.Millisecond
+	// tokenTime is how long the generation of a token takes at most in a busy
+	// engine.
+	tokenTime = 8 * clock.Millisecond
 	// reportAge is how long a stated load says something.
 	reportAge = 300 * clock.Millisecond
 )
 
 // estimate is what a request would meet at an endpoint.
 type estimate struct {
-	uncached   int
-	firstToken float64
-	cost       float64
+	uncached int
+	waits    Waits
+	cost     float64
 }
 
 // estimate foresees a request at the endpoint r.
@@ -42,12 +48,10 @@
 	if r.CacheTokens > 0 {
 		e = p.engine(now, r, request)
 	} else {
-		e.firstToken = p.plain(now, r)
-		e.cost = e.firstToken
+		e.waits.Work = p.plain(now, r)
 	}
-	late := float64(r.overdue(now))
-	e.firstToken += late
-	e.cost += late
+	e.waits.Overdue = float64(r.overdue(now))
+	e.cost += e.waits.total()
 	if excess := r.failures - p.failures; excess > 0 {
 		e.cost += excess * failureCost
 	}
@@ -70,19 +74,18 @@
 // engine foresees the first token of a model engine, and what the prompt costs
 // the streams beside it.
 func (p *pool) engine(now clock.Millis, r *replica, request Request) estimate {
-	prompt := request.Prompt()
-	cached := r.cache.match(request.Parts)
-	uncached := prompt - cached
+	uncached := request.Prompt() - r.cache.match(request.Parts)
 	own := p.prefillTime(r, uncached)
 	e := estimate{uncached: uncached}
-	e.firstToken = baseTime + float64(max(r.busyUntil-now, 0)) + own
+	e.waits.Work = baseTime + own
+	e.waits.Queue = float64(max(r.busyUntil-now, 0))
 	if full := r.jobs + 1 - r.Slots; full > 0 {
-		e.firstToken += float64(full) * slotWait
+		e.waits.Slot = float64(full) * slotWait
 	}
 	if r.held+uncached+request.Output > r.CacheTokens {
-		e.firstToken += memoryWait
+		e.waits.Memory = memoryWait
 	}
-	e.cost = e.firstToken + own*harmShare*float64(r.harmed(request.Priority))
+	e.cost = own * harmShare * float64(r.harmed(request.Priority))
 	e.cost += r.recentPrefill(now) * exposureShare * exposure(request)
 	return e
 }
--- a/internal/decide/balance/replica.go
+++ b/internal/decide/balance/replica.go
@@ -62,6 +62,8 @@
 	reported   int
 	reportedAt clock.Millis
 	cache      *cache
+	// moved says that its address belongs to another endpoint.
+	moved bool
 }
 
 // priorities is how many ranks are told apart.
--- a/internal/endpoint/roster/roster.go
+++ b/internal/endpoint/roster/roster.go
@@ -4,11 +4,11 @@
 // An entry that is removed right after an outage of the table may belong to an
 // endpoint that lives and could not renew it; it stays in use until the
 // endpoint has had time to come back. An endpoint that was once said to be
-// leaving gets no new work again, whatever older news say.
+// leaving is so for good, whatever older news say.
 //
 // # Usage
 //
-//	r := roster.New(clk, changed)
+//	r := roster.New(clk, drainTime, changed)
 //	r.Replace(entries, revision, asOf)
 //	r.Update(entries, removed, revision, asOf)
 //	r.Leaving("i-7f3a91c2")
@@ -47,8 +47,9 @@
 
 // Roster holds the endpoints. It is safe for concurrent use.
 type Roster struct {
-	clock   clock.Clock
-	changed func([]Endpoint)
+	clock     clock.Clock
+	drainTime clock.Millis
+	changed   func([]Endpoint)
 
 	mu        sync.Mutex
 	endpoints map[string]Endpoint
@@ -65,9 +66,10 @@
 }
 
 // New returns an empty Roster that calls changed, one call at a time, with
-// every new list.
-func New(clk clock.Clock, changed func([]Endpoint)) *Roster {
-	return &Roster{clock: clk, changed: changed, endpoints: make(map[string]Endpoint)}
+// every new list. Endpoints serve for drainTime after they said that they are
+// leaving; 0 if that is not known.
+func New(clk clock.Clock, drainTime clock.Millis, changed func([]Endpoint)) *Roster {
+	return &Roster{clock: clk, drainTime: drainTime, changed: changed, endpoints: make(map[string]Endpoint)}
 }
 
 // Lost notes that the table cannot be read.
@@ -110,7 +112,6 @@
 	if r.known && revision < r.revision {
 		return
 	}
-	r.confirmed = max(r.confirmed, asOf)
 	listed := make(map[string]bool, len(entries))
 	for _, entry := range entries {
 		listed[entry.ID] = true
@@ -122,6 +123,7 @@
 		}
 	}
 	r.known, r.revision = true, revision
+	r.confirmed = max(r.confirmed, asOf)
 	r.publish()
 }
 
@@ -130,7 +132,6 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.regained(asOf)
-	r.confirmed = max(r.confirmed, asOf)
 	for _, entry := range entries {
 		r.put(entry)
 	}
@@ -138,6 +139,7 @@
 		r.remove(id)
 	}
 	r.revision = max(r.revision, revision)
+	r.confirmed = max(r.confirmed, asOf)
 	dropped := r.dropMissing()
 	if len(entries) > 0 || len(removed) > 0 || dropped {
 		r.publish()
@@ -158,13 +160,29 @@
 	if found && old.Incarnation > entry.Incarnation {
 		return
 	}
+	entry.LeavesAt = 0
 	if found && old.Incarnation == entry.Incarnation {
+		entry.LeavesAt = r.leavesAt(old, entry)
 		entry.Leaving = entry.Leaving || old.Leaving
 	}
 	entry.Missing = false
 	r.endpoints[entry.ID] = entry
 }
 
+// leavesAt returns until when an endpoint serves at least, if it is leaving. It
+// may have said so at any time since the list was last known to be right.
+func (r *Roster) leavesAt(old, entry Endpoint) clock.Millis {
+	switch {
+	case old.Leaving:
+		return old.LeavesAt
+	case !entry.Leaving || r.drainTime == 0:
+		return 0
+	case entry.LeavesIn > 0:
+		return r.confirmed + min(r.drainTime, entry.LeavesIn)
+	}
+	return r.confirmed + r.drainTime
+}
+
 func (r *Roster) remove(id string) {
 	entry, found := r.endpoints[id]
 	if !found {
@@ -201,8 +219,10 @@
 	if !found || entry.Leaving {
 		return
 	}
-	entry.Leaving = true
-	r.endpoints[id] = entry
+	said := entry
+	said.Leaving = true
+	said.LeavesAt = r.leavesAt(entry, said)
+	r.endpoints[id] = said
 	r.publish()
 }
 
--- a/internal/endpoint/roster/roster_test.go
+++ b/internal/endpoint/roster/roster_test.go
@@ -18,7 +18,7 @@
 
 func newFixture() *fixture {
 	f := &fixture{clock: clock.NewManual(1000)}
-	f.Roster = roster.New(f.clock.Clock(), func(list []roster.Endpoint) { f.last = list })
+	f.Roster = roster.New(f.clock.Clock(), 2*clock.Second, func(list []roster.Endpoint) { f.last = list })
 	return f
 }
 
@@ -200,3 +200,37 @@
 	f.Gone("a")
 	f.expect(t, "b")
 }
+
+// TestLeavingTimeCountsFromTheLastConfirmedList: an endpoint may have said that
+// it is leaving right after the list was last known to be right.
+func TestLeavingTimeCountsFromTheLastConfirmedList(t *testing.T) {
+	f := newFixture()
+	first := f.clock.Now()
+	f.Replace([]roster.Endpoint{entry("a", 1), entry("b", 1), entry("c", 1)}, 1, first)
+	f.clock.Advance(700)
+	leaving := entry("a", 1)
+	leaving.Leaving = true
+	f.Update([]roster.Endpoint{leaving}, nil, 2, f.clock.Now())
+	f.clock.Advance(500)
+	f.Leaving("b")
+	f.Update([]roster.Endpoint{leaving}, nil, 3, f.clock.Now())
+	soon := entry("c", 1)
+	soon.Leaving, soon.LeavesIn = true, clock.Second
+	f.Update([]roster.Endpoint{soon}, nil, 4, f.clock.Now())
+	for i, want := range []clock.Millis{first + 2000, first + 2700, first + 2200} {
+		if got := f.last[i].LeavesAt; got != want {
+			t.Errorf("%s leaves at %v, want %v", f.last[i].ID, got, want)
+		}
+	}
+}
+
+// TestEndpointFirstSeenLeavingMayLeaveAtAnyTime: nobody knows since when it is.
+func TestEndpointFirstSeenLeavingMayLeaveAtAnyTime(t *testing.T) {
+	f := newFixture()
+	leaving := entry("a", 1)
+	leaving.Leaving, leaving.LeavesAt = true, 99000
+	f.Replace([]roster.Endpoint{leaving}, 1, f.clock.Now())
+	if got := f.last[0].LeavesAt; got != 0 {
+		t.Errorf("leaves at %v, want 0", got)
+	}
+}
--- a/internal/peer/fleet/board.go
+++ b/internal/peer/fleet/board.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
@@ -87,15 +88,9 @@
 	defer b.mu.Unlock()
 	now := b.clock.Now()
 	b.expire(now)
-	choice, found := b.balancer.Choose(now, request)
-	if !found {
-		return relay.Placement{}, relay.Refusal{Reason: "no endpoint of the back end can take the request", RetryAfter: b.returnAfter(minReturn)}
-	}
-	if excess, admitted := b.balancer.Admit(request, choice, timeLeft); !admitted {
-		return relay.Placement{}, relay.Refusal{
-			Reason:     "overloaded: first token expected after " + choice.FirstToken.String(),
-			RetryAfter: b.returnAfter(excess),
-		}
+	choice, refusal := b.choose(now, request, timeLeft)
+	if refusal.Reason != "" {
+		return relay.Placement{}, refusal
 	}
 	b.nextJob++
 	job := balance.Job{
@@ -110,6 +105,46 @@
 	return relay.Placement{Job: job.ID, Endpoint: choice.Endpoint, Address: b.addresses[choice.Endpoint], Expected: choice.FirstToken}, relay.Refusal{}
 }
 
+// choose returns an endpoint that can serve the request in time, one that is
+// leaving if there is no other.
+func (b *Board) choose(now clock.Millis, request balance.Request, timeLeft clock.Millis) (balance.Choice, relay.Refusal) {
+	choice, found := b.balancer.Choose(now, request)
+	excess := minReturn
+	if found {
+		wait, admitted := b.balancer.Admit(now, request, choice, timeLeft)
+		if admitted {
+			return choice, relay.Refusal{}
+		}
+		excess = wait
+	}
+	if leaving, stays := b.balancer.ChooseLeaving(now, request); stays {
+		if _, admitted := b.balancer.Admit(now, request, leaving, timeLeft); admitted {
+			return leaving, relay.Refusal{}
+		}
+	}
+	if !found {
+		return choice, relay.Refusal{Reason: "no endpoint of the back end can take the request", RetryAfter: b.returnAfter(excess)}
+	}
+	b.refused(now, request, choice)
+	return choice, relay.Refusal{
+		Reason:     "overloaded: first token expected after " + choice.FirstToken.String() + " (" + choice.Waits.String() + ")",
+		RetryAfter: b.returnAfter(excess),
+	}
+}
+
+// refused notes that a request was refused, for the peers as well, if prompts
+// of others stood in its way.
+func (b *Board) refused(now clock.Millis, request balance.Request, choice balance.Choice) {
+	if !choice.Waits.Crowded() {
+		return
+	}
+	b.balancer.Refused(now, request.Backend, request.Priority)
+	noted := refusal{Backend: request.Backend, Priority: request.Priority}
+	if !slices.Contains(b.pending.Refused, noted) {
+		b.pending.Refused = append(b.pending.Refused, noted)
+	}
+}
+
 // returnAfter spreads callers that were refused.
 func (b *Board) returnAfter(wait clock.Millis) clock.Millis {
 	base := min(max(wait, minReturn), maxReturn)
@@ -152,7 +187,7 @@
 func (b *Board) moved(endpoint string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.balancer.Leaving(endpoint)
+	b.balancer.Moved(endpoint)
 }
 
 func (b *Board) offered(backend string) {
@@ -221,4 +256,7 @@
 	for _, id := range n.Leaving {
 		b.balancer.Leaving(id)
 	}
+	for _, r := range n.Refused {
+		b.balancer.Refused(now, r.Backend, r.Priority)
+	}
 }
--- a/internal/settings/gateway/settings.go
+++ b/internal/settings/gateway/settings.go
@@ -83,6 +83,9 @@
 	RetryWindow clock.Millis
 	// UsageWindow is the length of the windows in which usage is billed.
 	UsageWindow clock.Millis
+	// DrainTime is how long endpoints serve after they said that they are
+	// leaving; 0 if that is not known.
+	DrainTime clock.Millis
 	// LeaseTime is the time in which two daemons must not act in turn.
 	LeaseTime clock.Millis
 }
@@ -142,6 +145,8 @@
 		func(s *Settings) any { return &s.Bounds.RetryWindow }},
 	{ini.Field{Section: "Bounds", Name: "UsageWindow", Type: ini.Duration, Default: "5s", Min: 100, Max: maxDuration, Help: "Length of the windows in which usage is billed."},
 		func(s *Settings) any { return &s.Bounds.UsageWindow }},
+	{ini.Field{Section: "Bounds", Name: "DrainTime", Type: ini.Duration, Default: "0s", Max: maxDuration, Help: "How long endpoints serve after they said that they are leaving; they get no new requests then when it is 0."},
+		func(s *Settings) any { return &s.Bounds.DrainTime }},
 	{ini.Field{Section: "Bounds", Name: "LeaseTime", Type: ini.Duration, Default: "3s", Min: 500, Max: maxDuration, Help: "Time in which two daemons must not act in turn."},
 		func(s *Settings) any { return &s.Bounds.LeaseTime }},
 	{ini.Field{Section: "Log", Name: "Level", Type: ini.Choice, Default: "info", Choices: []string{"debug", "info", "warning", "error"}, Help: "Least level that is logged."},
