--- a/internal/caller/relay/exchange.go
+++ b/internal/caller/relay/exchange.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -34,6 +33,9 @@
 	route *document.Route
 	team  *document.Team
 	body  []byte
+	// bodyEnded says that the body was read to its end, whether it is kept
+	// or not.
+	bodyEnded bool
 	// backend is the name of the back end that the request goes to.
 	backend  string
 	deadline clock.Millis
@@ -147,59 +149,6 @@
 	return x.route.Priority
 }
 
-// readBody reads the whole body, so that the request can be sent again.
-func (x *exchange) readBody() bool {
-	limit := x.configuration.Index.Limits().MaxBodyBytes
-	if x.r.ContentLength > limit {
-		x.refuse(http.StatusRequestEntityTooLarge, Refusal{Reason: "body too large"})
-		return false
-	}
-	control := http.NewResponseController(x.w)
-	_ = control.SetReadDeadline(x.handler.wallDeadline(x.deadline))
-	body, err := readAll(x.r.Body, x.r.ContentLength, limit)
-	_ = control.SetReadDeadline(x.handler.wallDeadline(0))
-	switch {
-	case errors.Is(err, errTooLarge):
-		x.refuse(http.StatusRequestEntityTooLarge, Refusal{Reason: "body too large"})
-		return false
-	case err != nil:
-		x.w.Header().Set("Connection", "close")
-		x.refuse(http.StatusBadRequest, Refusal{Reason: "body incomplete: " + err.Error()})
-		return false
-	}
-	x.body = body
-	return true
-}
-
-var errTooLarge = errors.New("body exceeds the limit")
-
-// readAll reads a body of the announced length, or of an unknown one, up to a
-// limit.
-func readAll(body io.Reader, length, limit int64) ([]byte, error) {
-	if length == 0 {
-		return nil, nil
-	}
-	if length > 0 {
-		whole := make([]byte, length)
-		_, err := io.ReadFull(body, whole)
-		if err != nil {
-			return nil, err
-		}
-		// The end of the body has to be seen for the server to notice when
-		// the caller leaves.
-		_, err = body.Read(make([]byte, 1))
-		if err != nil && err != io.EOF {
-			return nil, err
-		}
-		return whole, nil
-	}
-	whole, err := io.ReadAll(io.LimitReader(body, limit+1))
-	if err == nil && int64(len(whole)) > limit {
-		return nil, errTooLarge
-	}
-	return whole, err
-}
-
 // placeRequest describes the request to the scheduler.
 func (x *exchange) placeRequest() balance.Request {
 	request := balance.Request{
@@ -228,6 +177,7 @@
 	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	x.trace.end(status, refusal.Reason)
+	x.leaveBody()
 	x.w.WriteHeader(status)
 	_, _ = io.WriteString(x.w, refusal.Reason+"\n")
 }
