--- a/internal/caller/relay/relay_test.go
+++ b/internal/caller/relay/relay_test.go
@@ -48,10 +48,11 @@
 
 // fixture is a handler before some endpoints.
 type fixture struct {
-	t         *testing.T
+	t         testing.TB
 	caller    *httptest.Server
 	endpoints []*httptest.Server
 	log       *logtest.Hook
+	logger    *logrus.Logger
 
 	mu       sync.Mutex
 	config   relay.Configuration
@@ -64,7 +65,7 @@
 }
 
 // newFixture starts one endpoint for each function.
-func newFixture(t *testing.T, serve ...http.HandlerFunc) *fixture {
+func newFixture(t testing.TB, serve ...http.HandlerFunc) *fixture {
 	f := &fixture{t: t, tokens: 10}
 	for i, handle := range serve {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -103,6 +104,7 @@
 			f.begun++
 		},
 	})
+	f.logger = logger
 	f.caller = httptest.NewServer(handler)
 	t.Cleanup(f.caller.Close)
 	return f
--- a/internal/caller/relay/trace.go
+++ b/internal/caller/relay/trace.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
@@ -24,6 +26,7 @@
 	requests = metric.NewCounter("Relay.Requests", "Requests whose head was read.")
 	started  = metric.NewHistograms("Relay.FirstEvent", "Time from a request to the first event of its stream in ms, by priority.")
 	served   = metric.NewHistograms("Relay.Served", "Time from a request to the end of its answer in ms, by priority and status.")
+	outcomes = metric.NewMap("Relay.Outcomes", "Requests by route, priority, status, and the kind of reason where there is one.")
 	ended    = metric.NewMap("Relay.Ended", "Requests by the status of their final answer; 0 for those that were broken off or abandoned.")
 )
 
@@ -117,11 +120,12 @@
 	}
 	t.done = true
 	ended.Add(strconv.Itoa(t.status), 1)
+	outcomes.Add(x.outcome(), 1)
 	now := x.handler.config.Clock.Now()
 	took := now - x.arrived
 	late := x.late(now)
 	x.measure(took)
-	if !t.notable() && late == "" && requests.Value()%sampleEvery != 0 {
+	if !t.notable() && late == "" && !sampled(x.call.ID) {
 		return
 	}
 	logger := x.handler.config.Logger.WithField("Request", x.call.ID)
@@ -144,6 +148,26 @@
 	eventEnded.Log(logger, fields)
 }
 
+// outcome is the key under which the end of the request is counted. The kind of
+// a reason is what stands before its first colon.
+func (x *exchange) outcome() string {
+	if x.route == nil {
+		return "NoRoute." + strconv.Itoa(x.trace.status)
+	}
+	key := x.route.Name + ".Priority" + strconv.Itoa(x.priority()) + "." + strconv.Itoa(x.trace.status)
+	if x.trace.reason == "" {
+		return key
+	}
+	kind, _, _ := strings.Cut(x.trace.reason, ":")
+	return key + "." + kind
+}
+
+// sampled picks requests by their ids, so that no kind of request that comes at
+// regular places among the others is passed over.
+func sampled(id string) bool {
+	return xxhash.Sum64String(id)%sampleEvery == 0
+}
+
 // measure records how long the request took.
 func (x *exchange) measure(took clock.Millis) {
 	if x.route == nil {
--- a/internal/daemon/gateway/duties.go
+++ b/internal/daemon/gateway/duties.go
@@ -58,11 +58,15 @@
 	}
 }
 
-func (d *Daemon) report(ctx context.Context, fence uint64, window billing.Window) error {
+func (d *Daemon) report(ctx context.Context, fence uint64, window billing.Window) (err error) {
+	began := d.clock.Now()
+	defer func() { d.noteDutyCall("Report", began, err) }()
 	return d.platform.Report(ctx, d.dutyCall(fence), window)
 }
 
-func (d *Daemon) order(ctx context.Context, fence uint64, order supply.Order) error {
+func (d *Daemon) order(ctx context.Context, fence uint64, order supply.Order) (err error) {
+	began := d.clock.Now()
+	defer func() { d.noteDutyCall("Order", began, err) }()
 	return d.platform.Order(ctx, d.dutyCall(fence), order)
 }
 
--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -165,7 +165,8 @@
 	storeClient := &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: storeConnections, IdleConnTimeout: storeIdle.Duration(), DisableCompression: true,
 	}}
-	d.table, d.feed = d.platform.Store(d.settings.Platform.Store, storeClient)
+	rows, changes := d.platform.Store(d.settings.Platform.Store, storeClient)
+	d.table, d.feed = rows.Observed(d.clock, noteStoreCall), changes.Observed(d.clock, noteStoreCall)
 	d.document = document.NewHolder()
 	d.roster = roster.New(d.clock, d.settings.Bounds.DrainTime, d.endpointsChanged)
 	d.tally = tally.New(d.incarnation, d.settings.Bounds.UsageWindow)
--- a/internal/peer/fleet/board.go
+++ b/internal/peer/fleet/board.go
@@ -199,7 +199,13 @@
 func (b *Board) retry(backend string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.budget.Retry(b.clock.Now(), backend, b.daemons())
+	granted := b.budget.Retry(b.clock.Now(), backend, b.daemons())
+	if granted {
+		retries.Add(backend+".Granted", 1)
+	} else {
+		retries.Add(backend+".Refused", 1)
+	}
+	return granted
 }
 
 // Busy returns how many endpoints' worth of time the prompts of a back end took
--- a/internal/peer/fleet/events.go
+++ b/internal/peer/fleet/events.go
@@ -4,8 +4,11 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/banyanshift/banyanshift/internal/observe/event"
+	"github.com/banyanshift/banyanshift/internal/observe/metric"
 )
 
+var retries = metric.NewMap("Budget.Retries", "Repeated requests that the retry budget was asked for, by back end, granted or refused.")
+
 var (
 	eventPeerJoined = event.New(1410, logrus.InfoLevel, "peer joined",
 		"Another daemon of the fleet was found.")
