--- a/coord/table/memory.go
+++ b/coord/table/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sort"
 	"strings"
 	"sync"
@@ -26,8 +27,14 @@
 	LoseAnswers bool
 	// DropCommits makes Commit have no effect and return ErrUnknown.
 	DropCommits bool
+	// MaxValueBytes makes Commit fail with ErrTooLarge where a value is
+	// longer; 0 for no limit.
+	MaxValueBytes int
 }
 
+// ErrTooLarge is returned for a value that is longer than the table takes.
+var ErrTooLarge = errors.New("value is too large")
+
 // NewMemory returns an empty table.
 func NewMemory() *Memory {
 	return &Memory{rows: make(map[string]Row), nextVersion: 1}
@@ -107,6 +114,11 @@
 			return ErrConflict
 		}
 	}
+	for _, write := range txn.Writes {
+		if most := m.fault.MaxValueBytes; most > 0 && len(write.Value) > most {
+			return ErrTooLarge
+		}
+	}
 	for _, write := range txn.Writes {
 		m.apply(write)
 	}
--- a/internal/peer/fleet/fleet.go
+++ b/internal/peer/fleet/fleet.go
@@ -20,6 +20,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -275,9 +276,10 @@
 
 func (f *Fleet) collectFrom(ctx context.Context, p link.Peer, first int64) {
 	answer, err := link.Call[usageRequest, usageAnswer](ctx, f.config.Link, p, message.FleetUsage, usageRequest{First: first})
+	for _, sheet := range answer.Sheets {
+		err = errors.Join(err, f.config.Tally.MergeSheet(sheet))
+	}
 	if err != nil {
 		eventFetchFailed.Log(f.config.Logger, logrus.Fields{"Address": p.Address, "What": "usage", "Error": err.Error()})
-		return
 	}
-	f.config.Tally.Merge(answer.Entries)
 }
--- a/internal/peer/fleet/message.go
+++ b/internal/peer/fleet/message.go
@@ -96,5 +96,5 @@
 
 // usageAnswer has the counts that a daemon knows.
 type usageAnswer struct {
-	Entries []tally.Entry
+	Sheets []tally.Sheet
 }
--- a/internal/usage/billing/billing.go
+++ b/internal/usage/billing/billing.go
@@ -13,6 +13,7 @@
 package billing
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"strconv"
@@ -55,7 +56,10 @@
 	callTimeout = clock.Second
 
 	windowPrefix = "Usage/Window/"
-	openKey      = "Usage/Open"
+	// openPrefix is that of the rows of saved windows. A later window takes
+	// the row of an earlier one again, so that their number is bounded.
+	openPrefix = "Usage/Open/"
+	openRows   = 16
 )
 
 // Window is the sealed usage of a window.
@@ -98,13 +102,15 @@
 	// next is the first window that is not done.
 	next  int64
 	saved clock.Millis
+	// rows are the values that were saved last, by key.
+	rows map[string][]byte
 	// done are windows after next that are done.
 	done map[int64]bool
 }
 
 // Work seals and reports during one term; it is a hold.Work.
 func (b *Biller) Work(ctx context.Context, held hold.Term) error {
-	t := &term{Biller: b, fence: held.Fence, done: make(map[int64]bool)}
+	t := &term{Biller: b, fence: held.Fence, done: make(map[int64]bool), rows: make(map[string][]byte)}
 	t.next = b.config.Tally.Window(b.config.Clock.Wall()) - lookBack
 	t.restore(ctx)
 	for {
@@ -120,20 +126,21 @@
 func (t *term) restore(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
-	row, err := t.config.Table.Get(ctx, openKey)
+	rows, err := t.config.Table.Scan(ctx, openPrefix, "", openRows)
 	if err != nil {
 		eventFailed.Log(t.config.Logger, logrus.Fields{"Step": "restore", "Error": err.Error()})
 		return
 	}
-	if row.Version == 0 {
-		return
-	}
-	var entries []tally.Entry
-	if err := msgpack.Unmarshal(row.Value, &entries); err != nil {
-		eventUnreadable.Log(t.config.Logger, logrus.Fields{"Key": openKey, "Error": err.Error()})
-		return
+	for _, row := range rows {
+		var sheet tally.Sheet
+		err := msgpack.Unmarshal(row.Value, &sheet)
+		if err == nil && sheet.Window >= t.next {
+			err = t.config.Tally.MergeSheet(sheet)
+		}
+		if err != nil {
+			eventUnreadable.Log(t.config.Logger, logrus.Fields{"Key": row.Key, "Error": err.Error()})
+		}
 	}
-	t.config.Tally.Merge(entries)
 }
 
 // settle seals and reports the windows that are due.
@@ -213,24 +220,42 @@
 	return window, nil
 }
 
-// save writes the counts of the windows that are not sealed yet.
+// save writes the counts of the windows that are not sealed yet, if they have
+// changed.
 func (t *term) save(ctx context.Context) {
 	now := t.config.Clock.Now()
 	if now-t.saved < saveInterval {
 		return
 	}
 	t.saved = now
-	entries := t.config.Tally.Entries(t.next)
-	if len(entries) == 0 {
-		return
-	}
-	value, err := msgpack.Marshal(entries)
-	if err == nil {
+	writes, err := t.unsaved()
+	if err == nil && len(writes) > 0 {
 		calling, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 		defer cancel()
-		err = t.config.Table.Commit(calling, table.Txn{Writes: []table.Write{{Key: openKey, Value: value}}})
+		err = t.config.Table.Commit(calling, table.Txn{Writes: writes})
+	}
+	if err != nil {
+		if !errors.Is(err, context.Canceled) {
+			eventFailed.Log(t.config.Logger, logrus.Fields{"Step": "save", "Error": err.Error()})
+		}
+		return
+	}
+	for _, write := range writes {
+		t.rows[write.Key] = write.Value
 	}
-	if err != nil && !errors.Is(err, context.Canceled) {
-		eventFailed.Log(t.config.Logger, logrus.Fields{"Step": "save", "Error": err.Error()})
+}
+
+// unsaved returns the rows that differ from those that were saved last.
+func (t *term) unsaved() (writes []table.Write, err error) {
+	for _, sheet := range t.config.Tally.Sheets(t.next) {
+		value, err := msgpack.Marshal(sheet)
+		if err != nil {
+			return nil, err
+		}
+		key := openPrefix + strconv.FormatInt(sheet.Window%openRows, 10)
+		if !bytes.Equal(value, t.rows[key]) {
+			writes = append(writes, table.Write{Key: key, Value: value})
+		}
 	}
+	return writes, nil
 }
--- a/internal/usage/billing/billing_test.go
+++ b/internal/usage/billing/billing_test.go
@@ -187,3 +187,28 @@
 	w.run(b, 1, clock.Second)
 	w.expect(100, "map[himal:1]")
 }
+
+// TestOpenWindowsOfALargeFleetFitTheTable: what 300 daemons count for 24 teams
+// outlasts the loss of all daemons, in a table with rows of 64 KiB at most.
+func TestOpenWindowsOfALargeFleetFitTheTable(t *testing.T) {
+	const daemons, teams, each = 300, 24, 1000
+	w := newWorld(t)
+	w.table.SetFault(table.Fault{MaxValueBytes: 64 << 10})
+	first := tally.New("front-of-some-length-000-1a2b3c4d", length)
+	for daemon := range daemons {
+		for team := range teams {
+			source, name := fmt.Sprintf("front-of-some-length-%03d-5e6f7a8b", daemon), fmt.Sprintf("team-with-a-name-%02d", team)
+			for window := int64(99); window <= 101; window++ {
+				first.Merge([]tally.Entry{{Window: window, Source: source, Team: name, Count: each}})
+			}
+		}
+	}
+	w.run(w.biller(first, func() {}), 1, 2*clock.Second)
+	w.fence = 2
+	w.run(w.biller(tally.New("b", length), func() {}), 2, 7*clock.Second)
+	counts := make(map[string]int64)
+	for team := range teams {
+		counts[fmt.Sprintf("team-with-a-name-%02d", team)] = daemons * each
+	}
+	w.expect(100, fmt.Sprint(counts))
+}
--- a/internal/usage/tally/tally.go
+++ b/internal/usage/tally/tally.go
@@ -9,6 +9,7 @@
 //	t := tally.New(incarnation, 5*clock.Second)
 //	t.Add("himal", wall)
 //	t.Merge(entriesOfAnother)
+//	err := t.MergeSheet(sheetOfAnother)
 //	sums := t.Sum(window)
 package tally
 
@@ -108,22 +109,6 @@
 	return entries
 }
 
-// Entries returns all counts of the windows from first on.
-func (t *Tally) Entries(first int64) []Entry {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var entries []Entry
-	for window, cells := range t.windows {
-		if window < first {
-			continue
-		}
-		for c, count := range cells {
-			entries = append(entries, Entry{Window: window, Source: c.source, Team: c.team, Count: count})
-		}
-	}
-	return entries
-}
-
 // Merge takes in counts that others hold.
 func (t *Tally) Merge(entries []Entry) {
 	t.mu.Lock()
--- a/internal/usage/tally/tally_test.go
+++ b/internal/usage/tally/tally_test.go
@@ -29,7 +29,11 @@
 			}
 			holder := tally.New("holder", length)
 			for _, n := range append(merges, 0, 1, 2) {
-				holder.Merge(sources[n%3].Entries(0))
+				for _, sheet := range sources[n%3].Sheets(0) {
+					if err := holder.MergeSheet(sheet); err != nil {
+						return false
+					}
+				}
 			}
 			total := int64(0)
 			for window := range int64(5) {
@@ -58,7 +62,19 @@
 	counts := tally.New("a", length)
 	counts.Add("himal", 0)
 	counts.Add("himal", 100*length)
-	if entries := counts.Entries(0); len(entries) != 1 {
-		t.Errorf("%d windows are kept", len(entries))
+	if sheets := counts.Sheets(0); len(sheets) != 1 {
+		t.Errorf("%d windows are kept", len(sheets))
+	}
+}
+
+func TestSheetThatEndsEarlyChangesNothing(t *testing.T) {
+	counts := tally.New("a", length)
+	counts.Add("himal", 0)
+	counts.Add("halvorsen", 0)
+	sheet := counts.Sheets(0)[0]
+	sheet.Counts = sheet.Counts[:1]
+	other := tally.New("b", length)
+	if err := other.MergeSheet(sheet); err == nil || len(other.Sum(0)) != 0 {
+		t.Errorf("error %v, counts %v", err, other.Sum(0))
 	}
 }
