--- a/internal/decide/balance/admit.go
+++ b/internal/decide/balance/admit.go
@@ -21,10 +21,6 @@
 	// servedShare is the part of the time left in which a request must be
 	// expected to begin.
 	servedShare = 0.8
-	// deferSpan is how long after the refusal of a request for its wait less
-	// urgent ones have only deferShare of their patience.
-	deferSpan  = clock.Second
-	deferShare = 0.25
 )
 
 // Admit reports whether a request for which an endpoint was chosen should run
@@ -33,8 +29,11 @@
 	if request.Begun {
 		return 0, true
 	}
+	if wait := b.share(now, request, choice); wait > 0 {
+		return wait, false
+	}
 	allowed := clock.Millis(servedShare * float64(timeLeft))
-	if patience, limited := b.patience(now, request); limited {
+	if patience, limited := b.patience(request); limited {
 		own := b.prompt(request, choice)
 		patience = patience * longPrompt / min(max(own, 1), longPrompt)
 		if rank(request.Priority) > 1 {
@@ -45,32 +44,21 @@
 	return choice.FirstToken - allowed, choice.FirstToken <= allowed
 }
 
-// Refused records that a request was refused, here or by another daemon, though
-// nothing but other prompts stood in its way.
-func (b *Balancer) Refused(now clock.Millis, backend string, priority int) {
-	b.backend(backend).refusedUntil[rank(priority)] = now + deferSpan
-}
-
 // patience returns how long the request may wait behind others; limited is
 // false where it is the most urgent work that the back end has.
-func (b *Balancer) patience(now clock.Millis, request Request) (patience clock.Millis, limited bool) {
+func (b *Balancer) patience(request Request) (patience clock.Millis, limited bool) {
 	p := b.backends[request.Backend]
 	if p == nil || len(request.Parts) == 0 {
 		return 0, false
 	}
 	own := rank(request.Priority)
-	refused := p.refusesMoreUrgent(now, own)
-	if !refused && !p.hasMoreUrgent(own) {
+	switch {
+	case !p.hasMoreUrgent(own):
 		return 0, false
+	case own == 1:
+		return patienceOfSecond, true
 	}
-	patience = patienceOfOthers
-	if own == 1 {
-		patience = patienceOfSecond
-	}
-	if refused {
-		patience = clock.Millis(deferShare * float64(patience))
-	}
-	return patience, true
+	return patienceOfOthers, true
 }
 
 // prompt is the time in which an idle endpoint computes the prompt.
@@ -82,16 +70,6 @@
 	return clock.Millis(b.backends[request.Backend].prefillTime(r, choice.Uncached))
 }
 
-// refusesMoreUrgent reports whether more urgent requests were refused lately.
-func (p *pool) refusesMoreUrgent(now clock.Millis, than int) bool {
-	for _, until := range p.refusedUntil[:than] {
-		if now < until {
-			return true
-		}
-	}
-	return false
-}
-
 // hasMoreUrgent reports whether more urgent requests run or wait somewhere.
 func (p *pool) hasMoreUrgent(than int) bool {
 	for _, r := range p.members {
--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -71,6 +71,9 @@
 	Priority int
 	// Begun requests have been answered in part.
 	Begun bool
+	// Spread is another number for each request; it decides between endpoints
+	// that are about equally good.
+	Spread uint64
 	// Exclude names endpoints that must not be chosen.
 	Exclude []string
 }
@@ -129,7 +132,8 @@
 	backends map[string]*pool
 	jobs     map[uint64]*job
 	// local is set for the jobs of this daemon.
-	local map[uint64]bool
+	local  map[uint64]bool
+	others Others
 }
 
 // pool is what is known of all endpoints of a back end together.
@@ -141,8 +145,6 @@
 	work float64
 	// failures is the mean share of requests that fail.
 	failures float64
-	// refusedUntil is until when a refusal is taken for recent, by rank.
-	refusedUntil [priorities]clock.Millis
 }
 
 // job is a Job that has not ended.
@@ -230,9 +232,9 @@
 	if p == nil {
 		return Choice{}, false
 	}
-	choice, found = p.choose(now, request, func(r *replica, _ estimate) bool { return !r.Leaving && now >= r.ejectedUntil })
+	choice, found = b.choose(now, p, request, func(r *replica, _ estimate) bool { return !r.Leaving && now >= r.ejectedUntil })
 	if !found {
-		choice, found = p.choose(now, request, func(r *replica, _ estimate) bool { return !r.Leaving })
+		choice, found = b.choose(now, p, request, func(r *replica, _ estimate) bool { return !r.Leaving })
 	}
 	return choice, found
 }
@@ -245,7 +247,7 @@
 	if p == nil {
 		return Choice{}, false
 	}
-	return p.choose(now, request, func(r *replica, e estimate) bool {
+	return b.choose(now, p, request, func(r *replica, e estimate) bool {
 		answered := clock.Millis(e.waits.total()) + clock.Millis(request.Output)*tokenTime
 		stay := r.LeavesAt - now
 		return r.Leaving && !r.moved && now >= r.ejectedUntil && stay >= minStay && answered <= stay
@@ -253,8 +255,9 @@
 }
 
 // choose takes the least cost among the endpoints that are eligible.
-func (p *pool) choose(now clock.Millis, request Request, eligible func(r *replica, e estimate) bool) (choice Choice, found bool) {
+func (b *Balancer) choose(now clock.Millis, p *pool, request Request, eligible func(r *replica, e estimate) bool) (choice Choice, found bool) {
 	best := 0.0
+	unseen := b.unseen(now, p)
 	for _, r := range p.members {
 		if excluded(request.Exclude, r.ID) {
 			continue
@@ -263,8 +266,12 @@
 		if !eligible(r, e) {
 			continue
 		}
-		if !found || e.cost < best {
-			best, found = e.cost, true
+		cost := e.cost
+		if r.CacheTokens > 0 {
+			cost += spreadShare * unseen * spread(r.ID, request.Spread)
+		}
+		if !found || cost < best {
+			best, found = cost, true
 			choice = Choice{Endpoint: r.ID, Uncached: e.uncached, FirstToken: clock.Millis(e.waits.total()), Waits: e.waits}
 		}
 	}
--- a/internal/decide/balance/estimate.go
+++ b/internal/decide/balance/estimate.go
@@ -31,6 +31,9 @@
 	// tokenTime is how long the generation of a token takes at most in a busy
 	// engine.
 	tokenTime = 8 * clock.Millisecond
+	// spreadShare is by how much endpoints may differ, for each millisecond
+	// of unseen work, and still be taken for equally good.
+	spreadShare = 2
 	// reportAge is how long a stated load says something.
 	reportAge = 300 * clock.Millisecond
 )
--- /dev/null
+++ b/internal/decide/balance/unseen.go
@@ -0,0 +1,45 @@
+package balance
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+)
+
+// Others says how much of the fleet's work a daemon hears of late.
+type Others struct {
+	// Share is the part of all requests that other daemons send.
+	Share float64
+	// Lag is the mean age of what is heard of them.
+	Lag clock.Millis
+}
+
+// SetOthers says how much of the work is heard of late.
+func (b *Balancer) SetOthers(others Others) {
+	b.others = others
+}
+
+// unseen is the work, in ms for each endpoint, that others have sent and of
+// which nothing was heard yet, if they go on as they did lately.
+func (b *Balancer) unseen(now clock.Millis, p *pool) float64 {
+	busy, serving := 0.0, 0
+	for _, r := range p.members {
+		busy += min(r.recentPrefill(now)/float64(recentSpan), 1)
+		if !r.Leaving {
+			serving++
+		}
+	}
+	return busy * b.others.Share * float64(b.others.Lag) / float64(max(serving, 1))
+}
+
+// spread returns a number from 0 up to 1 for an endpoint and a request. Daemons
+// that know the same would otherwise all choose the same endpoint until they
+// hear of each other.
+func spread(endpoint string, seed uint64) float64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(endpoint)
+	_, _ = digest.Write(binary.LittleEndian.AppendUint64(nil, seed))
+	return float64(digest.Sum64()>>11) / (1 << 53)
+}
--- a/internal/decide/balance/waits.go
+++ b/internal/decide/balance/waits.go
@@ -25,12 +25,6 @@
 	return w.Work + w.Queue + w.Slot + w.Memory + w.Overdue
 }
 
-// Crowded reports whether other prompts take so long that they are a reason to
-// refuse.
-func (w Waits) Crowded() bool {
-	return w.Queue >= float64(patienceOfSecond)
-}
-
 // String names the waits that are not zero, for logs.
 func (w Waits) String() string {
 	var named []string
--- a/internal/peer/fleet/board.go
+++ b/internal/peer/fleet/board.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"sync"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
@@ -88,6 +87,8 @@
 	defer b.mu.Unlock()
 	now := b.clock.Now()
 	b.expire(now)
+	request.Spread = b.rng.Uint64()
+	b.balancer.SetOthers(balance.Others{Share: othersShare(b.daemons()), Lag: newsEvery(b.daemons())})
 	choice, refusal := b.choose(now, request, timeLeft)
 	if refusal.Reason != "" {
 		return relay.Placement{}, refusal
@@ -105,6 +106,11 @@
 	return relay.Placement{Job: job.ID, Endpoint: choice.Endpoint, Address: b.addresses[choice.Endpoint], Expected: choice.FirstToken}, relay.Refusal{}
 }
 
+// othersShare is the part of all requests that other daemons take.
+func othersShare(daemons int) float64 {
+	return float64(daemons-1) / float64(max(daemons, 1))
+}
+
 // choose returns an endpoint that can serve the request in time, one that is
 // leaving if there is no other.
 func (b *Board) choose(now clock.Millis, request balance.Request, timeLeft clock.Millis) (balance.Choice, relay.Refusal) {
@@ -125,26 +131,12 @@
 	if !found {
 		return choice, relay.Refusal{Reason: "no endpoint of the back end can take the request", RetryAfter: b.returnAfter(excess)}
 	}
-	b.refused(now, request, choice)
 	return choice, relay.Refusal{
 		Reason:     "overloaded: first token expected after " + choice.FirstToken.String() + " (" + choice.Waits.String() + ")",
 		RetryAfter: b.returnAfter(excess),
 	}
 }
 
-// refused notes that a request was refused, for the peers as well, if prompts
-// of others stood in its way.
-func (b *Board) refused(now clock.Millis, request balance.Request, choice balance.Choice) {
-	if !choice.Waits.Crowded() {
-		return
-	}
-	b.balancer.Refused(now, request.Backend, request.Priority)
-	noted := refusal{Backend: request.Backend, Priority: request.Priority}
-	if !slices.Contains(b.pending.Refused, noted) {
-		b.pending.Refused = append(b.pending.Refused, noted)
-	}
-}
-
 // returnAfter spreads callers that were refused.
 func (b *Board) returnAfter(wait clock.Millis) clock.Millis {
 	base := min(max(wait, minReturn), maxReturn)
@@ -262,7 +254,4 @@
 	for _, id := range n.Leaving {
 		b.balancer.Leaving(id)
 	}
-	for _, r := range n.Refused {
-		b.balancer.Refused(now, r.Backend, r.Priority)
-	}
 }
--- a/internal/peer/fleet/fleet.go
+++ b/internal/peer/fleet/fleet.go
@@ -232,11 +232,16 @@
 	return peers
 }
 
+// newsEvery returns the time between two batches of news in a fleet of so many
+// daemons.
+func newsEvery(daemons int) clock.Millis {
+	return min(newsInterval*clock.Millis(max(daemons, newsPeers))/newsPeers, maxNewsInterval)
+}
+
 // newsLoop tells the peers what happens here.
 func (f *Fleet) newsLoop(ctx context.Context) error {
 	for {
-		interval := newsInterval * clock.Millis(max(f.Daemons(), newsPeers)) / newsPeers
-		if err := f.config.Clock.Sleep(ctx, min(interval, maxNewsInterval)); err != nil {
+		if err := f.config.Clock.Sleep(ctx, newsEvery(f.Daemons())); err != nil {
 			return err
 		}
 		f.tell()
--- a/internal/peer/fleet/message.go
+++ b/internal/peer/fleet/message.go
@@ -48,18 +48,10 @@
 	Leaving []string
 	Gone    []string
 	Usage   []tally.Entry
-	// Refused are requests that found no endpoint free in time.
-	Refused []refusal
-}
-
-// refusal is the back end and the priority of a request that was refused.
-type refusal struct {
-	Backend  string
-	Priority int
 }
 
 func (n *news) empty() bool {
-	return len(n.Sent) == 0 && len(n.First) == 0 && len(n.Ended) == 0 && len(n.Leaving) == 0 && len(n.Gone) == 0 && len(n.Usage) == 0 && len(n.Refused) == 0
+	return len(n.Sent) == 0 && len(n.First) == 0 && len(n.Ended) == 0 && len(n.Leaving) == 0 && len(n.Gone) == 0 && len(n.Usage) == 0
 }
 
 // sentJob is a request that was sent to an endpoint Age ago.
