Keep orders of endpoints within the limits of a failure domain

Cause: the planner subtracted the cheap endpoints that serve from the maximum. A failure domain that had more of them than the maximum, while some were replaced, got an order for -1 firm endpoints, which the platform refuses with 400 each second. A domain without cheap endpoints got one firm endpoint beside the maximum of cheap ones, one too many.

Ruled out: the adapter, which sends the count as it is.

Change: the numbers of firm and cheap endpoints are bounded from below, and the cheap ones by what the firm ones leave. TestOrdersStayWithinTheLimits tries all small states and failed before (maximum 1, no cheap endpoints: 1 firm and 1 cheap).

--- a/internal/decide/supply/supply.go
+++ b/internal/decide/supply/supply.go
@@ -137,8 +137,10 @@
 	if loaded {
 		extra = min(missing/cheapPerFirm, maxExtraFirm)
 	}
-	// Missing cheap endpoints leave room for firm ones.
-	return min(firm+extra, scaling.MaxEndpoints-d.CheapEndpoints), cheap - min(extra, cheap)
+	// Missing cheap endpoints leave room for firm ones. There may be more cheap ones
+	// than the maximum while some are replaced.
+	firm = max(min(firm+extra, scaling.MaxEndpoints-d.CheapEndpoints), 0)
+	return firm, min(cheap-min(extra, cheap), scaling.MaxEndpoints-firm)
 }
 
 // mostExpensiveDomain returns the failure domain with the highest endpoint
--- a/internal/decide/supply/supply_test.go
+++ b/internal/decide/supply/supply_test.go
@@ -98,3 +98,31 @@
 		t.Errorf("got orders %v for a back end without cheap endpoints, want 3 firm and 0 cheap", orders)
 	}
 }
+
+// TestOrdersStayWithinTheLimits tries all small states of a failure domain, one after
+// another at one planner: a platform refuses counts that are negative or exceed the
+// maximum together.
+func TestOrdersStayWithinTheLimits(t *testing.T) {
+	for maximum := 1; maximum <= 6; maximum++ {
+		planner := supply.New()
+		scaling := &document.Scaling{MinEndpoints: 1, MaxEndpoints: maximum, CheapPriceRatio: 0.2, DomainPrices: map[string]float64{"a": 1, "b": 2}}
+		backend := document.Backend{Name: "books", Scaling: scaling}
+		for step := range 200 {
+			cheapA, cheapB, promptLoad := step%10, step/10%10, float64(step%3)*5
+			orders := planner.Decide(clock.Millis(step)*clock.Second, supply.Input{
+				Backend: backend, Domains: []supply.Domain{{Name: "a", CheapEndpoints: cheapA}, {Name: "b", CheapEndpoints: cheapB}},
+				PromptLoad: promptLoad, ServingEndpoints: 5,
+			})
+			sums := make(map[string]int)
+			for _, order := range orders {
+				sums[order.FailureDomain] += order.Count
+				if order.Count < 0 {
+					t.Fatalf("maximum %d, cheap endpoints %d and %d: order %+v", maximum, cheapA, cheapB, order)
+				}
+			}
+			if sums["a"] > maximum || sums["b"] > maximum {
+				t.Fatalf("maximum %d, cheap endpoints %d and %d: orders %+v", maximum, cheapA, cheapB, orders)
+			}
+		}
+	}
+}
