Add the tree of a fleet and the passing on of reports as pure packages

Cause: peer/fleet pings every other daemon, opens a connection to each and sends each its updates. Connections and messages grow with the square of the fleet, and the time until a failed daemon is noticed with its size (12 s a ping at 195 daemons).

Weighed on paper for 370 daemons in 14 failure domains: every daemon to every other (369 connections, 136,530 in all); gossip with suspicion, as coord/member (few connections, but a bound on detection that grows with the logarithm of the fleet, and no order of who acts); relays that are elected in the table (calls to the store for each change of a relay, and none while it is down); a common order of the VMs of a domain, whose first living one is followed by all (3 connections a daemon, 25 + 26 for a root, nothing to agree on). The last was built.

Change: topology decides whom to contact, to follow and to speak for; fanout decides which report goes where.

--- /dev/null
+++ b/internal/peer/topology/role.go
@@ -0,0 +1,251 @@
+package topology
+
+import (
+	"slices"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+)
+
+const (
+	// domainContacts is the number of live VMs of its own failure domain that a
+	// daemon contacts, and remoteContacts the number of live VMs of each other
+	// domain that a root contacts.
+	domainContacts = 3
+	remoteContacts = 2
+	// domainGrowth and remoteGrowth are the numbers of further VMs that are
+	// contacted for each one that failed.
+	domainGrowth = 4
+	remoteGrowth = 4
+)
+
+// Contacts returns the addresses to ping, sorted.
+func (v *View) Contacts(now clock.Millis) []string {
+	contacts := window(now, v.domains[v.self.FailureDomain], domainContacts, domainGrowth)
+	if v.IsRoot(now) {
+		for _, name := range v.otherDomains() {
+			contacts = append(contacts, window(now, v.domains[name], remoteContacts, remoteGrowth)...)
+		}
+	}
+	for address, c := range v.candidates {
+		if !c.identified {
+			contacts = append(contacts, address)
+		}
+	}
+	slices.Sort(contacts)
+	return contacts
+}
+
+// window returns the first VMs of a list until a number of responding ones is among
+// them. It leaves out undecided VMs beyond that number plus growth for each one that
+// failed.
+func window(now clock.Millis, list []*candidate, live, growth int) (addresses []string) {
+	maxUndecidedVMs := live
+	for _, c := range list {
+		if live == 0 {
+			break
+		}
+		switch c.state(now) {
+		case responding:
+			live--
+		case failed:
+			maxUndecidedVMs += growth
+		case undecided:
+			if maxUndecidedVMs == 0 {
+				continue
+			}
+			maxUndecidedVMs--
+		}
+		addresses = append(addresses, c.Address)
+	}
+	return addresses
+}
+
+// otherDomains returns the names of the other failure domains, sorted.
+func (v *View) otherDomains() (names []string) {
+	for name := range v.domains {
+		if name != v.self.FailureDomain {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// preceding returns the candidates of the own domain that precede this daemon in
+// the order.
+func (v *View) preceding() []*candidate {
+	list := v.domains[v.self.FailureDomain]
+	if v.stopping {
+		return list
+	}
+	place, _ := slices.BinarySearchFunc(list, v.self, func(c *candidate, self VM) int { return compare(c.VM, self) })
+	return list[:place]
+}
+
+// rank returns how many VMs that precede this daemon in its domain may be alive.
+func (v *View) rank(now clock.Millis) (rank int) {
+	for _, c := range v.preceding() {
+		if c.state(now) != failed {
+			rank++
+		}
+	}
+	return rank
+}
+
+// IsRoot reports whether this daemon is the root of its failure domain, as far as
+// it knows.
+func (v *View) IsRoot(now clock.Millis) bool {
+	return v.rank(now) == 0
+}
+
+// Upstream returns the address of the daemon to follow. found is false for a root,
+// and while no VM that precedes this one has answered.
+func (v *View) Upstream(now clock.Millis) (address string, found bool) {
+	c := firstResponding(now, v.preceding())
+	if c == nil {
+		return "", false
+	}
+	return c.Address, true
+}
+
+// Path identifies the way of reports to the root: the upstream and the one that it
+// follows itself. When the path changes, reports may have been lost on the old one.
+func (v *View) Path(now clock.Millis) string {
+	c := firstResponding(now, v.preceding())
+	if c == nil {
+		return ""
+	}
+	return c.Address + " " + c.status.Follows
+}
+
+// UpstreamVM returns the VM to follow, which this daemon names to those that contact
+// it.
+func (v *View) UpstreamVM(now clock.Millis) (vm VM, found bool) {
+	c := firstResponding(now, v.preceding())
+	if c == nil {
+		return VM{}, false
+	}
+	return c.VM, true
+}
+
+// LacksContact reports whether this daemon should look for further VMs: it reaches
+// no other one, or it is a root and reaches none of a failure domain that it knows.
+func (v *View) LacksContact(now clock.Millis) bool {
+	if v.IsRoot(now) {
+		for _, list := range v.domains {
+			if !mayHaveRoot(now, list) {
+				return true
+			}
+		}
+	}
+	for _, list := range v.domains {
+		if firstResponding(now, list) != nil {
+			return false
+		}
+	}
+	return true
+}
+
+func firstResponding(now clock.Millis, list []*candidate) *candidate {
+	for _, c := range list {
+		if c.state(now) == responding {
+			return c
+		}
+	}
+	return nil
+}
+
+// RemoteRoots returns the address of the first VM that responds in each other
+// failure domain. Only a root contacts other domains.
+func (v *View) RemoteRoots(now clock.Millis) (addresses []string) {
+	if !v.IsRoot(now) {
+		return nil
+	}
+	for _, name := range v.otherDomains() {
+		if c := firstResponding(now, v.domains[name]); c != nil {
+			addresses = append(addresses, c.Address)
+		}
+	}
+	return addresses
+}
+
+// LeaderRank returns the place of this daemon in the order of the whole fleet:
+// the roots by the name of their domain, then the daemons that come next in each
+// domain. Daemons with a low rank do the work of which a few suffice.
+func (v *View) LeaderRank(now clock.Millis) int {
+	rank := v.rank(now)
+	if rank > 0 {
+		domains := 1
+		if c := firstResponding(now, v.preceding()); c != nil {
+			domains = max(c.status.Domains, 1)
+		}
+		return rank * domains
+	}
+	for _, name := range v.otherDomains() {
+		if name < v.self.FailureDomain && !isLost(now, v.domains[name]) {
+			rank++
+		}
+	}
+	return rank
+}
+
+// isLost reports whether no VM of a failure domain responds, although some were
+// contacted. VMs that are still undecided do not count, since a lost domain has many.
+func isLost(now clock.Millis, list []*candidate) bool {
+	return firstResponding(now, list) == nil &&
+		slices.ContainsFunc(list, func(c *candidate) bool { return c.state(now) == failed })
+}
+
+func mayHaveRoot(now clock.Millis, list []*candidate) bool {
+	return slices.ContainsFunc(list, func(c *candidate) bool { return c.state(now) != failed })
+}
+
+// Connected reports whether this daemon reaches most of the daemons that it
+// contacts, or follows one that does.
+func (v *View) Connected(now clock.Millis) bool {
+	if c := firstResponding(now, v.preceding()); c != nil {
+		return c.status.Connected
+	}
+	known, reached := 0, 0
+	for _, c := range v.candidates {
+		if !c.everAnswered {
+			continue
+		}
+		known++
+		if c.state(now) == responding {
+			reached++
+		}
+	}
+	return 2*reached >= known
+}
+
+// Status returns what this daemon says of itself.
+func (v *View) Status(now clock.Millis) Status {
+	status := Status{Stopping: v.stopping, Connected: v.Connected(now), Domains: 1}
+	status.DomainDaemons = v.SubtreeSize()
+	if c := firstResponding(now, v.preceding()); c != nil {
+		status.Follows = c.Address
+		status.Daemons = max(c.status.Daemons, status.DomainDaemons+1)
+		status.DomainDaemons = max(c.status.DomainDaemons, status.DomainDaemons+1)
+		status.Domains = max(c.status.Domains, 1)
+		return status
+	}
+	status.Daemons = status.DomainDaemons
+	for _, name := range v.otherDomains() {
+		if c := firstResponding(now, v.domains[name]); c != nil {
+			status.Domains++
+			status.Daemons += max(c.status.DomainDaemons, 1)
+		}
+	}
+	return status
+}
+
+// SubtreeSize returns the number of daemons that this daemon speaks for, itself
+// included.
+func (v *View) SubtreeSize() int {
+	size := 1
+	for _, s := range v.subscribers {
+		size += s.daemons
+	}
+	return size
+}
