--- a/internal/daemon/gateway/follow.go
+++ b/internal/daemon/gateway/follow.go
@@ -10,35 +10,43 @@
 )
 
 const (
-	// frequentWait is the maximum time for which one call of a frequent reader
-	// waits for changes, and so the interval at which that reader confirms its
-	// view. The other daemons receive confirmations from the frequent readers
-	// between their own calls.
-	frequentWait = 2 * clock.Second
-	// frequentReaders is the number of daemons that call the store that often. A
-	// change ends the waiting calls of all daemons at once; a daemon whose own
-	// call hangs receives the change from the frequent readers.
-	frequentReaders = 9
-	// defaultWait is the maximum time for which one call of another daemon waits.
-	defaultWait = 15 * clock.Second
+	// feedWait is the maximum time for which one call to the store waits for
+	// changes, and so the interval at which a follower confirms its view.
+	feedWait = 2 * clock.Second
+	// followers is the number of daemons of the fleet that follow the store. The
+	// others learn of changes from them.
+	followers = 3
+	// maxUnconfirmed is the age of a view from which all roots follow the store: the
+	// followers may be refused by the store or may have failed.
+	maxUnconfirmed = 3500 * clock.Millisecond
 )
 
-// feedWait returns how long the next call to the store waits for changes.
-func (d *Daemon) feedWait() clock.Millis {
-	if d.fleet.Rank() < frequentReaders {
-		return frequentWait
+// feedMode returns what to do about rows whose view was last confirmed at a time.
+func (d *Daemon) feedMode(known bool, confirmedAt clock.Millis) feed.Mode {
+	unconfirmed := d.clock.Now()-confirmedAt > maxUnconfirmed
+	switch {
+	case d.fleet.LeaderRank() < followers, unconfirmed && d.fleet.IsRoot():
+		return feed.Follow
+	case !known:
+		return feed.Read
 	}
-	return defaultWait
+	return feed.Idle
 }
 
-// broadcasters is the number of daemons that report leaving and removed endpoints
-// to their peers. A few suffice, since most daemons read them from the store.
-const broadcasters = 5
+func (d *Daemon) documentMode() feed.Mode {
+	index, confirmedAt := d.document.Current()
+	return d.feedMode(index != nil, confirmedAt)
+}
+
+func (d *Daemon) endpointsMode() feed.Mode {
+	list := d.roster.State()
+	return d.feedMode(list.Known, list.AsOf)
+}
 
 // followDocument returns a follower of the configuration in the store.
 func (d *Daemon) followDocument() *feed.Follower {
 	return feed.New(feed.Config{
-		Feed: d.feed, Clock: d.clock, Logger: d.logger, Prefix: d.platform.DocumentPrefix, Wait: d.feedWait,
+		Feed: d.feed, Clock: d.clock, Logger: d.logger, Prefix: d.platform.DocumentPrefix, Mode: d.documentMode, Wait: feedWait,
 		OnSnapshot: d.applyDocument, OnChanges: d.applyDocument, Rand: d.random(3),
 	})
 }
@@ -58,6 +66,7 @@
 		if d.document.Update(index, row.Value, asOf) {
 			eventVersion.Log(d.logger, logrus.Fields{"Version": index.Version(), "Revision": revision})
 			d.applyEndpoints()
+			d.fleet.Announce()
 		}
 	}
 	if index, _ := d.document.Current(); index != nil {
@@ -68,7 +77,7 @@
 // followEndpoints returns a follower of the endpoints' entries in the store.
 func (d *Daemon) followEndpoints() *feed.Follower {
 	return feed.New(feed.Config{
-		Feed: d.feed, Clock: d.clock, Logger: d.logger, Prefix: d.platform.EndpointPrefix, Wait: d.feedWait,
+		Feed: d.feed, Clock: d.clock, Logger: d.logger, Prefix: d.platform.EndpointPrefix, Mode: d.endpointsMode, Wait: feedWait,
 		OnSnapshot: d.replaceEndpoints, OnChanges: d.updateEndpoints, OnUnavailable: d.roster.MarkTableUnavailable, Rand: d.random(4),
 	})
 }
@@ -104,9 +113,10 @@
 
 // handleEndpoints applies a new list of endpoints from the roster.
 func (d *Daemon) handleEndpoints(list []roster.Endpoint) {
-	d.reportChanges(list)
+	d.logChanges(list)
 	d.endpoints.Store(&list)
 	d.applyEndpoints()
+	d.fleet.NotifyEndpoints()
 	known := make(map[string]bool, len(list))
 	for _, endpoint := range list {
 		known[endpoint.ID] = true
@@ -135,10 +145,8 @@
 	d.scheduler.SetEndpoints(joined)
 }
 
-// reportChanges logs the differences from the previous list. If this daemon is one
-// of the broadcasters, it also reports leaving and removed endpoints to the peers.
-func (d *Daemon) reportChanges(list []roster.Endpoint) {
-	broadcasts := d.fleet.Rank() < broadcasters
+// logChanges logs the differences from the previous list.
+func (d *Daemon) logChanges(list []roster.Endpoint) {
 	before := make(map[string]roster.Endpoint)
 	if old := d.endpoints.Load(); old != nil {
 		for _, endpoint := range *old {
@@ -151,18 +159,12 @@
 		if known && old.Leaving == endpoint.Leaving && old.Missing == endpoint.Missing && old.Incarnation == endpoint.Incarnation {
 			continue
 		}
-		if broadcasts && endpoint.Leaving && (!known || !old.Leaving) {
-			d.scheduler.MarkLeaving(endpoint.ID)
-		}
 		eventEndpointChanged.Log(d.logger, logrus.Fields{
 			"Endpoint": endpoint.ID, "Backend": endpoint.Backend, "Address": endpoint.Address, "FailureDomain": endpoint.FailureDomain,
 			"Leaving": endpoint.Leaving, "Missing": endpoint.Missing, "Cheap": endpoint.Cheap,
 		})
 	}
 	for id := range before {
-		if broadcasts {
-			d.scheduler.MarkRemoved(id)
-		}
 		eventEndpointChanged.Log(d.logger, logrus.Fields{"Endpoint": id, "Gone": true})
 	}
 }
--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -44,6 +44,7 @@
 	"github.com/banyanshift/banyanshift/internal/order/leader"
 	"github.com/banyanshift/banyanshift/internal/peer/fleet"
 	"github.com/banyanshift/banyanshift/internal/peer/link"
+	"github.com/banyanshift/banyanshift/internal/peer/topology"
 	"github.com/banyanshift/banyanshift/internal/settings/gateway"
 	"github.com/banyanshift/banyanshift/internal/usage/billing"
 	"github.com/banyanshift/banyanshift/internal/usage/tally"
@@ -180,8 +181,11 @@
 	d.link = link.New(link.Config{ID: d.incarnation, Listen: d.settings.Peer.Listen, AllowPlainText: true}, d.clock, d.logger)
 	d.fleet = fleet.New(fleet.Config{
 		Link: d.link, Clock: d.clock, Logger: d.logger,
-		Self:  link.Peer{ID: d.settings.Daemon.ID, Address: d.settings.Peer.Listen},
-		Seeds: seedAddresses(d.settings.Peer), Table: d.table, Scheduler: d.scheduler, Roster: d.roster,
+		Self: topology.VM{
+			ID: d.settings.Daemon.ID, Address: d.settings.Peer.Listen,
+			FailureDomain: d.settings.Daemon.FailureDomain, Capacity: d.settings.Daemon.Capacity,
+		},
+		Incarnation: d.incarnation, Seeds: seedAddresses(d.settings.Peer), Table: d.table, Scheduler: d.scheduler, Roster: d.roster,
 		Document: d.document, Decode: d.platform.DecodeDocument, Tally: d.tally, Rand: d.random(2),
 	})
 }
@@ -300,6 +304,7 @@
 	started := d.clock.Now()
 	eventStopping.Log(d.logger, logrus.Fields{"InFlight": d.handler.InFlight()})
 	d.stopping.Store(true)
+	d.fleet.SetStopping()
 	d.handler.Drain()
 	d.holderTasks.Stop()
 	d.leaseTasks.Stop()
--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -301,9 +301,10 @@
 	b.add(now-age, sent)
 }
 
+// add records a job, unless it is known already: a report may arrive by two paths.
 func (b *Balancer) add(sentAt clock.Millis, sent Job) {
 	r := b.replicas[sent.Endpoint]
-	if r == nil {
+	if r == nil || b.jobs[sent.ID] != nil {
 		return
 	}
 	j := &job{Job: sent, replica: r, sentAt: sentAt}
--- a/internal/endpoint/roster/roster.go
+++ b/internal/endpoint/roster/roster.go
@@ -146,6 +146,39 @@
 	}
 }
 
+// UpdateFromPeer applies the entries that changed or were removed in the list of
+// another daemon, unless this list is of a later revision. It neither ends an outage
+// of the table nor confirms the list. An entry that is missing there is missing here,
+// too, until its grace period expires.
+func (r *Roster) UpdateFromPeer(entries []Endpoint, removed []string, revision uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.hasList || revision < r.revision {
+		return
+	}
+	for _, entry := range entries {
+		r.putFromPeer(entry)
+	}
+	for _, id := range removed {
+		delete(r.endpoints, id)
+	}
+	r.revision = revision
+	r.publish()
+}
+
+func (r *Roster) putFromPeer(entry Endpoint) {
+	r.put(entry)
+	held := r.endpoints[entry.ID]
+	if !entry.Missing || held.Incarnation != entry.Incarnation {
+		return
+	}
+	held.Missing = true
+	r.endpoints[entry.ID] = held
+	if !r.recovering {
+		r.recovering, r.recoveredAt = true, r.clock.Now()
+	}
+}
+
 // markTableAvailable ends an outage of the table. asOf is when the read that
 // succeeded was sent.
 func (r *Roster) markTableAvailable(asOf clock.Millis) {
@@ -230,18 +263,6 @@
 	r.publish()
 }
 
-// RemoveIfMissing removes an endpoint that another daemon saw removed from the
-// table, if its entry is missing here. Other entries are left alone until a new
-// list or update is applied.
-func (r *Roster) RemoveIfMissing(id string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if entry, found := r.endpoints[id]; found && entry.Missing {
-		delete(r.endpoints, id)
-		r.publish()
-	}
-}
-
 // Run removes missing entries whose grace period has expired, until ctx is
 // canceled.
 func (r *Roster) Run(ctx context.Context) error {
--- a/internal/endpoint/roster/roster_test.go
+++ b/internal/endpoint/roster/roster_test.go
@@ -188,19 +188,51 @@
 	f.expect(t, "b")
 }
 
-// TestPeerReportRemovesOnlyMissingEntries checks that a daemon that lost the
-// table removes a missing entry when a peer that can read the table reports it
-// gone, and that such a report does not remove an entry that is present.
-func TestPeerReportRemovesOnlyMissingEntries(t *testing.T) {
-	f := newFixture("a", "b")
-	f.RemoveIfMissing("b")
+// TestPeerChangesRemoveEntries checks that a daemon that lost the table removes an
+// entry that is missing here, or present, when a peer reports it removed in a later
+// revision.
+func TestPeerChangesRemoveEntries(t *testing.T) {
+	f := newFixture("a", "b", "c")
+	f.UpdateFromPeer(nil, []string{"c"}, 2)
 	f.expect(t, "ab")
 	f.loseA()
 	f.expect(t, "a(missing)b")
-	f.RemoveIfMissing("a")
+	f.UpdateFromPeer(nil, []string{"a"}, 3)
 	f.expect(t, "b")
 }
 
+// TestStalePeerChangesAreIgnored checks that a report of an earlier revision neither
+// removes an entry that has returned since nor brings back one that is gone.
+func TestStalePeerChangesAreIgnored(t *testing.T) {
+	f := newFixture("a", "b")
+	f.Update([]roster.Endpoint{entry("a", 2)}, []string{"b"}, 9, f.clock.Now())
+	f.UpdateFromPeer([]roster.Endpoint{entry("b", 1)}, []string{"a"}, 8)
+	f.expect(t, "a")
+}
+
+// TestEntryMissingAtAPeerExpires checks that a daemon that does not read the table
+// keeps an entry as long as the peer that does, and drops it even if the peer's next
+// report is lost.
+func TestEntryMissingAtAPeerExpires(t *testing.T) {
+	f := newFixture("a", "b")
+	missing := entry("a", 1)
+	missing.Missing = true
+	f.UpdateFromPeer([]roster.Endpoint{missing}, nil, 2)
+	f.expect(t, "a(missing)b")
+	f.pass(1500)
+	f.expect(t, "a(missing)b")
+	f.pass(1000)
+	f.expect(t, "b")
+}
+
+func TestPeerChangesBeforeTheFirstListAreIgnored(t *testing.T) {
+	f := newFixture()
+	f.UpdateFromPeer([]roster.Endpoint{entry("a", 1)}, nil, 2)
+	if f.State().Known {
+		t.Error("a part of a list counts as a list")
+	}
+}
+
 // TestLeavingTimeCountsFromTheLastConfirmedList guards against a LeavesAt that
 // is too late. An endpoint may have started to leave right after the list was
 // last confirmed.
--- a/internal/peer/fleet/events.go
+++ b/internal/peer/fleet/events.go
@@ -11,13 +11,13 @@
 
 var (
 	eventPeerJoined = event.New(1410, logrus.InfoLevel, "peer joined",
-		"Another daemon of the fleet was discovered.")
+		"Another daemon, to which this one is to stay in contact, has answered for the first time.")
 	eventPeerLost = event.New(1411, logrus.WarnLevel, "peer does not answer",
-		"A daemon did not answer several pings in a row. The connection to it is opened again.")
+		"A daemon did not answer several pings in a row. If this daemon followed it, it follows the next one now.")
 	eventPeerRegained = event.New(1412, logrus.InfoLevel, "peer answers again",
 		"A daemon that had stopped answering pings answers again.")
 	eventPeerForgotten = event.New(1413, logrus.InfoLevel, "peer forgotten",
-		"A daemon has not answered for 20 s and is assumed to be gone.")
+		"A daemon has not answered for 20 s and is assumed to be gone. Its row in the table is deleted by the root of its failure domain.")
 	eventVersionFetched = event.New(1520, logrus.InfoLevel, "configuration taken from a peer",
 		"A peer had a newer version of the configuration than this daemon.")
 	eventFetchFailed = event.New(1521, logrus.WarnLevel, "fetching from a peer failed",
--- a/internal/peer/fleet/fleet_test.go
+++ b/internal/peer/fleet/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -21,6 +22,7 @@
 	"github.com/banyanshift/banyanshift/internal/endpoint/roster"
 	"github.com/banyanshift/banyanshift/internal/peer/fleet"
 	"github.com/banyanshift/banyanshift/internal/peer/link"
+	"github.com/banyanshift/banyanshift/internal/peer/topology"
 	"github.com/banyanshift/banyanshift/internal/usage/tally"
 )
 
@@ -57,6 +59,16 @@
 	return fmt.Sprintf("127.%d.%d.1:8082", 120+os.Getpid()%100, loopbackCount.Add(1))
 }
 
+// domainOf returns the failure domain of a test daemon: the part of its ID before a
+// dash, or else "" for all.
+func domainOf(id string) string {
+	domain, _, found := strings.Cut(id, "-")
+	if !found {
+		return ""
+	}
+	return domain
+}
+
 // start starts a daemon that registers in the table.
 func start(t *testing.T, id string, rows table.Client, seeds ...string) *daemon {
 	logger, _ := logtest.NewNullLogger()
@@ -65,9 +77,13 @@
 	d.link = link.New(link.Config{ID: id, Listen: d.address}, clk, logger)
 	rng := rand.New(rand.NewPCG(1, 2))
 	d.scheduler = fleet.NewScheduler(clk, budget.Rules{Ratio: 0.2, FixedRetries: 10, Window: clock.Second}, func() int { return d.fleet.DaemonCount() }, rng)
-	d.roster = roster.New(clk, 0, d.scheduler.SetEndpoints)
+	d.roster = roster.New(clk, 0, func(list []roster.Endpoint) {
+		d.scheduler.SetEndpoints(list)
+		d.fleet.NotifyEndpoints()
+	})
 	d.fleet = fleet.New(fleet.Config{
-		Link: d.link, Clock: clk, Logger: logger, Self: link.Peer{ID: id, Address: d.address}, Seeds: seeds,
+		Link: d.link, Clock: clk, Logger: logger, Self: topology.VM{ID: id, Address: d.address, FailureDomain: domainOf(id)},
+		Incarnation: id, Seeds: seeds,
 		Table: rows, Scheduler: d.scheduler, Roster: d.roster, Document: d.document, Decode: decode, Tally: d.tally, Rand: rng,
 	})
 	if err := d.link.Start(); err != nil {
@@ -178,7 +194,7 @@
 	if _, refusal := b.scheduler.RelayScheduler().Place(request, clock.Second); refusal.Reason != "" {
 		t.Fatal(refusal.Reason)
 	}
-	a.scheduler.MarkLeaving("e")
+	a.roster.MarkLeaving("e")
 	eventually(t, "b refuses requests for the leaving endpoint", func() bool {
 		_, refusal := b.scheduler.RelayScheduler().Place(request, clock.Second)
 		return refusal.Reason != ""
@@ -200,9 +216,85 @@
 	rows := table.NewMemory().Client()
 	a, b := start(t, "a", rows), start(t, "b", rows)
 	eventually(t, "both know each other", func() bool { return a.fleet.DaemonCount() == 2 && b.fleet.DaemonCount() == 2 })
+	// a contacts each daemon that it has heard of soon after.
+	time.Sleep(500 * time.Millisecond)
 	b.tally.Add("himal", 0)
 	a.fleet.CollectUsage(context.Background(), 0)
 	if sums := a.tally.Sum(0); sums["himal"] != 1 {
 		t.Errorf("got sums %v, want 1 for himal", sums)
 	}
 }
+
+// startTree starts two failure domains of three daemons each, which discover each
+// other through the table.
+func startTree(t *testing.T) map[string]*daemon {
+	rows := table.NewMemory().Client()
+	fleet := make(map[string]*daemon)
+	for _, id := range []string{"north-1", "north-2", "north-3", "south-1", "south-2", "south-3"} {
+		fleet[id] = start(t, id, rows)
+	}
+	for id, d := range fleet {
+		eventually(t, id+" counts all daemons", func() bool { return d.fleet.DaemonCount() == len(fleet) })
+	}
+	return fleet
+}
+
+func engineList() []roster.Endpoint {
+	return []roster.Endpoint{{Endpoint: balance.Endpoint{ID: "e", Backend: "books", Slots: 1, CacheTokens: 1000}, Address: "127.0.0.1:1"}}
+}
+
+// TestChangesReachAllDomains checks that what the root of one failure domain reads
+// from the store reaches a daemon of another one that is not a root.
+func TestChangesReachAllDomains(t *testing.T) {
+	fleet := startTree(t)
+	reader, far := fleet["north-1"], fleet["south-3"]
+	reader.roster.Replace(engineList(), 4, clock.System().Now())
+	eventually(t, "the endpoint is listed in the other domain", func() bool { return far.roster.State().Known })
+	index, raw := version(7)
+	reader.document.Update(index, raw, clock.System().Now())
+	reader.fleet.Announce()
+	eventually(t, "the configuration is in force in the other domain", func() bool {
+		held, _ := far.document.Current()
+		return held != nil && held.Version() == 7
+	})
+	started := time.Now()
+	reader.roster.MarkLeaving("e")
+	eventually(t, "the endpoint leaves in the other domain", func() bool {
+		list, _, _, _ := far.roster.List()
+		return list[0].Leaving
+	})
+	if took := time.Since(started); took > time.Second {
+		t.Errorf("took %s, want at most 1 s", took)
+	}
+}
+
+// TestUsageReachesTheRoots checks that usage that a daemon counted is known at the root
+// of another failure domain, that a new root learns what the old one had not passed
+// on, and that other daemons do not receive it.
+func TestUsageReachesTheRoots(t *testing.T) {
+	fleet := startTree(t)
+	fleet["south-3"].tally.Add("himal", 0)
+	eventually(t, "the usage is known at the other root", func() bool { return fleet["north-1"].tally.Sum(0)["himal"] == 1 })
+	fleet["south-1"].stop()
+	fleet["south-3"].tally.Add("himal", 0)
+	eventually(t, "the usage is known after a takeover", func() bool { return fleet["north-1"].tally.Sum(0)["himal"] == 2 })
+	eventually(t, "the new root knows it", func() bool { return fleet["south-2"].tally.Sum(0)["himal"] == 2 })
+	if sums := fleet["north-3"].tally.Sum(0); len(sums) != 0 {
+		t.Errorf("a daemon that bills nothing has the usage %v", sums)
+	}
+}
+
+// TestTakeoverWithoutTheStore checks that the daemons of a domain whose first daemons
+// stop together stay current through the next one, also while the store is down.
+func TestTakeoverWithoutTheStore(t *testing.T) {
+	fleet := startTree(t)
+	fleet["south-1"].stop()
+	fleet["south-2"].stop()
+	index, raw := version(7)
+	eventually(t, "the last daemon of the domain gets the configuration", func() bool {
+		fleet["north-1"].document.Update(index, raw, clock.System().Now())
+		held, _ := fleet["south-3"].document.Current()
+		current, _ := fleet["south-3"].fleet.ConfigStatus()
+		return held != nil && current && fleet["south-3"].fleet.IsRoot()
+	})
+}
--- a/internal/peer/fleet/message.go
+++ b/internal/peer/fleet/message.go
@@ -4,6 +4,8 @@
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
 	"github.com/banyanshift/banyanshift/internal/endpoint/roster"
+	"github.com/banyanshift/banyanshift/internal/peer/fanout"
+	"github.com/banyanshift/banyanshift/internal/peer/topology"
 	"github.com/banyanshift/banyanshift/internal/usage/tally"
 )
 
@@ -11,15 +13,23 @@
 // time after the ping was sent, so the sender can subtract them from the time
 // of sending without overestimating how recent a version is.
 type ping struct {
-	ID      string
-	Address string
-	// Peers is the number of other daemons that the sender knows.
-	Peers int
+	VM topology.VM
+	// Subscribe is set if the sender follows the receiver, on behalf of Daemons
+	// daemons.
+	Subscribe bool
+	Daemons   int
+	// WantList asks for the known VMs.
+	WantList bool
 }
 
 // pong answers a ping. Its ages are relative to the time at which it is sent.
 type pong struct {
-	ID string
+	VM     topology.VM
+	Status topology.Status
+	// Upstream is the VM that the peer follows, nil for a root.
+	Upstream *topology.VM
+	// VMs lists the known VMs if the ping asked for them.
+	VMs []topology.VM
 	// Version is the version of the held configuration, 0 if there is none,
 	// and VersionAge the time since it was confirmed to be the newest.
 	Version    int64
@@ -30,30 +40,20 @@
 	ListRevision uint64
 	ListDigest   uint64
 	ListAge      clock.Millis
-	// Peers lists the known daemons if their number differs from the number
-	// in the ping.
-	Peers []vm
-}
-
-// vm is a daemon and its address. It is also the value of a row of the table.
-type vm struct {
-	ID      string
-	Address string
 }
 
-// update reports to peers what happened at the sender since its last update.
-// First and Ended list job IDs, Leaving and Gone endpoint IDs.
-type update struct {
-	Sent    []sentJob
-	First   []uint64
-	Ended   []uint64
-	Leaving []string
-	Gone    []string
-	Usage   []tally.TeamCount
+// report is what happened at a daemon since its last report. First and Ended list
+// job IDs.
+type report struct {
+	Sent  []sentJob
+	First []uint64
+	Ended []uint64
+	// Usage does not go to subscribers, since only roots bill usage.
+	Usage []tally.TeamCount
 }
 
-func (u *update) empty() bool {
-	return len(u.Sent) == 0 && len(u.First) == 0 && len(u.Ended) == 0 && len(u.Leaving) == 0 && len(u.Gone) == 0 && len(u.Usage) == 0
+func (r *report) empty() bool {
+	return len(r.Sent) == 0 && len(r.First) == 0 && len(r.Ended) == 0 && len(r.Usage) == 0
 }
 
 // sentJob is a job that was sent to an endpoint, Age before this message.
@@ -62,6 +62,25 @@
 	Age clock.Millis
 }
 
+// reports carries the reports of one or more daemons through the tree.
+type reports struct {
+	Direction fanout.Direction
+	Items     []fanout.Item[report]
+}
+
+// endpointChanges carries the entries of the sender's list of endpoints that
+// changed, and the IDs of those that were removed.
+type endpointChanges struct {
+	Changed  []roster.Endpoint
+	Removed  []string
+	Revision uint64
+}
+
+// news tells that the sender, at Address, has a newer configuration.
+type news struct {
+	Address string
+}
+
 // documentRequest asks for the configuration if it is newer than Version.
 type documentRequest struct {
 	Version int64
--- a/internal/peer/fleet/peer.go
+++ b/internal/peer/fleet/peer.go
@@ -2,190 +2,272 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/peer/link"
 	"github.com/banyanshift/banyanshift/internal/peer/message"
+	"github.com/banyanshift/banyanshift/internal/peer/topology"
 )
 
-// maxListAge is the age from which this daemon replaces its list of endpoints by
-// a peer's list that differs. maxListAgeWithoutTable is the limit while this
-// daemon cannot read the table.
 const (
-	maxListAge             = 1500 * clock.Millisecond
-	maxListAgeWithoutTable = 700 * clock.Millisecond
+	// contactInterval is the time between two checks of whom to ping.
+	contactInterval = 100 * clock.Millisecond
+	// pingInterval is the time between an answer and the next ping of a peer,
+	// retryDelay the time after a failed ping, and failedInterval the time after
+	// several.
+	pingInterval   = 600 * clock.Millisecond
+	retryDelay     = 100 * clock.Millisecond
+	failedInterval = 2 * clock.Second
+	// pingTimeout is short so that a VM that fell silent is replaced soon.
+	pingTimeout  = 800 * clock.Millisecond
+	fetchTimeout = 2 * clock.Second
+	// reconnectAfterFailures is the number of failed pings after which the
+	// connection is opened again.
+	reconnectAfterFailures = 2
+	// listInterval is the time between two requests for the VMs that a peer knows,
+	// and startListInterval the time between those that follow the daemon's start
+	// within startTime.
+	listInterval      = 30 * clock.Second
+	startListInterval = clock.Second
+	startTime         = 5 * clock.Second
 )
 
-// peer is another daemon. The mutex of its Fleet guards everAnswered and the
-// fields after it.
+// peer is a daemon that this one pings.
 type peer struct {
-	fleet   *Fleet
-	address string
-	id      string
-	addedAt clock.Millis
+	fleet    *Fleet
+	address  string
+	stop     context.CancelFunc
+	wake     chan struct{}
+	answered bool
+	failures int
+	// listedAt is when the peer last sent the VMs that it knows, and fetchedAt when
+	// the list of endpoints was last fetched from it.
+	listedAt  clock.Millis
+	fetchedAt clock.Millis
+	startedAt clock.Millis
+}
 
-	everAnswered bool
-	lastAnswer   clock.Millis
-	failures     int
+// contactLoop starts and stops to ping daemons as the view of the fleet demands.
+func (f *Fleet) contactLoop(ctx context.Context) error {
+	for {
+		f.updateContacts(ctx)
+		if err := f.config.Clock.Sleep(ctx, contactInterval); err != nil {
+			return err
+		}
+	}
 }
 
-// loop pings the peer until ctx ends or the peer has been silent for
-// longer than removeAfter.
-func (p *peer) loop(ctx context.Context) error {
-	c := p.fleet.config.Clock
-	for ctx.Err() == nil {
-		p.ping(ctx)
-		if c.Now()-p.lastContact() > removeAfter {
-			p.fleet.removePeer(p)
-			return nil
+func (f *Fleet) updateContacts(ctx context.Context) {
+	now := f.config.Clock.Now()
+	f.mu.Lock()
+	removed := f.view.Expire(now)
+	contacts := f.view.Contacts(now)
+	var dropped []string
+	for address, p := range f.peers {
+		if _, found := slices.BinarySearch(contacts, address); !found {
+			p.stop()
+			delete(f.peers, address)
+			dropped = append(dropped, address)
 		}
-		if err := c.Sleep(ctx, p.pingDelay()); err != nil {
-			return err
+	}
+	for _, address := range contacts {
+		if f.peers[address] == nil {
+			f.startPeer(ctx, now, address)
+		}
+	}
+	subscribers := f.view.Subscribers()
+	f.mu.Unlock()
+	for _, address := range dropped {
+		if !slices.Contains(subscribers, address) {
+			f.config.Link.Disconnect(address)
 		}
 	}
-	return ctx.Err()
+	for _, vm := range removed {
+		f.config.Link.Disconnect(vm.Address)
+		eventPeerForgotten.Log(f.config.Logger, logrus.Fields{"Peer": vm.ID, "Address": vm.Address})
+	}
 }
 
-func (p *peer) pingDelay() clock.Millis {
-	p.fleet.mu.Lock()
-	defer p.fleet.mu.Unlock()
-	return p.fleet.pingDelay()
+// startPeer starts to ping a daemon. The lock must be held.
+func (f *Fleet) startPeer(ctx context.Context, now clock.Millis, address string) {
+	ctx, stop := context.WithCancel(ctx)
+	p := &peer{fleet: f, address: address, stop: stop, wake: make(chan struct{}, 1), startedAt: now}
+	f.peers[address] = p
+	f.view.RecordContact(now, address)
+	f.group.Go(func() error { return p.loop(ctx) })
 }
 
-func (p *peer) lastContact() clock.Millis {
-	p.fleet.mu.Lock()
-	defer p.fleet.mu.Unlock()
-	return max(p.addedAt, p.lastAnswer)
+// loop pings the peer until ctx ends. It never fails, so that the end of one peer
+// does not end the others.
+func (p *peer) loop(ctx context.Context) error {
+	for ctx.Err() == nil {
+		p.sleep(ctx, p.ping(ctx))
+	}
+	return nil
 }
 
-// ping asks the peer which versions it holds and fetches what is newer.
-func (p *peer) ping(ctx context.Context) {
+// sleep waits for a time, or until the peer has announced news.
+func (p *peer) sleep(ctx context.Context, d clock.Millis) {
+	ctx, cancel := context.WithTimeout(ctx, d.Duration())
+	defer cancel()
+	select {
+	case <-p.wake:
+	case <-ctx.Done():
+	}
+}
+
+// ping asks the peer which versions it holds and fetches what is newer. It returns
+// the time until the next ping.
+func (p *peer) ping(ctx context.Context) (delay clock.Millis) {
 	f := p.fleet
 	sentAt := f.config.Clock.Now()
-	known, _ := f.countPeers(sentAt)
-	request := ping{ID: f.config.Self.ID, Address: f.config.Self.Address, Peers: known}
+	request := p.newPing(sentAt)
 	callCtx, cancel := context.WithTimeout(ctx, pingTimeout.Duration())
-	answer, err := link.Call[ping, pong](callCtx, f.config.Link, link.Peer{Address: p.address}, message.FleetPing, request)
+	answer, err := link.Call[ping, pong](callCtx, f.config.Link, link.Peer{Address: p.address}, message.FleetContact, request)
 	cancel()
-	if err != nil {
-		p.recordFailure(err)
-		return
+	if ctx.Err() != nil {
+		return 0
 	}
-	p.recordSuccess(answer.ID)
-	for _, other := range answer.Peers {
-		f.addPeer(other.ID, other.Address)
+	if err != nil {
+		return p.recordFailure(err)
 	}
+	p.recordAnswer(request, answer)
 	p.syncDocument(ctx, sentAt, answer)
 	p.syncEndpoints(ctx, sentAt, answer)
-}
-
-func (p *peer) recordSuccess(id string) {
-	f := p.fleet
-	f.mu.Lock()
-	recovered := p.failures >= reconnectAfterFailures
-	p.id = id
-	p.everAnswered = true
-	p.failures = 0
-	p.lastAnswer = f.config.Clock.Now()
-	f.mu.Unlock()
-	if recovered {
-		eventPeerRegained.Log(f.config.Logger, logrus.Fields{"Peer": p.id, "Address": p.address})
+	if p.isNewUpstream(request) {
+		return 0
 	}
+	return pingInterval
 }
 
-func (p *peer) recordFailure(err error) {
+// isNewUpstream reports whether this daemon has started to follow the peer, but the
+// ping did not yet say so.
+func (p *peer) isNewUpstream(request ping) bool {
 	f := p.fleet
 	f.mu.Lock()
-	p.failures++
-	failures := p.failures
-	ever := p.everAnswered
-	f.mu.Unlock()
-	if failures%reconnectAfterFailures != 0 {
-		return
-	}
-	f.config.Link.Disconnect(p.address)
-	if failures == reconnectAfterFailures && ever {
-		eventPeerLost.Log(f.config.Logger, logrus.Fields{"Peer": p.id, "Address": p.address, "Error": err.Error()})
-	}
+	defer f.mu.Unlock()
+	upstream, found := f.view.Upstream(f.config.Clock.Now())
+	return found && upstream == p.address && !request.Subscribe
 }
 
-// syncDocument fetches the configuration if the peer's is newer, and takes over
-// the time at which the peer's version was confirmed to be the newest.
-func (p *peer) syncDocument(ctx context.Context, sentAt clock.Millis, answer pong) {
+func (p *peer) newPing(now clock.Millis) ping {
 	f := p.fleet
-	if answer.Version == 0 {
-		return
+	interval := listInterval
+	if now-p.startedAt < startTime {
+		interval = startListInterval
 	}
-	index, _ := f.config.Document.Current()
-	if index == nil || index.Version() < answer.Version {
-		if err := p.fetchDocument(ctx, index == nil, answer.Version); err != nil {
-			eventFetchFailed.Log(f.config.Logger, logrus.Fields{"Address": p.address, "What": "configuration", "Error": err.Error()})
-			return
-		}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	upstream, found := f.view.Upstream(now)
+	return ping{
+		VM: f.config.Self, Subscribe: found && upstream == p.address, Daemons: f.view.SubtreeSize(),
+		WantList: p.listedAt == 0 || now-p.listedAt >= interval,
 	}
-	f.config.Document.Confirm(answer.Version, sentAt-answer.VersionAge)
 }
 
-func (p *peer) fetchDocument(ctx context.Context, missing bool, version int64) error {
+func (p *peer) recordAnswer(request ping, answer pong) {
 	f := p.fleet
-	request := documentRequest{}
-	if !missing {
-		request.Version = version - 1
+	now := f.config.Clock.Now()
+	p.failures = 0
+	if request.WantList {
+		p.listedAt = now
 	}
-	sentAt := f.config.Clock.Now()
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout.Duration())
-	defer cancel()
-	answer, err := link.Call[documentRequest, documentAnswer](ctx, f.config.Link, link.Peer{Address: p.address}, message.FleetDocument, request)
-	if err != nil || len(answer.Raw) == 0 {
-		return err
+	f.mu.Lock()
+	recovered := f.view.RecordAnswer(now, p.address, answer.VM, answer.Status)
+	if answer.Upstream != nil {
+		f.view.AddFollowed(now, *answer.Upstream)
 	}
-	index, err := f.config.Decode(answer.Raw)
-	if err != nil {
-		return err
+	for _, vm := range answer.VMs {
+		f.view.Add(now, vm)
 	}
-	if f.config.Document.Update(index, answer.Raw, sentAt-answer.Age) {
-		eventVersionFetched.Log(f.config.Logger, logrus.Fields{"Version": index.Version(), "Peer": p.id, "Age": int64(answer.Age)})
+	f.mu.Unlock()
+	if !p.answered {
+		p.answered = true
+		eventPeerJoined.Log(f.config.Logger, logrus.Fields{"Peer": answer.VM.ID, "Address": p.address})
+	}
+	if recovered {
+		eventPeerRegained.Log(f.config.Logger, logrus.Fields{"Peer": answer.VM.ID, "Address": p.address})
 	}
-	return nil
 }
 
-// syncEndpoints takes over the time at which the peer's list of endpoints was
-// confirmed if both lists are equal. If they differ and the local list is too
-// old, it fetches the peer's list.
-func (p *peer) syncEndpoints(ctx context.Context, sentAt clock.Millis, answer pong) {
+func (p *peer) recordFailure(err error) (delay clock.Millis) {
 	f := p.fleet
-	own := f.config.Roster.State()
-	asOf := sentAt - answer.ListAge
-	if answer.ListRevision == 0 || (own.Known && asOf <= own.AsOf) {
-		return
+	p.failures++
+	f.mu.Lock()
+	lost := f.view.RecordFailure(f.config.Clock.Now(), p.address)
+	f.mu.Unlock()
+	if lost {
+		f.wakeUpstream()
+		eventPeerLost.Log(f.config.Logger, logrus.Fields{"Address": p.address, "Error": err.Error()})
 	}
-	if own.Known && answer.ListDigest == own.Digest {
-		f.config.Roster.Confirm(own.Digest, asOf)
-		return
+	if p.failures%reconnectAfterFailures == 0 {
+		f.config.Link.Disconnect(p.address)
 	}
-	maxAge := maxListAge
-	if own.TableUnavailable {
-		maxAge = maxListAgeWithoutTable
+	if p.failures <= reconnectAfterFailures {
+		return retryDelay
 	}
-	if own.Known && (f.config.Clock.Now()-own.AsOf < maxAge || answer.ListRevision < own.Revision) {
-		return
+	return failedInterval
+}
+
+// announce tells the daemons that follow this one, and those of addresses, that
+// there is a newer configuration.
+func (f *Fleet) announce(addresses []string) {
+	f.mu.Lock()
+	addresses = append(f.view.Subscribers(), addresses...)
+	f.mu.Unlock()
+	f.send(addresses, message.FleetNews, news{Address: f.config.Self.Address})
+}
+
+// Announce tells the daemons that follow this one, and the roots of the other failure
+// domains, that the store has a newer configuration.
+func (f *Fleet) Announce() {
+	f.mu.Lock()
+	roots := f.view.RemoteRoots(f.config.Clock.Now())
+	f.mu.Unlock()
+	f.announce(roots)
+}
+
+// wakeUpstream pings the daemon to follow now.
+func (f *Fleet) wakeUpstream() {
+	f.mu.Lock()
+	upstream, found := f.view.Upstream(f.config.Clock.Now())
+	f.mu.Unlock()
+	if found {
+		f.wakePeer(upstream)
 	}
-	p.fetchEndpoints(ctx)
 }
 
-func (p *peer) fetchEndpoints(ctx context.Context) {
-	f := p.fleet
-	sentAt := f.config.Clock.Now()
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout.Duration())
-	defer cancel()
-	fetched, err := link.Call[endpointsRequest, endpointsAnswer](ctx, f.config.Link, link.Peer{Address: p.address}, message.FleetEndpoints, endpointsRequest{})
-	if err != nil {
-		eventFetchFailed.Log(f.config.Logger, logrus.Fields{"Address": p.address, "What": "endpoints", "Error": err.Error()})
+// wakePeer pings a peer now, if it is one that this daemon contacts.
+func (f *Fleet) wakePeer(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.peers[address]
+	if p == nil {
 		return
 	}
-	if fetched.Revision != 0 {
-		f.config.Roster.ReplaceFromPeer(fetched.Endpoints, fetched.Revision, sentAt-fetched.Age)
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// contacts returns the daemons that this one pings.
+func (f *Fleet) contacts() []*peer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Collect(maps.Values(f.peers))
+}
+
+// upstreamVM returns the VM that this daemon follows, nil for a root. The lock must
+// be held.
+func (f *Fleet) upstreamVM(now clock.Millis) *topology.VM {
+	vm, found := f.view.UpstreamVM(now)
+	if !found {
+		return nil
 	}
+	return &vm
 }
--- /dev/null
+++ b/internal/peer/fleet/publish.go
@@ -0,0 +1,74 @@
+package fleet
+
+import (
+	"context"
+	"maps"
+	"slices"
+
+	"github.com/banyanshift/banyanshift/internal/endpoint/roster"
+	"github.com/banyanshift/banyanshift/internal/peer/message"
+)
+
+// publisher announces the changes of this daemon's list of endpoints to the daemons
+// that follow it, and as a root to the other roots.
+type publisher struct {
+	fleet *Fleet
+	wake  chan struct{}
+	// published is the list as of the last announcement.
+	published map[string]roster.Endpoint
+}
+
+func newPublisher(f *Fleet) *publisher {
+	return &publisher{fleet: f, wake: make(chan struct{}, 1), published: make(map[string]roster.Endpoint)}
+}
+
+// NotifyEndpoints makes the Fleet announce the changes of the list of endpoints. It
+// does not block.
+func (f *Fleet) NotifyEndpoints() {
+	select {
+	case f.publisher.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (p *publisher) loop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-p.wake:
+			p.publish()
+		}
+	}
+}
+
+// publish announces what changed since the last call. A receiver that misses an
+// announcement notices by the digest in the next answer to a ping.
+func (p *publisher) publish() {
+	f := p.fleet
+	list, revision, _, _ := f.config.Roster.List()
+	changes := p.diff(list)
+	changes.Revision = revision
+	if len(changes.Changed) == 0 && len(changes.Removed) == 0 {
+		return
+	}
+	f.mu.Lock()
+	receivers := append(f.view.Subscribers(), f.view.RemoteRoots(f.config.Clock.Now())...)
+	f.mu.Unlock()
+	f.send(receivers, message.FleetEndpointChanges, changes)
+}
+
+// diff returns the differences between a list and the one before.
+func (p *publisher) diff(list []roster.Endpoint) (changes endpointChanges) {
+	before := p.published
+	p.published = make(map[string]roster.Endpoint, len(list))
+	for _, endpoint := range list {
+		p.published[endpoint.ID] = endpoint
+		if old, known := before[endpoint.ID]; !known || old != endpoint {
+			changes.Changed = append(changes.Changed, endpoint)
+		}
+		delete(before, endpoint.ID)
+	}
+	changes.Removed = slices.Sorted(maps.Keys(before))
+	return changes
+}
--- a/internal/peer/fleet/scheduler.go
+++ b/internal/peer/fleet/scheduler.go
@@ -14,6 +14,9 @@
 const (
 	// maxJobAge is how long a job is kept when no report of its end arrives.
 	maxJobAge = 30 * clock.Second
+	// endMemory is how long the ends of jobs are kept in case that the daemon that
+	// was to pass them on has failed.
+	endMemory = 4 * clock.Second
 	// expireInterval is the time between two scans for such jobs.
 	expireInterval = 5 * clock.Second
 	// minRetryAfter and maxRetryAfter bound the Retry-After of refused requests.
@@ -22,7 +25,7 @@
 )
 
 // Scheduler places this daemon's requests on endpoints, using the state that
-// all daemons share, and collects what it has to report to the peers. It is safe
+// all daemons share, and collects what it has to report to them. It is safe
 // for concurrent use.
 type Scheduler struct {
 	clock clock.Clock
@@ -37,12 +40,20 @@
 	addresses map[string]string
 	// modelEngines reports whether an endpoint has a prefix cache; jobs on the
 	// other endpoints are not reported to peers.
-	modelEngines  map[string]bool
-	nextJob       uint64
-	lastExpiry    clock.Millis
-	pendingUpdate update
-	// dispatchedAt holds the time of each job in pendingUpdate.Sent.
+	modelEngines map[string]bool
+	nextJob      uint64
+	lastExpiry   clock.Millis
+	pending      report
+	// dispatchedAt holds the time of each job in pending.Sent.
 	dispatchedAt []clock.Millis
+	// recentEnds holds the ends that were reported within the last endMemory.
+	recentEnds []reportedEnd
+}
+
+// reportedEnd is a job whose end was reported.
+type reportedEnd struct {
+	job        uint64
+	reportedAt clock.Millis
 }
 
 // NewScheduler returns a Scheduler that knows no endpoints.
@@ -104,15 +115,15 @@
 	}
 	s.balancer.RecordLocalJob(now, job)
 	if s.modelEngines[choice.Endpoint] {
-		s.pendingUpdate.Sent = append(s.pendingUpdate.Sent, sentJob{Job: job})
+		s.pending.Sent = append(s.pending.Sent, sentJob{Job: job})
 		s.dispatchedAt = append(s.dispatchedAt, now)
 	}
 	return relay.Placement{Job: job.ID, Endpoint: choice.Endpoint, Address: s.addresses[choice.Endpoint], ExpectedFirstToken: choice.ExpectedFirstToken}, relay.Refusal{}
 }
 
-// remoteTraffic returns the share and the update lag of the other daemons.
+// remoteTraffic returns the share and the report lag of the other daemons.
 func remoteTraffic(daemonCount int) balance.RemoteTraffic {
-	return balance.RemoteTraffic{Share: float64(daemonCount-1) / float64(max(daemonCount, 1)), UpdateLag: updateIntervalFor(daemonCount)}
+	return balance.RemoteTraffic{Share: float64(daemonCount-1) / float64(max(daemonCount, 1)), UpdateLag: reportInterval}
 }
 
 // choose returns an endpoint that can serve the request in time. It falls back
@@ -161,7 +172,7 @@
 	defer s.mu.Unlock()
 	s.balancer.RecordFirstToken(s.clock.Now(), p.Job)
 	if s.modelEngines[p.Endpoint] {
-		s.pendingUpdate.First = append(s.pendingUpdate.First, p.Job)
+		s.pending.First = append(s.pending.First, p.Job)
 	}
 }
 
@@ -170,7 +181,7 @@
 	defer s.mu.Unlock()
 	s.balancer.RecordEnd(s.clock.Now(), p.Job, outcome)
 	if s.modelEngines[p.Endpoint] {
-		s.pendingUpdate.Ended = append(s.pendingUpdate.Ended, p.Job)
+		s.pending.Ended = append(s.pending.Ended, p.Job)
 	}
 }
 
@@ -214,50 +225,59 @@
 	return s.balancer.PromptLoad(s.clock.Now(), backend)
 }
 
-// MarkLeaving marks an endpoint as leaving, here and in the next update.
-func (s *Scheduler) MarkLeaving(id string) {
+// takeReport returns what happened since the last call.
+func (s *Scheduler) takeReport() report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.balancer.MarkLeaving(id)
-	s.pendingUpdate.Leaving = append(s.pendingUpdate.Leaving, id)
+	now := s.clock.Now()
+	for i := range s.pending.Sent {
+		s.pending.Sent[i].Age = now - s.dispatchedAt[i]
+	}
+	s.rememberEnds(now, s.pending.Ended)
+	taken := s.pending
+	s.pending = report{}
+	s.dispatchedAt = nil
+	return taken
 }
 
-// MarkRemoved adds to the next update that the entry of an endpoint was removed.
-func (s *Scheduler) MarkRemoved(id string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.pendingUpdate.Gone = append(s.pendingUpdate.Gone, id)
+// rememberEnds keeps ended jobs for repeatRecentEnds, and drops those that are too
+// old. The caller holds mu.
+func (s *Scheduler) rememberEnds(now clock.Millis, ended []uint64) {
+	recent := s.recentEnds[:0]
+	for _, end := range s.recentEnds {
+		if now-end.reportedAt <= endMemory {
+			recent = append(recent, end)
+		}
+	}
+	for _, id := range ended {
+		recent = append(recent, reportedEnd{job: id, reportedAt: now})
+	}
+	s.recentEnds = recent
 }
 
-// takeUpdate returns what happened since the last call.
-func (s *Scheduler) takeUpdate() update {
+// repeatRecentEnds adds the ends that were reported recently to the next report, so
+// that the jobs do not stay recorded elsewhere until they expire.
+func (s *Scheduler) repeatRecentEnds() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.clock.Now()
-	for i := range s.pendingUpdate.Sent {
-		s.pendingUpdate.Sent[i].Age = now - s.dispatchedAt[i]
+	for _, end := range s.recentEnds {
+		s.pending.Ended = append(s.pending.Ended, end.job)
 	}
-	taken := s.pendingUpdate
-	s.pendingUpdate = update{}
-	s.dispatchedAt = nil
-	return taken
+	s.recentEnds = nil
 }
 
-// applyUpdate applies what happened at a peer.
-func (s *Scheduler) applyUpdate(u update) {
+// applyReport applies what happened at another daemon.
+func (s *Scheduler) applyReport(r report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
-	for _, sent := range u.Sent {
+	for _, sent := range r.Sent {
 		s.balancer.RecordRemoteJob(now, sent.Job, sent.Age)
 	}
-	for _, id := range u.First {
+	for _, id := range r.First {
 		s.balancer.RecordFirstToken(now, id)
 	}
-	for _, id := range u.Ended {
+	for _, id := range r.Ended {
 		s.balancer.RecordEnd(now, id, balance.Succeeded)
 	}
-	for _, id := range u.Leaving {
-		s.balancer.MarkLeaving(id)
-	}
 }
--- a/internal/peer/fleet/serve.go
+++ b/internal/peer/fleet/serve.go
@@ -9,53 +9,41 @@
 
 // registerHandlers registers the handlers for the messages of other daemons.
 func (f *Fleet) registerHandlers() {
-	link.Handle(f.config.Link, message.FleetPing, f.servePing)
-	link.Handle(f.config.Link, message.FleetUpdate, f.serveUpdate)
+	link.Handle(f.config.Link, message.FleetContact, f.servePing)
+	link.Handle(f.config.Link, message.FleetReports, f.serveReports)
+	link.Handle(f.config.Link, message.FleetEndpointChanges, f.serveEndpointChanges)
+	link.Handle(f.config.Link, message.FleetNews, f.serveNews)
 	link.Handle(f.config.Link, message.FleetDocument, f.serveDocument)
 	link.Handle(f.config.Link, message.FleetEndpoints, f.serveEndpoints)
 	link.Handle(f.config.Link, message.FleetUsage, f.serveUsage)
 }
 
 func (f *Fleet) servePing(_ context.Context, _ string, request ping) (pong, error) {
-	f.addPeer(request.ID, request.Address)
 	now := f.config.Clock.Now()
-	answer := pong{ID: f.config.Self.ID}
+	answer := pong{VM: f.config.Self}
 	if index, confirmed := f.config.Document.Current(); index != nil {
 		answer.Version, answer.VersionAge = index.Version(), now-confirmed
 	}
 	if list := f.config.Roster.State(); list.Known {
 		answer.ListRevision, answer.ListDigest, answer.ListAge = list.Revision, list.Digest, now-list.AsOf
 	}
-	answer.Peers = f.peersUnlessCount(request.Peers)
-	return answer, nil
-}
-
-// peersUnlessCount returns the peers, or nil if there are known of them: then
-// the asking daemon most likely has the same list.
-func (f *Fleet) peersUnlessCount(known int) []vm {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var peers []vm
-	for _, p := range f.peers {
-		if p.everAnswered {
-			peers = append(peers, vm{ID: p.id, Address: p.address})
-		}
+	f.view.RecordPing(now, request.VM, request.Subscribe, request.Daemons)
+	answer.Status, answer.Upstream = f.view.Status(now), f.upstreamVM(now)
+	if request.WantList {
+		answer.VMs = f.view.List(request.VM.FailureDomain)
 	}
-	if len(peers) == known {
-		return nil
-	}
-	return peers
+	return answer, nil
 }
 
-func (f *Fleet) serveUpdate(_ context.Context, _ string, u update) (struct{}, error) {
-	f.config.Scheduler.applyUpdate(u)
-	for _, id := range u.Leaving {
-		f.config.Roster.MarkLeaving(id)
-	}
-	for _, id := range u.Gone {
-		f.config.Roster.RemoveIfMissing(id)
-	}
-	f.config.Tally.Merge(u.Usage)
+func (f *Fleet) serveNews(_ context.Context, _ string, n news) (struct{}, error) {
+	f.wakePeer(n.Address)
+	return struct{}{}, nil
+}
+
+func (f *Fleet) serveEndpointChanges(_ context.Context, _ string, changes endpointChanges) (struct{}, error) {
+	f.config.Roster.UpdateFromPeer(changes.Changed, changes.Removed, changes.Revision)
 	return struct{}{}, nil
 }
 
--- /dev/null
+++ b/internal/peer/fleet/sync.go
@@ -0,0 +1,103 @@
+package fleet
+
+import (
+	"context"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/peer/link"
+	"github.com/banyanshift/banyanshift/internal/peer/message"
+)
+
+const (
+	// maxListAge is the age from which this daemon replaces its list of endpoints by
+	// a peer's list that differs. maxListAgeWithoutTable is the limit while this
+	// daemon cannot read the table.
+	maxListAge             = 1500 * clock.Millisecond
+	maxListAgeWithoutTable = 700 * clock.Millisecond
+	// minFetchInterval is the least time between two fetches of a peer's list.
+	minFetchInterval = clock.Second
+)
+
+// syncDocument fetches the configuration if the peer's is newer, and takes over
+// the time at which the peer's version was confirmed to be the newest.
+func (p *peer) syncDocument(ctx context.Context, sentAt clock.Millis, answer pong) {
+	f := p.fleet
+	if answer.Version == 0 {
+		return
+	}
+	index, _ := f.config.Document.Current()
+	if index == nil || index.Version() < answer.Version {
+		if err := p.fetchDocument(ctx, index == nil, answer.Version); err != nil {
+			eventFetchFailed.Log(f.config.Logger, logrus.Fields{"Address": p.address, "What": "configuration", "Error": err.Error()})
+			return
+		}
+	}
+	f.config.Document.Confirm(answer.Version, sentAt-answer.VersionAge)
+}
+
+func (p *peer) fetchDocument(ctx context.Context, missing bool, version int64) error {
+	f := p.fleet
+	request := documentRequest{}
+	if !missing {
+		request.Version = version - 1
+	}
+	sentAt := f.config.Clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout.Duration())
+	defer cancel()
+	answer, err := link.Call[documentRequest, documentAnswer](ctx, f.config.Link, link.Peer{Address: p.address}, message.FleetDocument, request)
+	if err != nil || len(answer.Raw) == 0 {
+		return err
+	}
+	index, err := f.config.Decode(answer.Raw)
+	if err != nil {
+		return err
+	}
+	if f.config.Document.Update(index, answer.Raw, sentAt-answer.Age) {
+		eventVersionFetched.Log(f.config.Logger, logrus.Fields{"Version": index.Version(), "Peer": p.address, "Age": int64(answer.Age)})
+		f.announce(nil)
+	}
+	return nil
+}
+
+// syncEndpoints takes over the time at which the peer's list of endpoints was
+// confirmed if both lists are equal. If they differ and the local list is too
+// old, it fetches the peer's list.
+func (p *peer) syncEndpoints(ctx context.Context, sentAt clock.Millis, answer pong) {
+	f := p.fleet
+	own := f.config.Roster.State()
+	asOf := sentAt - answer.ListAge
+	if answer.ListRevision == 0 || (own.Known && asOf <= own.AsOf) {
+		return
+	}
+	if own.Known && answer.ListDigest == own.Digest {
+		f.config.Roster.Confirm(own.Digest, asOf)
+		return
+	}
+	maxAge := maxListAge
+	if own.TableUnavailable {
+		maxAge = maxListAgeWithoutTable
+	}
+	now := f.config.Clock.Now()
+	if own.Known && (now-own.AsOf < maxAge || answer.ListRevision < own.Revision || now-p.fetchedAt < minFetchInterval) {
+		return
+	}
+	p.fetchedAt = now
+	p.fetchEndpoints(ctx)
+}
+
+func (p *peer) fetchEndpoints(ctx context.Context) {
+	f := p.fleet
+	sentAt := f.config.Clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout.Duration())
+	defer cancel()
+	fetched, err := link.Call[endpointsRequest, endpointsAnswer](ctx, f.config.Link, link.Peer{Address: p.address}, message.FleetEndpoints, endpointsRequest{})
+	if err != nil {
+		eventFetchFailed.Log(f.config.Logger, logrus.Fields{"Address": p.address, "What": "endpoints", "Error": err.Error()})
+		return
+	}
+	if fetched.Revision != 0 {
+		f.config.Roster.ReplaceFromPeer(fetched.Endpoints, fetched.Revision, sentAt-fetched.Age)
+	}
+}
--- a/internal/peer/message/message.go
+++ b/internal/peer/message/message.go
@@ -35,9 +35,12 @@
 	// Capacity.
 	DemandReport Type = 0x70
 	// Fleet-wide view.
-	FleetPing      Type = 0x80
-	FleetUpdate    Type = 0x81
-	FleetDocument  Type = 0x82
-	FleetEndpoints Type = 0x83
-	FleetUsage     Type = 0x84
+	// 0x80 and 0x81 were pings and updates that each daemon sent to every other one.
+	FleetDocument        Type = 0x82
+	FleetEndpoints       Type = 0x83
+	FleetUsage           Type = 0x84
+	FleetContact         Type = 0x85
+	FleetReports         Type = 0x86
+	FleetEndpointChanges Type = 0x87
+	FleetNews            Type = 0x88
 )
--- a/internal/platform/feed/feed.go
+++ b/internal/platform/feed/feed.go
@@ -1,5 +1,8 @@
 // Package feed follows table rows that other processes write.
 //
+// In a large fleet only a few daemons follow them and pass them on to the others. A
+// Follower therefore asks for its mode before each call.
+//
 // A Follower reads all rows under a prefix, then long-polls for changes. It reads
 // all rows again when the service no longer has the history since its revision.
 //
@@ -10,7 +13,7 @@
 //
 // # Usage
 //
-//	f := feed.New(feed.Config{Feed: client, Clock: clk, Logger: logger, Prefix: "Endpoints/", Wait: wait,
+//	f := feed.New(feed.Config{Feed: client, Clock: clk, Logger: logger, Prefix: "Endpoints/", Mode: mode, Wait: wait,
 //		OnSnapshot: replace, OnChanges: update, Rand: rng})
 //	go f.Run(ctx)
 package feed
@@ -45,8 +48,27 @@
 	// lateResponseMargin is how much longer than its wait a response must take
 	// to count as a sign that the service was unavailable meanwhile.
 	lateResponseMargin = 500 * clock.Millisecond
-	// retryDelay is the mean delay before the next call after a failed one.
-	retryDelay = 300 * clock.Millisecond
+	// retryDelay is the mean delay before the next call after a failed one. It
+	// doubles up to maxReadRetryDelay for a Follower in mode Read.
+	retryDelay        = 300 * clock.Millisecond
+	maxReadRetryDelay = 5 * clock.Second
+	// maxDoublings keeps the doubled delay within its type.
+	maxDoublings = 10
+	// modeCheckInterval is the time between two checks of the mode while idle.
+	modeCheckInterval = 100 * clock.Millisecond
+)
+
+// Mode is what a Follower has to do.
+type Mode int
+
+// The modes.
+const (
+	// Idle makes no calls, since others pass the rows on.
+	Idle Mode = iota
+	// Read reads the rows once, if it has not read them before.
+	Read
+	// Follow reads the rows and their changes.
+	Follow
 )
 
 // Config configures a Follower. Fields are required unless stated otherwise.
@@ -55,8 +77,10 @@
 	Clock  clock.Clock
 	Logger logrus.FieldLogger
 	Prefix string
-	// Wait returns how long the next call waits for changes.
-	Wait func() clock.Millis
+	// Mode returns what to do now. A change is noticed after the call in flight.
+	Mode func() Mode
+	// Wait is how long a call waits for changes.
+	Wait clock.Millis
 	// OnSnapshot receives all rows, and OnChanges the changed rows; a deleted
 	// row has Version 0. The rows were certainly current at asOf.
 	OnSnapshot func(rows []table.Row, revision uint64, asOf clock.Millis)
@@ -71,11 +95,12 @@
 // Follower passes the rows under a prefix and their changes to the callbacks of its
 // Config.
 type Follower struct {
-	config      Config
-	revision    uint64
-	hasSnapshot bool
-	outageStart clock.Millis
-	unavailable bool
+	config       Config
+	revision     uint64
+	hasSnapshot  bool
+	outageStart  clock.Millis
+	unavailable  bool
+	readFailures int
 }
 
 // New returns a Follower.
@@ -87,25 +112,40 @@
 // error. It retries failed calls with jitter.
 func (f *Follower) Run(ctx context.Context) error {
 	for {
-		err := f.step(ctx)
-		if ctx.Err() != nil {
-			return ctx.Err()
+		mode := f.config.Mode()
+		delay := modeCheckInterval
+		if mode == Follow || mode == Read && !f.hasSnapshot {
+			err := f.step(ctx)
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			f.recordResult(err)
+			delay = f.delayAfter(mode, err)
 		}
-		f.recordResult(err)
-		if err == nil {
-			continue
-		}
-		delay := retryDelay/2 + clock.Millis(f.config.Rand.Int64N(int64(retryDelay)))
 		if err := f.config.Clock.Sleep(ctx, delay); err != nil {
 			return err
 		}
 	}
 }
 
+// delayAfter returns the time until the next call after one that returned err.
+func (f *Follower) delayAfter(mode Mode, err error) clock.Millis {
+	if err == nil {
+		f.readFailures = 0
+		return 0
+	}
+	delay := retryDelay
+	if mode == Read {
+		f.readFailures++
+		delay = min(retryDelay<<min(f.readFailures, maxDoublings), maxReadRetryDelay)
+	}
+	return delay/2 + clock.Millis(f.config.Rand.Int64N(int64(delay)))
+}
+
 // step sends one call, for a snapshot or for changes, and passes on its rows.
 func (f *Follower) step(ctx context.Context) error {
 	asOf := f.config.Clock.Now()
-	wait := f.config.Wait()
+	wait := f.config.Wait
 	if f.unavailable {
 		wait = min(wait, maxWaitAfterFailure)
 	}
--- a/internal/platform/feed/feed_test.go
+++ b/internal/platform/feed/feed_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -50,7 +51,8 @@
 			return s.next(cancel)
 		}},
 		Clock: s.clock.Clock(), Logger: logger, Prefix: "E/",
-		Wait:       func() clock.Millis { return clock.Second },
+		Mode:       func() feed.Mode { return feed.Follow },
+		Wait:       clock.Second,
 		OnSnapshot: func(rows []table.Row, _ uint64, asOf clock.Millis) { s.record("all %d at %d", len(rows), asOf) },
 		OnChanges: func(rows []table.Row, _ uint64, asOf clock.Millis) {
 			s.record("changes %d at %d", len(rows), asOf)
@@ -128,3 +130,98 @@
 	got := run(t, response{err: table.ErrUnavailable}, response{err: table.ErrUnknown, delay: 2000})
 	expect(t, got, "all 1 at 1000", "lost")
 }
+
+// modeFixture is a running Follower whose mode and store a test controls.
+type modeFixture struct {
+	clock *clock.Manual
+	mode  atomic.Int64
+	down  atomic.Bool
+	calls atomic.Int64
+}
+
+func newModeFixture(t *testing.T, mode feed.Mode) *modeFixture {
+	m := &modeFixture{clock: clock.NewManual(1000)}
+	m.mode.Store(int64(mode))
+	logger, _ := logtest.NewNullLogger()
+	read := func() ([]table.Row, uint64, error) {
+		m.calls.Add(1)
+		if m.down.Load() {
+			return nil, 0, table.ErrUnavailable
+		}
+		return nil, 7, nil
+	}
+	f := feed.New(feed.Config{
+		Feed: table.Feed{
+			Snapshot: func(context.Context, string) ([]table.Row, uint64, error) { return read() },
+			Changes: func(ctx context.Context, _ string, _ uint64, wait clock.Millis) ([]table.Row, uint64, error) {
+				if err := m.clock.Clock().Sleep(ctx, wait); err != nil {
+					return nil, 0, err
+				}
+				return read()
+			},
+		},
+		Clock: m.clock.Clock(), Logger: logger, Prefix: "E/", Wait: clock.Second,
+		Mode:       func() feed.Mode { return feed.Mode(m.mode.Load()) },
+		OnSnapshot: func([]table.Row, uint64, clock.Millis) {},
+		OnChanges:  func([]table.Row, uint64, clock.Millis) {},
+		Rand:       rand.New(rand.NewPCG(1, 2)),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = f.Run(ctx)
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	return m
+}
+
+// callsIn returns the number of calls in a time of the clock.
+func (m *modeFixture) callsIn(d clock.Millis) int64 {
+	before := m.calls.Load()
+	const step = 50 * clock.Millisecond
+	for range d / step {
+		m.settle()
+		m.clock.Advance(step)
+	}
+	m.settle()
+	return m.calls.Load() - before
+}
+
+// settle waits until the Follower sleeps, and so has made the calls that were due.
+func (m *modeFixture) settle() {
+	for m.clock.Sleepers() == 0 {
+		time.Sleep(50 * time.Microsecond)
+	}
+}
+
+func TestIdleFollowerMakesNoCalls(t *testing.T) {
+	m := newModeFixture(t, feed.Idle)
+	if calls := m.callsIn(10 * clock.Second); calls != 0 {
+		t.Errorf("%d calls while idle, want none", calls)
+	}
+	m.mode.Store(int64(feed.Follow))
+	if calls := m.callsIn(10 * clock.Second); calls < 9 {
+		t.Errorf("%d calls within 10 s of following, want one a second", calls)
+	}
+	m.mode.Store(int64(feed.Idle))
+	m.callsIn(2 * clock.Second)
+	if calls := m.callsIn(10 * clock.Second); calls != 0 {
+		t.Errorf("%d calls while idle again, want none", calls)
+	}
+}
+
+// TestReaderBacksOffWhileTheStoreIsDown guards against an outage during which each
+// daemon of a large fleet that has just started calls the store several times a second.
+func TestReaderBacksOffWhileTheStoreIsDown(t *testing.T) {
+	m := newModeFixture(t, feed.Read)
+	m.down.Store(true)
+	m.callsIn(10 * clock.Second)
+	if calls := m.callsIn(30 * clock.Second); calls > 15 {
+		t.Errorf("%d calls in 30 s of an outage, want at most one in 2 s", calls)
+	}
+	m.down.Store(false)
+	if calls := m.callsIn(30 * clock.Second); calls != 1 {
+		t.Errorf("%d calls after the outage, want one", calls)
+	}
+}
--- a/internal/settings/gateway/settings.go
+++ b/internal/settings/gateway/settings.go
@@ -35,6 +35,9 @@
 type Daemon struct {
 	ID            string
 	FailureDomain string
+	// Capacity is the VM's share of a processor core. Daemons with more capacity do
+	// more for the others.
+	Capacity float64
 	// MemoryLimit is the number of bytes that the process may use.
 	MemoryLimit int64
 	// Grace is the time from SIGTERM until the process is killed.
@@ -113,6 +116,8 @@
 		func(s *Settings) any { return &s.Daemon.ID }},
 	{ini.Field{Section: "Daemon", Name: "FailureDomain", Type: ini.Name, Required: true, Help: "Failure domain of the VM."},
 		func(s *Settings) any { return &s.Daemon.FailureDomain }},
+	{ini.Field{Section: "Daemon", Name: "Capacity", Type: ini.Fraction, Default: "1", Help: "Share of a processor core that the VM has. Daemons with more capacity pass on more for the others."},
+		func(s *Settings) any { return &s.Daemon.Capacity }},
 	{ini.Field{Section: "Daemon", Name: "MemoryLimit", Type: ini.Size, Default: "128MiB", Min: 32 * mebibyte, Max: 1 << 40, Help: "Memory limit of the process."},
 		func(s *Settings) any { return &s.Daemon.MemoryLimit }},
 	{ini.Field{Section: "Daemon", Name: "Grace", Type: ini.Duration, Default: "8s", Min: 1000, Max: maxDuration, Help: "Time from SIGTERM until the process is killed."},
--- a/internal/usage/tally/tally.go
+++ b/internal/usage/tally/tally.go
@@ -72,10 +72,7 @@
 	defer t.mu.Unlock()
 	window := t.WindowAt(wall)
 	t.windowCounts(window)[countKey{source: t.source, team: team}]++
-	if t.changed[window] == nil {
-		t.changed[window] = make(map[string]bool)
-	}
-	t.changed[window][team] = true
+	t.markChanged(window, team)
 }
 
 // windowCounts returns the counts of a window, and creates them if needed. The
@@ -115,6 +112,28 @@
 	return counts
 }
 
+// MarkAllChanged makes the next call of TakeChanged return all of this daemon's
+// counts.
+func (t *Tally) MarkAllChanged() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for window, counts := range t.windows {
+		for c := range counts {
+			if c.source == t.source {
+				t.markChanged(window, c.team)
+			}
+		}
+	}
+}
+
+// markChanged marks a count of this daemon as changed. The caller must hold t.mu.
+func (t *Tally) markChanged(window int64, team string) {
+	if t.changed[window] == nil {
+		t.changed[window] = make(map[string]bool)
+	}
+	t.changed[window][team] = true
+}
+
 // Merge merges counts that another daemon sent.
 func (t *Tally) Merge(counts []TeamCount) {
 	t.mu.Lock()
