Count usage by a time of day that ignores jumps of a VM's clock

Cause: usage is counted in windows of the time of day.

Ruled out: other uses of the time of day.

Change: internal/peer/walltime keeps the offset of the steady clock. It follows the VM's clock in small steps only, and takes over the time on which two or more contacts and most of them agree; answers to pings carry it.

--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -45,6 +45,7 @@
 	"github.com/banyanshift/banyanshift/internal/peer/fleet"
 	"github.com/banyanshift/banyanshift/internal/peer/link"
 	"github.com/banyanshift/banyanshift/internal/peer/topology"
+	"github.com/banyanshift/banyanshift/internal/peer/walltime"
 	"github.com/banyanshift/banyanshift/internal/settings/gateway"
 	"github.com/banyanshift/banyanshift/internal/usage/billing"
 	"github.com/banyanshift/banyanshift/internal/usage/tally"
@@ -85,6 +86,7 @@
 	settings    gateway.Settings
 	platform    Platform
 	clock       clock.Clock
+	wallTime    *walltime.Estimator
 	logger      logrus.FieldLogger
 	incarnation string
 	seed        uint64
@@ -129,7 +131,8 @@
 // New builds a daemon without starting it.
 func New(settings gateway.Settings, platform Platform, clk clock.Clock, logger logrus.FieldLogger) (d *Daemon, err error) {
 	defer func() { err = oops.Wrapf(err, "build gateway") }()
-	d = &Daemon{settings: settings, platform: platform, clock: clk, logger: logger.WithField("Daemon", settings.Daemon.ID), planner: supply.New()}
+	wallTime := walltime.New(clk)
+	d = &Daemon{settings: settings, platform: platform, clock: wallTime.Clock(), wallTime: wallTime, logger: logger.WithField("Daemon", settings.Daemon.ID), planner: supply.New()}
 	var random [16]byte
 	if _, err := rand.Read(random[:]); err != nil {
 		return nil, err
@@ -186,7 +189,7 @@
 			FailureDomain: d.settings.Daemon.FailureDomain, Capacity: d.settings.Daemon.Capacity,
 		},
 		Incarnation: d.incarnation, Seeds: seedAddresses(d.settings.Peer), Table: d.table, Scheduler: d.scheduler, Roster: d.roster,
-		Document: d.document, Decode: d.platform.DecodeDocument, Tally: d.tally, Rand: d.random(2),
+		Document: d.document, Decode: d.platform.DecodeDocument, Tally: d.tally, WallTime: d.wallTime, Rand: d.random(2),
 	})
 }
 
--- a/internal/peer/fanout/fanout.go
+++ b/internal/peer/fanout/fanout.go
@@ -34,6 +34,8 @@
 
 // Item is a report of one daemon.
 type Item[Report any] struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
 	// Source identifies the run of the daemon that made the report.
 	Source        string
 	FailureDomain string
--- a/internal/peer/fleet/fleet.go
+++ b/internal/peer/fleet/fleet.go
@@ -34,6 +34,7 @@
 	"github.com/banyanshift/banyanshift/internal/peer/fanout"
 	"github.com/banyanshift/banyanshift/internal/peer/link"
 	"github.com/banyanshift/banyanshift/internal/peer/topology"
+	"github.com/banyanshift/banyanshift/internal/peer/walltime"
 	"github.com/banyanshift/banyanshift/internal/usage/tally"
 )
 
@@ -64,7 +65,9 @@
 	// Decode reads the bytes of a configuration.
 	Decode func(raw []byte) (*document.Index, error)
 	Tally  *tally.Tally
-	Rand   *rand.Rand
+	// WallTime receives the times of day of the other daemons.
+	WallTime *walltime.Estimator
+	Rand     *rand.Rand
 }
 
 // Fleet tracks the other daemons and exchanges state with them. It is safe for
--- a/internal/peer/fleet/fleet_test.go
+++ b/internal/peer/fleet/fleet_test.go
@@ -23,6 +23,7 @@
 	"github.com/banyanshift/banyanshift/internal/peer/fleet"
 	"github.com/banyanshift/banyanshift/internal/peer/link"
 	"github.com/banyanshift/banyanshift/internal/peer/topology"
+	"github.com/banyanshift/banyanshift/internal/peer/walltime"
 	"github.com/banyanshift/banyanshift/internal/usage/tally"
 )
 
@@ -84,7 +85,7 @@
 	d.fleet = fleet.New(fleet.Config{
 		Link: d.link, Clock: clk, Logger: logger, Self: topology.VM{ID: id, Address: d.address, FailureDomain: domainOf(id)},
 		Incarnation: id, Seeds: seeds,
-		Table: rows, Scheduler: d.scheduler, Roster: d.roster, Document: d.document, Decode: decode, Tally: d.tally, Rand: rng,
+		Table: rows, Scheduler: d.scheduler, Roster: d.roster, Document: d.document, Decode: decode, Tally: d.tally, WallTime: walltime.New(clk), Rand: rng,
 	})
 	if err := d.link.Start(); err != nil {
 		t.Fatal(err)
--- a/internal/peer/fleet/message.go
+++ b/internal/peer/fleet/message.go
@@ -30,6 +30,8 @@
 	Upstream *topology.VM
 	// VMs lists the known VMs if the ping asked for them.
 	VMs []topology.VM
+	// Wall is the peer's time of day.
+	Wall clock.Millis
 	// Version is the version of the held configuration, 0 if there is none,
 	// and VersionAge the time since it was confirmed to be the newest.
 	Version    int64
@@ -43,23 +45,81 @@
 }
 
 // report is what happened at a daemon since its last report. First and Ended list
-// job IDs.
+// job IDs. Reports are encoded as arrays, since they make up most of the traffic
+// between daemons.
 type report struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
 	Sent  []sentJob
 	First []uint64
 	Ended []uint64
 	// Usage does not go to subscribers, since only roots bill usage.
-	Usage []tally.TeamCount
+	Usage []teamCount
 }
 
 func (r *report) empty() bool {
 	return len(r.Sent) == 0 && len(r.First) == 0 && len(r.Ended) == 0 && len(r.Usage) == 0
 }
 
-// sentJob is a job that was sent to an endpoint, Age before this message.
+// sentJob is a balance.Job that was sent to an endpoint, Age before this message.
 type sentJob struct {
-	Job balance.Job
-	Age clock.Millis
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	ID       uint64
+	Endpoint string
+	// Hashes and Tokens hold one element for each part of the prompt.
+	Hashes   []uint64
+	Tokens   []int
+	Uncached int
+	Output   int
+	Priority int
+	Expected clock.Millis
+	Age      clock.Millis
+}
+
+func newSentJob(job balance.Job, age clock.Millis) sentJob {
+	sent := sentJob{
+		ID: job.ID, Endpoint: job.Endpoint, Uncached: job.Uncached, Output: job.Output,
+		Priority: job.Priority, Expected: job.Expected, Age: age,
+	}
+	for _, part := range job.Parts {
+		sent.Hashes = append(sent.Hashes, part.Hash)
+		sent.Tokens = append(sent.Tokens, part.Tokens)
+	}
+	return sent
+}
+
+// job returns the job. Hashes without tokens are left out.
+func (s sentJob) job() balance.Job {
+	job := balance.Job{ID: s.ID, Endpoint: s.Endpoint, Uncached: s.Uncached, Output: s.Output, Priority: s.Priority, Expected: s.Expected}
+	for i, hash := range s.Hashes[:min(len(s.Hashes), len(s.Tokens))] {
+		job.Parts = append(job.Parts, balance.PromptPart{Hash: hash, Tokens: s.Tokens[i]})
+	}
+	return job
+}
+
+// teamCount is a tally.TeamCount of the daemon that made the report.
+type teamCount struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	Window int64
+	Team   string
+	Count  int64
+}
+
+func newTeamCounts(counts []tally.TeamCount) (encoded []teamCount) {
+	for _, count := range counts {
+		encoded = append(encoded, teamCount{Window: count.Window, Team: count.Team, Count: count.Count})
+	}
+	return encoded
+}
+
+// countsOf returns the counts of the daemon named source.
+func countsOf(source string, encoded []teamCount) (counts []tally.TeamCount) {
+	for _, count := range encoded {
+		counts = append(counts, tally.TeamCount{Window: count.Window, Source: source, Team: count.Team, Count: count.Count})
+	}
+	return counts
 }
 
 // reports carries the reports of one or more daemons through the tree.
--- a/internal/peer/fleet/peer.go
+++ b/internal/peer/fleet/peer.go
@@ -136,6 +136,7 @@
 		return p.recordFailure(err)
 	}
 	p.recordAnswer(request, answer)
+	p.recordWallTime(sentAt, answer)
 	p.syncDocument(ctx, sentAt, answer)
 	p.syncEndpoints(ctx, sentAt, answer)
 	if p.isNewUpstream(request) {
@@ -194,6 +195,14 @@
 	}
 }
 
+func (p *peer) recordWallTime(sentAt clock.Millis, answer pong) {
+	f := p.fleet
+	correction := f.config.WallTime.RecordPeer(p.address, answer.Wall, sentAt, f.config.Clock.Now())
+	if correction != 0 {
+		eventTimeCorrected.Log(f.config.Logger, logrus.Fields{"Correction": int64(correction)})
+	}
+}
+
 func (p *peer) recordFailure(err error) (delay clock.Millis) {
 	f := p.fleet
 	p.failures++
--- a/internal/peer/fleet/report.go
+++ b/internal/peer/fleet/report.go
@@ -58,7 +58,7 @@
 	now := f.config.Clock.Now()
 	f.resendAfterTakeover(now)
 	own := f.config.Scheduler.takeReport()
-	own.Usage = f.config.Tally.TakeChanged()
+	own.Usage = newTeamCounts(f.config.Tally.TakeChanged())
 	f.mu.Lock()
 	if !own.empty() {
 		f.exchange.Add(own)
@@ -125,7 +125,7 @@
 	f.mu.Unlock()
 	for _, item := range fresh {
 		f.config.Scheduler.applyReport(item.Report)
-		f.config.Tally.Merge(item.Report.Usage)
+		f.config.Tally.Merge(countsOf(item.Source, item.Report.Usage))
 	}
 	return struct{}{}, nil
 }
--- a/internal/peer/fleet/scheduler.go
+++ b/internal/peer/fleet/scheduler.go
@@ -115,7 +115,7 @@
 	}
 	s.balancer.RecordLocalJob(now, job)
 	if s.modelEngines[choice.Endpoint] {
-		s.pending.Sent = append(s.pending.Sent, sentJob{Job: job})
+		s.pending.Sent = append(s.pending.Sent, newSentJob(job, 0))
 		s.dispatchedAt = append(s.dispatchedAt, now)
 	}
 	return relay.Placement{Job: job.ID, Endpoint: choice.Endpoint, Address: s.addresses[choice.Endpoint], ExpectedFirstToken: choice.ExpectedFirstToken}, relay.Refusal{}
@@ -272,7 +272,7 @@
 	defer s.mu.Unlock()
 	now := s.clock.Now()
 	for _, sent := range r.Sent {
-		s.balancer.RecordRemoteJob(now, sent.Job, sent.Age)
+		s.balancer.RecordRemoteJob(now, sent.job(), sent.Age)
 	}
 	for _, id := range r.First {
 		s.balancer.RecordFirstToken(now, id)
--- a/internal/peer/fleet/serve.go
+++ b/internal/peer/fleet/serve.go
@@ -20,7 +20,7 @@
 
 func (f *Fleet) servePing(_ context.Context, _ string, request ping) (pong, error) {
 	now := f.config.Clock.Now()
-	answer := pong{VM: f.config.Self}
+	answer := pong{VM: f.config.Self, Wall: f.config.WallTime.Wall()}
 	if index, confirmed := f.config.Document.Current(); index != nil {
 		answer.Version, answer.VersionAge = index.Version(), now-confirmed
 	}
