Do not bring back endpoints that left while the store refused a follower

The trace of one, i-509a96fdc0: removed everywhere at 11.897 s, back on all daemons of two failure domains at 16.03 s, when the root sask-central-b-1 read the store again after 7 s in which the store had refused it. Its response held both the addition and the removal of the row. Taken apart into entries and removals they made the endpoint missing after an outage, and it passed that on as a change.

Ruled out: the way through the tree (changes arrived within 5 ms); a failed takeover.

Change: the feed passes on the last state of each row only; an entry that is missing at a peer is not added where it is unknown. Found by reading on the way: a list of a later revision replaces a stale one at once (a daemon that starts during stale reads used it for 1.5 s); leaving is taken over from reports of any revision; roots that the store refuses say so and are passed over as followers and candidates, and calls wait 1 s instead of 2 s, so that a hanging one is noticed after 1.7 s. Each has a test that failed before (TestOnlyTheLastStateOfARowIsPassedOn, TestEntryMissingAtAPeerIsNotBroughtBack, TestStaleListIsReplacedAtOnce, TestLeavingAtAPeerCountsInAnyRevision, TestRootThatTheStoreRefusesIsPassedOver). TestChangesAreCurrentAsOfWhenTheCallWasSent now gives its two rows different keys, since rows without a key are the same row.

--- a/internal/daemon/gateway/follow.go
+++ b/internal/daemon/gateway/follow.go
@@ -12,13 +12,13 @@
 const (
 	// feedWait is the maximum time for which one call to the store waits for
 	// changes, and so the interval at which a follower confirms its view.
-	feedWait = 2 * clock.Second
+	feedWait = clock.Second
 	// followers is the number of daemons of the fleet that follow the store. The
 	// others learn of changes from them.
 	followers = 3
 	// maxUnconfirmed is the age of a view from which all roots follow the store: the
 	// followers may be refused by the store or may have failed.
-	maxUnconfirmed = 3500 * clock.Millisecond
+	maxUnconfirmed = 2500 * clock.Millisecond
 )
 
 // feedMode returns what to do about rows whose view was last confirmed at a time.
--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -46,6 +46,7 @@
 	"github.com/banyanshift/banyanshift/internal/peer/link"
 	"github.com/banyanshift/banyanshift/internal/peer/topology"
 	"github.com/banyanshift/banyanshift/internal/peer/walltime"
+	"github.com/banyanshift/banyanshift/internal/platform/feed"
 	"github.com/banyanshift/banyanshift/internal/settings/gateway"
 	"github.com/banyanshift/banyanshift/internal/usage/billing"
 	"github.com/banyanshift/banyanshift/internal/usage/tally"
@@ -91,23 +92,25 @@
 	incarnation string
 	seed        uint64
 
-	table     table.Client
-	feed      table.Feed
-	document  *document.Holder
-	roster    *roster.Roster
-	scheduler *fleet.Scheduler
-	fleet     *fleet.Fleet
-	link      *link.Link
-	tally     *tally.Tally
-	pool      *http1.Pool
-	lease     *lease.Lease
-	leader    *leader.Runner
-	planner   *supply.Planner
-	handler   *relay.Handler
-	callers   *http.Server
-	ready     *http.Server
-	metrics   *server.Server
-	stopping  atomic.Bool
+	table    table.Client
+	feed     table.Feed
+	document *document.Holder
+	// documentFeed and endpointsFeed read the store while this daemon is to.
+	documentFeed, endpointsFeed *feed.Follower
+	roster                      *roster.Roster
+	scheduler                   *fleet.Scheduler
+	fleet                       *fleet.Fleet
+	link                        *link.Link
+	tally                       *tally.Tally
+	pool                        *http1.Pool
+	lease                       *lease.Lease
+	leader                      *leader.Runner
+	planner                     *supply.Planner
+	handler                     *relay.Handler
+	callers                     *http.Server
+	ready                       *http.Server
+	metrics                     *server.Server
+	stopping                    atomic.Bool
 	// endpoints is the last list that the roster passed to handleEndpoints.
 	endpoints atomic.Pointer[[]roster.Endpoint]
 
@@ -177,6 +180,7 @@
 	d.roster = roster.New(d.clock, d.settings.Bounds.DrainTime, d.handleEndpoints)
 	d.tally = tally.New(d.incarnation, d.settings.Bounds.UsageWindow)
 	rules := budget.Rules{Ratio: d.settings.Bounds.RetryRatio, FixedRetries: d.settings.Bounds.RetryExtra, Window: d.settings.Bounds.RetryWindow}
+	d.documentFeed, d.endpointsFeed = d.followDocument(), d.followEndpoints()
 	d.scheduler = fleet.NewScheduler(d.clock, rules, func() int { return d.fleet.DaemonCount() }, d.random(1))
 }
 
@@ -189,7 +193,8 @@
 			FailureDomain: d.settings.Daemon.FailureDomain, Capacity: d.settings.Daemon.Capacity,
 		},
 		Incarnation: d.incarnation, Seeds: seedAddresses(d.settings.Peer), Table: d.table, Scheduler: d.scheduler, Roster: d.roster,
-		Document: d.document, Decode: d.platform.DecodeDocument, Tally: d.tally, WallTime: d.wallTime, Rand: d.random(2),
+		Document: d.document, Decode: d.platform.DecodeDocument, Tally: d.tally, WallTime: d.wallTime,
+		StoreUnavailable: func() bool { return d.documentFeed.Failing() || d.endpointsFeed.Failing() }, Rand: d.random(2),
 	})
 }
 
@@ -267,8 +272,8 @@
 	if err := d.metrics.Start(); err != nil {
 		return err
 	}
-	d.baseTasks.Start("Configuration", d.followDocument().Run)
-	d.baseTasks.Start("Endpoints", d.followEndpoints().Run)
+	d.baseTasks.Start("Configuration", d.documentFeed.Run)
+	d.baseTasks.Start("Endpoints", d.endpointsFeed.Run)
 	d.baseTasks.Start("Roster", d.roster.Run)
 	d.baseTasks.Start("Fleet", d.fleet.Run)
 	d.baseTasks.Start("Gauges", d.runGauges)
--- a/internal/endpoint/roster/roster.go
+++ b/internal/endpoint/roster/roster.go
@@ -147,13 +147,18 @@
 }
 
 // UpdateFromPeer applies the entries that changed or were removed in the list of
-// another daemon, unless this list is of a later revision. It neither ends an outage
-// of the table nor confirms the list. An entry that is missing there is missing here,
-// too, until its grace period expires.
+// another daemon. If this list is of a later revision, it only takes over that
+// endpoints are leaving, which a read that was behind may have missed. UpdateFromPeer
+// neither ends an outage of the table nor confirms the list. An entry that is missing
+// there is missing here, too, until its grace period expires.
 func (r *Roster) UpdateFromPeer(entries []Endpoint, removed []string, revision uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.hasList || revision < r.revision {
+	if !r.hasList {
+		return
+	}
+	if revision < r.revision {
+		r.markLeavingEntries(entries)
 		return
 	}
 	for _, entry := range entries {
@@ -166,10 +171,29 @@
 	r.publish()
 }
 
+// markLeavingEntries marks the endpoints as leaving that are so in entries.
+func (r *Roster) markLeavingEntries(entries []Endpoint) {
+	marked := false
+	for _, entry := range entries {
+		held, found := r.endpoints[entry.ID]
+		if found && entry.Leaving && held.Incarnation == entry.Incarnation {
+			marked = r.markLeaving(held) || marked
+		}
+	}
+	if marked {
+		r.publish()
+	}
+}
+
+// putFromPeer applies an entry of another daemon. An entry that is missing there is not
+// added, since its removal has been applied here.
 func (r *Roster) putFromPeer(entry Endpoint) {
-	r.put(entry)
-	held := r.endpoints[entry.ID]
-	if !entry.Missing || held.Incarnation != entry.Incarnation {
+	if !entry.Missing {
+		r.put(entry)
+		return
+	}
+	held, found := r.endpoints[entry.ID]
+	if !found || held.Incarnation != entry.Incarnation {
 		return
 	}
 	held.Missing = true
@@ -252,15 +276,22 @@
 func (r *Roster) MarkLeaving(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	entry, found := r.endpoints[id]
-	if !found || entry.Leaving {
-		return
+	if entry, found := r.endpoints[id]; found && r.markLeaving(entry) {
+		r.publish()
+	}
+}
+
+// markLeaving marks an entry of the list as leaving, and reports whether it was not
+// so before.
+func (r *Roster) markLeaving(entry Endpoint) bool {
+	if entry.Leaving {
+		return false
 	}
 	leaving := entry
 	leaving.Leaving = true
 	leaving.LeavesAt = r.earliestLeave(entry, leaving)
-	r.endpoints[id] = leaving
-	r.publish()
+	r.endpoints[entry.ID] = leaving
+	return true
 }
 
 // Run removes missing entries whose grace period has expired, until ctx is
--- a/internal/endpoint/roster/roster_test.go
+++ b/internal/endpoint/roster/roster_test.go
@@ -210,6 +210,28 @@
 	f.expect(t, "a")
 }
 
+// TestLeavingAtAPeerCountsInAnyRevision guards against requests for an endpoint that is
+// known to leave: a read that was behind may have brought this list to a later revision
+// without the change.
+func TestLeavingAtAPeerCountsInAnyRevision(t *testing.T) {
+	f := newFixture("a", "b")
+	f.Update(nil, nil, 9, f.clock.Now())
+	leaving, restarted := entry("a", 1), entry("b", 0)
+	leaving.Leaving, restarted.Leaving = true, true
+	f.UpdateFromPeer([]roster.Endpoint{leaving, restarted}, nil, 8)
+	f.expect(t, "a(leaving)b")
+}
+
+// TestEntryMissingAtAPeerIsNotBroughtBack checks that an entry that is missing at a peer
+// after an outage there does not return to a list from which it was removed.
+func TestEntryMissingAtAPeerIsNotBroughtBack(t *testing.T) {
+	f := newFixture("b")
+	missing := entry("a", 1)
+	missing.Missing = true
+	f.UpdateFromPeer([]roster.Endpoint{missing}, nil, 2)
+	f.expect(t, "b")
+}
+
 // TestEntryMissingAtAPeerExpires checks that a daemon that does not read the table
 // keeps an entry as long as the peer that does, and drops it even if the peer's next
 // report is lost.
--- a/internal/peer/fleet/fleet.go
+++ b/internal/peer/fleet/fleet.go
@@ -65,6 +65,9 @@
 	// Decode reads the bytes of a configuration.
 	Decode func(raw []byte) (*document.Index, error)
 	Tally  *tally.Tally
+	// StoreUnavailable reports whether this daemon failed to read the store when it
+	// last tried.
+	StoreUnavailable func() bool
 	// WallTime receives the times of day of the other daemons.
 	WallTime *walltime.Estimator
 	Rand     *rand.Rand
--- a/internal/peer/fleet/fleet_test.go
+++ b/internal/peer/fleet/fleet_test.go
@@ -85,7 +85,7 @@
 	d.fleet = fleet.New(fleet.Config{
 		Link: d.link, Clock: clk, Logger: logger, Self: topology.VM{ID: id, Address: d.address, FailureDomain: domainOf(id)},
 		Incarnation: id, Seeds: seeds,
-		Table: rows, Scheduler: d.scheduler, Roster: d.roster, Document: d.document, Decode: decode, Tally: d.tally, WallTime: walltime.New(clk), Rand: rng,
+		Table: rows, Scheduler: d.scheduler, Roster: d.roster, Document: d.document, Decode: decode, Tally: d.tally, WallTime: walltime.New(clk), StoreUnavailable: func() bool { return false }, Rand: rng,
 	})
 	if err := d.link.Start(); err != nil {
 		t.Fatal(err)
@@ -213,6 +213,25 @@
 	})
 }
 
+// TestStaleListIsReplacedAtOnce guards against a daemon that starts with a list that was
+// behind when it read it, and uses endpoints that its peers know to be gone.
+func TestStaleListIsReplacedAtOnce(t *testing.T) {
+	rows := table.NewMemory().Client()
+	a, b := start(t, "a", rows), start(t, "b", rows)
+	eventually(t, "both know each other", func() bool { return a.fleet.DaemonCount() == 2 && b.fleet.DaemonCount() == 2 })
+	now := clock.System().Now()
+	a.roster.Replace(nil, 9, now-2*clock.Second)
+	b.roster.Replace(engineList(), 3, now)
+	started := time.Now()
+	eventually(t, "b drops the endpoint", func() bool {
+		list, _, _, _ := b.roster.List()
+		return len(list) == 0
+	})
+	if took := time.Since(started); took > time.Second {
+		t.Errorf("took %s, want at most 1 s", took)
+	}
+}
+
 func TestUsageIsCollectedFromPeers(t *testing.T) {
 	rows := table.NewMemory().Client()
 	a, b := start(t, "a", rows), start(t, "b", rows)
--- a/internal/peer/fleet/peer.go
+++ b/internal/peer/fleet/peer.go
@@ -63,7 +63,9 @@
 
 func (f *Fleet) updateContacts(ctx context.Context) {
 	now := f.config.Clock.Now()
+	storeUnavailable := f.config.StoreUnavailable()
 	f.mu.Lock()
+	f.view.SetStoreUnavailable(storeUnavailable)
 	removed := f.view.Expire(now)
 	contacts := f.view.Contacts(now)
 	var dropped []string
--- a/internal/peer/fleet/sync.go
+++ b/internal/peer/fleet/sync.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/endpoint/roster"
 	"github.com/banyanshift/banyanshift/internal/peer/link"
 	"github.com/banyanshift/banyanshift/internal/peer/message"
 )
@@ -62,31 +63,40 @@
 }
 
 // syncEndpoints takes over the time at which the peer's list of endpoints was
-// confirmed if both lists are equal. If they differ and the local list is too
-// old, it fetches the peer's list.
+// confirmed if both lists are equal. If they differ, it fetches the peer's list if
+// that is of a later revision, or if the local list is too old.
 func (p *peer) syncEndpoints(ctx context.Context, sentAt clock.Millis, answer pong) {
 	f := p.fleet
 	own := f.config.Roster.State()
-	asOf := sentAt - answer.ListAge
-	if answer.ListRevision == 0 || (own.Known && asOf <= own.AsOf) {
+	if answer.ListRevision == 0 {
 		return
 	}
+	asOf := sentAt - answer.ListAge
 	if own.Known && answer.ListDigest == own.Digest {
 		f.config.Roster.Confirm(own.Digest, asOf)
 		return
 	}
-	maxAge := maxListAge
-	if own.TableUnavailable {
-		maxAge = maxListAgeWithoutTable
-	}
 	now := f.config.Clock.Now()
-	if own.Known && (now-own.AsOf < maxAge || answer.ListRevision < own.Revision || now-p.fetchedAt < minFetchInterval) {
+	if own.Known && (!isNewer(now, asOf, own, answer) || now-p.fetchedAt < minFetchInterval) {
 		return
 	}
 	p.fetchedAt = now
 	p.fetchEndpoints(ctx)
 }
 
+// isNewer reports whether a peer's list that differs from the own one is to replace
+// it. Lists of the same revision may differ by what endpoints themselves said.
+func isNewer(now, asOf clock.Millis, own roster.State, answer pong) bool {
+	if answer.ListRevision != own.Revision {
+		return answer.ListRevision > own.Revision
+	}
+	maxAge := maxListAge
+	if own.TableUnavailable {
+		maxAge = maxListAgeWithoutTable
+	}
+	return asOf > own.AsOf && now-own.AsOf >= maxAge
+}
+
 func (p *peer) fetchEndpoints(ctx context.Context) {
 	f := p.fleet
 	sentAt := f.config.Clock.Now()
--- a/internal/peer/topology/role.go
+++ b/internal/peer/topology/role.go
@@ -171,7 +171,8 @@
 
 // LeaderRank returns the place of this daemon in the order of the whole fleet:
 // the roots by the name of their domain, then the daemons that come next in each
-// domain. Daemons with a low rank do the work of which a few suffice.
+// domain. Daemons with a low rank do the work with the store of which a few suffice;
+// roots that cannot use the store do not count.
 func (v *View) LeaderRank(now clock.Millis) int {
 	rank := v.rank(now)
 	if rank > 0 {
@@ -182,18 +183,21 @@
 		return rank * domains
 	}
 	for _, name := range v.otherDomains() {
-		if name < v.self.FailureDomain && !isLost(now, v.domains[name]) {
+		if name < v.self.FailureDomain && mayUseStore(now, v.domains[name]) {
 			rank++
 		}
 	}
 	return rank
 }
 
-// isLost reports whether no VM of a failure domain responds, although some were
-// contacted. VMs that are still undecided do not count, since a lost domain has many.
-func isLost(now clock.Millis, list []*candidate) bool {
-	return firstResponding(now, list) == nil &&
-		slices.ContainsFunc(list, func(c *candidate) bool { return c.state(now) == failed })
+// mayUseStore reports whether the root of a failure domain can use the store, or has
+// not been contacted yet. If a VM of the domain has failed, the undecided ones do not
+// count, since a lost domain has many.
+func mayUseStore(now clock.Millis, list []*candidate) bool {
+	if c := firstResponding(now, list); c != nil {
+		return !c.status.StoreUnavailable
+	}
+	return !slices.ContainsFunc(list, func(c *candidate) bool { return c.state(now) == failed })
 }
 
 func mayHaveRoot(now clock.Millis, list []*candidate) bool {
@@ -221,7 +225,7 @@
 
 // Status returns what this daemon says of itself.
 func (v *View) Status(now clock.Millis) Status {
-	status := Status{Stopping: v.stopping, Connected: v.Connected(now), Domains: 1}
+	status := Status{Stopping: v.stopping, StoreUnavailable: v.storeUnavailable, Connected: v.Connected(now), Domains: 1}
 	status.DomainDaemons = v.SubtreeSize()
 	if c := firstResponding(now, v.preceding()); c != nil {
 		status.Follows = c.Address
--- a/internal/peer/topology/topology.go
+++ b/internal/peer/topology/topology.go
@@ -80,6 +80,9 @@
 type Status struct {
 	// Stopping daemons are shutting down and must not be followed.
 	Stopping bool
+	// StoreUnavailable is set while the store does not answer the daemon, or refuses
+	// its calls.
+	StoreUnavailable bool
 	// Connected is set if the daemon reaches most of the daemons that it contacts.
 	Connected bool
 	// Follows is the address of the daemon's own upstream, "" if it has none.
@@ -140,9 +143,10 @@
 
 // View is what a daemon knows of the others. It is not safe for concurrent use.
 type View struct {
-	self       VM
-	stopping   bool
-	candidates map[string]*candidate
+	self             VM
+	stopping         bool
+	storeUnavailable bool
+	candidates       map[string]*candidate
 	// domains holds the identified candidates of each failure domain in order.
 	domains     map[string][]*candidate
 	removed     map[string]clock.Millis
@@ -169,6 +173,11 @@
 	v.stopping = true
 }
 
+// SetStoreUnavailable records whether the store can be used.
+func (v *View) SetStoreUnavailable(unavailable bool) {
+	v.storeUnavailable = unavailable
+}
+
 // AddAddress adds the address of a VM of which nothing else is known.
 func (v *View) AddAddress(now clock.Millis, address string) {
 	if address != v.self.Address && v.candidates[address] == nil {
--- a/internal/peer/topology/topology_test.go
+++ b/internal/peer/topology/topology_test.go
@@ -288,6 +288,31 @@
 	}
 }
 
+// TestRootThatTheStoreRefusesIsPassedOver checks that the next roots take the place of
+// one that cannot use the store, and give it back.
+func TestRootThatTheStoreRefusesIsPassedOver(t *testing.T) {
+	s := newSimulation(30, 5)
+	s.mustSettle(t, maxStartTime)
+	expectRank := func(i, want int) {
+		t.Helper()
+		if got := s.order[i].view.LeaderRank(s.now); got != want {
+			t.Errorf("%s has rank %d, want %d", s.order[i].vm.ID, got, want)
+		}
+	}
+	for _, refused := range []bool{true, false} {
+		s.order[0].view.SetStoreUnavailable(refused)
+		s.order[1].view.SetStoreUnavailable(refused)
+		s.runFor(2 * pingInterval)
+		if refused {
+			expectRank(2, 0)
+			expectRank(4, 2)
+			continue
+		}
+		expectRank(2, 2)
+		expectRank(4, 4)
+	}
+}
+
 // TestVMsWithMoreCapacityComeFirst checks that a larger VM becomes the root.
 func TestVMsWithMoreCapacityComeFirst(t *testing.T) {
 	v := topology.New(topology.VM{ID: "a", Address: "a:1", Capacity: 0.2})
--- a/internal/platform/feed/feed.go
+++ b/internal/platform/feed/feed.go
@@ -22,6 +22,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 
 	"github.com/sirupsen/logrus"
 
@@ -41,7 +42,7 @@
 
 const (
 	// callTimeoutMargin is how much longer than its wait a call may take.
-	callTimeoutMargin = clock.Second
+	callTimeoutMargin = 700 * clock.Millisecond
 	// maxWaitAfterFailure is the maximum wait of the call after a failed one. It
 	// is short so that the end of an outage is detected soon.
 	maxWaitAfterFailure = 100 * clock.Millisecond
@@ -100,6 +101,7 @@
 	hasSnapshot  bool
 	outageStart  clock.Millis
 	unavailable  bool
+	failing      atomic.Bool
 	readFailures int
 }
 
@@ -108,6 +110,11 @@
 	return &Follower{config: config}
 }
 
+// Failing reports whether the last call failed.
+func (f *Follower) Failing() bool {
+	return f.failing.Load()
+}
+
 // Run reads the rows and their changes until ctx is canceled, and returns its
 // error. It retries failed calls with jitter.
 func (f *Follower) Run(ctx context.Context) error {
@@ -121,6 +128,8 @@
 			}
 			f.recordResult(err)
 			delay = f.delayAfter(mode, err)
+		} else {
+			f.failing.Store(false)
 		}
 		if err := f.config.Clock.Sleep(ctx, delay); err != nil {
 			return err
@@ -171,10 +180,26 @@
 	if len(rows) == 0 {
 		asOf = min(asOf+wait, f.config.Clock.Now())
 	}
-	f.config.OnChanges(rows, f.revision, asOf)
+	f.config.OnChanges(lastStates(rows), f.revision, asOf)
 	return nil
 }
 
+// lastStates returns the last state of each row. A response may hold several states of
+// a row, the oldest first.
+func lastStates(rows []table.Row) []table.Row {
+	last := make(map[string]int, len(rows))
+	for i, row := range rows {
+		last[row.Key] = i
+	}
+	states := make([]table.Row, 0, len(last))
+	for i, row := range rows {
+		if last[row.Key] == i {
+			states = append(states, row)
+		}
+	}
+	return states
+}
+
 func (f *Follower) reportUnavailable() {
 	if f.config.OnUnavailable != nil {
 		f.config.OnUnavailable()
@@ -185,6 +210,7 @@
 // unavailable and available again.
 func (f *Follower) recordResult(err error) {
 	now := f.config.Clock.Now()
+	f.failing.Store(err != nil && !errors.Is(err, table.ErrHistoryGone))
 	switch {
 	case errors.Is(err, table.ErrHistoryGone):
 		f.hasSnapshot = false
--- a/internal/platform/feed/feed_test.go
+++ b/internal/platform/feed/feed_test.go
@@ -105,7 +105,7 @@
 }
 
 func TestChangesAreCurrentAsOfWhenTheCallWasSent(t *testing.T) {
-	got := run(t, response{rows: make([]table.Row, 2), delay: 600})
+	got := run(t, response{rows: []table.Row{{Key: "E/a"}, {Key: "E/b"}}, delay: 600})
 	expect(t, got, "all 1 at 1000", "changes 2 at 1000")
 }
 
@@ -131,6 +131,13 @@
 	expect(t, got, "all 1 at 1000", "lost")
 }
 
+// TestOnlyTheLastStateOfARowIsPassedOn guards against an endpoint that is added and
+// removed within one response, which a daemon receives after an outage.
+func TestOnlyTheLastStateOfARowIsPassedOn(t *testing.T) {
+	got := run(t, response{rows: []table.Row{{Key: "E/a", Version: 5}, {Key: "E/b", Version: 6}, {Key: "E/a"}}})
+	expect(t, got, "all 1 at 1000", "changes 2 at 1000")
+}
+
 // modeFixture is a running Follower whose mode and store a test controls.
 type modeFixture struct {
 	clock *clock.Manual
