--- /dev/null
+++ b/internal/peer/fleet/news.go
@@ -0,0 +1,54 @@
+package fleet
+
+import (
+	"context"
+
+	"github.com/banyanshift/banyanshift/internal/peer/message"
+)
+
+// announce tells the daemons that follow this one, and those of addresses, that
+// there is a newer configuration.
+func (f *Fleet) announce(addresses []string) {
+	f.mu.Lock()
+	addresses = append(f.view.Subscribers(), addresses...)
+	f.mu.Unlock()
+	f.send(addresses, message.FleetNews, news{Address: f.config.Self.Address})
+}
+
+// Announce tells the daemons that follow this one, and the roots of the other failure
+// domains, that the store has a newer configuration.
+func (f *Fleet) Announce() {
+	f.mu.Lock()
+	roots := f.view.RemoteRoots(f.config.Clock.Now())
+	f.mu.Unlock()
+	f.announce(roots)
+}
+
+// wakeUpstream pings the daemon to follow now.
+func (f *Fleet) wakeUpstream() {
+	f.mu.Lock()
+	upstream, found := f.view.Upstream(f.config.Clock.Now())
+	f.mu.Unlock()
+	if found {
+		f.wakePeer(upstream)
+	}
+}
+
+// wakePeer pings a peer now, if it is one that this daemon contacts.
+func (f *Fleet) wakePeer(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.peers[address]
+	if p == nil {
+		return
+	}
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (f *Fleet) serveNews(_ context.Context, _ string, n news) (struct{}, error) {
+	f.wakePeer(n.Address)
+	return struct{}{}, nil
+}
--- a/internal/peer/fleet/serve.go
+++ b/internal/peer/fleet/serve.go
@@ -37,11 +37,6 @@
 	return answer, nil
 }
 
-func (f *Fleet) serveNews(_ context.Context, _ string, n news) (struct{}, error) {
-	f.wakePeer(n.Address)
-	return struct{}{}, nil
-}
-
 func (f *Fleet) serveEndpointChanges(_ context.Context, _ string, changes endpointChanges) (struct{}, error) {
 	f.config.Roster.UpdateFromPeer(changes.Changed, changes.Removed, changes.Revision)
 	return struct{}{}, nil
