--- a/internal/peer/topology/topology.go
+++ b/internal/peer/topology/topology.go
@@ -122,11 +122,16 @@
 	failed
 )
 
+// isSilent reports whether a VM that has answered before does not answer now.
+func (c *candidate) isSilent(now clock.Millis) bool {
+	return c.failures >= maxFailures || now-c.lastAnswer > maxSilence
+}
+
 func (c *candidate) state(now clock.Millis) state {
 	switch {
 	case c.status.Stopping:
 		return failed
-	case c.everAnswered && c.failures < maxFailures && now-c.lastAnswer <= maxSilence:
+	case c.everAnswered && !c.isSilent(now):
 		return responding
 	case c.everAnswered || c.failures > 0 || (c.contacted && now-c.contactedAt > maxUndecided):
 		return failed
@@ -299,7 +304,7 @@
 	if c == nil {
 		return false
 	}
-	recovered = c.everAnswered && c.state(now) == failed
+	recovered = c.everAnswered && c.isSilent(now)
 	c.everAnswered, c.lastAnswer, c.failures, c.status = true, now, 0, status
 	return recovered
 }
--- a/internal/peer/topology/topology_test.go
+++ b/internal/peer/topology/topology_test.go
@@ -288,6 +288,21 @@
 	}
 }
 
+// TestAnswersOfAStoppingDaemonAreNoRecovery guards against a log line for each of them.
+func TestAnswersOfAStoppingDaemonAreNoRecovery(t *testing.T) {
+	v := topology.New(topology.VM{ID: "b", Address: "b:1"})
+	vm := topology.VM{ID: "a", Address: "a:1"}
+	v.RecordAnswer(0, "a:1", vm, topology.Status{})
+	for now := clock.Millis(0); now < 3*clock.Second; now += pingInterval {
+		if v.RecordAnswer(now, "a:1", vm, topology.Status{Stopping: true}) {
+			t.Fatal("the answer counts as a recovery")
+		}
+	}
+	if !v.RecordAnswer(10*clock.Second, "a:1", vm, topology.Status{}) {
+		t.Error("the first answer after a long silence is no recovery")
+	}
+}
+
 // TestRootThatTheStoreRefusesIsPassedOver checks that the next roots take the place of
 // one that cannot use the store, and give it back.
 func TestRootThatTheStoreRefusesIsPassedOver(t *testing.T) {
