Let others stand in for roots that the store refuses

Change: a daemon whose preceding ones are alive but cannot use the store takes the rank that is free among the usable roots, and passes changes to its upstream as well. At most those that contact only refused daemons do, the first four of a domain. VMs that are no longer pinged do not count as failed by their silence. TestOthersStandInForRootsThatTheStoreRefuses, TestLongSnapshotIsNotCutOff failed before.

--- a/internal/peer/fleet/news.go
+++ b/internal/peer/fleet/news.go
@@ -15,13 +15,23 @@
 	f.send(addresses, message.FleetNews, news{Address: f.config.Self.Address})
 }
 
-// Announce tells the daemons that follow this one, and the roots of the other failure
-// domains, that the store has a newer configuration.
+// Announce tells the daemons that follow this one, its upstream or the roots of the
+// other failure domains that the store has a newer configuration.
 func (f *Fleet) Announce() {
 	f.mu.Lock()
-	roots := f.view.RemoteRoots(f.config.Clock.Now())
+	above := f.above()
 	f.mu.Unlock()
-	f.announce(roots)
+	f.announce(above)
+}
+
+// above returns the address of the upstream, or for a root those of the other roots.
+// The lock must be held.
+func (f *Fleet) above() []string {
+	now := f.config.Clock.Now()
+	if upstream, found := f.view.Upstream(now); found {
+		return []string{upstream}
+	}
+	return f.view.RemoteRoots(now)
 }
 
 // wakeUpstream pings the daemon to follow now.
--- a/internal/peer/fleet/peer.go
+++ b/internal/peer/fleet/peer.go
@@ -72,6 +72,7 @@
 	for address, p := range f.peers {
 		if _, found := slices.BinarySearch(contacts, address); !found {
 			p.stop()
+			f.view.RecordRelease(address)
 			delete(f.peers, address)
 			dropped = append(dropped, address)
 		}
--- a/internal/peer/fleet/publish.go
+++ b/internal/peer/fleet/publish.go
@@ -10,7 +10,7 @@
 )
 
 // publisher announces the changes of this daemon's list of endpoints to the daemons
-// that follow it, and as a root to the other roots.
+// that follow it and to its upstream, and as a root to the other roots.
 type publisher struct {
 	fleet *Fleet
 	wake  chan struct{}
@@ -53,7 +53,7 @@
 		return
 	}
 	f.mu.Lock()
-	receivers := append(f.view.Subscribers(), f.view.RemoteRoots(f.config.Clock.Now())...)
+	receivers := append(f.view.Subscribers(), f.above()...)
 	f.mu.Unlock()
 	f.send(receivers, message.FleetEndpointChanges, changes)
 }
--- a/internal/peer/topology/role.go
+++ b/internal/peer/topology/role.go
@@ -172,16 +172,29 @@
 // LeaderRank returns the place of this daemon in the order of the whole fleet:
 // the roots by the name of their domain, then the daemons that come next in each
 // domain. Daemons with a low rank do the work with the store of which a few suffice;
-// roots that cannot use the store do not count.
+// those that cannot use the store do not count.
 func (v *View) LeaderRank(now clock.Millis) int {
-	rank := v.rank(now)
-	if rank > 0 {
-		domains := 1
-		if c := firstResponding(now, v.preceding()); c != nil {
-			domains = max(c.status.Domains, 1)
+	upstream := firstResponding(now, v.preceding())
+	usable := 0
+	for _, c := range v.preceding() {
+		if c.state(now) != failed && !c.status.StoreUnavailable {
+			usable++
 		}
-		return rank * domains
 	}
+	switch {
+	case upstream == nil && usable == 0:
+		return v.rootRank(now)
+	case upstream == nil:
+		return usable
+	case usable == 0:
+		// The daemons that precede this one are alive but cannot use the store.
+		return upstream.status.UsableRoots
+	}
+	return usable * max(upstream.status.Domains, 1)
+}
+
+// rootRank returns the place of a root among the roots.
+func (v *View) rootRank(now clock.Millis) (rank int) {
 	for _, name := range v.otherDomains() {
 		if name < v.self.FailureDomain && mayUseStore(now, v.domains[name]) {
 			rank++
@@ -231,13 +244,19 @@
 		status.Follows = c.Address
 		status.Daemons = max(c.status.Daemons, status.DomainDaemons+1)
 		status.DomainDaemons = max(c.status.DomainDaemons, status.DomainDaemons+1)
-		status.Domains = max(c.status.Domains, 1)
+		status.Domains, status.UsableRoots = max(c.status.Domains, 1), c.status.UsableRoots
 		return status
 	}
 	status.Daemons = status.DomainDaemons
+	if !v.storeUnavailable {
+		status.UsableRoots++
+	}
 	for _, name := range v.otherDomains() {
 		if c := firstResponding(now, v.domains[name]); c != nil {
 			status.Domains++
+			if !c.status.StoreUnavailable {
+				status.UsableRoots++
+			}
 			status.Daemons += max(c.status.DomainDaemons, 1)
 		}
 	}
--- a/internal/peer/topology/topology.go
+++ b/internal/peer/topology/topology.go
@@ -92,8 +92,9 @@
 	Daemons       int
 	DomainDaemons int
 	// Domains is the number of failure domains with a root, the daemon's own
-	// included.
-	Domains int
+	// included, and UsableRoots the number of those whose root can use the store.
+	Domains     int
+	UsableRoots int
 }
 
 // candidate is another VM.
@@ -296,6 +297,13 @@
 	}
 }
 
+// RecordRelease records that a VM is no longer pinged, so that its silence says nothing.
+func (v *View) RecordRelease(address string) {
+	if c := v.candidates[address]; c != nil {
+		c.contacted, c.everAnswered, c.failures, c.status = false, false, 0, Status{}
+	}
+}
+
 // RecordAnswer records the answer of a VM to a ping. It reports whether the VM
 // counted as failed before.
 func (v *View) RecordAnswer(now clock.Millis, address string, vm VM, status Status) (recovered bool) {
--- a/internal/peer/topology/topology_test.go
+++ b/internal/peer/topology/topology_test.go
@@ -93,6 +93,7 @@
 	contacts := n.view.Contacts(s.now)
 	for address := range n.nextAt {
 		if !slices.Contains(contacts, address) {
+			n.view.RecordRelease(address)
 			delete(n.nextAt, address)
 			delete(n.timeouts, address)
 		}
@@ -328,6 +329,48 @@
 	}
 }
 
+// TestOthersStandInForRootsThatTheStoreRefuses checks that the next daemons of each
+// domain take the place of the roots if the store refuses all of these, that few do
+// while it refuses everybody, and that the roots get their place back.
+func TestOthersStandInForRootsThatTheStoreRefuses(t *testing.T) {
+	const domains, followers, maxFollowers = 5, 3, 4 * 5
+	s := newSimulation(100, domains)
+	s.mustSettle(t, maxStartTime)
+	countFollowers := func() (count int) {
+		for _, n := range s.order {
+			if n.view.LeaderRank(s.now) < followers {
+				count++
+			}
+		}
+		return count
+	}
+	for i := range domains {
+		s.order[i].view.SetStoreUnavailable(true)
+	}
+	s.runFor(2 * pingInterval)
+	if rank := s.order[domains].view.LeaderRank(s.now); rank != 0 {
+		t.Errorf("the second daemon of a domain has rank %d, want 0", rank)
+	}
+	for _, n := range s.order {
+		n.view.SetStoreUnavailable(n.view.LeaderRank(s.now) < followers)
+	}
+	s.runFor(10 * pingInterval)
+	for _, n := range s.order {
+		n.view.SetStoreUnavailable(n.view.LeaderRank(s.now) < followers)
+	}
+	s.runFor(2 * pingInterval)
+	if count := countFollowers(); count > maxFollowers {
+		t.Errorf("%d daemons follow a store that refuses everybody, want at most %d", count, maxFollowers)
+	}
+	for _, n := range s.order {
+		n.view.SetStoreUnavailable(false)
+	}
+	s.runFor(2 * pingInterval)
+	if count := countFollowers(); count != followers {
+		t.Errorf("%d daemons follow the store after the outage, want %d", count, followers)
+	}
+}
+
 // TestVMsWithMoreCapacityComeFirst checks that a larger VM becomes the root.
 func TestVMsWithMoreCapacityComeFirst(t *testing.T) {
 	v := topology.New(topology.VM{ID: "a", Address: "a:1", Capacity: 0.2})
--- a/internal/platform/feed/feed.go
+++ b/internal/platform/feed/feed.go
@@ -43,6 +43,9 @@
 const (
 	// callTimeoutMargin is how much longer than its wait a call may take.
 	callTimeoutMargin = 700 * clock.Millisecond
+	// snapshotTimeout is the maximum time to read all rows, which takes several
+	// pages in a large fleet.
+	snapshotTimeout = 5 * clock.Second
 	// maxWaitAfterFailure is the maximum wait of the call after a failed one. It
 	// is short so that the end of an outage is detected soon.
 	maxWaitAfterFailure = 100 * clock.Millisecond
@@ -158,17 +161,11 @@
 	if f.unavailable {
 		wait = min(wait, maxWaitAfterFailure)
 	}
-	ctx, cancel := context.WithTimeout(ctx, (wait + callTimeoutMargin).Duration())
-	defer cancel()
 	if !f.hasSnapshot {
-		rows, revision, err := f.config.Feed.Snapshot(ctx, f.config.Prefix)
-		if err != nil {
-			return err
-		}
-		f.hasSnapshot, f.revision = true, revision
-		f.config.OnSnapshot(rows, revision, asOf)
-		return nil
+		return f.readSnapshot(ctx, asOf)
 	}
+	ctx, cancel := context.WithTimeout(ctx, (wait + callTimeoutMargin).Duration())
+	defer cancel()
 	rows, revision, err := f.config.Feed.Changes(ctx, f.config.Prefix, f.revision, wait)
 	if err != nil {
 		return err
@@ -184,6 +181,18 @@
 	return nil
 }
 
+func (f *Follower) readSnapshot(ctx context.Context, asOf clock.Millis) error {
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout.Duration())
+	defer cancel()
+	rows, revision, err := f.config.Feed.Snapshot(ctx, f.config.Prefix)
+	if err != nil {
+		return err
+	}
+	f.hasSnapshot, f.revision = true, revision
+	f.config.OnSnapshot(rows, revision, asOf)
+	return nil
+}
+
 // lastStates returns the last state of each row. A response may hold several states of
 // a row, the oldest first.
 func lastStates(rows []table.Row) []table.Row {
--- a/internal/platform/feed/feed_test.go
+++ b/internal/platform/feed/feed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -138,6 +139,35 @@
 	expect(t, got, "all 1 at 1000", "changes 2 at 1000")
 }
 
+// TestLongSnapshotIsNotCutOff guards against a daemon on a small VM that never gets all
+// rows, since each call is given up while the rows still arrive.
+func TestLongSnapshotIsNotCutOff(t *testing.T) {
+	const readTime = 2500 * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), 2*readTime)
+	defer cancel()
+	logger, _ := logtest.NewNullLogger()
+	f := feed.New(feed.Config{
+		Feed: table.Feed{
+			Snapshot: func(ctx context.Context, _ string) ([]table.Row, uint64, error) {
+				select {
+				case <-time.After(readTime):
+					return nil, 7, nil
+				case <-ctx.Done():
+					return nil, 0, ctx.Err()
+				}
+			},
+		},
+		Clock: clock.System(), Logger: logger, Prefix: "E/", Wait: clock.Second / 2,
+		Mode:       func() feed.Mode { return feed.Read },
+		OnSnapshot: func([]table.Row, uint64, clock.Millis) { cancel() },
+		Rand:       rand.New(rand.NewPCG(1, 2)),
+	})
+	_ = f.Run(ctx)
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		t.Errorf("no snapshot was read, although one takes %s", readTime)
+	}
+}
+
 // modeFixture is a running Follower whose mode and store a test controls.
 type modeFixture struct {
 	clock *clock.Manual
