Announce lists of endpoints upwards only from daemons that follow the store

Cause: found by reading: the change before made each daemon announce its list to its upstream, at its start the whole list, so that the bytes a root receives grew with daemons x endpoints.

--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -194,6 +194,7 @@
 		},
 		Incarnation: d.incarnation, Seeds: seedAddresses(d.settings.Peer), Table: d.table, Scheduler: d.scheduler, Roster: d.roster,
 		Document: d.document, Decode: d.platform.DecodeDocument, Tally: d.tally, WallTime: d.wallTime,
+		FollowsStore:     func() bool { return d.endpointsMode() == feed.Follow },
 		StoreUnavailable: func() bool { return d.documentFeed.Failing() || d.endpointsFeed.Failing() }, Rand: d.random(2),
 	})
 }
--- a/internal/peer/fleet/publish.go
+++ b/internal/peer/fleet/publish.go
@@ -10,7 +10,8 @@
 )
 
 // publisher announces the changes of this daemon's list of endpoints to the daemons
-// that follow it and to its upstream, and as a root to the other roots.
+// that follow it. If it follows the store, it also announces them to its upstream or,
+// as a root, to the other roots.
 type publisher struct {
 	fleet *Fleet
 	wake  chan struct{}
@@ -53,7 +54,10 @@
 		return
 	}
 	f.mu.Lock()
-	receivers := append(f.view.Subscribers(), f.above()...)
+	receivers := f.view.Subscribers()
+	if f.config.FollowsStore() {
+		receivers = append(receivers, f.above()...)
+	}
 	f.mu.Unlock()
 	f.send(receivers, message.FleetEndpointChanges, changes)
 }
