--- a/internal/peer/fleet/fleet.go
+++ b/internal/peer/fleet/fleet.go
@@ -65,7 +65,8 @@
 	// Decode reads the bytes of a configuration.
 	Decode func(raw []byte) (*document.Index, error)
 	Tally  *tally.Tally
-	// FollowsStore reports whether this daemon follows the endpoints in the store.
+	// FollowsStore reports whether this daemon follows the endpoints in the store. It
+	// may call the Fleet.
 	FollowsStore func() bool
 	// StoreUnavailable reports whether this daemon failed to read the store when it
 	// last tried.
--- a/internal/peer/fleet/fleet_test.go
+++ b/internal/peer/fleet/fleet_test.go
@@ -85,7 +85,7 @@
 	d.fleet = fleet.New(fleet.Config{
 		Link: d.link, Clock: clk, Logger: logger, Self: topology.VM{ID: id, Address: d.address, FailureDomain: domainOf(id)},
 		Incarnation: id, Seeds: seeds,
-		Table: rows, Scheduler: d.scheduler, Roster: d.roster, Document: d.document, Decode: decode, Tally: d.tally, WallTime: walltime.New(clk), StoreUnavailable: func() bool { return false }, FollowsStore: func() bool { return true }, Rand: rng,
+		Table: rows, Scheduler: d.scheduler, Roster: d.roster, Document: d.document, Decode: decode, Tally: d.tally, WallTime: walltime.New(clk), StoreUnavailable: func() bool { return false }, FollowsStore: func() bool { return d.fleet.LeaderRank() < 3 }, Rand: rng,
 	})
 	if err := d.link.Start(); err != nil {
 		t.Fatal(err)
--- a/internal/peer/fleet/publish.go
+++ b/internal/peer/fleet/publish.go
@@ -53,9 +53,10 @@
 	if len(changes.Changed) == 0 && len(changes.Removed) == 0 {
 		return
 	}
+	followsStore := f.config.FollowsStore()
 	f.mu.Lock()
 	receivers := f.view.Subscribers()
-	if f.config.FollowsStore() {
+	if followsStore {
 		receivers = append(receivers, f.above()...)
 	}
 	f.mu.Unlock()
