Log the age of the configuration by which a request was placed

The log line of a placement gave the version alone, so that a version that nobody had confirmed looks like one that was confirmed wrongly. Event 1130 now gives VersionAge, the time since the version was last known to be the newest.

--- a/internal/caller/relay/exchange.go
+++ b/internal/caller/relay/exchange.go
@@ -95,7 +95,7 @@
 	x.route = route
 	x.backend = route.PickBackend(x.call.ID)
 	x.setDeadline()
-	x.trace.version = config.Index.Version()
+	x.trace.version, x.trace.versionAge = config.Index.Version(), config.Age
 	return true
 }
 
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -155,6 +155,8 @@
 type Configuration struct {
 	// Index is nil until a configuration is known.
 	Index *document.Index
+	// Age is the time since the version was last known to be the newest.
+	Age clock.Millis
 	// Current is true if no newer version can have been in force for long.
 	Current bool
 	// Isolated is true if neither the store nor the peers can be reached, so
--- a/internal/caller/relay/trace.go
+++ b/internal/caller/relay/trace.go
@@ -15,7 +15,7 @@
 
 var (
 	eventPlaced = event.New(1130, logrus.InfoLevel, "request placed",
-		"A request was assigned to an endpoint. The fields give the expected time to first token and the version of the configuration.")
+		"A request was assigned to an endpoint. The fields give the expected time to first token, and the version of the configuration with the time since it was last known to be the newest.")
 	eventAttemptFailed = event.New(1131, logrus.InfoLevel, "attempt failed",
 		"An endpoint gave no usable answer; the reason says whether the request may have run.")
 	eventFirstEvent = event.New(1132, logrus.InfoLevel, "stream started",
@@ -37,13 +37,16 @@
 // trace collects the log events of one request. They are logged when the request
 // ends, if it was refused, failed, retried or late, or if it is sampled.
 type trace struct {
-	version   int64
-	status    int
-	reason    string
-	ended     bool
-	logged    bool
-	tries     int
-	decisions []decision
+	// version is the version of the configuration, and versionAge the time since it
+	// was last known to be the newest.
+	version    int64
+	versionAge clock.Millis
+	status     int
+	reason     string
+	ended      bool
+	logged     bool
+	tries      int
+	decisions  []decision
 	// firstEventAt is when the first event of a stream was forwarded, lastWriteAt
 	// when the latest was, and longestGap the longest time between two writes.
 	firstEventAt clock.Millis
@@ -60,7 +63,7 @@
 func (t *trace) recordPlacement(x *exchange, p Placement) {
 	t.tries++
 	t.decisions = append(t.decisions, decision{event: eventPlaced, at: x.handler.config.Clock.Now(), fields: logrus.Fields{
-		"Endpoint": p.Endpoint, "Address": p.Address, "Expected": int64(p.ExpectedFirstToken), "Version": t.version, "TimeLeft": int64(x.timeLeft()), "Try": t.tries,
+		"Endpoint": p.Endpoint, "Address": p.Address, "Expected": int64(p.ExpectedFirstToken), "Version": t.version, "VersionAge": int64(t.versionAge), "TimeLeft": int64(x.timeLeft()), "Try": t.tries,
 	}})
 }
 
--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -234,9 +234,9 @@
 
 // currentConfiguration returns the configuration in force for the request path.
 func (d *Daemon) currentConfiguration() relay.Configuration {
-	index, _ := d.document.Current()
+	index, confirmedAt := d.document.Current()
 	current, isolated := d.fleet.ConfigStatus()
-	return relay.Configuration{Index: index, Current: current, Isolated: isolated}
+	return relay.Configuration{Index: index, Age: d.clock.Now() - confirmedAt, Current: current, Isolated: isolated}
 }
 
 // serveReadiness answers the readiness check of the load balancer.
