Decide in the package topology who follows the store

No change of behaviour: the number of followers and the age of an unconfirmed view move from the gateway to the package that knows the tree, so that a simulated fleet can play how a version spreads.

--- a/internal/daemon/gateway/follow.go
+++ b/internal/daemon/gateway/follow.go
@@ -9,23 +9,14 @@
 	"github.com/banyanshift/banyanshift/internal/platform/feed"
 )
 
-const (
-	// feedWait is the maximum time for which one call to the store waits for
-	// changes, and so the interval at which a follower confirms its view.
-	feedWait = clock.Second
-	// followers is the number of daemons of the fleet that follow the store. The
-	// others learn of changes from them.
-	followers = 3
-	// maxUnconfirmed is the age of a view from which all roots follow the store: the
-	// followers may be refused by the store or may have failed.
-	maxUnconfirmed = 2500 * clock.Millisecond
-)
+// feedWait is the maximum time for which one call to the store waits for changes, and
+// so the interval at which a follower confirms its view.
+const feedWait = clock.Second
 
 // feedMode returns what to do about rows whose view was last confirmed at a time.
 func (d *Daemon) feedMode(known bool, confirmedAt clock.Millis) feed.Mode {
-	unconfirmed := d.clock.Now()-confirmedAt > maxUnconfirmed
 	switch {
-	case d.fleet.LeaderRank() < followers, unconfirmed && d.fleet.IsRoot():
+	case d.fleet.FollowsStore(confirmedAt):
 		return feed.Follow
 	case !known:
 		return feed.Read
--- a/internal/peer/fleet/fleet.go
+++ b/internal/peer/fleet/fleet.go
@@ -151,6 +151,14 @@
 	return f.view.IsRoot(f.config.Clock.Now())
 }
 
+// FollowsStore reports whether this daemon is to follow the rows of the store of
+// which its view was last confirmed at a time.
+func (f *Fleet) FollowsStore(confirmedAt clock.Millis) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.FollowsStore(f.config.Clock.Now(), confirmedAt)
+}
+
 // ConfigStatus reports whether the held configuration is known to be current,
 // and whether this daemon is cut off from the store and from most of its peers.
 func (f *Fleet) ConfigStatus() (current, isolated bool) {
--- a/internal/peer/topology/role.go
+++ b/internal/peer/topology/role.go
@@ -16,6 +16,12 @@
 	// contacted for each one that failed.
 	domainGrowth = 4
 	remoteGrowth = 4
+	// storeFollowers is the number of daemons of the fleet that follow the store. The
+	// others learn of changes from them.
+	storeFollowers = 3
+	// maxUnconfirmed is the age of a view from which all roots follow the store: the
+	// followers may be refused by the store or may have failed.
+	maxUnconfirmed = 2500 * clock.Millisecond
 )
 
 // Contacts returns the addresses to ping, sorted.
@@ -193,6 +199,12 @@
 	return usable * max(upstream.status.Domains, 1)
 }
 
+// FollowsStore reports whether the daemon is to follow the store, if what it holds of
+// the store was last confirmed at a time.
+func (v *View) FollowsStore(now, confirmedAt clock.Millis) bool {
+	return v.LeaderRank(now) < storeFollowers || (now-confirmedAt > maxUnconfirmed && v.IsRoot(now))
+}
+
 // rootRank returns the place of a root among the roots.
 func (v *View) rootRank(now clock.Millis) (rank int) {
 	for _, name := range v.otherDomains() {
