Reproduce a version that is not known in time when roots fall silent

With 8 and 30 daemons all living ones may lack it after 2 s (config_apply_ms of the small sites); 100 and 370 daemons keep to 3 and 4 s, those of the larger sites.

--- a/internal/peer/topology/topology_test.go
+++ b/internal/peer/topology/topology_test.go
@@ -43,6 +43,10 @@
 	timeouts map[string]clock.Millis
 	// tableAt is when the daemon may read the table again.
 	tableAt clock.Millis
+	// version is the version that the daemon holds, and confirmedAt the time at which
+	// it was last known to be the newest. readAt is when it last read the store.
+	version             int
+	confirmedAt, readAt clock.Millis
 }
 
 // simulation is a fleet whose messages arrive at once and whose dead daemons do not
@@ -52,6 +56,8 @@
 	nodes map[string]*node
 	order []*node
 	rand  *rand.Rand
+	// version is the newest version in the store.
+	version int
 }
 
 // newSimulation starts size daemons in the given number of domains at once. They know
@@ -90,6 +96,7 @@
 	if s.now >= n.tableAt && n.view.LacksContact(s.now) {
 		s.readTable(n)
 	}
+	s.followStore(n)
 	contacts := n.view.Contacts(s.now)
 	for address := range n.nextAt {
 		if !slices.Contains(contacts, address) {
@@ -139,6 +146,7 @@
 		n.view.AddFollowed(s.now, vm)
 	}
 	n.view.RecordAnswer(s.now, address, peer.vm, peer.view.Status(s.now))
+	s.takeVersion(n, peer.version, peer.confirmedAt)
 	n.nextAt[address] = s.now + pingInterval
 }
 
