Ask others for news when the daemon that is followed is late

A request with a withdrawn key was accepted 2.004 s after the withdrawal was confirmed: config_apply_ms is 2,000 on the small sites.

Cause: a daemon learns of a configuration from the root of its failure domain, and looks elsewhere only once that has failed, after two pings of 0.8 s: up to 2.3 s after its last answer. The class: a detection of failures that is slow on purpose, since a change of the tree costs messages, also decides how old the news may be.

Change: a VM that has not answered for 1 s is late. It keeps its place in the tree, but counts as failed as a source of news: those that follow it ping their other contacts at once and then every 0.2 s, and the next daemon of the domain follows the store or the other roots.

On paper, at 370 daemons in 14 domains: a late root makes 25 daemons send 2 to 14 pings at once and then 5 a second for 1.3 s, three of them read the store, and nothing grows with daemons x daemons.

--- a/internal/peer/fleet/fleet.go
+++ b/internal/peer/fleet/fleet.go
@@ -90,6 +90,8 @@
 	peers map[string]*peer
 	// path is the way of the last report to the root.
 	path string
+	// newsIsLate is set while the daemon that this one follows is late.
+	newsIsLate bool
 }
 
 // New returns a Fleet without peers and registers its handlers with the link,
--- a/internal/peer/fleet/news.go
+++ b/internal/peer/fleet/news.go
@@ -48,10 +48,13 @@
 func (f *Fleet) wakePeer(address string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	p := f.peers[address]
-	if p == nil {
-		return
+	if p := f.peers[address]; p != nil {
+		p.wakeUp()
 	}
+}
+
+// wakeUp makes the peer be pinged now.
+func (p *peer) wakeUp() {
 	select {
 	case p.wake <- struct{}{}:
 	default:
--- a/internal/peer/fleet/peer.go
+++ b/internal/peer/fleet/peer.go
@@ -17,11 +17,12 @@
 	// contactInterval is the time between two checks of whom to ping.
 	contactInterval = 100 * clock.Millisecond
 	// pingInterval is the time between an answer and the next ping of a peer,
-	// retryDelay the time after a failed ping, and failedInterval the time after
-	// several.
-	pingInterval   = 600 * clock.Millisecond
-	retryDelay     = 100 * clock.Millisecond
-	failedInterval = 2 * clock.Second
+	// latePingInterval that while this daemon's news is late, retryDelay the time
+	// after a failed ping, and failedInterval the time after several.
+	pingInterval     = 600 * clock.Millisecond
+	latePingInterval = 200 * clock.Millisecond
+	retryDelay       = 100 * clock.Millisecond
+	failedInterval   = 2 * clock.Second
 	// pingTimeout is short so that a VM that fell silent is replaced soon.
 	pingTimeout  = 800 * clock.Millisecond
 	fetchTimeout = 2 * clock.Second
@@ -82,6 +83,7 @@
 			f.startPeer(ctx, now, address)
 		}
 	}
+	f.updateLateness(now)
 	subscribers := f.view.Subscribers()
 	f.mu.Unlock()
 	for _, address := range dropped {
@@ -95,6 +97,19 @@
 	}
 }
 
+// updateLateness pings all peers at once when this daemon's news has become late. The
+// lock must be held.
+func (f *Fleet) updateLateness(now clock.Millis) {
+	wasLate := f.newsIsLate
+	f.newsIsLate = f.view.NewsIsLate(now)
+	if wasLate || !f.newsIsLate {
+		return
+	}
+	for _, p := range f.peers {
+		p.wakeUp()
+	}
+}
+
 // startPeer starts to ping a daemon. The lock must be held.
 func (f *Fleet) startPeer(ctx context.Context, now clock.Millis, address string) {
 	ctx, stop := context.WithCancel(ctx)
@@ -142,18 +157,26 @@
 	p.recordWallTime(sentAt, answer)
 	p.syncDocument(ctx, sentAt, answer)
 	p.syncEndpoints(ctx, sentAt, answer)
-	if p.isNewUpstream(request) {
+	return p.delayAfterAnswer(request)
+}
+
+func (p *peer) delayAfterAnswer(request ping) clock.Millis {
+	f := p.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case p.isNewUpstream(request):
 		return 0
+	case f.newsIsLate:
+		return latePingInterval
 	}
 	return pingInterval
 }
 
 // isNewUpstream reports whether this daemon has started to follow the peer, but the
-// ping did not yet say so.
+// ping did not yet say so. The lock must be held.
 func (p *peer) isNewUpstream(request ping) bool {
 	f := p.fleet
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	upstream, found := f.view.Upstream(f.config.Clock.Now())
 	return found && upstream == p.address && !request.Subscribe
 }
--- a/internal/peer/topology/news_test.go
+++ b/internal/peer/topology/news_test.go
@@ -20,6 +20,17 @@
 	}
 }
 
+// updateLateness pings all contacts at once when the news of a daemon has become late.
+func (s *simulation) updateLateness(n *node, contacts []string) {
+	wasLate := n.newsIsLate
+	n.newsIsLate = n.view.NewsIsLate(s.now)
+	for _, address := range contacts {
+		if n.newsIsLate && !wasLate {
+			n.nextAt[address] = s.now
+		}
+	}
+}
+
 // takeVersion takes over a version, if it is newer, and the time at which it was
 // confirmed. The daemons that follow this one are told at once.
 func (s *simulation) takeVersion(n *node, version int, confirmedAt clock.Millis) {
--- a/internal/peer/topology/role.go
+++ b/internal/peer/topology/role.go
@@ -27,7 +27,7 @@
 // Contacts returns the addresses to ping, sorted.
 func (v *View) Contacts(now clock.Millis) []string {
 	contacts := window(now, v.domains[v.self.FailureDomain], domainContacts, domainGrowth)
-	if v.IsRoot(now) {
+	if !mayPrecede(now, v.preceding()) {
 		for _, name := range v.otherDomains() {
 			contacts = append(contacts, window(now, v.domains[name], remoteContacts, remoteGrowth)...)
 		}
@@ -41,8 +41,13 @@
 	return contacts
 }
 
-// window returns the first VMs of a list until a number of responding ones is among
-// them. It leaves out undecided VMs beyond that number plus growth for each one that
+// mayPrecede reports whether news may come from a VM of the list.
+func mayPrecede(now clock.Millis, list []*candidate) bool {
+	return slices.ContainsFunc(list, func(c *candidate) bool { return c.newsState(now) != failed })
+}
+
+// window returns the first VMs of a list until a number of responding ones, not counting
+// late ones, is among them. It leaves out undecided VMs beyond that number plus growth for each one that
 // failed.
 func window(now clock.Millis, list []*candidate, live, growth int) (addresses []string) {
 	maxUndecidedVMs := live
@@ -50,7 +55,7 @@
 		if live == 0 {
 			break
 		}
-		switch c.state(now) {
+		switch c.newsState(now) {
 		case responding:
 			live--
 		case failed:
@@ -153,8 +158,12 @@
 }
 
 func firstResponding(now clock.Millis, list []*candidate) *candidate {
+	return firstInState(now, list, (*candidate).state, responding)
+}
+
+func firstInState(now clock.Millis, list []*candidate, stateOf stateFunc, wanted state) *candidate {
 	for _, c := range list {
-		if c.state(now) == responding {
+		if stateOf(c, now) == wanted {
 			return c
 		}
 	}
@@ -180,16 +189,23 @@
 // domain. Daemons with a low rank do the work with the store of which a few suffice;
 // those that cannot use the store do not count.
 func (v *View) LeaderRank(now clock.Millis) int {
-	upstream := firstResponding(now, v.preceding())
+	return v.leaderRank(now, (*candidate).state)
+}
+
+// stateFunc is candidate.state or candidate.newsState.
+type stateFunc func(c *candidate, now clock.Millis) state
+
+func (v *View) leaderRank(now clock.Millis, stateOf stateFunc) int {
+	upstream := firstInState(now, v.preceding(), stateOf, responding)
 	usable := 0
 	for _, c := range v.preceding() {
-		if c.state(now) != failed && !c.status.StoreUnavailable {
+		if stateOf(c, now) != failed && !c.status.StoreUnavailable {
 			usable++
 		}
 	}
 	switch {
 	case upstream == nil && usable == 0:
-		return v.rootRank(now)
+		return v.rootRank(now, stateOf)
 	case upstream == nil:
 		return usable
 	case usable == 0:
@@ -200,15 +216,28 @@
 }
 
 // FollowsStore reports whether the daemon is to follow the store, if what it holds of
-// the store was last confirmed at a time.
+// the store was last confirmed at a time. It takes the place of VMs that are late.
 func (v *View) FollowsStore(now, confirmedAt clock.Millis) bool {
-	return v.LeaderRank(now) < storeFollowers || (now-confirmedAt > maxUnconfirmed && v.IsRoot(now))
+	unconfirmed := now-confirmedAt > maxUnconfirmed
+	return v.leaderRank(now, (*candidate).newsState) < storeFollowers || (unconfirmed && v.IsRoot(now))
+}
+
+// NewsIsLate reports whether the VM that this daemon follows is late, or for a root one
+// that it follows in another failure domain. The daemon should then ask others often.
+func (v *View) NewsIsLate(now clock.Millis) bool {
+	if c := firstResponding(now, v.preceding()); c != nil {
+		return c.isLate(now)
+	}
+	return slices.ContainsFunc(v.otherDomains(), func(name string) bool {
+		c := firstResponding(now, v.domains[name])
+		return c != nil && c.isLate(now)
+	})
 }
 
 // rootRank returns the place of a root among the roots.
-func (v *View) rootRank(now clock.Millis) (rank int) {
+func (v *View) rootRank(now clock.Millis, stateOf stateFunc) (rank int) {
 	for _, name := range v.otherDomains() {
-		if name < v.self.FailureDomain && mayUseStore(now, v.domains[name]) {
+		if name < v.self.FailureDomain && mayUseStore(now, v.domains[name], stateOf) {
 			rank++
 		}
 	}
@@ -218,11 +247,11 @@
 // mayUseStore reports whether the root of a failure domain can use the store, or has
 // not been contacted yet. If a VM of the domain has failed, the undecided ones do not
 // count, since a lost domain has many.
-func mayUseStore(now clock.Millis, list []*candidate) bool {
-	if c := firstResponding(now, list); c != nil {
+func mayUseStore(now clock.Millis, list []*candidate, stateOf stateFunc) bool {
+	if c := firstInState(now, list, stateOf, responding); c != nil {
 		return !c.status.StoreUnavailable
 	}
-	return !slices.ContainsFunc(list, func(c *candidate) bool { return c.state(now) == failed })
+	return firstInState(now, list, stateOf, failed) == nil
 }
 
 func mayHaveRoot(now clock.Millis, list []*candidate) bool {
--- a/internal/peer/topology/topology.go
+++ b/internal/peer/topology/topology.go
@@ -10,6 +10,10 @@
 // that the time until a live one is found grows with the logarithm of the size of
 // the domain at most, whatever the number of VMs that fail at once.
 //
+// A VM that is late with an answer stays in its place until it counts as failed, since
+// moving subscriptions costs messages. Until then, the daemons that follow it ask others
+// for news, as if it had failed: see newsState.
+//
 // Nothing is agreed on. Daemons with different views may follow different roots
 // for a while, and two daemons may both act as the root of a domain. Subscriptions
 // only go to VMs that precede the subscriber in the order, so there is no cycle.
@@ -40,6 +44,9 @@
 	maxFailures = 2
 	// maxSilence is the age of the last answer from which a VM counts as failed.
 	maxSilence = 3 * clock.Second
+	// maxLateness is the age of the last answer from which a VM counts as late. It is
+	// still followed, but others are asked for news as well.
+	maxLateness = clock.Second
 	// maxUndecided is how long a VM that was contacted and has neither answered
 	// nor failed counts as possibly alive.
 	maxUndecided = 1500 * clock.Millisecond
@@ -140,6 +147,19 @@
 	return undecided
 }
 
+// isLate reports whether a VM that responds has not done so for some time.
+func (c *candidate) isLate(now clock.Millis) bool {
+	return c.state(now) == responding && now-c.lastAnswer > maxLateness
+}
+
+// newsState is the state of a VM as a source of news: one that is late is failed.
+func (c *candidate) newsState(now clock.Millis) state {
+	if c.isLate(now) {
+		return failed
+	}
+	return c.state(now)
+}
+
 // subscriber is a daemon that follows this one.
 type subscriber struct {
 	renewedAt clock.Millis
--- a/internal/peer/topology/topology_test.go
+++ b/internal/peer/topology/topology_test.go
@@ -14,8 +14,10 @@
 const (
 	tick         = 100 * clock.Millisecond
 	pingInterval = 600 * clock.Millisecond
-	pingTimeout  = 800 * clock.Millisecond
-	retryDelay   = 100 * clock.Millisecond
+	// latePingInterval is that while the news of a daemon is late.
+	latePingInterval = 200 * clock.Millisecond
+	pingTimeout      = 800 * clock.Millisecond
+	retryDelay       = 100 * clock.Millisecond
 	// listTime is how long after their start daemons ask for the VMs that others know.
 	listTime = 5 * clock.Second
 )
@@ -41,6 +43,8 @@
 	nextAt map[string]clock.Millis
 	// timeouts holds when an unanswered ping fails.
 	timeouts map[string]clock.Millis
+	// newsIsLate is set while the daemon pings the others more often.
+	newsIsLate bool
 	// tableAt is when the daemon may read the table again.
 	tableAt clock.Millis
 	// version is the version that the daemon holds, and confirmedAt the time at which
@@ -98,6 +102,7 @@
 	}
 	s.followStore(n)
 	contacts := n.view.Contacts(s.now)
+	s.updateLateness(n, contacts)
 	for address := range n.nextAt {
 		if !slices.Contains(contacts, address) {
 			n.view.RecordRelease(address)
@@ -148,6 +153,9 @@
 	n.view.RecordAnswer(s.now, address, peer.vm, peer.view.Status(s.now))
 	s.takeVersion(n, peer.version, peer.confirmedAt)
 	n.nextAt[address] = s.now + pingInterval
+	if n.newsIsLate {
+		n.nextAt[address] = s.now + latePingInterval
+	}
 }
 
 // problem describes the first daemon whose view is wrong, or returns "".
