Order configurations by the era of the store as well, and confirm only what it holds

Cause: a held version was confirmed by every answer of the store, whatever version the store held. After a return from a copy without it, the gateway went on to deny unknown paths and keys for certain (404, 401), though it did not know what is in force. And a version that is given out again, with another content, was taken for the one held.

Change: a document is identified by its version and a digest, and each reading has the era of the store. An equal version with other content replaces in a later era; nothing of an earlier era confirms or replaces an equal version, whoever brings it. The identity and the era go through the tree. An older version of a later era replaces the one held only after 10 s: the operator writes again what was lost, and a confirmed change, such as a withdrawn key, must not be undone meanwhile. Until then the held version stays in force with its age, so that what it does not allow is refused with 503. A daemon that starts in between takes the newest version of its peers.

--- a/internal/config/document/document_test.go
+++ b/internal/config/document/document_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/config/document"
 )
 
@@ -66,27 +67,100 @@
 	}
 }
 
+// update offers a version whose encoded document is raw, and reports whether it replaced
+// the one held.
+func update(h *document.Holder, version int64, raw string, era uint64, asOf clock.Millis) bool {
+	return h.Update(index(version), []byte(raw), document.Reading{Era: era, AsOf: asOf})
+}
+
+func confirm(h *document.Holder, version int64, raw string, era uint64, asOf clock.Millis) (wanted bool) {
+	return h.Confirm(document.IdentityOf(index(version), []byte(raw)), document.Reading{Era: era, AsOf: asOf})
+}
+
+// expectHeld checks the document held and the time at which it was last confirmed.
+func expectHeld(t *testing.T, h *document.Holder, raw string, asOf clock.Millis) {
+	t.Helper()
+	held, _, confirmed := h.Encoded()
+	if string(held) != raw || confirmed.AsOf != asOf {
+		t.Errorf("got document %q, confirmed at %d; want %q, confirmed at %d", held, confirmed.AsOf, raw, asOf)
+	}
+}
+
 func TestHolderNeverGoesBack(t *testing.T) {
 	h := document.NewHolder()
-	if !h.Update(index(5), []byte("five"), 100) || h.Update(index(4), []byte("four"), 900) {
+	if !update(h, 5, "five", 0, 100) || update(h, 4, "four", 0, 900) {
 		t.Fatal("Update must report true for version 5 and false for the older version 4")
 	}
-	current, confirmedAt := h.Current()
-	if current.Version() != 5 || confirmedAt != 100 || string(h.Raw()) != "five" {
-		t.Errorf("got version %d, confirmed at %d; want version 5, confirmed at 100 with its raw bytes", current.Version(), confirmedAt)
+	if current, _ := h.Current(); current.Version() != 5 {
+		t.Errorf("got version %d, want 5", current.Version())
 	}
+	expectHeld(t, h, "five", 100)
 }
 
 func TestConfirmationCountsOnlyForTheNewestVersion(t *testing.T) {
 	h := document.NewHolder()
-	h.Update(index(5), nil, 100)
-	h.Confirm(6, 500)
-	if _, confirmedAt := h.Current(); confirmedAt != 100 {
-		t.Errorf("after Confirm of version 6: version 5 is confirmed at %d, want 100", confirmedAt)
+	update(h, 5, "five", 0, 100)
+	if !confirm(h, 6, "six", 0, 500) {
+		t.Error("Confirm must report that version 6 is wanted")
 	}
-	h.Confirm(5, 400)
-	h.Confirm(4, 300)
-	if _, confirmedAt := h.Current(); confirmedAt != 400 {
-		t.Errorf("confirmed at %d, want 400", confirmedAt)
+	expectHeld(t, h, "five", 100)
+	confirm(h, 5, "five", 0, 400)
+	confirm(h, 4, "four", 0, 300)
+	expectHeld(t, h, "five", 400)
+}
+
+func TestOtherContentOfALaterEraReplacesAnEqualVersion(t *testing.T) {
+	h := document.NewHolder()
+	update(h, 5, "five", 1, 100)
+	if !update(h, 5, "other", 2, 200) {
+		t.Error("the other content must replace the one held")
+	}
+	if update(h, 5, "five", 1, 300) || confirm(h, 5, "five", 1, 300) {
+		t.Error("the content of the earlier era must not come back")
+	}
+	expectHeld(t, h, "other", 200)
+}
+
+func TestNothingOfAnEarlierEraConfirms(t *testing.T) {
+	h := document.NewHolder()
+	update(h, 5, "five", 1, 100)
+	confirm(h, 5, "five", 2, 200)
+	confirm(h, 5, "five", 1, 900)
+	update(h, 5, "five", 1, 900)
+	expectHeld(t, h, "five", 200)
+}
+
+// TestLostVersionIsGivenUpLast checks that an older version of a later era replaces the
+// one held only if the operator does not write that again.
+func TestLostVersionIsGivenUpLast(t *testing.T) {
+	for _, rewritten := range []bool{true, false} {
+		h := document.NewHolder()
+		update(h, 5, "five", 1, 0)
+		for at := clock.Second; at <= 9*clock.Second; at += clock.Second {
+			if update(h, 4, "four", 2, at) || confirm(h, 4, "four", 2, at) {
+				t.Fatalf("version 4 replaces version 5 %s after the store came back", at-clock.Second)
+			}
+		}
+		expectHeld(t, h, "five", 0)
+		if rewritten {
+			confirm(h, 5, "five", 2, 10*clock.Second)
+		}
+		if wanted := confirm(h, 4, "four", 2, 11*clock.Second); wanted == rewritten {
+			t.Errorf("written again %t: version 4 is wanted %t", rewritten, wanted)
+		}
+		if replaced := update(h, 4, "four", 2, 11*clock.Second); replaced == rewritten {
+			t.Errorf("written again %t: version 4 replaces version 5 %t", rewritten, replaced)
+		}
+	}
+}
+
+// TestStarterTakesTheNewestVersionOfItsPeers guards against a daemon that starts between
+// the return of the store and the operator's writes, and undoes a confirmed change.
+func TestStarterTakesTheNewestVersionOfItsPeers(t *testing.T) {
+	h := document.NewHolder()
+	update(h, 4, "four", 2, 500)
+	if !update(h, 5, "five", 1, 100) {
+		t.Error("version 5 of a peer must replace version 4 of the restored store")
 	}
+	expectHeld(t, h, "five", 100)
 }
--- a/internal/daemon/gateway/follow.go
+++ b/internal/daemon/gateway/follow.go
@@ -5,6 +5,7 @@
 
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/coord/table"
+	"github.com/banyanshift/banyanshift/internal/config/document"
 	"github.com/banyanshift/banyanshift/internal/endpoint/roster"
 	"github.com/banyanshift/banyanshift/internal/platform/feed"
 )
@@ -36,32 +37,45 @@
 
 // followDocument returns a follower of the configuration in the store.
 func (d *Daemon) followDocument() *feed.Follower {
+	reader := &documentReader{daemon: d}
 	return feed.New(feed.Config{
 		Feed: d.feed, Clock: d.clock, Logger: d.logger, Prefix: d.platform.DocumentPrefix, Mode: d.documentMode, Wait: feedWait,
-		OnSnapshot: d.applyDocument, OnChanges: d.applyDocument, Rand: d.random(3),
+		OnSnapshot: reader.replace, OnChanges: reader.update, Rand: d.random(3),
 	})
 }
 
-// applyDocument puts a changed configuration in force if its row is among the rows,
-// and confirms the version in force as of asOf.
-func (d *Daemon) applyDocument(rows []table.Row, at table.Position, asOf clock.Millis) {
+// documentReader passes on the configuration in the store as this daemon last read it.
+type documentReader struct {
+	daemon *Daemon
+	// index is nil if the store holds no configuration that can be decoded.
+	index *document.Index
+	raw   []byte
+}
+
+func (r *documentReader) replace(rows []table.Row, at table.Position, asOf clock.Millis) {
+	r.index, r.raw = nil, nil
+	r.update(rows, at, asOf)
+}
+
+// update puts a changed configuration in force if its row is among the rows, and
+// confirms as of asOf the version that the store holds.
+func (r *documentReader) update(rows []table.Row, at table.Position, asOf clock.Millis) {
+	d := r.daemon
 	for _, row := range rows {
 		if row.Key != d.platform.DocumentKey || row.Version == 0 {
 			continue
 		}
 		index, err := d.platform.DecodeDocument(row.Value)
 		if err != nil {
-			eventVersionUnreadable.Log(d.logger, logrus.Fields{"Era": at.Era, "Revision": at.Revision, "Error": err.Error()})
+			eventVersionUnreadable.Log(d.logger, logrus.Fields{"Revision": at.Revision, "Error": err.Error()})
 			continue
 		}
-		if d.document.Update(index, row.Value, asOf) {
-			eventVersion.Log(d.logger, logrus.Fields{"Version": index.Version(), "Era": at.Era, "Revision": at.Revision})
-			d.applyEndpoints()
-			d.fleet.Announce()
-		}
+		r.index, r.raw = index, row.Value
 	}
-	if index, _ := d.document.Current(); index != nil {
-		d.document.Confirm(index.Version(), asOf)
+	if r.index != nil && d.document.Update(r.index, r.raw, document.Reading{Era: at.Era, AsOf: asOf}) {
+		eventVersion.Log(d.logger, logrus.Fields{"Version": r.index.Version(), "Era": at.Era, "Revision": at.Revision})
+		d.applyEndpoints()
+		d.fleet.Announce()
 	}
 }
 
--- a/internal/peer/fleet/fleet_test.go
+++ b/internal/peer/fleet/fleet_test.go
@@ -51,6 +51,11 @@
 	return index, raw
 }
 
+// now returns a reading of the store at this time.
+func now() document.Reading {
+	return document.Reading{AsOf: clock.System().Now()}
+}
+
 // loopbackCount is the number of loopback addresses in use.
 var loopbackCount atomic.Int64
 
@@ -131,15 +136,15 @@
 	rows := table.NewMemory().Client()
 	a, b := start(t, "a", rows), start(t, "b", rows)
 	index, raw := version(7)
-	a.document.Update(index, raw, clock.System().Now())
+	a.document.Update(index, raw, now())
 	eventually(t, "b has the version and knows that it is current", func() bool {
-		a.document.Confirm(7, clock.System().Now())
+		a.document.Confirm(document.IdentityOf(index, raw), now())
 		held, _ := b.document.Current()
 		current, _ := b.fleet.ConfigStatus()
 		return held != nil && held.Version() == 7 && current
 	})
 	newer, raw := version(9)
-	a.document.Update(newer, raw, clock.System().Now())
+	a.document.Update(newer, raw, now())
 	eventually(t, "b has the newer version", func() bool {
 		held, _ := b.document.Current()
 		return held.Version() == 9
@@ -151,7 +156,7 @@
 	a, b, c := start(t, "a", rows), start(t, "b", rows), start(t, "c", rows)
 	index, raw := version(7)
 	for _, d := range []*daemon{a, b, c} {
-		d.document.Update(index, raw, clock.System().Now())
+		d.document.Update(index, raw, now())
 	}
 	eventually(t, "all know each other", func() bool {
 		return c.fleet.DaemonCount() == 3 && a.fleet.DaemonCount() == 3 && b.fleet.DaemonCount() == 3
@@ -172,8 +177,8 @@
 	rows := table.NewMemory().Client()
 	a, b := start(t, "a", rows), start(t, "b", rows)
 	index, raw := version(7)
-	a.document.Update(index, raw, clock.System().Now())
-	b.document.Update(index, raw, clock.System().Now())
+	a.document.Update(index, raw, now())
+	b.document.Update(index, raw, now())
 	eventually(t, "both know each other", func() bool { return a.fleet.DaemonCount() == 2 && b.fleet.DaemonCount() == 2 })
 	time.Sleep(6 * time.Second)
 	for _, d := range []*daemon{a, b} {
@@ -269,7 +274,7 @@
 	reader.roster.Replace(engineList(), 4, clock.System().Now())
 	eventually(t, "the endpoint is listed in the other domain", func() bool { return far.roster.State().Known })
 	index, raw := version(7)
-	reader.document.Update(index, raw, clock.System().Now())
+	reader.document.Update(index, raw, now())
 	reader.fleet.Announce()
 	eventually(t, "the configuration is in force in the other domain", func() bool {
 		held, _ := far.document.Current()
@@ -310,7 +315,7 @@
 	fleet["south-2"].stop()
 	index, raw := version(7)
 	eventually(t, "the last daemon of the domain gets the configuration", func() bool {
-		fleet["north-1"].document.Update(index, raw, clock.System().Now())
+		fleet["north-1"].document.Update(index, raw, now())
 		held, _ := fleet["south-3"].document.Current()
 		current, _ := fleet["south-3"].fleet.ConfigStatus()
 		return held != nil && current && fleet["south-3"].fleet.IsRoot()
--- a/internal/peer/fleet/message.go
+++ b/internal/peer/fleet/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/config/document"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
 	"github.com/banyanshift/banyanshift/internal/endpoint/roster"
 	"github.com/banyanshift/banyanshift/internal/peer/fanout"
@@ -32,10 +33,8 @@
 	VMs []topology.VM
 	// Wall is the peer's time of day.
 	Wall clock.Millis
-	// Version is the version of the held configuration, 0 if there is none,
-	// and VersionAge the time since it was confirmed to be the newest.
-	Version    int64
-	VersionAge clock.Millis
+	// Document is the held configuration; its Version is 0 if there is none.
+	Document documentState
 	// ListRevision is the revision of the list of endpoints, 0 if there is
 	// none, ListDigest the digest of its content, and ListAge the time since
 	// it was confirmed.
@@ -44,6 +43,24 @@
 	ListAge      clock.Millis
 }
 
+// documentState is the configuration that a daemon holds. Age is the time since the
+// store, in the era Era, was last known to hold it.
+type documentState struct {
+	document.Identity
+	Era uint64
+	Age clock.Millis
+}
+
+func newDocumentState(identity document.Identity, confirmed document.Reading, now clock.Millis) documentState {
+	return documentState{Identity: identity, Era: confirmed.Era, Age: now - confirmed.AsOf}
+}
+
+// reading returns the reading that confirmed the configuration, for an answer to a call
+// that was sent at a time.
+func (s documentState) reading(sentAt clock.Millis) document.Reading {
+	return document.Reading{Era: s.Era, AsOf: sentAt - s.Age}
+}
+
 // report is what happened at a daemon since its last report. First and Ended list
 // job IDs. Reports are encoded as arrays, since they make up most of the traffic
 // between daemons.
@@ -141,15 +158,13 @@
 	Address string
 }
 
-// documentRequest asks for the configuration if it is newer than Version.
-type documentRequest struct {
-	Version int64
-}
+// documentRequest asks for the configuration.
+type documentRequest struct{}
 
-// documentAnswer holds the encoded configuration, empty if there is no newer one.
+// documentAnswer holds the encoded configuration, empty if there is none.
 type documentAnswer struct {
-	Raw []byte
-	Age clock.Millis
+	Raw   []byte
+	State documentState
 }
 
 // endpointsRequest asks for the list of endpoints.
--- a/internal/peer/fleet/serve.go
+++ b/internal/peer/fleet/serve.go
@@ -21,8 +21,8 @@
 func (f *Fleet) servePing(_ context.Context, _ string, request ping) (pong, error) {
 	now := f.config.Clock.Now()
 	answer := pong{VM: f.config.Self, Wall: f.config.WallTime.Wall()}
-	if index, confirmed := f.config.Document.Current(); index != nil {
-		answer.Version, answer.VersionAge = index.Version(), now-confirmed
+	if identity, confirmed, known := f.config.Document.Identity(); known {
+		answer.Document = newDocumentState(identity, confirmed, now)
 	}
 	if list := f.config.Roster.State(); list.Known {
 		answer.ListRevision, answer.ListDigest, answer.ListAge = list.Revision, list.Digest, now-list.AsOf
@@ -42,12 +42,9 @@
 	return struct{}{}, nil
 }
 
-func (f *Fleet) serveDocument(_ context.Context, _ string, request documentRequest) (documentAnswer, error) {
-	index, confirmed := f.config.Document.Current()
-	if index == nil || index.Version() <= request.Version {
-		return documentAnswer{}, nil
-	}
-	return documentAnswer{Raw: f.config.Document.Raw(), Age: f.config.Clock.Now() - confirmed}, nil
+func (f *Fleet) serveDocument(context.Context, string, documentRequest) (documentAnswer, error) {
+	raw, identity, confirmed := f.config.Document.Encoded()
+	return documentAnswer{Raw: raw, State: newDocumentState(identity, confirmed, f.config.Clock.Now())}, nil
 }
 
 func (f *Fleet) serveEndpoints(context.Context, string, endpointsRequest) (endpointsAnswer, error) {
--- a/internal/peer/fleet/sync.go
+++ b/internal/peer/fleet/sync.go
@@ -21,33 +21,25 @@
 	minFetchInterval = clock.Second
 )
 
-// syncDocument fetches the configuration if the peer's is newer, and takes over
-// the time at which the peer's version was confirmed to be the newest.
+// syncDocument takes over the time at which the peer's configuration was confirmed to be
+// the newest if this daemon holds the same, and fetches it if it replaces the one held.
 func (p *peer) syncDocument(ctx context.Context, sentAt clock.Millis, answer pong) {
 	f := p.fleet
-	if answer.Version == 0 {
+	offered := answer.Document
+	if offered.Version == 0 || !f.config.Document.Confirm(offered.Identity, offered.reading(sentAt)) {
 		return
 	}
-	index, _ := f.config.Document.Current()
-	if index == nil || index.Version() < answer.Version {
-		if err := p.fetchDocument(ctx, index == nil, answer.Version); err != nil {
-			eventFetchFailed.Log(f.config.Logger, logrus.Fields{"Address": p.address, "What": "configuration", "Error": err.Error()})
-			return
-		}
+	if err := p.fetchDocument(ctx); err != nil {
+		eventFetchFailed.Log(f.config.Logger, logrus.Fields{"Address": p.address, "What": "configuration", "Error": err.Error()})
 	}
-	f.config.Document.Confirm(answer.Version, sentAt-answer.VersionAge)
 }
 
-func (p *peer) fetchDocument(ctx context.Context, missing bool, version int64) error {
+func (p *peer) fetchDocument(ctx context.Context) error {
 	f := p.fleet
-	request := documentRequest{}
-	if !missing {
-		request.Version = version - 1
-	}
 	sentAt := f.config.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout.Duration())
 	defer cancel()
-	answer, err := link.Call[documentRequest, documentAnswer](ctx, f.config.Link, link.Peer{Address: p.address}, message.FleetDocument, request)
+	answer, err := link.Call[documentRequest, documentAnswer](ctx, f.config.Link, link.Peer{Address: p.address}, message.FleetDocument, documentRequest{})
 	if err != nil || len(answer.Raw) == 0 {
 		return err
 	}
@@ -55,8 +47,8 @@
 	if err != nil {
 		return err
 	}
-	if f.config.Document.Update(index, answer.Raw, sentAt-answer.Age) {
-		eventVersionFetched.Log(f.config.Logger, logrus.Fields{"Version": index.Version(), "Peer": p.address, "Age": int64(answer.Age)})
+	if f.config.Document.Update(index, answer.Raw, answer.State.reading(sentAt)) {
+		eventVersionFetched.Log(f.config.Logger, logrus.Fields{"Version": index.Version(), "Peer": p.address, "Era": answer.State.Era, "Age": int64(answer.State.Age)})
 		f.announce(nil)
 	}
 	return nil
