Collect usage from the daemons that are about to be pinged as well

A daemon is counted as soon as it subscribes, but was asked for its usage only once the loop that starts pings had seen it, up to 0.1 s later; a holder that bills in that time misses what it has not yet reported.

--- a/internal/peer/fleet/peer.go
+++ b/internal/peer/fleet/peer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 
 	"github.com/sirupsen/logrus"
@@ -248,11 +247,11 @@
 	return failedInterval
 }
 
-// contacts returns the daemons that this one pings.
-func (f *Fleet) contacts() []*peer {
+// contacts returns the addresses of the daemons that this one pings, or is about to.
+func (f *Fleet) contacts() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return slices.Collect(maps.Values(f.peers))
+	return f.view.Contacts(f.config.Clock.Now())
 }
 
 // upstreamVM returns the VM that this daemon follows, nil for a root. The lock must
--- a/internal/peer/fleet/usage.go
+++ b/internal/peer/fleet/usage.go
@@ -19,19 +19,18 @@
 	ctx, cancel := context.WithTimeout(ctx, collectTimeout)
 	defer cancel()
 	var group sync.WaitGroup
-	for _, p := range f.contacts() {
-		group.Go(func() { p.collectUsage(ctx, first) })
+	for _, address := range f.contacts() {
+		group.Go(func() { f.collectUsageOf(ctx, address, first) })
 	}
 	group.Wait()
 }
 
-func (p *peer) collectUsage(ctx context.Context, first int64) {
-	f := p.fleet
-	answer, err := link.Call[usageRequest, usageAnswer](ctx, f.config.Link, link.Peer{Address: p.address}, message.FleetUsage, usageRequest{First: first})
+func (f *Fleet) collectUsageOf(ctx context.Context, address string, first int64) {
+	answer, err := link.Call[usageRequest, usageAnswer](ctx, f.config.Link, link.Peer{Address: address}, message.FleetUsage, usageRequest{First: first})
 	for _, sheet := range answer.Sheets {
 		err = errors.Join(err, f.config.Tally.MergeSnapshot(sheet))
 	}
 	if err != nil {
-		eventFetchFailed.Log(f.config.Logger, logrus.Fields{"Address": p.address, "What": "usage", "Error": err.Error()})
+		eventFetchFailed.Log(f.config.Logger, logrus.Fields{"Address": address, "What": "usage", "Error": err.Error()})
 	}
 }
