Order lists of endpoints by the era of the store, and hide entries that a copy brings back

Cause: lists were ordered by the revision of the store alone. A list of the restored store has a lower revision and was dropped, until the store had passed the old revision; then the entries of the copy, among them those of endpoints removed since, were taken for news.

Change: lists and their changes are ordered by their position, era first, in the roster and in the messages between daemons. A list of an earlier era confirms nothing.

--- a/internal/daemon/gateway/follow.go
+++ b/internal/daemon/gateway/follow.go
@@ -89,12 +89,12 @@
 
 func (d *Daemon) replaceEndpoints(rows []table.Row, at table.Position, asOf clock.Millis) {
 	entries, _ := d.decodeEndpoints(rows)
-	d.roster.Replace(entries, at.Revision, asOf)
+	d.roster.Replace(entries, at, asOf)
 }
 
 func (d *Daemon) updateEndpoints(rows []table.Row, at table.Position, asOf clock.Millis) {
 	entries, removed := d.decodeEndpoints(rows)
-	d.roster.Update(entries, removed, at.Revision, asOf)
+	d.roster.Update(entries, removed, at, asOf)
 }
 
 // decodeEndpoints decodes the entries in rows. An entry that cannot be decoded
--- a/internal/endpoint/roster/roster.go
+++ b/internal/endpoint/roster/roster.go
@@ -7,11 +7,16 @@
 // endpoint that was reported to be leaving stays so until its next
 // incarnation, even if an older list says otherwise.
 //
+// A table that comes back from a copy counts its revisions anew in a later era, and has
+// lost the newest entries and removals. Lists are ordered by their position in its
+// history. Entries that it lost are missing, and those of endpoints that had been
+// removed stay hidden until the endpoints are known to be alive.
+//
 // # Usage
 //
 //	r := roster.New(clk, drainTime, onChange)
-//	r.Replace(entries, revision, asOf)
-//	r.Update(entries, removed, revision, asOf)
+//	r.Replace(entries, at, asOf)
+//	r.Update(entries, removed, at, asOf)
 //	r.MarkLeaving("i-7f3a91c2")
 package roster
 
@@ -24,6 +29,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/coord/table"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
 )
 
@@ -56,9 +62,13 @@
 
 	mu        sync.Mutex
 	endpoints map[string]Endpoint
-	revision  uint64
-	digest    uint64
-	hasList   bool
+	// position is the latest position of the table that was applied.
+	position table.Position
+	digest   uint64
+	hasList  bool
+	// restored holds what to know of removed endpoints if the table comes back from
+	// a copy that still has their entries.
+	restored restored
 	// confirmedAt is the latest time at which the list was known to match the
 	// table.
 	confirmedAt clock.Millis
@@ -74,7 +84,7 @@
 // every new list. drainTime is how long endpoints serve after they announce
 // that they are leaving, or 0 if that is not known.
 func New(clk clock.Clock, drainTime clock.Millis, onChange func([]Endpoint)) *Roster {
-	return &Roster{clock: clk, drainTime: drainTime, onChange: onChange, endpoints: make(map[string]Endpoint)}
+	return &Roster{clock: clk, drainTime: drainTime, onChange: onChange, endpoints: make(map[string]Endpoint), restored: newRestored()}
 }
 
 // MarkTableUnavailable records that the table cannot be read. The next call of
@@ -86,16 +96,16 @@
 }
 
 // Replace replaces the list by that of the table, which was read at asOf.
-func (r *Roster) Replace(entries []Endpoint, revision uint64, asOf clock.Millis) {
+func (r *Roster) Replace(entries []Endpoint, at table.Position, asOf clock.Millis) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.markTableAvailable(asOf)
-	r.replace(entries, revision, asOf)
+	r.replace(entries, at, asOf)
 }
 
 // ReplaceFromPeer replaces the list by that of another daemon, without the
 // entries that are missing there. It does not end an outage of the table.
-func (r *Roster) ReplaceFromPeer(entries []Endpoint, revision uint64, asOf clock.Millis) {
+func (r *Roster) ReplaceFromPeer(entries []Endpoint, at table.Position, asOf clock.Millis) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	present := make([]Endpoint, 0, len(entries))
@@ -104,16 +114,24 @@
 			present = append(present, entry)
 		}
 	}
-	r.replace(present, revision, asOf)
+	r.replace(present, at, asOf)
 }
 
-func (r *Roster) replace(entries []Endpoint, revision uint64, asOf clock.Millis) {
-	if r.hasList && revision < r.revision {
+func (r *Roster) replace(entries []Endpoint, at table.Position, asOf clock.Millis) {
+	if r.hasList && at.Before(r.position) {
 		return
 	}
+	if r.hasList && at.Era > r.position.Era {
+		r.enterEra()
+	}
 	listed := make(map[string]bool, len(entries))
+	clear(r.restored.hidden)
 	for _, entry := range entries {
 		listed[entry.ID] = true
+		if r.restored.hide(r.clock.Now(), entry) {
+			continue
+		}
+		r.restored.forget(entry.ID)
 		r.put(entry)
 	}
 	for id := range r.endpoints {
@@ -121,24 +139,39 @@
 			r.remove(id)
 		}
 	}
-	r.hasList, r.revision = true, revision
+	r.hasList, r.position = true, at
 	r.confirmedAt = max(r.confirmedAt, asOf)
 	r.publish()
 }
 
+// enterEra prepares for a list of a table that came back from a copy: endpoints whose
+// entries it lost register again.
+func (r *Roster) enterEra() {
+	now := r.clock.Now()
+	r.recovering, r.recoveredAt = true, now
+	r.restored.enterEra(now)
+}
+
 // Update applies changed and removed entries, which were read from the table
-// at asOf.
-func (r *Roster) Update(entries []Endpoint, removed []string, revision uint64, asOf clock.Millis) {
+// at asOf. It does nothing if the list is of a later era.
+func (r *Roster) Update(entries []Endpoint, removed []string, at table.Position, asOf clock.Millis) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if at.Era < r.position.Era {
+		return
+	}
 	r.markTableAvailable(asOf)
 	for _, entry := range entries {
+		r.restored.forget(entry.ID)
 		r.put(entry)
 	}
 	for _, id := range removed {
+		r.restored.forget(id)
 		r.remove(id)
 	}
-	r.revision = max(r.revision, revision)
+	if r.position.Before(at) {
+		r.position = at
+	}
 	r.confirmedAt = max(r.confirmedAt, asOf)
 	dropped := r.removeExpiredMissing()
 	if len(entries) > 0 || len(removed) > 0 || dropped {
@@ -147,17 +180,18 @@
 }
 
 // UpdateFromPeer applies the entries that changed or were removed in the list of
-// another daemon. If this list is of a later revision, it only takes over that
-// endpoints are leaving, which a read that was behind may have missed. UpdateFromPeer
+// another daemon. If this list is of a later position or of another era, it only takes
+// over that endpoints are leaving, which a read that was behind may have missed.
+// UpdateFromPeer
 // neither ends an outage of the table nor confirms the list. An entry that is missing
 // there is missing here, too, until its grace period expires.
-func (r *Roster) UpdateFromPeer(entries []Endpoint, removed []string, revision uint64) {
+func (r *Roster) UpdateFromPeer(entries []Endpoint, removed []string, at table.Position) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.hasList {
 		return
 	}
-	if revision < r.revision {
+	if at.Before(r.position) || at.Era != r.position.Era {
 		r.markLeavingEntries(entries)
 		return
 	}
@@ -165,9 +199,9 @@
 		r.putFromPeer(entry)
 	}
 	for _, id := range removed {
-		delete(r.endpoints, id)
+		r.drop(id)
 	}
-	r.revision = revision
+	r.position = at
 	r.publish()
 }
 
@@ -189,6 +223,7 @@
 // added, since its removal has been applied here.
 func (r *Roster) putFromPeer(entry Endpoint) {
 	if !entry.Missing {
+		r.restored.forget(entry.ID)
 		r.put(entry)
 		return
 	}
@@ -252,6 +287,14 @@
 		r.endpoints[id] = entry
 		return
 	}
+	r.drop(id)
+}
+
+// drop deletes an entry and remembers that it was removed.
+func (r *Roster) drop(id string) {
+	if entry, found := r.endpoints[id]; found {
+		r.restored.recordRemoval(r.clock.Now(), entry)
+	}
 	delete(r.endpoints, id)
 }
 
@@ -264,7 +307,7 @@
 	r.recovering = false
 	for id, entry := range r.endpoints {
 		if entry.Missing {
-			delete(r.endpoints, id)
+			r.drop(id)
 			dropped = true
 		}
 	}
@@ -294,21 +337,31 @@
 	return true
 }
 
-// Run removes missing entries whose grace period has expired, until ctx is
-// canceled.
+// Run removes missing entries whose grace period has expired, and adds entries that
+// were hidden after the table came back from a copy, until ctx is canceled.
 func (r *Roster) Run(ctx context.Context) error {
 	for {
 		if err := r.clock.Sleep(ctx, missingCheckInterval); err != nil {
 			return err
 		}
 		r.mu.Lock()
-		if r.removeExpiredMissing() {
+		removed := r.removeExpiredMissing()
+		if shown := r.showHidden(); removed || shown {
 			r.publish()
 		}
 		r.mu.Unlock()
 	}
 }
 
+// showHidden adds the entries whose endpoints are alive after all.
+func (r *Roster) showHidden() (shown bool) {
+	for _, entry := range r.restored.takeLiving(r.clock.Now()) {
+		r.put(entry)
+		shown = true
+	}
+	return shown
+}
+
 // publish updates the digest and calls onChange. The caller holds mu.
 func (r *Roster) publish() {
 	list := r.list()
@@ -336,8 +389,8 @@
 	TableUnavailable bool
 	// Digest is equal for daemons that have the same list.
 	Digest uint64
-	// Revision is the latest revision of the table that was applied.
-	Revision uint64
+	// Position is the latest position of the table that was applied.
+	Position table.Position
 	// AsOf is the latest time at which the list was known to match the table.
 	AsOf clock.Millis
 }
@@ -346,15 +399,15 @@
 func (r *Roster) State() State {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return State{Known: r.hasList, TableUnavailable: r.tableUnavailable, Digest: r.digest, Revision: r.revision, AsOf: r.confirmedAt}
+	return State{Known: r.hasList, TableUnavailable: r.tableUnavailable, Digest: r.digest, Position: r.position, AsOf: r.confirmedAt}
 }
 
-// Confirm records that a daemon knew its list to match the table at asOf. It
-// has no effect if that daemon's list differs from this one.
-func (r *Roster) Confirm(digest uint64, asOf clock.Millis) {
+// Confirm records that a daemon knew its list to match the table, in an era, at asOf. It
+// has no effect if that daemon's list differs from this one or is of an earlier era.
+func (r *Roster) Confirm(digest, era uint64, asOf clock.Millis) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.hasList && r.digest == digest {
+	if r.hasList && r.digest == digest && era >= r.position.Era {
 		r.confirmedAt = max(r.confirmedAt, asOf)
 	}
 }
@@ -368,11 +421,11 @@
 	return list
 }
 
-// List returns all endpoints, the revision of the list and the latest time at
+// List returns all endpoints, the position of the list and the latest time at
 // which it was known to match the table. known is false until the first list is
 // received.
-func (r *Roster) List() (list []Endpoint, revision uint64, asOf clock.Millis, known bool) {
+func (r *Roster) List() (list []Endpoint, at table.Position, asOf clock.Millis, known bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.list(), r.revision, r.confirmedAt, r.hasList
+	return r.list(), r.position, r.confirmedAt, r.hasList
 }
--- a/internal/endpoint/roster/roster_test.go
+++ b/internal/endpoint/roster/roster_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/coord/table"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
 	"github.com/banyanshift/banyanshift/internal/endpoint/roster"
 )
@@ -26,11 +27,16 @@
 		entries = append(entries, entry(id, 1))
 	}
 	if len(entries) > 0 {
-		f.Replace(entries, 1, f.clock.Now())
+		f.Replace(entries, at(1), f.clock.Now())
 	}
 	return f
 }
 
+// at returns the position of a revision.
+func at(revision uint64) table.Position {
+	return table.Position{Revision: revision}
+}
+
 func entry(id string, incarnation int64) roster.Endpoint {
 	return roster.Endpoint{Endpoint: balance.Endpoint{ID: id, Backend: "books", Incarnation: incarnation}, Address: "127.0.0.1:1"}
 }
@@ -39,14 +45,14 @@
 func (f *fixture) loseA() {
 	f.MarkTableUnavailable()
 	f.clock.Advance(9 * clock.Second)
-	f.Replace([]roster.Endpoint{entry("b", 1)}, 2, f.clock.Now())
+	f.Replace([]roster.Endpoint{entry("b", 1)}, at(2), f.clock.Now())
 }
 
 // pass advances the clock by d and confirms the list every 500 ms.
 func (f *fixture) pass(d clock.Millis) {
 	for range d / 500 {
 		f.clock.Advance(500)
-		f.Update(nil, nil, 0, f.clock.Now())
+		f.Update(nil, nil, at(0), f.clock.Now())
 	}
 }
 
@@ -74,7 +80,7 @@
 func TestRemovedEntryIsRemovedAtOnce(t *testing.T) {
 	f := newFixture("a", "b")
 	f.pass(clock.Second)
-	f.Update(nil, []string{"a"}, 2, f.clock.Now())
+	f.Update(nil, []string{"a"}, at(2), f.clock.Now())
 	f.expect(t, "b")
 }
 
@@ -83,7 +89,7 @@
 	f.loseA()
 	f.expect(t, "a(missing)b")
 	f.pass(clock.Second)
-	f.Update([]roster.Endpoint{entry("a", 1)}, nil, 3, f.clock.Now())
+	f.Update([]roster.Endpoint{entry("a", 1)}, nil, at(3), f.clock.Now())
 	f.expect(t, "ab")
 	f.pass(3 * clock.Second)
 	f.expect(t, "ab")
@@ -100,16 +106,16 @@
 	f := newFixture("a")
 	f.MarkLeaving("a")
 	f.expect(t, "a(leaving)")
-	f.Update([]roster.Endpoint{entry("a", 1)}, nil, 2, f.clock.Now())
+	f.Update([]roster.Endpoint{entry("a", 1)}, nil, at(2), f.clock.Now())
 	f.expect(t, "a(leaving)")
 }
 
 func TestLaterIncarnationReplacesEarlier(t *testing.T) {
 	f := newFixture("a")
 	f.MarkLeaving("a")
-	f.Update([]roster.Endpoint{entry("a", 2)}, nil, 2, f.clock.Now())
+	f.Update([]roster.Endpoint{entry("a", 2)}, nil, at(2), f.clock.Now())
 	f.expect(t, "a")
-	f.Update([]roster.Endpoint{entry("a", 1)}, nil, 3, f.clock.Now())
+	f.Update([]roster.Endpoint{entry("a", 1)}, nil, at(3), f.clock.Now())
 	if f.last[0].Incarnation != 2 {
 		t.Error("an entry of an earlier incarnation replaced that of a later one")
 	}
@@ -117,8 +123,8 @@
 
 func TestListOfOlderRevisionIsIgnored(t *testing.T) {
 	f := newFixture()
-	f.Replace([]roster.Endpoint{entry("a", 1)}, 7, f.clock.Now())
-	f.Replace([]roster.Endpoint{entry("b", 1)}, 6, f.clock.Now())
+	f.Replace([]roster.Endpoint{entry("a", 1)}, at(7), f.clock.Now())
+	f.Replace([]roster.Endpoint{entry("b", 1)}, at(6), f.clock.Now())
 	f.expect(t, "a")
 }
 
@@ -128,7 +134,7 @@
 func TestLongGapBetweenReadsIsNoOutage(t *testing.T) {
 	f := newFixture("a", "b")
 	f.clock.Advance(4 * clock.Second)
-	f.Update(nil, []string{"a"}, 2, f.clock.Now())
+	f.Update(nil, []string{"a"}, at(2), f.clock.Now())
 	f.expect(t, "b")
 }
 
@@ -136,7 +142,7 @@
 	f := newFixture("a", "b")
 	missing := entry("a", 1)
 	missing.Missing = true
-	f.ReplaceFromPeer([]roster.Endpoint{missing, entry("b", 1)}, 2, f.clock.Now())
+	f.ReplaceFromPeer([]roster.Endpoint{missing, entry("b", 1)}, at(2), f.clock.Now())
 	f.expect(t, "b")
 }
 
@@ -144,9 +150,9 @@
 	f := newFixture("a", "b")
 	f.MarkTableUnavailable()
 	f.clock.Advance(5 * clock.Second)
-	f.ReplaceFromPeer([]roster.Endpoint{entry("a", 1), entry("b", 1)}, 2, f.clock.Now())
+	f.ReplaceFromPeer([]roster.Endpoint{entry("a", 1), entry("b", 1)}, at(2), f.clock.Now())
 	f.clock.Advance(clock.Second)
-	f.Replace([]roster.Endpoint{entry("b", 1)}, 3, f.clock.Now())
+	f.Replace([]roster.Endpoint{entry("b", 1)}, at(3), f.clock.Now())
 	f.expect(t, "a(missing)b")
 }
 
@@ -159,9 +165,9 @@
 	f.clock.Advance(9 * clock.Second)
 	sent := f.clock.Now()
 	f.clock.Advance(1900)
-	f.Update(nil, []string{"a"}, 2, sent)
+	f.Update(nil, []string{"a"}, at(2), sent)
 	f.clock.Advance(200)
-	f.Update(nil, nil, 2, f.clock.Now())
+	f.Update(nil, nil, at(2), f.clock.Now())
 	f.expect(t, "b")
 }
 
@@ -193,11 +199,11 @@
 // revision.
 func TestPeerChangesRemoveEntries(t *testing.T) {
 	f := newFixture("a", "b", "c")
-	f.UpdateFromPeer(nil, []string{"c"}, 2)
+	f.UpdateFromPeer(nil, []string{"c"}, at(2))
 	f.expect(t, "ab")
 	f.loseA()
 	f.expect(t, "a(missing)b")
-	f.UpdateFromPeer(nil, []string{"a"}, 3)
+	f.UpdateFromPeer(nil, []string{"a"}, at(3))
 	f.expect(t, "b")
 }
 
@@ -205,8 +211,8 @@
 // removes an entry that has returned since nor brings back one that is gone.
 func TestStalePeerChangesAreIgnored(t *testing.T) {
 	f := newFixture("a", "b")
-	f.Update([]roster.Endpoint{entry("a", 2)}, []string{"b"}, 9, f.clock.Now())
-	f.UpdateFromPeer([]roster.Endpoint{entry("b", 1)}, []string{"a"}, 8)
+	f.Update([]roster.Endpoint{entry("a", 2)}, []string{"b"}, at(9), f.clock.Now())
+	f.UpdateFromPeer([]roster.Endpoint{entry("b", 1)}, []string{"a"}, at(8))
 	f.expect(t, "a")
 }
 
@@ -215,10 +221,10 @@
 // without the change.
 func TestLeavingAtAPeerCountsInAnyRevision(t *testing.T) {
 	f := newFixture("a", "b")
-	f.Update(nil, nil, 9, f.clock.Now())
+	f.Update(nil, nil, at(9), f.clock.Now())
 	leaving, restarted := entry("a", 1), entry("b", 0)
 	leaving.Leaving, restarted.Leaving = true, true
-	f.UpdateFromPeer([]roster.Endpoint{leaving, restarted}, nil, 8)
+	f.UpdateFromPeer([]roster.Endpoint{leaving, restarted}, nil, at(8))
 	f.expect(t, "a(leaving)b")
 }
 
@@ -228,7 +234,7 @@
 	f := newFixture("b")
 	missing := entry("a", 1)
 	missing.Missing = true
-	f.UpdateFromPeer([]roster.Endpoint{missing}, nil, 2)
+	f.UpdateFromPeer([]roster.Endpoint{missing}, nil, at(2))
 	f.expect(t, "b")
 }
 
@@ -239,7 +245,7 @@
 	f := newFixture("a", "b")
 	missing := entry("a", 1)
 	missing.Missing = true
-	f.UpdateFromPeer([]roster.Endpoint{missing}, nil, 2)
+	f.UpdateFromPeer([]roster.Endpoint{missing}, nil, at(2))
 	f.expect(t, "a(missing)b")
 	f.pass(1500)
 	f.expect(t, "a(missing)b")
@@ -249,7 +255,7 @@
 
 func TestPeerChangesBeforeTheFirstListAreIgnored(t *testing.T) {
 	f := newFixture()
-	f.UpdateFromPeer([]roster.Endpoint{entry("a", 1)}, nil, 2)
+	f.UpdateFromPeer([]roster.Endpoint{entry("a", 1)}, nil, at(2))
 	if f.State().Known {
 		t.Error("a part of a list counts as a list")
 	}
@@ -261,17 +267,17 @@
 func TestLeavingTimeCountsFromTheLastConfirmedList(t *testing.T) {
 	f := newFixture()
 	first := f.clock.Now()
-	f.Replace([]roster.Endpoint{entry("a", 1), entry("b", 1), entry("c", 1)}, 1, first)
+	f.Replace([]roster.Endpoint{entry("a", 1), entry("b", 1), entry("c", 1)}, at(1), first)
 	f.clock.Advance(700)
 	leaving := entry("a", 1)
 	leaving.Leaving = true
-	f.Update([]roster.Endpoint{leaving}, nil, 2, f.clock.Now())
+	f.Update([]roster.Endpoint{leaving}, nil, at(2), f.clock.Now())
 	f.clock.Advance(500)
 	f.MarkLeaving("b")
-	f.Update([]roster.Endpoint{leaving}, nil, 3, f.clock.Now())
+	f.Update([]roster.Endpoint{leaving}, nil, at(3), f.clock.Now())
 	soon := entry("c", 1)
 	soon.Leaving, soon.LeavesIn = true, clock.Second
-	f.Update([]roster.Endpoint{soon}, nil, 4, f.clock.Now())
+	f.Update([]roster.Endpoint{soon}, nil, at(4), f.clock.Now())
 	for i, want := range []clock.Millis{first + 2000, first + 2700, first + 2200} {
 		if got := f.last[i].LeavesAt; got != want {
 			t.Errorf("%s leaves at %v, want %v", f.last[i].ID, got, want)
@@ -286,7 +292,7 @@
 	f := newFixture()
 	leaving := entry("a", 1)
 	leaving.Leaving, leaving.LeavesAt = true, 99000
-	f.Replace([]roster.Endpoint{leaving}, 1, f.clock.Now())
+	f.Replace([]roster.Endpoint{leaving}, at(1), f.clock.Now())
 	if got := f.last[0].LeavesAt; got != 0 {
 		t.Errorf("leaves at %v, want 0", got)
 	}
--- a/internal/peer/fleet/fleet_test.go
+++ b/internal/peer/fleet/fleet_test.go
@@ -193,8 +193,8 @@
 	rows := table.NewMemory().Client()
 	a, b := start(t, "a", rows), start(t, "b", rows)
 	list := []roster.Endpoint{{Endpoint: balance.Endpoint{ID: "e", Backend: "books", Slots: 1, CacheTokens: 1000}, Address: "127.0.0.1:1"}}
-	a.roster.Replace(list, 1, clock.System().Now())
-	b.roster.Replace(list, 1, clock.System().Now())
+	a.roster.Replace(list, table.Position{Revision: 1}, clock.System().Now())
+	b.roster.Replace(list, table.Position{Revision: 1}, clock.System().Now())
 	eventually(t, "both know each other", func() bool { return a.fleet.DaemonCount() == 2 && b.fleet.DaemonCount() == 2 })
 	request := balance.Request{Backend: "books", Parts: []balance.PromptPart{{Hash: 1, Tokens: 10}}}
 	if _, refusal := b.scheduler.RelayScheduler().Place(request, clock.Second); refusal.Reason != "" {
@@ -211,7 +211,7 @@
 	rows := table.NewMemory().Client()
 	a, b := start(t, "a", rows), start(t, "b", rows)
 	list := []roster.Endpoint{{Endpoint: balance.Endpoint{ID: "e", Backend: "books"}, Address: "127.0.0.1:1"}}
-	a.roster.Replace(list, 4, clock.System().Now())
+	a.roster.Replace(list, table.Position{Revision: 4}, clock.System().Now())
 	eventually(t, "b has the list", func() bool {
 		got, _, _, known := b.roster.List()
 		return known && fmt.Sprint(got) == fmt.Sprint(list)
@@ -225,8 +225,8 @@
 	a, b := start(t, "a", rows), start(t, "b", rows)
 	eventually(t, "both know each other", func() bool { return a.fleet.DaemonCount() == 2 && b.fleet.DaemonCount() == 2 })
 	now := clock.System().Now()
-	a.roster.Replace(nil, 9, now-2*clock.Second)
-	b.roster.Replace(engineList(), 3, now)
+	a.roster.Replace(nil, table.Position{Revision: 9}, now-2*clock.Second)
+	b.roster.Replace(engineList(), table.Position{Revision: 3}, now)
 	started := time.Now()
 	eventually(t, "b drops the endpoint", func() bool {
 		list, _, _, _ := b.roster.List()
@@ -271,7 +271,7 @@
 func TestChangesReachAllDomains(t *testing.T) {
 	fleet := startTree(t)
 	reader, far := fleet["north-1"], fleet["south-3"]
-	reader.roster.Replace(engineList(), 4, clock.System().Now())
+	reader.roster.Replace(engineList(), table.Position{Revision: 4}, clock.System().Now())
 	eventually(t, "the endpoint is listed in the other domain", func() bool { return far.roster.State().Known })
 	index, raw := version(7)
 	reader.document.Update(index, raw, now())
--- a/internal/peer/fleet/message.go
+++ b/internal/peer/fleet/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/coord/table"
 	"github.com/banyanshift/banyanshift/internal/config/document"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
 	"github.com/banyanshift/banyanshift/internal/endpoint/roster"
@@ -35,10 +36,11 @@
 	Wall clock.Millis
 	// Document is the held configuration; its Version is 0 if there is none.
 	Document documentState
-	// ListRevision is the revision of the list of endpoints, 0 if there is
-	// none, ListDigest the digest of its content, and ListAge the time since
-	// it was confirmed.
-	ListRevision uint64
+	// ListKnown is set if the peer has a list of endpoints. ListPosition is the
+	// position of the store at which it was read, ListDigest the digest of its
+	// content, and ListAge the time since it was confirmed.
+	ListKnown    bool
+	ListPosition table.Position
 	ListDigest   uint64
 	ListAge      clock.Millis
 }
@@ -150,7 +152,7 @@
 type endpointChanges struct {
 	Changed  []roster.Endpoint
 	Removed  []string
-	Revision uint64
+	Position table.Position
 }
 
 // news tells that the sender, at Address, has a newer configuration.
@@ -170,10 +172,11 @@
 // endpointsRequest asks for the list of endpoints.
 type endpointsRequest struct{}
 
-// endpointsAnswer is the list of endpoints.
+// endpointsAnswer is the list of endpoints, if Known.
 type endpointsAnswer struct {
+	Known     bool
 	Endpoints []roster.Endpoint
-	Revision  uint64
+	Position  table.Position
 	Age       clock.Millis
 }
 
--- a/internal/peer/fleet/publish.go
+++ b/internal/peer/fleet/publish.go
@@ -47,9 +47,9 @@
 // announcement notices by the digest in the next answer to a ping.
 func (p *publisher) publish() {
 	f := p.fleet
-	list, revision, _, _ := f.config.Roster.List()
+	list, at, _, _ := f.config.Roster.List()
 	changes := p.diff(list)
-	changes.Revision = revision
+	changes.Position = at
 	if len(changes.Changed) == 0 && len(changes.Removed) == 0 {
 		return
 	}
--- a/internal/peer/fleet/serve.go
+++ b/internal/peer/fleet/serve.go
@@ -25,7 +25,7 @@
 		answer.Document = newDocumentState(identity, confirmed, now)
 	}
 	if list := f.config.Roster.State(); list.Known {
-		answer.ListRevision, answer.ListDigest, answer.ListAge = list.Revision, list.Digest, now-list.AsOf
+		answer.ListKnown, answer.ListPosition, answer.ListDigest, answer.ListAge = true, list.Position, list.Digest, now-list.AsOf
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -38,7 +38,7 @@
 }
 
 func (f *Fleet) serveEndpointChanges(_ context.Context, _ string, changes endpointChanges) (struct{}, error) {
-	f.config.Roster.UpdateFromPeer(changes.Changed, changes.Removed, changes.Revision)
+	f.config.Roster.UpdateFromPeer(changes.Changed, changes.Removed, changes.Position)
 	return struct{}{}, nil
 }
 
@@ -48,11 +48,11 @@
 }
 
 func (f *Fleet) serveEndpoints(context.Context, string, endpointsRequest) (endpointsAnswer, error) {
-	list, revision, asOf, known := f.config.Roster.List()
+	list, at, asOf, known := f.config.Roster.List()
 	if !known {
 		return endpointsAnswer{}, nil
 	}
-	return endpointsAnswer{Endpoints: list, Revision: revision, Age: f.config.Clock.Now() - asOf}, nil
+	return endpointsAnswer{Known: true, Endpoints: list, Position: at, Age: f.config.Clock.Now() - asOf}, nil
 }
 
 func (f *Fleet) serveUsage(_ context.Context, _ string, request usageRequest) (usageAnswer, error) {
--- a/internal/peer/fleet/sync.go
+++ b/internal/peer/fleet/sync.go
@@ -56,16 +56,16 @@
 
 // syncEndpoints takes over the time at which the peer's list of endpoints was
 // confirmed if both lists are equal. If they differ, it fetches the peer's list if
-// that is of a later revision, or if the local list is too old.
+// that is of a later position, or if the local list is too old.
 func (p *peer) syncEndpoints(ctx context.Context, sentAt clock.Millis, answer pong) {
 	f := p.fleet
 	own := f.config.Roster.State()
-	if answer.ListRevision == 0 {
+	if !answer.ListKnown {
 		return
 	}
 	asOf := sentAt - answer.ListAge
 	if own.Known && answer.ListDigest == own.Digest {
-		f.config.Roster.Confirm(own.Digest, asOf)
+		f.config.Roster.Confirm(own.Digest, answer.ListPosition.Era, asOf)
 		return
 	}
 	now := f.config.Clock.Now()
@@ -77,10 +77,10 @@
 }
 
 // isNewer reports whether a peer's list that differs from the own one is to replace
-// it. Lists of the same revision may differ by what endpoints themselves said.
+// it. Lists of the same position may differ by what endpoints themselves said.
 func isNewer(now, asOf clock.Millis, own roster.State, answer pong) bool {
-	if answer.ListRevision != own.Revision {
-		return answer.ListRevision > own.Revision
+	if answer.ListPosition != own.Position {
+		return own.Position.Before(answer.ListPosition)
 	}
 	maxAge := maxListAge
 	if own.TableUnavailable {
@@ -99,7 +99,7 @@
 		eventFetchFailed.Log(f.config.Logger, logrus.Fields{"Address": p.address, "What": "endpoints", "Error": err.Error()})
 		return
 	}
-	if fetched.Revision != 0 {
-		f.config.Roster.ReplaceFromPeer(fetched.Endpoints, fetched.Revision, sentAt-fetched.Age)
+	if fetched.Known {
+		f.config.Roster.ReplaceFromPeer(fetched.Endpoints, fetched.Position, sentAt-fetched.Age)
 	}
 }
