--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -137,9 +137,11 @@
 
 // Placement assigns a request to an endpoint.
 type Placement struct {
-	Job                uint64
-	Endpoint           string
-	Address            string
+	Job      uint64
+	Endpoint string
+	Address  string
+	// SoftwareVersion is the version of the endpoint's software.
+	SoftwareVersion    string
 	ExpectedFirstToken clock.Millis
 }
 
--- a/internal/caller/relay/trace.go
+++ b/internal/caller/relay/trace.go
@@ -63,7 +63,7 @@
 func (t *trace) recordPlacement(x *exchange, p Placement) {
 	t.tries++
 	t.decisions = append(t.decisions, decision{event: eventPlaced, at: x.handler.config.Clock.Now(), fields: logrus.Fields{
-		"Endpoint": p.Endpoint, "Address": p.Address, "Expected": int64(p.ExpectedFirstToken), "Version": t.version, "VersionAge": int64(t.versionAge), "TimeLeft": int64(x.timeLeft()), "Try": t.tries,
+		"Endpoint": p.Endpoint, "Address": p.Address, "SoftwareVersion": p.SoftwareVersion, "Expected": int64(p.ExpectedFirstToken), "Version": t.version, "VersionAge": int64(t.versionAge), "TimeLeft": int64(x.timeLeft()), "Try": t.tries,
 	}})
 }
 
--- a/internal/daemon/gateway/follow.go
+++ b/internal/daemon/gateway/follow.go
@@ -166,7 +166,8 @@
 		}
 		eventEndpointChanged.Log(d.logger, logrus.Fields{
 			"Endpoint": endpoint.ID, "Backend": endpoint.Backend, "Address": endpoint.Address, "FailureDomain": endpoint.FailureDomain,
-			"Leaving": endpoint.Leaving, "Missing": endpoint.Missing, "Cheap": endpoint.Cheap,
+			"SoftwareVersion": endpoint.SoftwareVersion,
+			"Leaving":         endpoint.Leaving, "Missing": endpoint.Missing, "Cheap": endpoint.Cheap,
 		})
 	}
 	for id := range before {
--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -41,6 +41,8 @@
 	FailureDomain string
 	// Incarnation changes when the endpoint restarts with an empty cache.
 	Incarnation int64
+	// SoftwareVersion is the version of the endpoint's software, not of its model.
+	SoftwareVersion string
 	// Slots is the number of requests that the endpoint runs concurrently.
 	Slots int
 	// CacheTokens is the size of the key-value cache; 0 for plain services.
--- a/internal/peer/fleet/scheduler.go
+++ b/internal/peer/fleet/scheduler.go
@@ -33,11 +33,12 @@
 	// budget.
 	daemonCount func() int
 
-	mu        sync.Mutex
-	balancer  *balance.Balancer
-	budget    *budget.Budget
-	rng       *rand.Rand
-	addresses map[string]string
+	mu       sync.Mutex
+	balancer *balance.Balancer
+	budget   *budget.Budget
+	rng      *rand.Rand
+	// endpoints holds the endpoints by ID.
+	endpoints map[string]roster.Endpoint
 	// modelEngines reports whether an endpoint has a prefix cache; jobs on the
 	// other endpoints are not reported to peers.
 	modelEngines map[string]bool
@@ -64,7 +65,7 @@
 		balancer:     balance.New(),
 		budget:       budget.New(rules),
 		rng:          rng,
-		addresses:    make(map[string]string),
+		endpoints:    make(map[string]roster.Endpoint),
 		modelEngines: make(map[string]bool),
 		nextJob:      uint64(rng.Uint32()) << 32,
 	}
@@ -75,14 +76,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known := make([]balance.Endpoint, 0, len(endpoints))
-	clear(s.addresses)
+	clear(s.endpoints)
 	for _, endpoint := range endpoints {
 		known = append(known, endpoint.Endpoint)
-		s.addresses[endpoint.ID] = endpoint.Address
+		s.endpoints[endpoint.ID] = endpoint
 		s.modelEngines[endpoint.ID] = endpoint.CacheTokens > 0
 	}
 	for id := range s.modelEngines {
-		if _, listed := s.addresses[id]; !listed {
+		if _, listed := s.endpoints[id]; !listed {
 			delete(s.modelEngines, id)
 		}
 	}
@@ -118,7 +119,10 @@
 		s.pending.Sent = append(s.pending.Sent, newSentJob(job, 0))
 		s.dispatchedAt = append(s.dispatchedAt, now)
 	}
-	return relay.Placement{Job: job.ID, Endpoint: choice.Endpoint, Address: s.addresses[choice.Endpoint], ExpectedFirstToken: choice.ExpectedFirstToken}, relay.Refusal{}
+	endpoint := s.endpoints[choice.Endpoint]
+	return relay.Placement{
+		Job: job.ID, Endpoint: choice.Endpoint, Address: endpoint.Address, SoftwareVersion: endpoint.SoftwareVersion, ExpectedFirstToken: choice.ExpectedFirstToken,
+	}, relay.Refusal{}
 }
 
 // remoteTraffic returns the share and the report lag of the other daemons.
