Continue a stream only at endpoints of the software version that began it

Cause: a resumable stream that breaks off is continued in the same answer at whichever endpoint costs least; the software version was not regarded (hypothesis 1).

Change: the version of the endpoint that wrote the first event limits all later choices for that answer. If no endpoint of the version is left, the answer breaks off, and the caller may take the stream up itself.

Streams that a caller takes up are not mended by this.

--- a/internal/caller/relay/exchange.go
+++ b/internal/caller/relay/exchange.go
@@ -162,6 +162,7 @@
 		BodyBytes:     len(x.body) + x.call.HeaderBytes,
 		Priority:      x.priority(),
 		Started:       x.stream.headSent,
+		Software:      x.stream.software,
 		Exclude:       x.attempts.exclude,
 	}
 	if prompt := x.call.Prompt; prompt != nil {
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -18,6 +18,9 @@
 	headSent bool
 	// lastID is the ID of the last complete event that the caller was sent.
 	lastID string
+	// software is the version of the software that wrote the first event. Events of
+	// different versions do not fit together.
+	software balance.SoftwareLimit
 }
 
 // forwardStream forwards the events of a stream as they arrive.
@@ -98,6 +101,7 @@
 // billing and to the trace.
 func (p *streamForwarder) recordFirstEvent() {
 	x := p.exchange
+	x.stream.software = balance.SoftwareLimit{Limited: true, Version: p.placement.SoftwareVersion}
 	x.handler.config.Scheduler.RecordFirstToken(p.placement)
 	x.countStart(x.handler.config.Clock.Wall())
 	x.trace.recordFirstEvent(x)
--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -77,6 +77,8 @@
 	Priority int
 	// Started requests have been partly answered and are always admitted.
 	Started bool
+	// Software limits the choice to endpoints of one software version, if Limited.
+	Software SoftwareLimit
 	// TieBreakSeed differs for each request. It selects among endpoints of
 	// about equal cost.
 	TieBreakSeed uint64
@@ -84,6 +86,17 @@
 	Exclude []string
 }
 
+// SoftwareLimit requires a software version of endpoints. The zero value allows all.
+type SoftwareLimit struct {
+	Limited bool
+	Version string
+}
+
+// allows reports whether an endpoint may be chosen.
+func (l SoftwareLimit) allows(endpoint *Endpoint) bool {
+	return !l.Limited || endpoint.SoftwareVersion == l.Version
+}
+
 // PromptTokens returns the number of prompt tokens.
 func (r Request) PromptTokens() int {
 	total := 0
@@ -272,7 +285,7 @@
 	best := 0.0
 	unreportedWork := b.unreportedWork(now, p)
 	for _, r := range p.members {
-		if slices.Contains(request.Exclude, r.ID) {
+		if slices.Contains(request.Exclude, r.ID) || !request.Software.allows(&r.Endpoint) {
 			continue
 		}
 		e := p.estimate(now, r, request)
--- a/internal/peer/fleet/scheduler.go
+++ b/internal/peer/fleet/scheduler.go
@@ -148,7 +148,11 @@
 		}
 	}
 	if !found {
-		return choice, relay.Refusal{Reason: "no endpoint of the back end can take the request", RetryAfter: s.retryAfter(excess)}
+		reason := "no endpoint of the back end can take the request"
+		if request.Software.Limited {
+			reason = "no endpoint of the software version that began the stream: " + request.Software.Version
+		}
+		return choice, relay.Refusal{Reason: reason, RetryAfter: s.retryAfter(excess)}
 	}
 	return choice, relay.Refusal{
 		Reason:     "overloaded: first token expected after " + choice.ExpectedFirstToken.String() + " (" + choice.Delays.String() + ")",
