Take a stream up only at the software version that began it

The class: a fact that a later try depends on is known to one process only.

Change: each daemon remembers for 30 s which software version began its streams (decide/origin). While a back end has several versions, it tells the first three daemons of its failure domain, and the root passes it on to the next domain; when versions begin to be mixed, the streams of the last 30 s are told at once. A daemon at which a stream is taken up looks it up, or asks these. If nobody knows, and there may have been several versions, the request is refused with 503: it has not run.

Weighed: a row of the store for each stream (400 writes a second on the small sites, and a price each); a field in the reports of jobs, which reach every daemon; copies with all roots.

The loss of a follower, of a root, of both and of a domain is tested with real links.

--- a/internal/caller/relay/exchange.go
+++ b/internal/caller/relay/exchange.go
@@ -51,7 +51,7 @@
 // returns false has answered the request.
 func (x *exchange) serve() {
 	defer x.logEnd()
-	for _, filter := range []func() bool{x.decodeHead, x.findRoute, x.authenticate, x.readBody} {
+	for _, filter := range []func() bool{x.decodeHead, x.findRoute, x.authenticate, x.readBody, x.findOrigin} {
 		if !filter() {
 			return
 		}
@@ -137,6 +137,26 @@
 	return true
 }
 
+// findOrigin looks up the software version that began a stream which the caller takes up.
+// Only endpoints of that version can continue it.
+func (x *exchange) findOrigin() bool {
+	if !x.takesUpStream() {
+		return true
+	}
+	limit, known := x.handler.config.Streams.Find(x.r.Context(), x.call.ResumedID, x.backend)
+	if !known {
+		x.refuse(http.StatusServiceUnavailable, Refusal{Reason: "origin of the stream unknown: " + x.call.ResumedID, RetryAfter: defaultRetryAfter})
+		return false
+	}
+	x.stream.software = limit
+	return true
+}
+
+// takesUpStream reports whether the caller has received events of the stream before.
+func (x *exchange) takesUpStream() bool {
+	return x.route.Kind == document.Streaming && x.call.LastEventID != ""
+}
+
 // teamName returns the name of the team. It is empty if a request on a public
 // route has no known key.
 func (x *exchange) teamName() string {
@@ -161,7 +181,7 @@
 		FailureDomain: x.handler.config.FailureDomain,
 		BodyBytes:     len(x.body) + x.call.HeaderBytes,
 		Priority:      x.priority(),
-		Started:       x.stream.headSent,
+		Started:       x.stream.headSent || x.takesUpStream(),
 		Software:      x.stream.software,
 		Exclude:       x.attempts.exclude,
 	}
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -6,8 +6,9 @@
 // same sequence of filters as in those packages: decode, find the route,
 // authenticate the key, schedule, forward, check the answer, and meter. A
 // repeatable request is retried within the attempts of its route and the retry
-// budget, and a resumable stream continues at another endpoint after its last
-// complete event. A request that is not repeatable is sent to another endpoint
+// budget, and a resumable stream continues at another endpoint of the same software
+// version after its last complete event, in the same answer or when the caller takes it
+// up. A request that is not repeatable is sent to another endpoint
 // only if the first one did not run it.
 //
 // A refusal with status 408, 421, 429 or 503 always means that the request has
@@ -21,6 +22,7 @@
 package relay
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
 
@@ -50,6 +52,9 @@
 	// LastEventID is the ID of the last event that the caller has received of
 	// a stream that it resumes.
 	LastEventID string
+	// ResumedID is the ID of the request that brought the first event of that stream,
+	// empty if the caller does not name it.
+	ResumedID string
 	// Header holds the fields that are forwarded unchanged.
 	Header http.Header
 	// HeaderBytes is the size of the request line and all header fields.
@@ -135,6 +140,15 @@
 	TakeRetry func(backend string) bool
 }
 
+// Streams remembers which software versions began streams. All fields must be set.
+type Streams struct {
+	// Record is called when the first event of a request's stream arrives.
+	Record func(requestID, backend, softwareVersion string)
+	// Find returns the limit to the software version that began the stream of a
+	// request. known is false if it may have been any of several.
+	Find func(ctx context.Context, requestID, backend string) (limit balance.SoftwareLimit, known bool)
+}
+
 // Placement assigns a request to an endpoint.
 type Placement struct {
 	Job      uint64
@@ -173,6 +187,7 @@
 	Wire          Wire
 	Pool          *http1.Pool
 	Scheduler     Scheduler
+	Streams       Streams
 	Configuration func() Configuration
 	// RecordStarted counts a team's request for billing, at the wall-clock time
 	// at which it started to run.
--- a/internal/caller/relay/relay_test.go
+++ b/internal/caller/relay/relay_test.go
@@ -100,6 +100,12 @@
 		return header.Get("Id") == id
 	}})
 	handler := relay.New(relay.Config{
+		Streams: relay.Streams{
+			Record: func(string, string, string) {},
+			Find: func(context.Context, string, string) (balance.SoftwareLimit, bool) {
+				return balance.SoftwareLimit{}, true
+			},
+		},
 		Clock: clock.System(), Logger: logger, Wire: wire(), Pool: pool, Scheduler: f.scheduler(),
 		Configuration: func() relay.Configuration { return f.config },
 		RecordStarted: func(string, clock.Millis) {
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -101,7 +101,10 @@
 // billing and to the trace.
 func (p *streamForwarder) recordFirstEvent() {
 	x := p.exchange
-	x.stream.software = balance.SoftwareLimit{Limited: true, Version: p.placement.SoftwareVersion}
+	if !x.stream.software.Limited {
+		x.stream.software = balance.SoftwareLimit{Limited: true, Version: p.placement.SoftwareVersion}
+		x.handler.config.Streams.Record(x.call.ID, x.backend, p.placement.SoftwareVersion)
+	}
 	x.handler.config.Scheduler.RecordFirstToken(p.placement)
 	x.countStart(x.handler.config.Clock.Wall())
 	x.trace.recordFirstEvent(x)
--- a/internal/daemon/gateway/follow.go
+++ b/internal/daemon/gateway/follow.go
@@ -120,6 +120,7 @@
 func (d *Daemon) handleEndpoints(list []roster.Endpoint) {
 	d.logChanges(list)
 	d.endpoints.Store(&list)
+	d.fleet.SetEndpoints(list)
 	d.applyEndpoints()
 	d.fleet.NotifyEndpoints()
 	known := make(map[string]bool, len(list))
--- /dev/null
+++ b/internal/decide/origin/origin.go
@@ -0,0 +1,197 @@
+// Package origin remembers which software version of a back end began each stream, so
+// that a caller who takes a stream up is sent to an endpoint of that version.
+//
+// A stream of which nothing is known may still go on if all endpoints of its back end
+// have had the same version for as long as a stream lasts. Daemons therefore need to tell
+// each other of their streams only while versions are mixed.
+//
+// The package is pure: it has no clock, lock or goroutine of its own.
+//
+// # Usage
+//
+//	b := origin.New()
+//	mixed := b.SetEndpoints(now, endpoints) // tell others b.Own(now, backend) of each one
+//	b.RecordOwn(now, origin.Stream{ID: origin.ID("9c41d07b"), Backend: "books", SoftwareVersion: "1.2"})
+//	version, known := b.Find(now, origin.ID("9c41d07b"))
+package origin
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/decide/balance"
+)
+
+const (
+	// maxStreamTime is how long after its first event a stream may be taken up.
+	maxStreamTime = 30 * clock.Second
+	// maxStreams limits the streams that are remembered.
+	maxStreams = 1 << 17
+)
+
+// ID identifies a stream by a hash of the ID of the attempt that brought its first event.
+func ID(attempt string) uint64 {
+	return xxhash.Sum64String(attempt)
+}
+
+// Stream is a stream that an endpoint has begun.
+type Stream struct {
+	ID              uint64
+	Backend         string
+	SoftwareVersion string
+}
+
+// record is a Stream that is remembered.
+type record struct {
+	Stream
+	at clock.Millis
+	// own is set if this daemon began the stream.
+	own bool
+}
+
+// Book remembers streams and the software versions of the back ends. It is not safe for
+// concurrent use.
+type Book struct {
+	streams map[uint64]record
+	// order holds the IDs of streams, the one recorded first at the start.
+	order    []uint64
+	backends map[string]*backend
+}
+
+// backend holds the software versions of the endpoints of a back end.
+type backend struct {
+	// listed holds those of the last list, and lastListed when the others were last
+	// in a list.
+	listed     map[string]bool
+	lastListed map[string]clock.Millis
+}
+
+// New returns an empty Book.
+func New() *Book {
+	return &Book{streams: make(map[uint64]record), backends: make(map[string]*backend)}
+}
+
+// SetEndpoints records the software versions of the listed endpoints. It returns the back
+// ends whose versions are mixed from now on.
+func (b *Book) SetEndpoints(now clock.Millis, endpoints []balance.Endpoint) (mixed []string) {
+	before := make(map[string]bool)
+	for name, known := range b.backends {
+		before[name] = known.mixed(now)
+		known.clearList(now)
+	}
+	for _, endpoint := range endpoints {
+		b.backend(endpoint.Backend).listed[endpoint.SoftwareVersion] = true
+	}
+	for _, name := range slices.Sorted(maps.Keys(b.backends)) {
+		if b.backends[name].mixed(now) && !before[name] {
+			mixed = append(mixed, name)
+		}
+	}
+	return mixed
+}
+
+func (b *Book) backend(name string) *backend {
+	known := b.backends[name]
+	if known == nil {
+		known = &backend{listed: make(map[string]bool), lastListed: make(map[string]clock.Millis)}
+		b.backends[name] = known
+	}
+	return known
+}
+
+func (k *backend) clearList(now clock.Millis) {
+	for version := range k.listed {
+		k.lastListed[version] = now
+	}
+	clear(k.listed)
+}
+
+// recent returns the versions of the last list, and those that were in a list within
+// maxStreamTime, sorted.
+func (k *backend) recent(now clock.Millis) []string {
+	versions := slices.Collect(maps.Keys(k.listed))
+	for version, at := range k.lastListed {
+		if !k.listed[version] && now-at <= maxStreamTime {
+			versions = append(versions, version)
+		}
+	}
+	slices.Sort(versions)
+	return versions
+}
+
+func (k *backend) mixed(now clock.Millis) bool {
+	return len(k.recent(now)) > 1
+}
+
+// Mixed reports whether streams of a back end that may still be taken up were begun by
+// endpoints of several software versions.
+func (b *Book) Mixed(now clock.Millis, backend string) bool {
+	return b.backend(backend).mixed(now)
+}
+
+// Sole returns the only software version that the back end has had for as long as a
+// stream lasts.
+func (b *Book) Sole(now clock.Millis, backend string) (version string, found bool) {
+	recent := b.backend(backend).recent(now)
+	if len(recent) != 1 {
+		return "", false
+	}
+	return recent[0], true
+}
+
+// RecordOwn remembers a stream that this daemon has begun.
+func (b *Book) RecordOwn(now clock.Millis, stream Stream) {
+	b.record(record{Stream: stream, at: now, own: true})
+}
+
+// RecordOther remembers a stream that another daemon has begun, age ago.
+func (b *Book) RecordOther(now clock.Millis, stream Stream, age clock.Millis) {
+	if _, known := b.streams[stream.ID]; !known && age <= maxStreamTime {
+		b.record(record{Stream: stream, at: now - age})
+	}
+}
+
+func (b *Book) record(r record) {
+	if _, known := b.streams[r.ID]; !known {
+		b.order = append(b.order, r.ID)
+	}
+	b.streams[r.ID] = r
+	b.expire(r.at)
+}
+
+// expire forgets the streams at the start of the order that are too old or too many.
+func (b *Book) expire(now clock.Millis) {
+	forgotten := 0
+	for _, id := range b.order {
+		if len(b.streams) <= maxStreams && now-b.streams[id].at <= maxStreamTime {
+			break
+		}
+		delete(b.streams, id)
+		forgotten++
+	}
+	b.order = b.order[forgotten:]
+}
+
+// Find returns the software version that began a stream.
+func (b *Book) Find(now clock.Millis, id uint64) (version string, known bool) {
+	r, known := b.streams[id]
+	if !known || now-r.at > maxStreamTime {
+		return "", false
+	}
+	return r.SoftwareVersion, true
+}
+
+// Own returns the streams of a back end that this daemon has begun, with their ages.
+func (b *Book) Own(now clock.Millis, backend string) (streams []Stream, ages []clock.Millis) {
+	for _, id := range b.order {
+		r := b.streams[id]
+		if r.own && r.Backend == backend && now-r.at <= maxStreamTime {
+			streams = append(streams, r.Stream)
+			ages = append(ages, now-r.at)
+		}
+	}
+	return streams, ages
+}
--- /dev/null
+++ b/internal/decide/origin/origin_test.go
@@ -0,0 +1,95 @@
+package origin_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/decide/balance"
+	"github.com/banyanshift/banyanshift/internal/decide/origin"
+)
+
+// endpoints returns endpoints of the back end books with these software versions.
+func endpoints(versions ...string) (list []balance.Endpoint) {
+	for _, version := range versions {
+		list = append(list, balance.Endpoint{Backend: "books", SoftwareVersion: version})
+	}
+	return list
+}
+
+func stream(attempt, version string) origin.Stream {
+	return origin.Stream{ID: origin.ID(attempt), Backend: "books", SoftwareVersion: version}
+}
+
+func TestVersionsAreMixedUntilNoStreamOfTheFirstCanBeTakenUp(t *testing.T) {
+	b := origin.New()
+	b.SetEndpoints(0, endpoints("1", "1"))
+	b.SetEndpoints(10, endpoints("1"))
+	if version, found := b.Sole(40*clock.Second, "books"); !found || version != "1" {
+		t.Errorf("got sole version %q, want 1", version)
+	}
+	if mixed := b.SetEndpoints(50*clock.Second, endpoints("1", "2")); len(mixed) != 1 || mixed[0] != "books" {
+		t.Errorf("back ends that became mixed: got %v, want books", mixed)
+	}
+	if mixed := b.SetEndpoints(51*clock.Second, endpoints("2")); len(mixed) != 0 {
+		t.Errorf("back ends that became mixed: got %v, want none", mixed)
+	}
+	if !b.Mixed(80*clock.Second, "books") {
+		t.Error("a stream of version 1 may still be taken up 29 s after it was last listed")
+	}
+	if version, found := b.Sole(82*clock.Second, "books"); !found || version != "2" {
+		t.Errorf("got sole version %q, want 2", version)
+	}
+}
+
+// TestVersionThatWasListedForLongIsRecentWhenItEnds guards against a version that counts
+// from the time at which it was first listed.
+func TestVersionThatWasListedForLongIsRecentWhenItEnds(t *testing.T) {
+	b := origin.New()
+	b.SetEndpoints(0, endpoints("1"))
+	b.SetEndpoints(clock.Minute, endpoints("2"))
+	if !b.Mixed(clock.Minute+29*clock.Second, "books") {
+		t.Error("the versions are not mixed, though version 1 was listed until 29 s ago")
+	}
+}
+
+func TestStreamsAreForgotten(t *testing.T) {
+	b := origin.New()
+	b.RecordOwn(0, stream("a", "1"))
+	b.RecordOther(20*clock.Second, stream("b", "2"), 5*clock.Second)
+	b.RecordOther(20*clock.Second, stream("c", "2"), 31*clock.Second)
+	if version, known := b.Find(30*clock.Second, origin.ID("a")); !known || version != "1" {
+		t.Errorf("got version %q, want 1", version)
+	}
+	for attempt, at := range map[string]clock.Millis{"a": 31 * clock.Second, "b": 46 * clock.Second, "c": 20 * clock.Second, "d": 0} {
+		if version, known := b.Find(at, origin.ID(attempt)); known {
+			t.Errorf("stream %s at %s: got version %q, want none", attempt, at, version)
+		}
+	}
+}
+
+// TestMemoryIsLimited checks that the oldest streams are forgotten first.
+func TestMemoryIsLimited(t *testing.T) {
+	const count = 200_000
+	b := origin.New()
+	for n := range count {
+		b.RecordOther(0, stream(fmt.Sprint(n), "1"), 0)
+	}
+	if _, known := b.Find(0, origin.ID("0")); known {
+		t.Error("the oldest stream is remembered")
+	}
+	if _, known := b.Find(0, origin.ID(fmt.Sprint(count-1))); !known {
+		t.Error("the newest stream is forgotten")
+	}
+}
+
+func TestOnlyOwnStreamsOfTheBackendAreToldToOthers(t *testing.T) {
+	b := origin.New()
+	b.RecordOwn(0, stream("a", "1"))
+	b.RecordOther(0, stream("b", "1"), 0)
+	b.RecordOwn(0, origin.Stream{ID: origin.ID("c"), Backend: "other", SoftwareVersion: "1"})
+	streams, ages := b.Own(2*clock.Second, "books")
+	if len(streams) != 1 || streams[0].ID != origin.ID("a") || ages[0] != 2*clock.Second {
+		t.Errorf("got %v with ages %v, want a of 2 s", streams, ages)
+	}
+}
--- a/internal/peer/fleet/fleet.go
+++ b/internal/peer/fleet/fleet.go
@@ -82,6 +82,7 @@
 	config    Config
 	group     *errgroup.Group
 	publisher *publisher
+	streams   *streams
 
 	mu       sync.Mutex
 	view     *topology.View
@@ -103,7 +104,7 @@
 		exchange: fanout.New[report](config.Incarnation, config.Self.FailureDomain),
 		peers:    make(map[string]*peer),
 	}
-	f.publisher = newPublisher(f)
+	f.publisher, f.streams = newPublisher(f), newStreams(f)
 	f.registerHandlers()
 	return f
 }
--- a/internal/peer/fleet/message.go
+++ b/internal/peer/fleet/message.go
@@ -189,3 +189,32 @@
 type usageAnswer struct {
 	Sheets []tally.WindowSnapshot
 }
+
+// startedStream is an origin.Stream that a daemon has begun, Age before this message.
+type startedStream struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	ID              uint64
+	SoftwareVersion string
+	Age             clock.Millis
+}
+
+// startedStreams tells of streams that endpoints have begun.
+type startedStreams struct {
+	Items []startedStream
+	// PassOn is set if a root is to tell the root of the next failure domain.
+	PassOn bool
+}
+
+// originRequest asks which software version began the stream ID. A root asks the other
+// roots if AskRoots is set.
+type originRequest struct {
+	ID       uint64
+	AskRoots bool
+}
+
+// originAnswer holds the software version, if it is known.
+type originAnswer struct {
+	Known           bool
+	SoftwareVersion string
+}
--- a/internal/peer/fleet/serve.go
+++ b/internal/peer/fleet/serve.go
@@ -16,6 +16,8 @@
 	link.Handle(f.config.Link, message.FleetDocument, f.serveDocument)
 	link.Handle(f.config.Link, message.FleetEndpoints, f.serveEndpoints)
 	link.Handle(f.config.Link, message.FleetUsage, f.serveUsage)
+	link.Handle(f.config.Link, message.FleetStreams, f.serveStreams)
+	link.Handle(f.config.Link, message.FleetStreamOrigin, f.serveOrigin)
 }
 
 func (f *Fleet) servePing(_ context.Context, _ string, request ping) (pong, error) {
--- /dev/null
+++ b/internal/peer/fleet/streams.go
@@ -0,0 +1,202 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/decide/balance"
+	"github.com/banyanshift/banyanshift/internal/decide/origin"
+	"github.com/banyanshift/banyanshift/internal/endpoint/roster"
+	"github.com/banyanshift/banyanshift/internal/peer/link"
+	"github.com/banyanshift/banyanshift/internal/peer/message"
+)
+
+const (
+	// originTimeout limits the search for the origin of a stream, for which a caller
+	// waits.
+	originTimeout = 300 * clock.Millisecond
+	// maxSoleAge is the age of the list of endpoints up to which it shows whether a
+	// back end has a single software version.
+	maxSoleAge = 3 * clock.Second
+)
+
+// streams knows which software versions began the streams of callers. While the versions
+// of a back end are mixed, each stream is told to a few other daemons, so that it can be
+// taken up when the daemon that passed it on has ended.
+type streams struct {
+	fleet *Fleet
+
+	mu   sync.Mutex
+	book *origin.Book
+}
+
+func newStreams(f *Fleet) *streams {
+	return &streams{fleet: f, book: origin.New()}
+}
+
+// SetEndpoints records the software versions of the endpoints.
+func (f *Fleet) SetEndpoints(list []roster.Endpoint) {
+	endpoints := make([]balance.Endpoint, 0, len(list))
+	for _, endpoint := range list {
+		endpoints = append(endpoints, endpoint.Endpoint)
+	}
+	s, now := f.streams, f.config.Clock.Now()
+	s.mu.Lock()
+	var started []startedStream
+	for _, backend := range s.book.SetEndpoints(now, endpoints) {
+		own, ages := s.book.Own(now, backend)
+		for i, stream := range own {
+			started = append(started, startedStream{ID: stream.ID, SoftwareVersion: stream.SoftwareVersion, Age: ages[i]})
+		}
+	}
+	s.mu.Unlock()
+	s.tell(started)
+}
+
+// RecordStream records that an endpoint has begun the stream of a caller's attempt.
+func (f *Fleet) RecordStream(attempt, backend, softwareVersion string) {
+	s, now := f.streams, f.config.Clock.Now()
+	stream := origin.Stream{ID: origin.ID(attempt), Backend: backend, SoftwareVersion: softwareVersion}
+	s.mu.Lock()
+	s.book.RecordOwn(now, stream)
+	mixed := s.book.Mixed(now, backend)
+	s.mu.Unlock()
+	if mixed {
+		s.tell([]startedStream{{ID: stream.ID, SoftwareVersion: softwareVersion}})
+	}
+}
+
+// tell tells the keepers of streams that this daemon has begun.
+func (s *streams) tell(started []startedStream) {
+	if len(started) == 0 {
+		return
+	}
+	f := s.fleet
+	f.mu.Lock()
+	keepers := f.view.Keepers(f.config.Clock.Now())
+	f.mu.Unlock()
+	f.send(keepers, message.FleetStreams, startedStreams{Items: started, PassOn: true})
+}
+
+// serveStreams remembers the streams of another daemon. The root of its failure domain
+// passes them on to the next domain, in case that the whole domain is lost.
+func (f *Fleet) serveStreams(_ context.Context, _ string, told startedStreams) (struct{}, error) {
+	s, now := f.streams, f.config.Clock.Now()
+	s.mu.Lock()
+	for _, item := range told.Items {
+		s.book.RecordOther(now, origin.Stream{ID: item.ID, SoftwareVersion: item.SoftwareVersion}, item.Age)
+	}
+	s.mu.Unlock()
+	if !told.PassOn {
+		return struct{}{}, nil
+	}
+	f.mu.Lock()
+	next, found := f.view.NextRoot(now)
+	f.mu.Unlock()
+	if found {
+		f.send([]string{next}, message.FleetStreams, startedStreams{Items: told.Items})
+	}
+	return struct{}{}, nil
+}
+
+// FindStream returns the limit to the software version that began the stream of a
+// caller's attempt, which another daemon may have passed on. known is false if it may
+// have been any of several versions.
+func (f *Fleet) FindStream(ctx context.Context, attempt, backend string) (limit balance.SoftwareLimit, known bool) {
+	s := f.streams
+	id := origin.ID(attempt)
+	version, source := s.find(id), originHere
+	if version == nil {
+		version, source = s.sole(backend), originSole
+	}
+	if version == nil {
+		version, source = s.ask(ctx, id, f.contacts(), true), originPeer
+	}
+	fields := logrus.Fields{"Request": attempt, "Backend": backend, "Source": string(source)}
+	if version == nil {
+		eventOriginUnknown.Log(f.config.Logger, fields)
+		return balance.SoftwareLimit{}, false
+	}
+	fields["SoftwareVersion"] = *version
+	eventOriginFound.Log(f.config.Logger, fields)
+	return balance.SoftwareLimit{Limited: true, Version: *version}, true
+}
+
+// originSource is where the origin of a stream was looked up last.
+type originSource string
+
+const (
+	originHere originSource = "Here"
+	originSole originSource = "Sole"
+	originPeer originSource = "Peer"
+)
+
+// find returns the software version that began a stream if this daemon knows it.
+func (s *streams) find(id uint64) *string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if version, known := s.book.Find(s.fleet.config.Clock.Now(), id); known {
+		return &version
+	}
+	return nil
+}
+
+// sole returns the only software version that the back end has had for some time. It
+// returns nil if the list of endpoints may be out of date.
+func (s *streams) sole(backend string) *string {
+	now := s.fleet.config.Clock.Now()
+	if now-s.fleet.config.Roster.State().AsOf > maxSoleAge {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if version, found := s.book.Sole(now, backend); found {
+		return &version
+	}
+	return nil
+}
+
+// ask asks daemons for the software version that began a stream, and returns the first
+// one that is known.
+func (s *streams) ask(ctx context.Context, id uint64, addresses []string, askRoots bool) *string {
+	ctx, cancel := context.WithTimeout(ctx, originTimeout.Duration())
+	defer cancel()
+	answers := make(chan originAnswer, len(addresses))
+	for _, address := range addresses {
+		go s.askOne(ctx, address, originRequest{ID: id, AskRoots: askRoots}, answers)
+	}
+	for range addresses {
+		if answer := <-answers; answer.Known {
+			return &answer.SoftwareVersion
+		}
+	}
+	return nil
+}
+
+// askOne passes on the answer of a daemon. One that does not answer knows nothing.
+func (s *streams) askOne(ctx context.Context, address string, request originRequest, answers chan<- originAnswer) {
+	f := s.fleet
+	answer, err := link.Call[originRequest, originAnswer](ctx, f.config.Link, link.Peer{Address: address}, message.FleetStreamOrigin, request)
+	if err != nil && ctx.Err() == nil {
+		f.config.Logger.WithError(err).WithField("Address", address).Debug("peer could not be asked for the origin of a stream")
+	}
+	answers <- answer
+}
+
+func (f *Fleet) serveOrigin(ctx context.Context, _ string, request originRequest) (originAnswer, error) {
+	s := f.streams
+	version := s.find(request.ID)
+	if version == nil && request.AskRoots {
+		f.mu.Lock()
+		roots := f.view.RemoteRoots(f.config.Clock.Now())
+		f.mu.Unlock()
+		version = s.ask(ctx, request.ID, roots, false)
+	}
+	if version == nil {
+		return originAnswer{}, nil
+	}
+	return originAnswer{Known: true, SoftwareVersion: *version}, nil
+}
--- /dev/null
+++ b/internal/peer/fleet/streams_test.go
@@ -0,0 +1,88 @@
+package fleet_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/coord/table"
+	"github.com/banyanshift/banyanshift/internal/decide/balance"
+	"github.com/banyanshift/banyanshift/internal/endpoint/roster"
+)
+
+// softwareList returns endpoints of the back end books with these software versions.
+func softwareList(versions ...string) (list []roster.Endpoint) {
+	for _, version := range versions {
+		list = append(list, roster.Endpoint{Endpoint: balance.Endpoint{ID: "i-" + version, Backend: "books", SoftwareVersion: version}})
+	}
+	return list
+}
+
+// setSoftware makes all daemons know endpoints with these software versions.
+func setSoftware(fleet map[string]*daemon, versions ...string) {
+	for _, d := range fleet {
+		d.roster.Replace(softwareList(versions...), table.Position{Revision: uint64(len(versions))}, clock.System().Now())
+		d.fleet.SetEndpoints(softwareList(versions...))
+	}
+}
+
+// findStream returns the version that began a stream, "" if it is not known.
+func findStream(d *daemon, attempt string) string {
+	limit, known := d.fleet.FindStream(context.Background(), attempt, "books")
+	if !known {
+		return ""
+	}
+	return limit.Version
+}
+
+// TestStreamOriginIsKnownAfterTheLossOfDaemons ends the daemon that began a stream, with
+// its root or its whole failure domain, and asks another one.
+func TestStreamOriginIsKnownAfterTheLossOfDaemons(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		begins string
+		lost   []string
+		asked  string
+	}{
+		{"a follower", "north-3", []string{"north-3"}, "north-2"},
+		{"a root", "north-1", []string{"north-1"}, "north-3"},
+		{"a follower and its root", "north-2", []string{"north-1", "north-2"}, "north-3"},
+		{"a domain", "north-3", []string{"north-1", "north-2", "north-3"}, "south-3"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			fleet := startTree(t)
+			setSoftware(fleet, "1")
+			fleet[test.begins].fleet.RecordStream("early", "books", "1")
+			setSoftware(fleet, "1", "2")
+			fleet[test.begins].fleet.RecordStream("late", "books", "2")
+			time.Sleep(200 * time.Millisecond) // The daemons tell each other.
+			for _, id := range test.lost {
+				fleet[id].stop()
+			}
+			for attempt, want := range map[string]string{"early": "1", "late": "2", "never": ""} {
+				if got := findStream(fleet[test.asked], attempt); got != want {
+					t.Errorf("stream %s: got version %q, want %q", attempt, got, want)
+				}
+			}
+		})
+	}
+}
+
+// TestStreamsAreNotToldWhileThereIsOneVersion checks that a stream whose origin nobody
+// was told goes on at the only version, as long as the list of endpoints is up to date.
+func TestStreamsAreNotToldWhileThereIsOneVersion(t *testing.T) {
+	d := start(t, "a", table.NewMemory().Client())
+	d.roster.Replace(softwareList("1"), table.Position{Revision: 1}, clock.System().Now())
+	d.fleet.SetEndpoints(softwareList("1"))
+	if got := findStream(d, "other"); got != "1" {
+		t.Errorf("got version %q, want 1", got)
+	}
+	outdated := start(t, "b", table.NewMemory().Client())
+	outdated.roster.Replace(softwareList("1"), table.Position{Revision: 1}, clock.System().Now()-10*clock.Second)
+	outdated.fleet.SetEndpoints(softwareList("1"))
+	if got := findStream(outdated, "other"); got != "" {
+		t.Errorf("with an outdated list: got version %q, want none", got)
+	}
+}
--- a/internal/peer/message/message.go
+++ b/internal/peer/message/message.go
@@ -43,4 +43,6 @@
 	FleetReports         Type = 0x86
 	FleetEndpointChanges Type = 0x87
 	FleetNews            Type = 0x88
+	FleetStreams         Type = 0x89
+	FleetStreamOrigin    Type = 0x8a
 )
--- a/internal/peer/topology/role.go
+++ b/internal/peer/topology/role.go
@@ -139,6 +139,41 @@
 	return c.VM, true
 }
 
+// Keepers returns the addresses of the daemons that keep what this one must not be the
+// only one to know: the first ones of its domain that respond, and for a root the root
+// of the next domain. Those that follow the same root ask one of them.
+func (v *View) Keepers(now clock.Millis) (addresses []string) {
+	for _, c := range v.domains[v.self.FailureDomain] {
+		if c.state(now) == responding && len(addresses) < domainContacts {
+			addresses = append(addresses, c.Address)
+		}
+	}
+	if next, found := v.NextRoot(now); found {
+		addresses = append(addresses, next)
+	}
+	return addresses
+}
+
+// NextRoot returns the address of the root of the next failure domain in a ring. found is
+// false for a daemon that is not a root, and if no other root responds.
+func (v *View) NextRoot(now clock.Millis) (address string, found bool) {
+	if !v.IsRoot(now) {
+		return "", false
+	}
+	first := ""
+	for _, name := range v.otherDomains() {
+		c := firstResponding(now, v.domains[name])
+		switch {
+		case c == nil:
+		case name > v.self.FailureDomain:
+			return c.Address, true
+		case first == "":
+			first = c.Address
+		}
+	}
+	return first, first != ""
+}
+
 // LacksContact reports whether this daemon should look for further VMs: it reaches
 // no other one, or it is a root and reaches none of a failure domain that it knows.
 func (v *View) LacksContact(now clock.Millis) bool {
