Never use a fence of the lease twice after the store came back from a copy

Cause: the next fence was one above that of the row, and the row may be some seconds old. A takeover that the copy lacks is repeated by another daemon under the same fence. A row that was released at the time of the copy was taken over at once, while the holder of afterwards still acted. A renewal under way may find its version given out again.

Change: the lease knows the highest fence that this daemon has seen, and daemons tell it each other in their pings; the next fence is above it. A row with a lower fence is taken over only after the whole TTL, and a holder that hears of a higher one stops. Rows and transactions name the era: a write that was answered in another era proves nothing (ErrEraChanged), and beats of an earlier era are not taken for own ones.

What cannot be known: the fence of a holder that ended, with all daemons that had heard of it, in the same seconds.

--- a/coord/lease/lease.go
+++ b/coord/lease/lease.go
@@ -10,6 +10,10 @@
 // that a machine is suspended. If the answer to a write is lost, the row is read
 // back; the validity then starts when the write was sent.
 //
+// A table that comes back from a copy may lose a takeover and give its fence out again.
+// Processes therefore tell each other the highest fence that they have seen: the next one
+// is above it, and a row with a lower one is taken over only after the whole TTL.
+//
 // At any instant at most one process holds a valid lease, regardless of paused
 // processes and delayed messages, as long as the rates of the clocks differ by
 // less than the margin (one twentieth of the TTL). A paused process may notice
@@ -56,6 +60,10 @@
 	// returns false, the process neither reads nor takes over the row, but
 	// keeps a lease that it holds. nil means always.
 	Candidate func() bool
+	// KnownFence returns the highest fence that other processes have seen. Without
+	// it, a table that comes back from a copy may let a fence be used twice. nil
+	// means that no other process tells.
+	KnownFence func() uint64
 }
 
 // Lease competes for one lease. Its methods are safe for concurrent use.
@@ -74,6 +82,9 @@
 	if config.Candidate == nil {
 		config.Candidate = func() bool { return true }
 	}
+	if config.KnownFence == nil {
+		config.KnownFence = func() uint64 { return 0 }
+	}
 	return &Lease{
 		config:  config,
 		machine: NewMachine(config.Holder, config.TTL, config.Rand),
@@ -97,6 +108,14 @@
 	return l.machine.LastSeen()
 }
 
+// HighestFence returns the highest fence that this process has seen, which it should
+// tell the others.
+func (l *Lease) HighestFence() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.machine.HighestFence()
+}
+
 // Changed returns a channel that is closed when Run next notices that this
 // process acquired or lost the lease. Run may notice an expired lease late; only
 // Valid is exact.
@@ -145,8 +164,10 @@
 
 // step performs the machine's next action.
 func (l *Lease) step(ctx context.Context) {
+	known := l.config.KnownFence()
 	l.mu.Lock()
 	now := l.config.Clock.Now()
+	l.machine.ObserveFence(known)
 	action := l.machine.Next(now)
 	_, _, holds := l.machine.Valid(now)
 	l.mu.Unlock()
@@ -214,7 +235,7 @@
 		l.machine.OnReadFailed(now)
 		return
 	}
-	l.machine.OnRead(now, value, row.Version)
+	l.machine.OnRead(now, value, Stored{Version: row.Version, Era: row.Era})
 }
 
 func (l *Lease) write(ctx context.Context, action Action) {
@@ -234,10 +255,13 @@
 	err = l.config.Table.Commit(ctx, table.Txn{
 		Conditions: []table.Condition{{Key: l.config.Key, Version: action.Version}},
 		Writes:     []table.Write{{Key: l.config.Key, Value: value}},
+		Era:        action.Era,
 	})
 	switch {
 	case err == nil:
 		return Written
+	case errors.Is(err, table.ErrEraChanged):
+		return EraChanged
 	case errors.Is(err, table.ErrConflict):
 		return Conflicted
 	case errors.Is(err, table.ErrUnavailable):
--- a/coord/lease/machine.go
+++ b/coord/lease/machine.go
@@ -34,10 +34,17 @@
 
 // Action is the next step that a Machine requires of its caller.
 type Action struct {
-	Kind    Kind
-	Until   clock.Millis
-	Row     Row
+	Kind  Kind
+	Until clock.Millis
+	Row   Row
+	Stored
+}
+
+// Stored identifies a state of the row. Versions are given out again when the table
+// comes back from a copy, in a later era.
+type Stored struct {
 	Version uint64
+	Era     uint64
 }
 
 // Result is the result of a write.
@@ -53,6 +60,9 @@
 	NotWritten
 	// Unknown means that the row may have been written or may still be.
 	Unknown
+	// EraChanged means that the row may have been written, on condition of a version
+	// that the table has given out again.
+	EraChanged
 )
 
 // Intervals and the margin, as divisors of the TTL.
@@ -77,13 +87,16 @@
 	ttl  clock.Millis
 	rng  *rand.Rand
 
-	// seen is the row as last read or written. version is its version when it
-	// was last read, and unchangedSince is the instant at which that version
+	// seen is the row as last read or written. stored is its state when it was last
+	// read, and unchangedSince is the instant at which that version
 	// was first read.
 	seen           Row
-	version        uint64
+	stored         Stored
 	unchangedSince clock.Millis
 	versionKnown   bool
+	// highestFence is the highest fence that this or another process has seen. It is
+	// above that of the row after the table came back from a copy.
+	highestFence uint64
 
 	// sentAt maps the beat of each write of this machine to the instant at
 	// which it was sent, until the row shows which of them took effect.
@@ -118,7 +131,7 @@
 // it returns the fence and the instant until which the lease is valid.
 func (m *Machine) Valid(now clock.Millis) (fence uint64, until clock.Millis, ok bool) {
 	until = m.renewedAt + m.ttl - m.ttl/marginDivisor
-	if !m.held || m.resigned || now >= until {
+	if !m.held || m.resigned || m.behind() || now >= until {
 		return 0, 0, false
 	}
 	return m.seen.Fence, until, true
@@ -129,6 +142,32 @@
 	return m.seen
 }
 
+// HighestFence returns the highest fence that this process has seen.
+func (m *Machine) HighestFence() uint64 {
+	return m.highestFence
+}
+
+// ObserveFence records a fence that another process has seen. If it is higher than that
+// of the row, the table has lost a takeover: this process no longer holds the lease, and
+// the process that took it over may hold it for the rest of its TTL.
+func (m *Machine) ObserveFence(fence uint64) {
+	m.highestFence = max(m.highestFence, fence)
+	if m.behind() {
+		m.lose()
+	}
+}
+
+// behind reports whether the row has a lower fence than one that was seen elsewhere.
+func (m *Machine) behind() bool {
+	return m.seen.Fence < m.highestFence
+}
+
+// lose ends the validity of the lease, whatever the outcome of writes under way.
+func (m *Machine) lose() {
+	m.held = false
+	m.sentAt = make(map[uint64]clock.Millis)
+}
+
 // Resign ends the validity of the lease immediately. If the lease is held, the
 // next actions release it.
 func (m *Machine) Resign() {
@@ -156,8 +195,8 @@
 	switch {
 	case m.held:
 		return m.write(now, m.self, m.seen.Fence)
-	case m.seen.Holder == "" || now-m.unchangedSince >= m.ttl:
-		return m.write(now, m.self, m.seen.Fence+1)
+	case m.seen.Holder == "" && !m.behind(), now-m.unchangedSince >= m.ttl:
+		return m.write(now, m.self, m.highestFence+1)
 	}
 	return Action{Kind: Read}
 }
@@ -183,18 +222,23 @@
 func (m *Machine) write(now clock.Millis, holder string, fence uint64) Action {
 	m.lastBeat = max(m.lastBeat, m.seen.Beat) + 1
 	m.sentAt[m.lastBeat] = now
-	return Action{Kind: Write, Row: Row{Holder: holder, Fence: fence, Beat: m.lastBeat}, Version: m.version}
+	return Action{Kind: Write, Row: Row{Holder: holder, Fence: fence, Beat: m.lastBeat}, Stored: m.stored}
 }
 
 // OnRead handles the row, which was received at the instant now.
-func (m *Machine) OnRead(now clock.Millis, row Row, version uint64) {
+func (m *Machine) OnRead(now clock.Millis, row Row, stored Stored) {
 	m.mustRead = false
-	if !m.versionKnown || version != m.version {
+	if stored.Era != m.stored.Era {
+		// The beats of this process may belong to writes that the table has lost.
+		m.sentAt = make(map[uint64]clock.Millis)
+	}
+	if !m.versionKnown || stored != m.stored {
 		m.versionKnown = true
 		m.seen = row
-		m.version = version
+		m.stored = stored
 		m.unchangedSince = now
 		m.updateHeld()
+		m.ObserveFence(row.Fence)
 	}
 	m.schedule(now)
 }
@@ -203,8 +247,7 @@
 // lease.
 func (m *Machine) updateHeld() {
 	if m.seen.Holder != m.self {
-		m.held = false
-		m.sentAt = make(map[uint64]clock.Millis)
+		m.lose()
 		return
 	}
 	sent, own := m.sentAt[m.seen.Beat]
@@ -230,7 +273,7 @@
 	switch {
 	case m.held:
 		m.nextAt = m.renewedAt + interval
-	case m.seen.Holder == "":
+	case m.seen.Holder == "" && !m.behind():
 		m.nextAt = now
 	default:
 		// A candidate reads at each interval and when the TTL has passed.
@@ -265,11 +308,16 @@
 	case Unknown:
 		m.mustRead = true
 		m.nextAt = now
+	case EraChanged:
+		m.lose()
+		m.mustRead = true
+		m.nextAt = now
 	}
 }
 
 func (m *Machine) onWritten(row Row) {
 	m.seen = row
+	m.highestFence = max(m.highestFence, row.Fence)
 	m.versionKnown = false
 	m.mustRead = true
 	if row.Holder == m.self {
--- a/coord/lease/machine_test.go
+++ b/coord/lease/machine_test.go
@@ -23,12 +23,16 @@
 	now     clock.Millis
 	row     Row
 	version uint64
+	// era is the number of times that the table came back from a copy.
+	era     uint64
 	procs   []*proc
 	queue   eventQueue
 	faults  bool
 	problem string
 	// fences maps each fence to the process that was valid with it.
-	fences    map[uint64]string
+	fences map[uint64]string
+	// lastFence is the fence of the last valid process.
+	lastFence uint64
 	takeovers int
 }
 
@@ -111,6 +115,7 @@
 		if p.sim.faults && p.sim.rng.IntN(30) == 0 {
 			p.pausedUntil = p.sim.now + clock.Millis(p.sim.rng.Int64N(int64(3*testTTL)))
 		}
+		p.machine.ObserveFence(p.sim.highestFence())
 		action := p.machine.Next(p.clock())
 		switch action.Kind {
 		case Wait:
@@ -153,10 +158,10 @@
 
 func (p *proc) read() {
 	var row Row
-	var version uint64
+	var stored Stored
 	p.exchange(
-		func() { row, version = p.sim.row, p.sim.version },
-		func() { p.machine.OnRead(p.clock(), row, version) },
+		func() { row, stored = p.sim.row, Stored{Version: p.sim.version, Era: p.sim.era} },
+		func() { p.machine.OnRead(p.clock(), row, stored) },
 		func() { p.machine.OnReadFailed(p.clock()) },
 	)
 }
@@ -174,12 +179,41 @@
 				s.row = action.Row
 				result = Written
 			}
+			if s.era != action.Era {
+				result = EraChanged
+			}
 		},
 		func() { p.machine.OnWrite(p.clock(), action.Row, result) },
 		func() { p.machine.OnWrite(p.clock(), action.Row, Unknown) },
 	)
 }
 
+// highestFence returns the highest fence that any process has seen, which the processes
+// tell each other.
+func (s *simulation) highestFence() (highest uint64) {
+	for _, p := range s.procs {
+		highest = max(highest, p.machine.HighestFence())
+	}
+	return highest
+}
+
+// restoreSometimes brings the table back from copies, some seconds old, until the faults
+// end. The versions of rows go back and are given out again.
+func (s *simulation) restoreSometimes() {
+	const maxCopyAge = 5 * clock.Second
+	s.after(clock.Millis(s.rng.Int64N(int64(clock.Minute))), func() {
+		if !s.faults {
+			return
+		}
+		row, version := s.row, s.version
+		s.after(clock.Millis(s.rng.Int64N(int64(maxCopyAge))), func() {
+			s.row, s.version = row, version
+			s.era++
+			s.restoreSometimes()
+		})
+	})
+}
+
 // check detects two processes that are valid at the same time and a fence that
 // two processes used. Validity is extended only by events, so it suffices to
 // check after each event.
@@ -194,6 +228,10 @@
 			s.problem = fmt.Sprintf("at %v: %s and %s are both valid", s.now, holder, p.name)
 		}
 		holder = p.name
+		if fence < s.lastFence {
+			s.problem = fmt.Sprintf("at %v: fence %d of %s is lower than one used before", s.now, fence, p.name)
+		}
+		s.lastFence = fence
 		if user, used := s.fences[fence]; used && user != p.name {
 			s.problem = fmt.Sprintf("at %v: fence %d of %s is also used by %s", s.now, fence, user, p.name)
 		}
@@ -245,6 +283,24 @@
 	all.TestingRun(t)
 }
 
+// TestAtMostOneHolderOfARestoredTable guards against two holders, and against a fence that
+// is used twice or goes back, when the table comes back from a copy.
+func TestAtMostOneHolderOfARestoredTable(t *testing.T) {
+	all := properties(t)
+	all.Property("at most one holder, fences only grow, and one holds after the faults end", prop.ForAll(func(seed uint64, procs int) string {
+		s := newSimulation(seed, procs)
+		s.restoreSometimes()
+		s.run(20 * clock.Minute)
+		s.faults = false
+		s.run(s.now + 6*testTTL)
+		if s.problem == "" && s.validHolder() == "" {
+			s.problem = "no process holds the lease"
+		}
+		return s.problem
+	}, gen.UInt64(), gen.IntRange(2, 5)))
+	all.TestingRun(t)
+}
+
 // Shows that the check of the simulation can fail: if the rates of the clocks
 // differ by more than the margin covers, it finds two holders.
 func TestRatesBeyondTheMarginAreFound(t *testing.T) {
@@ -268,7 +324,7 @@
 // take makes the machine take a released lease at the instant now.
 func take(t *testing.T, m *Machine, now clock.Millis) Row {
 	t.Helper()
-	m.OnRead(now, Row{Fence: 4, Beat: 9}, 7)
+	m.OnRead(now, Row{Fence: 4, Beat: 9}, Stored{Version: 7})
 	action := m.Next(now)
 	if action.Kind != Write || action.Row.Holder != "a" || action.Row.Fence != 5 || action.Version != 7 {
 		t.Fatalf("got %+v, want a write with holder a, fence 5 and version 7", action)
@@ -295,7 +351,7 @@
 func TestPausedHolder(t *testing.T) {
 	m := newMachine()
 	m.OnWrite(0, take(t, m, 0), Written)
-	m.OnRead(10, Row{Holder: "a", Fence: 5, Beat: 10}, 8)
+	m.OnRead(10, Row{Holder: "a", Fence: 5, Beat: 10}, Stored{Version: 8})
 	renewal := m.Next(testTTL / 3)
 	if renewal.Kind != Write {
 		t.Fatalf("got %+v, want a write", renewal)
@@ -308,7 +364,7 @@
 	if _, _, ok := m.Valid(resumed); ok {
 		t.Error("a renewal sent before the pause made the lease valid")
 	}
-	m.OnRead(resumed, Row{Holder: "b", Fence: 6, Beat: 30}, 40)
+	m.OnRead(resumed, Row{Holder: "b", Fence: 6, Beat: 30}, Stored{Version: 40})
 	if action := m.Next(resumed + testTTL/2); action.Kind != Read {
 		t.Errorf("got %+v, want a read", action)
 	}
@@ -316,14 +372,14 @@
 
 func TestCandidateWaitsForTheTTL(t *testing.T) {
 	m := newMachine()
-	m.OnRead(0, Row{Holder: "b", Fence: 3, Beat: 3}, 5)
+	m.OnRead(0, Row{Holder: "b", Fence: 3, Beat: 3}, Stored{Version: 5})
 	for now := clock.Millis(0); now < testTTL; now += 100 {
 		if action := m.Next(now); action.Kind == Write {
 			t.Fatalf("candidate took over at %v, before the TTL passed", now)
 		}
-		m.OnRead(now, Row{Holder: "b", Fence: 3, Beat: 3}, 5)
+		m.OnRead(now, Row{Holder: "b", Fence: 3, Beat: 3}, Stored{Version: 5})
 	}
-	m.OnRead(testTTL-1, Row{Holder: "b", Fence: 3, Beat: 4}, 6)
+	m.OnRead(testTTL-1, Row{Holder: "b", Fence: 3, Beat: 4}, Stored{Version: 6})
 	if action := m.Next(testTTL + testTTL/2); action.Kind == Write {
 		t.Error("candidate took over although the row had changed")
 	}
@@ -342,7 +398,7 @@
 	if action := m.Next(1); action.Kind != Read {
 		t.Fatalf("got %+v, want a read", action)
 	}
-	m.OnRead(2, Row{Holder: "a", Fence: 5, Beat: 10}, 8)
+	m.OnRead(2, Row{Holder: "a", Fence: 5, Beat: 10}, Stored{Version: 8})
 	action := m.Next(2)
 	if action.Kind != Write || action.Row.Holder != "" || action.Row.Fence != 5 {
 		t.Fatalf("got %+v, want a write with an empty holder and fence 5", action)
@@ -352,7 +408,7 @@
 		t.Error("got Released false after the release was written, want true")
 	}
 	next := newMachine()
-	next.OnRead(3, action.Row, 9)
+	next.OnRead(3, action.Row, Stored{Version: 9})
 	if action := next.Next(3); action.Kind != Write || action.Row.Fence != 6 {
 		t.Errorf("candidate of a released lease: got %+v, want a write with fence 6", action)
 	}
--- a/coord/table/table.go
+++ b/coord/table/table.go
@@ -40,6 +40,10 @@
 	// ErrUnknown is returned when no answer arrived: the transaction may have
 	// taken effect, may yet take effect, or may never do so.
 	ErrUnknown = errors.New("table: outcome unknown")
+	// ErrEraChanged is returned when the service has come back from a copy since
+	// the era of the transaction: the conditions may have held for other states of
+	// the rows, and the transaction may have taken effect.
+	ErrEraChanged = errors.New("table: the era has changed")
 )
 
 // Row is one row of the table. A row that does not exist has Version 0 and a
@@ -48,6 +52,8 @@
 	Key     string
 	Value   []byte
 	Version uint64
+	// Era is the era in which the row was read, see Position.
+	Era uint64
 }
 
 // Condition requires that the row with key Key has exactly this Version; 0
@@ -69,6 +75,9 @@
 type Txn struct {
 	Conditions []Condition
 	Writes     []Write
+	// Era is the era of the reads that gave the versions of Conditions, 0 if that
+	// does not matter.
+	Era uint64
 }
 
 // Client reads and writes the table. All fields are required.
--- a/internal/daemon/gateway/duties.go
+++ b/internal/daemon/gateway/duties.go
@@ -35,7 +35,8 @@
 func (d *Daemon) buildLease() {
 	d.lease = lease.New(lease.Config{
 		Table: d.table, Clock: d.clock, Key: leaseKey, Holder: d.incarnation, TTL: leaseTTL, Rand: d.random(5),
-		Candidate: func() bool { return d.fleet.LeaderRank() < leaseCandidates },
+		Candidate:  func() bool { return d.fleet.LeaderRank() < leaseCandidates },
+		KnownFence: d.fleet.KnownFence,
 	})
 	biller := billing.New(billing.Config{
 		Table: d.table, Clock: d.clock, Logger: d.logger, Tally: d.tally, CollectUsage: d.fleet.CollectUsage,
--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -196,6 +196,7 @@
 		Document: d.document, Decode: d.platform.DecodeDocument, Tally: d.tally, WallTime: d.wallTime,
 		FollowsStore:     func() bool { return d.endpointsMode() == feed.Follow },
 		StoreUnavailable: func() bool { return d.documentFeed.Failing() || d.endpointsFeed.Failing() }, Rand: d.random(2),
+		HighestFence: func() uint64 { return d.lease.HighestFence() },
 	})
 }
 
--- a/internal/peer/fleet/fleet.go
+++ b/internal/peer/fleet/fleet.go
@@ -71,6 +71,9 @@
 	// StoreUnavailable reports whether this daemon failed to read the store when it
 	// last tried.
 	StoreUnavailable func() bool
+	// HighestFence returns the highest fence of the lease that this daemon has seen in
+	// the store.
+	HighestFence func() uint64
 	// WallTime receives the times of day of the other daemons.
 	WallTime *walltime.Estimator
 	Rand     *rand.Rand
@@ -91,6 +94,8 @@
 	peers map[string]*peer
 	// path is the way of the last report to the root.
 	path string
+	// peerFence is the highest fence of the lease that a peer knows.
+	peerFence uint64
 	// newsIsLate is set while the daemon that this one follows is late.
 	newsIsLate bool
 }
@@ -147,6 +152,21 @@
 	return f.view.LeaderRank(f.config.Clock.Now())
 }
 
+// KnownFence returns the highest fence of the lease that this daemon or any that it heard
+// of has seen.
+func (f *Fleet) KnownFence() uint64 {
+	own := f.config.HighestFence()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(own, f.peerFence)
+}
+
+func (f *Fleet) recordFence(fence uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.peerFence = max(f.peerFence, fence)
+}
+
 // IsRoot reports whether this daemon speaks for its failure domain.
 func (f *Fleet) IsRoot() bool {
 	f.mu.Lock()
--- a/internal/peer/fleet/fleet_test.go
+++ b/internal/peer/fleet/fleet_test.go
@@ -36,7 +36,9 @@
 	tally     *tally.Tally
 	fleet     *fleet.Fleet
 	link      *link.Link
-	stop      func()
+	// fence is the highest fence that the daemon has seen in the store.
+	fence atomic.Uint64
+	stop  func()
 }
 
 func decode(raw []byte) (*document.Index, error) {
@@ -90,7 +92,7 @@
 	d.fleet = fleet.New(fleet.Config{
 		Link: d.link, Clock: clk, Logger: logger, Self: topology.VM{ID: id, Address: d.address, FailureDomain: domainOf(id)},
 		Incarnation: id, Seeds: seeds,
-		Table: rows, Scheduler: d.scheduler, Roster: d.roster, Document: d.document, Decode: decode, Tally: d.tally, WallTime: walltime.New(clk), StoreUnavailable: func() bool { return false }, FollowsStore: func() bool { return d.fleet.LeaderRank() < 3 }, Rand: rng,
+		Table: rows, Scheduler: d.scheduler, Roster: d.roster, Document: d.document, Decode: decode, Tally: d.tally, WallTime: walltime.New(clk), StoreUnavailable: func() bool { return false }, HighestFence: func() uint64 { return d.fence.Load() }, FollowsStore: func() bool { return d.fleet.LeaderRank() < 3 }, Rand: rng,
 	})
 	if err := d.link.Start(); err != nil {
 		t.Fatal(err)
@@ -237,6 +239,16 @@
 	}
 }
 
+// TestHighestFenceReachesAllDaemons guards against a fence that is used twice after the
+// store came back from a copy.
+func TestHighestFenceReachesAllDaemons(t *testing.T) {
+	fleet := startTree(t)
+	fleet["south-2"].fence.Store(7)
+	for id, d := range fleet {
+		eventually(t, id+" knows fence 7", func() bool { return d.fleet.KnownFence() == 7 })
+	}
+}
+
 func TestUsageIsCollectedFromPeers(t *testing.T) {
 	rows := table.NewMemory().Client()
 	a, b := start(t, "a", rows), start(t, "b", rows)
--- a/internal/peer/fleet/message.go
+++ b/internal/peer/fleet/message.go
@@ -22,6 +22,8 @@
 	Daemons   int
 	// WantList asks for the known VMs.
 	WantList bool
+	// Fence is the highest fence of the lease that the sender knows.
+	Fence uint64
 }
 
 // pong answers a ping. Its ages are relative to the time at which it is sent.
@@ -34,6 +36,8 @@
 	VMs []topology.VM
 	// Wall is the peer's time of day.
 	Wall clock.Millis
+	// Fence is the highest fence of the lease that the peer knows.
+	Fence uint64
 	// Document is the held configuration; its Version is 0 if there is none.
 	Document documentState
 	// ListKnown is set if the peer has a list of endpoints. ListPosition is the
--- a/internal/peer/fleet/peer.go
+++ b/internal/peer/fleet/peer.go
@@ -153,6 +153,7 @@
 		return p.recordFailure(err)
 	}
 	p.recordAnswer(request, answer)
+	f.recordFence(answer.Fence)
 	p.recordWallTime(sentAt, answer)
 	p.syncDocument(ctx, sentAt, answer)
 	p.syncEndpoints(ctx, sentAt, answer)
@@ -182,6 +183,7 @@
 
 func (p *peer) newPing(now clock.Millis) ping {
 	f := p.fleet
+	fence := f.KnownFence()
 	interval := listInterval
 	if now-p.startedAt < startTime {
 		interval = startListInterval
@@ -191,7 +193,7 @@
 	upstream, found := f.view.Upstream(now)
 	return ping{
 		VM: f.config.Self, Subscribe: found && upstream == p.address, Daemons: f.view.SubtreeSize(),
-		WantList: p.listedAt == 0 || now-p.listedAt >= interval,
+		WantList: p.listedAt == 0 || now-p.listedAt >= interval, Fence: fence,
 	}
 }
 
