Bill a window with the same counts after the table has lost its seal

Cause: a window is final once its row is written, and every later report sends that row. When the store comes back from a copy without it, the next term seals the window again, with the counts that have arrived since.

Change: the daemons remember the seals (tally.Seal). The holder passes each one on to the roots, which compete for the lease, and a new term collects those of its contacts; a window that was sealed gets the same row again. Counts of open windows, the rows of daemons and the orders are written again at the start of a term or by the next synchronization anyway, since the renewal of the lease fails on the restored row.

Evidence: TestRestoredTableNeverChangesAReport failed before (10 instead of 1 in the second report) and passes; TestSuccessorAfterARestoreRepeatsWhatItsPeersKnow and TestSealsReachTheRoots cover other daemons. What cannot be known: a seal whose holder ended with all roots in the same seconds.

--- a/internal/peer/fleet/fleet_test.go
+++ b/internal/peer/fleet/fleet_test.go
@@ -319,6 +319,17 @@
 	}
 }
 
+func TestSealsReachTheRoots(t *testing.T) {
+	fleet := startTree(t)
+	fleet["south-3"].tally.AddSeal(tally.Seal{Window: 4, Counts: map[string]int64{"himal": 3}})
+	for _, id := range []string{"south-1", "north-1"} {
+		eventually(t, id+" knows the seal", func() bool {
+			seal, known := fleet[id].tally.Sealed(4)
+			return known && seal.Counts["himal"] == 3
+		})
+	}
+}
+
 // TestTakeoverWithoutTheStore checks that the daemons of a domain whose first daemons
 // stop together stay current through the next one, also while the store is down.
 func TestTakeoverWithoutTheStore(t *testing.T) {
--- a/internal/peer/fleet/message.go
+++ b/internal/peer/fleet/message.go
@@ -78,10 +78,12 @@
 	Ended []uint64
 	// Usage does not go to subscribers, since only roots bill usage.
 	Usage []teamCount
+	// Seals does not go to subscribers either.
+	Seals []tally.Seal
 }
 
 func (r *report) empty() bool {
-	return len(r.Sent) == 0 && len(r.First) == 0 && len(r.Ended) == 0 && len(r.Usage) == 0
+	return len(r.Sent) == 0 && len(r.First) == 0 && len(r.Ended) == 0 && len(r.Usage) == 0 && len(r.Seals) == 0
 }
 
 // sentJob is a balance.Job that was sent to an endpoint, Age before this message.
@@ -189,9 +191,10 @@
 	First int64
 }
 
-// usageAnswer holds the usage counts that a daemon knows.
+// usageAnswer holds the usage counts and seals that a daemon knows.
 type usageAnswer struct {
 	Sheets []tally.WindowSnapshot
+	Seals  []tally.Seal
 }
 
 // startedStream is an origin.Stream that a daemon has begun, Age before this message.
--- a/internal/peer/fleet/report.go
+++ b/internal/peer/fleet/report.go
@@ -55,6 +55,7 @@
 	f.resendAfterTakeover(now)
 	own := f.config.Scheduler.takeReport()
 	own.Usage = newTeamCounts(f.config.Tally.TakeChanged())
+	own.Seals = f.config.Tally.TakeNewSeals()
 	f.mu.Lock()
 	if !own.empty() {
 		f.exchange.Add(own)
@@ -103,10 +104,10 @@
 	}
 }
 
-// withoutUsage returns the items without usage, which subscribers do not need.
+// withoutUsage returns the items without usage and seals, which subscribers do not need.
 func withoutUsage(items []fanout.Item[report]) (rest []fanout.Item[report]) {
 	for _, item := range items {
-		item.Report.Usage = nil
+		item.Report.Usage, item.Report.Seals = nil, nil
 		if !item.Report.empty() {
 			rest = append(rest, item)
 		}
@@ -122,6 +123,7 @@
 	for _, item := range fresh {
 		f.config.Scheduler.applyReport(item.Report)
 		f.config.Tally.Merge(countsOf(item.Source, item.Report.Usage))
+		f.config.Tally.MergeSeals(item.Report.Seals)
 	}
 	return struct{}{}, nil
 }
--- a/internal/peer/fleet/serve.go
+++ b/internal/peer/fleet/serve.go
@@ -59,5 +59,5 @@
 }
 
 func (f *Fleet) serveUsage(_ context.Context, _ string, request usageRequest) (usageAnswer, error) {
-	return usageAnswer{Sheets: f.config.Tally.Snapshots(request.First)}, nil
+	return usageAnswer{Sheets: f.config.Tally.Snapshots(request.First), Seals: f.config.Tally.Seals(request.First)}, nil
 }
--- a/internal/peer/fleet/usage.go
+++ b/internal/peer/fleet/usage.go
@@ -27,6 +27,7 @@
 
 func (f *Fleet) collectUsageOf(ctx context.Context, address string, first int64) {
 	answer, err := link.Call[usageRequest, usageAnswer](ctx, f.config.Link, link.Peer{Address: address}, message.FleetUsage, usageRequest{First: first})
+	f.config.Tally.MergeSeals(answer.Seals)
 	for _, sheet := range answer.Sheets {
 		err = errors.Join(err, f.config.Tally.MergeSnapshot(sheet))
 	}
--- a/internal/usage/billing/billing.go
+++ b/internal/usage/billing/billing.go
@@ -4,7 +4,8 @@
 // To seal a window, the holder of the lease writes a table row once, under a
 // condition on the lease, before the first report. Every report of the window,
 // also a retry or one by a later holder, sends the content of that row, so that
-// reports never differ. The counts of windows that are not sealed yet are saved in
+// reports never differ. The other daemons remember the content as well, since the table
+// may lose the row when it comes back from a copy. The counts of windows that are not sealed yet are saved in
 // the table too, so that they survive the loss of all daemons.
 //
 // # Usage
@@ -77,8 +78,8 @@
 	Clock  clock.Clock
 	Logger logrus.FieldLogger
 	Tally  *tally.Tally
-	// CollectUsage fetches the counts of the other daemons for all windows
-	// from first on and merges them into Tally.
+	// CollectUsage fetches the counts and seals of the other daemons for all
+	// windows from first on and merges them into Tally.
 	CollectUsage func(ctx context.Context, first int64)
 	// Guard returns a condition that is true until another daemon acquires
 	// the lease, which ends the validity of this fence.
@@ -199,9 +200,12 @@
 	}
 	if row.Version != 0 {
 		err := msgpack.Unmarshal(row.Value, &window)
+		if err == nil {
+			t.config.Tally.AddSeal(tally.Seal{Window: number, Counts: window.Counts})
+		}
 		return window, err
 	}
-	window = Window{Number: number, Counts: t.config.Tally.Sum(number)}
+	window = t.finalCounts(number)
 	if len(window.Counts) == 0 {
 		return window, nil
 	}
@@ -220,10 +224,20 @@
 	if err != nil {
 		return Window{}, err
 	}
+	t.config.Tally.AddSeal(tally.Seal{Window: number, Counts: window.Counts})
 	eventSealed.Log(t.config.Logger, logrus.Fields{"Window": number, "Fence": t.fence, "Counts": window.Counts})
 	return window, nil
 }
 
+// finalCounts returns the content to seal a window with. A window that was sealed before
+// the table lost its row gets the same content again.
+func (t *termRun) finalCounts(number int64) Window {
+	if seal, known := t.config.Tally.Sealed(number); known {
+		return Window{Number: number, Counts: seal.Counts}
+	}
+	return Window{Number: number, Counts: t.config.Tally.Sum(number)}
+}
+
 // saveOpenWindows writes the counts of the unfinished windows that changed since
 // the last save.
 func (t *termRun) saveOpenWindows(ctx context.Context) {
--- a/internal/usage/billing/billing_test.go
+++ b/internal/usage/billing/billing_test.go
@@ -155,6 +155,42 @@
 	f.expect(100, "map[himal:1]", "map[himal:1]")
 }
 
+// loseSeal removes the row of a sealed window, as a table does that comes back from a copy.
+func (f *fixture) loseSeal(window int64) {
+	err := f.table.Client().Commit(context.Background(), table.Txn{Writes: []table.Write{{Key: fmt.Sprint("Usage/Window/", window), Delete: true}}})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// TestRestoredTableNeverChangesAReport guards against a window that is sealed again, with
+// counts that arrived late, after the table has lost its row.
+func TestRestoredTableNeverChangesAReport(t *testing.T) {
+	f := newFixture(t)
+	counts := tally.New("a", windowLength)
+	counts.Add("himal", f.clock.Now())
+	f.run(f.biller(counts, func() {}), 1, 8*clock.Second)
+	f.loseSeal(100)
+	counts.Merge([]tally.TeamCount{{Window: 100, Source: "b", Team: "himal", Count: 9}})
+	f.fence = 2
+	f.run(f.biller(counts, func() {}), 2, clock.Second)
+	f.expect(100, "map[himal:1]", "map[himal:1]")
+}
+
+// TestSuccessorAfterARestoreRepeatsWhatItsPeersKnow is the same for another daemon.
+func TestSuccessorAfterARestoreRepeatsWhatItsPeersKnow(t *testing.T) {
+	f := newFixture(t)
+	first := tally.New("a", windowLength)
+	first.Add("himal", f.clock.Now())
+	f.run(f.biller(first, func() {}), 1, 8*clock.Second)
+	f.loseSeal(100)
+	f.fence = 2
+	second := tally.New("b", windowLength)
+	second.Add("himal", 100*windowLength)
+	f.run(f.biller(second, func() { second.MergeSeals(first.Seals(0)) }), 2, clock.Second)
+	f.expect(100, "map[himal:1]", "map[himal:1]")
+}
+
 func TestSuccessorKnowsWhatWasCountedBeforeAllWereLost(t *testing.T) {
 	f := newFixture(t)
 	first := tally.New("a", windowLength)
--- a/internal/usage/tally/tally.go
+++ b/internal/usage/tally/tally.go
@@ -6,6 +6,9 @@
 // keeps the greater value: it is commutative and idempotent, and copies may
 // arrive in any order and any number of times.
 //
+// A Seal holds the counts of a window that are final. Daemons pass seals on, so that a
+// window is not sealed again with other counts after the table has lost its row.
+//
 // # Usage
 //
 //	t := tally.New(incarnation, 5*clock.Second)
@@ -48,12 +51,13 @@
 	// changed holds, by window, the teams whose count at this daemon changed
 	// since the last call of TakeChanged.
 	changed map[int64]map[string]bool
+	seals   seals
 }
 
 // New returns an empty Tally that counts its own requests under source, the
 // incarnation of this daemon. Window 0 starts at the Unix epoch.
 func New(source string, windowLength clock.Millis) *Tally {
-	return &Tally{source: source, windowLength: windowLength, windows: make(map[int64]map[countKey]int64), changed: make(map[int64]map[string]bool)}
+	return &Tally{source: source, windowLength: windowLength, windows: make(map[int64]map[countKey]int64), changed: make(map[int64]map[string]bool), seals: seals{known: make(map[int64]Seal)}}
 }
 
 // WindowAt returns the number of the window that contains a wall-clock time.
@@ -93,6 +97,7 @@
 		if window < newest-maxWindowAge {
 			delete(t.windows, window)
 			delete(t.changed, window)
+			delete(t.seals.known, window)
 		}
 	}
 }
