Send no new requests to an endpoint that says in an answer that it leaves

Cause: the header was not decoded; only the entry counted.

Change: any answer of the endpoint marks its incarnation as leaving, as the entry does. The daemon that hears it first tells all others with its next report, whatever its place in the tree.

--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -141,12 +141,11 @@
 	defer answer.Close()
 	x.attempts.sent++
 	head := h.config.Wire.DecodeAnswer(answer.Status, answer.Header)
-	if head.Load != nil {
-		h.config.Scheduler.RecordLoad(placement.Endpoint, *head.Load)
+	if head.WrongEndpoint {
+		return x.handleWrongEndpoint(placement)
 	}
+	x.recordSignals(placement, head)
 	switch {
-	case head.WrongEndpoint:
-		return x.handleWrongEndpoint(placement)
 	case head.NotRun:
 		return x.handleNotRun(placement, answer.Status)
 	case x.route.Kind == document.Streaming && answer.Status == http.StatusOK:
@@ -155,6 +154,17 @@
 	return x.forwardBuffered(placement, answer, head, sentWall)
 }
 
+// recordSignals records what an endpoint says of itself in an answer.
+func (x *exchange) recordSignals(placement Placement, head AnswerHead) {
+	s := x.handler.config.Scheduler
+	if head.Load != nil {
+		s.RecordLoad(placement.Endpoint, *head.Load)
+	}
+	if head.Leaving {
+		s.RecordLeaving(placement)
+	}
+}
+
 func (x *exchange) newAttempt(placement Placement) Attempt {
 	attempt := Attempt{
 		Endpoint:      placement.Endpoint,
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -93,6 +93,8 @@
 	NotRun bool
 	// WrongEndpoint is true if the address now belongs to another endpoint.
 	WrongEndpoint bool
+	// Leaving is true if the endpoint reports that it is about to end.
+	Leaving bool
 	// Sealed is true if the header has the endpoint's seal, its proof of what
 	// it answered.
 	Sealed bool
@@ -129,6 +131,9 @@
 	RecordEnd func(placement Placement, outcome balance.Outcome)
 	// RecordLoad stores the load that an endpoint reported.
 	RecordLoad func(endpoint string, load Load)
+	// RecordLeaving is called when the endpoint of a placement reports that it is
+	// about to end. It gets no new requests.
+	RecordLeaving func(placement Placement)
 	// InvalidateAddress reports that the endpoint's address now belongs to
 	// another endpoint.
 	InvalidateAddress func(endpoint string)
@@ -154,6 +159,8 @@
 	Job      uint64
 	Endpoint string
 	Address  string
+	// Incarnation is that of the endpoint as far as is known.
+	Incarnation int64
 	// SoftwareVersion is the version of the endpoint's software.
 	SoftwareVersion    string
 	ExpectedFirstToken clock.Millis
--- a/internal/caller/relay/relay_test.go
+++ b/internal/caller/relay/relay_test.go
@@ -147,6 +147,7 @@
 			f.outcomes = append(f.outcomes, o)
 		},
 		RecordLoad:        func(string, relay.Load) {},
+		RecordLeaving:     func(relay.Placement) {},
 		InvalidateAddress: func(string) {},
 		CountRequest:      func(string) {},
 		TakeRetry: func(string) bool {
--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -221,7 +221,7 @@
 	d.pool = http1.New(http1.Config{Clock: d.clock, MatchesRequest: d.platform.MatchesRequest})
 	d.handler = relay.New(relay.Config{
 		Streams: relay.Streams{Record: d.fleet.RecordStream, Find: d.fleet.FindStream},
-		Clock:   d.clock, Logger: d.logger, Wire: d.platform.Wire, Pool: d.pool, Scheduler: d.scheduler.RelayScheduler(),
+		Clock:   d.clock, Logger: d.logger, Wire: d.platform.Wire, Pool: d.pool, Scheduler: d.scheduler.RelayScheduler(d.fleet.RecordLeaving),
 		Configuration: d.currentConfiguration, RecordStarted: d.tally.Add, FailureDomain: d.settings.Daemon.FailureDomain,
 	})
 	caller := d.settings.Caller
--- a/internal/endpoint/roster/restored.go
+++ b/internal/endpoint/roster/restored.go
@@ -15,7 +15,10 @@
 // removal is the removal of an entry.
 type removal struct {
 	incarnation int64
+	leaving     bool
 	at          clock.Millis
+	// returned is set once the table has said something new of the endpoint.
+	returned bool
 }
 
 // restored knows the endpoints that were removed, and hides their entries if the table
@@ -39,7 +42,7 @@
 			delete(s.removals, id)
 		}
 	}
-	s.removals[entry.ID] = removal{incarnation: entry.Incarnation, at: now}
+	s.removals[entry.ID] = removal{incarnation: entry.Incarnation, leaving: entry.Leaving, at: now}
 }
 
 // enterEra starts to hide entries of removed endpoints.
@@ -51,7 +54,7 @@
 // hide reports whether an entry of the table is to be hidden, and keeps it.
 func (s *restored) hide(now clock.Millis, entry Endpoint) bool {
 	removed, found := s.removals[entry.ID]
-	if !s.hiding || !found || entry.Incarnation > removed.incarnation || now-removed.at > removalMemory {
+	if !s.hiding || !found || removed.returned || entry.Incarnation > removed.incarnation || now-removed.at > removalMemory {
 		return false
 	}
 	s.hidden[entry.ID] = entry
@@ -61,7 +64,16 @@
 // forget is called when the table says something new of an endpoint.
 func (s *restored) forget(id string) {
 	delete(s.hidden, id)
-	delete(s.removals, id)
+	if removed, found := s.removals[id]; found {
+		removed.returned = true
+		s.removals[id] = removed
+	}
+}
+
+// wasLeaving reports whether the incarnation was leaving when its entry was removed.
+func (s *restored) wasLeaving(entry Endpoint) bool {
+	removed, found := s.removals[entry.ID]
+	return found && removed.leaving && removed.incarnation == entry.Incarnation
 }
 
 // takeLiving returns the hidden entries that the table still has after hidingTime.
--- a/internal/endpoint/roster/restored_test.go
+++ b/internal/endpoint/roster/restored_test.go
@@ -81,6 +81,20 @@
 	}
 }
 
+// TestLeavingEndpointStaysSoInARestoredTable guards against an endpoint that is used again
+// since the copy is older than its leaving.
+func TestLeavingEndpointStaysSoInARestoredTable(t *testing.T) {
+	f := newFixture("a", "b")
+	f.MarkLeaving("a", 1)
+	f.Replace([]roster.Endpoint{entry("a", 1), entry("b", 1)}, inEra(1, 1), f.clock.Now())
+	f.expect(t, "a(leaving)b")
+	f.Update(nil, []string{"a"}, inEra(1, 2), f.clock.Now())
+	f.Update([]roster.Endpoint{entry("a", 1)}, nil, inEra(1, 3), f.clock.Now())
+	f.expect(t, "a(leaving)b")
+	f.Update([]roster.Endpoint{entry("a", 2)}, nil, inEra(1, 4), f.clock.Now())
+	f.expect(t, "ab")
+}
+
 func TestLaterIncarnationIsNotHidden(t *testing.T) {
 	f := newFixture("a", "b")
 	f.Update(nil, []string{"a"}, at(2), f.clock.Now())
--- a/internal/endpoint/roster/roster.go
+++ b/internal/endpoint/roster/roster.go
@@ -17,7 +17,7 @@
 //	r := roster.New(clk, drainTime, onChange)
 //	r.Replace(entries, at, asOf)
 //	r.Update(entries, removed, at, asOf)
-//	r.MarkLeaving("i-7f3a91c2")
+//	r.MarkLeaving("i-7f3a91c2", incarnation)
 package roster
 
 import (
@@ -258,6 +258,9 @@
 		entry.LeavesAt = r.earliestLeave(old, entry)
 		entry.Leaving = entry.Leaving || old.Leaving
 	}
+	if !found {
+		entry.Leaving = entry.Leaving || r.restored.wasLeaving(entry)
+	}
 	entry.Missing = false
 	r.endpoints[entry.ID] = entry
 }
@@ -314,14 +317,17 @@
 	return dropped
 }
 
-// MarkLeaving records that an endpoint is leaving, whatever the source of the
-// report.
-func (r *Roster) MarkLeaving(id string) {
+// MarkLeaving records that an incarnation of an endpoint is leaving, whatever the source
+// of the report. It reports whether that was news.
+func (r *Roster) MarkLeaving(id string, incarnation int64) (marked bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if entry, found := r.endpoints[id]; found && r.markLeaving(entry) {
-		r.publish()
+	entry, found := r.endpoints[id]
+	if !found || entry.Incarnation != incarnation || !r.markLeaving(entry) {
+		return false
 	}
+	r.publish()
+	return true
 }
 
 // markLeaving marks an entry of the list as leaving, and reports whether it was not
--- a/internal/endpoint/roster/roster_test.go
+++ b/internal/endpoint/roster/roster_test.go
@@ -104,7 +104,7 @@
 
 func TestOlderEntryDoesNotClearLeaving(t *testing.T) {
 	f := newFixture("a")
-	f.MarkLeaving("a")
+	f.MarkLeaving("a", 1)
 	f.expect(t, "a(leaving)")
 	f.Update([]roster.Endpoint{entry("a", 1)}, nil, at(2), f.clock.Now())
 	f.expect(t, "a(leaving)")
@@ -112,7 +112,7 @@
 
 func TestLaterIncarnationReplacesEarlier(t *testing.T) {
 	f := newFixture("a")
-	f.MarkLeaving("a")
+	f.MarkLeaving("a", 1)
 	f.Update([]roster.Endpoint{entry("a", 2)}, nil, at(2), f.clock.Now())
 	f.expect(t, "a")
 	f.Update([]roster.Endpoint{entry("a", 1)}, nil, at(3), f.clock.Now())
@@ -273,7 +273,7 @@
 	leaving.Leaving = true
 	f.Update([]roster.Endpoint{leaving}, nil, at(2), f.clock.Now())
 	f.clock.Advance(500)
-	f.MarkLeaving("b")
+	f.MarkLeaving("b", 1)
 	f.Update([]roster.Endpoint{leaving}, nil, at(3), f.clock.Now())
 	soon := entry("c", 1)
 	soon.Leaving, soon.LeavesIn = true, clock.Second
--- a/internal/peer/fleet/fleet.go
+++ b/internal/peer/fleet/fleet.go
@@ -94,6 +94,8 @@
 	peers map[string]*peer
 	// path is the way of the last report to the root.
 	path string
+	// newLeaving lists the endpoints to report that said that they are leaving.
+	newLeaving []leavingEndpoint
 	// peerFence is the highest fence of the lease that a peer knows.
 	peerFence uint64
 	// newsIsLate is set while the daemon that this one follows is late.
--- a/internal/peer/fleet/fleet_test.go
+++ b/internal/peer/fleet/fleet_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/coord/table"
+	"github.com/banyanshift/banyanshift/internal/caller/relay"
 	"github.com/banyanshift/banyanshift/internal/config/document"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
 	"github.com/banyanshift/banyanshift/internal/decide/budget"
@@ -199,16 +200,33 @@
 	b.roster.Replace(list, table.Position{Revision: 1}, clock.System().Now())
 	eventually(t, "both know each other", func() bool { return a.fleet.DaemonCount() == 2 && b.fleet.DaemonCount() == 2 })
 	request := balance.Request{Backend: "books", Parts: []balance.PromptPart{{Hash: 1, Tokens: 10}}}
-	if _, refusal := b.scheduler.RelayScheduler().Place(request, clock.Second); refusal.Reason != "" {
+	if _, refusal := b.scheduler.RelayScheduler(b.fleet.RecordLeaving).Place(request, clock.Second); refusal.Reason != "" {
 		t.Fatal(refusal.Reason)
 	}
-	a.roster.MarkLeaving("e")
+	a.roster.MarkLeaving("e", 0)
 	eventually(t, "b refuses requests for the leaving endpoint", func() bool {
-		_, refusal := b.scheduler.RelayScheduler().Place(request, clock.Second)
+		_, refusal := b.scheduler.RelayScheduler(b.fleet.RecordLeaving).Place(request, clock.Second)
 		return refusal.Reason != ""
 	})
 }
 
+// TestEndpointThatSaysItLeavesIsKnownEverywhere checks that all domains are told of it by
+// the daemon that has heard it, which does not follow the store.
+func TestEndpointThatSaysItLeavesIsKnownEverywhere(t *testing.T) {
+	fleet := startTree(t)
+	for _, d := range fleet {
+		d.roster.Replace(engineList(), table.Position{Revision: 4}, clock.System().Now())
+	}
+	leaving := engineList()[0]
+	fleet["south-3"].fleet.RecordLeaving(relay.Placement{Endpoint: leaving.ID, Incarnation: leaving.Incarnation})
+	for id, d := range fleet {
+		eventually(t, id+" knows that the endpoint leaves", func() bool {
+			list, _, _, _ := d.roster.List()
+			return len(list) > 0 && list[0].Leaving
+		})
+	}
+}
+
 func TestEndpointListReachesDaemonsWithoutTheStore(t *testing.T) {
 	rows := table.NewMemory().Client()
 	a, b := start(t, "a", rows), start(t, "b", rows)
@@ -293,7 +311,7 @@
 		return held != nil && held.Version() == 7
 	})
 	started := time.Now()
-	reader.roster.MarkLeaving("e")
+	reader.roster.MarkLeaving("e", 0)
 	eventually(t, "the endpoint leaves in the other domain", func() bool {
 		list, _, _, _ := far.roster.List()
 		return list[0].Leaving
--- a/internal/peer/fleet/message.go
+++ b/internal/peer/fleet/message.go
@@ -80,10 +80,20 @@
 	Usage []teamCount
 	// Seals does not go to subscribers either.
 	Seals []tally.Seal
+	// Leaving lists the endpoints that reported in an answer that they are leaving.
+	Leaving []leavingEndpoint
 }
 
 func (r *report) empty() bool {
-	return len(r.Sent) == 0 && len(r.First) == 0 && len(r.Ended) == 0 && len(r.Usage) == 0 && len(r.Seals) == 0
+	return len(r.Sent) == 0 && len(r.First) == 0 && len(r.Ended) == 0 && len(r.Usage) == 0 && len(r.Seals) == 0 && len(r.Leaving) == 0
+}
+
+// leavingEndpoint is an incarnation of an endpoint that is leaving.
+type leavingEndpoint struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	ID          string
+	Incarnation int64
 }
 
 // sentJob is a balance.Job that was sent to an endpoint, Age before this message.
--- a/internal/peer/fleet/report.go
+++ b/internal/peer/fleet/report.go
@@ -57,6 +57,7 @@
 	own.Usage = newTeamCounts(f.config.Tally.TakeChanged())
 	own.Seals = f.config.Tally.TakeNewSeals()
 	f.mu.Lock()
+	own.Leaving, f.newLeaving = f.newLeaving, nil
 	if !own.empty() {
 		f.exchange.Add(own)
 	}
@@ -124,6 +125,7 @@
 		f.config.Scheduler.applyReport(item.Report)
 		f.config.Tally.Merge(countsOf(item.Source, item.Report.Usage))
 		f.config.Tally.MergeSeals(item.Report.Seals)
+		f.applyLeaving(item.Report.Leaving)
 	}
 	return struct{}{}, nil
 }
--- a/internal/peer/fleet/scheduler.go
+++ b/internal/peer/fleet/scheduler.go
@@ -91,9 +91,10 @@
 }
 
 // RelayScheduler returns the scheduling functions that the request path calls.
-func (s *Scheduler) RelayScheduler() relay.Scheduler {
+// recordLeaving is called when an endpoint reports that it is about to end.
+func (s *Scheduler) RelayScheduler(recordLeaving func(relay.Placement)) relay.Scheduler {
 	return relay.Scheduler{
-		Place: s.place, RecordFirstToken: s.recordFirstToken, RecordEnd: s.recordEnd, RecordLoad: s.recordLoad, InvalidateAddress: s.invalidateAddress, CountRequest: s.countRequest, TakeRetry: s.takeRetry,
+		RecordLeaving: recordLeaving, Place: s.place, RecordFirstToken: s.recordFirstToken, RecordEnd: s.recordEnd, RecordLoad: s.recordLoad, InvalidateAddress: s.invalidateAddress, CountRequest: s.countRequest, TakeRetry: s.takeRetry,
 	}
 }
 
@@ -121,7 +122,7 @@
 	}
 	endpoint := s.endpoints[choice.Endpoint]
 	return relay.Placement{
-		Job: job.ID, Endpoint: choice.Endpoint, Address: endpoint.Address, SoftwareVersion: endpoint.SoftwareVersion, ExpectedFirstToken: choice.ExpectedFirstToken,
+		Job: job.ID, Endpoint: choice.Endpoint, Address: endpoint.Address, Incarnation: endpoint.Incarnation, SoftwareVersion: endpoint.SoftwareVersion, ExpectedFirstToken: choice.ExpectedFirstToken,
 	}, relay.Refusal{}
 }
 
