Send nothing to an endpoint during the Retry-After of its refusal

Cause: the field was not decoded. A refused request counted as a failure of the endpoint, which makes it a little less likely to be chosen again.

Change: the quiet time is a property of the endpoint beside its ejection, decided in decide/balance. An ejected endpoint is the last resort; a quiet one is none. If all endpoints of a back end are quiet, callers are refused at once with the time until the first one is back, spread by half of it, so that they do not return together; before, they were told 0.5 s. After its end an endpoint gets one request at once and one more for each 50 ms for a second, and others are preferred beyond that.

Not built: requests do not wait for the end of a quiet time, since the gateway has no queue.

--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -160,6 +160,9 @@
 	if head.Load != nil {
 		s.RecordLoad(placement.Endpoint, *head.Load)
 	}
+	if head.QuietTime > 0 {
+		s.RecordQuiet(placement.Endpoint, head.QuietTime)
+	}
 	if head.Leaving {
 		s.RecordLeaving(placement)
 	}
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -95,6 +95,9 @@
 	WrongEndpoint bool
 	// Leaving is true if the endpoint reports that it is about to end.
 	Leaving bool
+	// QuietTime is how long the endpoint wants no requests from this daemon, 0 if it
+	// does not say so.
+	QuietTime clock.Millis
 	// Sealed is true if the header has the endpoint's seal, its proof of what
 	// it answered.
 	Sealed bool
@@ -134,6 +137,8 @@
 	// RecordLeaving is called when the endpoint of a placement reports that it is
 	// about to end. It gets no new requests.
 	RecordLeaving func(placement Placement)
+	// RecordQuiet is called when an endpoint wants no requests for a time.
+	RecordQuiet func(endpoint string, quiet clock.Millis)
 	// InvalidateAddress reports that the endpoint's address now belongs to
 	// another endpoint.
 	InvalidateAddress func(endpoint string)
--- a/internal/caller/relay/relay_test.go
+++ b/internal/caller/relay/relay_test.go
@@ -148,6 +148,7 @@
 		},
 		RecordLoad:        func(string, relay.Load) {},
 		RecordLeaving:     func(relay.Placement) {},
+		RecordQuiet:       func(string, clock.Millis) {},
 		InvalidateAddress: func(string) {},
 		CountRequest:      func(string) {},
 		TakeRetry: func(string) bool {
--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -181,7 +181,7 @@
 	d.tally = tally.New(d.incarnation, d.settings.Bounds.UsageWindow)
 	rules := budget.Rules{Ratio: d.settings.Bounds.RetryRatio, FixedRetries: d.settings.Bounds.RetryExtra, Window: d.settings.Bounds.RetryWindow}
 	d.documentFeed, d.endpointsFeed = d.followDocument(), d.followEndpoints()
-	d.scheduler = fleet.NewScheduler(d.clock, rules, func() int { return d.fleet.DaemonCount() }, d.random(1))
+	d.scheduler = fleet.NewScheduler(d.clock, d.logger, rules, func() int { return d.fleet.DaemonCount() }, d.random(1))
 }
 
 func (d *Daemon) buildPeers() {
--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -249,14 +249,17 @@
 }
 
 // Choose returns the endpoint with the lowest cost for the request, and falls
-// back to ejected endpoints if there are no others. It does not record the
+// back to ejected endpoints, and to those whose quiet time has just ended, if there
+// are no others. It does not record the
 // request; see RecordLocalJob.
 func (b *Balancer) Choose(now clock.Millis, request Request) (choice Choice, found bool) {
 	p := b.backends[request.Backend]
 	if p == nil {
 		return Choice{}, false
 	}
-	choice, found = b.choose(now, p, request, func(r *replica, _ estimate) bool { return !r.Leaving && now >= r.ejectedUntil })
+	choice, found = b.choose(now, p, request, func(r *replica, _ estimate) bool {
+		return !r.Leaving && now >= r.ejectedUntil && r.isRampedUp(now)
+	})
 	if !found {
 		choice, found = b.choose(now, p, request, func(r *replica, _ estimate) bool { return !r.Leaving })
 	}
@@ -285,7 +288,7 @@
 	best := 0.0
 	unreportedWork := b.unreportedWork(now, p)
 	for _, r := range p.members {
-		if slices.Contains(request.Exclude, r.ID) || !request.Software.allows(&r.Endpoint) {
+		if slices.Contains(request.Exclude, r.ID) || !request.Software.allows(&r.Endpoint) || r.isQuiet(now) {
 			continue
 		}
 		e := p.estimate(now, r, request)
--- /dev/null
+++ b/internal/decide/balance/quiet.go
@@ -0,0 +1,63 @@
+package balance
+
+import "github.com/banyanshift/banyanshift/coord/clock"
+
+const (
+	// maxQuietTime limits the quiet time that an endpoint can ask for.
+	maxQuietTime = 5 * clock.Minute
+	// rampTime is the time after a quiet time in which an endpoint gets more and more
+	// of this daemon's requests again. At its start rampStartJobs run there at once,
+	// and one more for each rampStep.
+	rampTime      = clock.Second
+	rampStartJobs = 1
+	rampStep      = 50 * clock.Millisecond
+)
+
+// RecordQuiet records that an endpoint refused a request and wants no others from this
+// daemon for some time. Unlike an ejected endpoint, it gets none even if there is no
+// other one. RecordQuiet reports whether a quiet time has begun.
+func (b *Balancer) RecordQuiet(now clock.Millis, id string, quiet clock.Millis) (begun bool) {
+	r := b.replicas[id]
+	if r == nil {
+		return false
+	}
+	begun = !r.isQuiet(now)
+	r.quietUntil = max(r.quietUntil, now+min(quiet, maxQuietTime))
+	return begun
+}
+
+// isQuiet reports whether the endpoint wants no requests.
+func (r *replica) isQuiet(now clock.Millis) bool {
+	return now < r.quietUntil
+}
+
+// isRampedUp reports whether the endpoint may get one more request, shortly after a quiet
+// time. Others are preferred until then, so that daemons do not return all at once.
+func (r *replica) isRampedUp(now clock.Millis) bool {
+	since := now - r.quietUntil
+	if r.quietUntil == 0 || since >= rampTime {
+		return true
+	}
+	return r.jobCount < rampStartJobs+int(since/rampStep)
+}
+
+// QuietTime returns the time until the first endpoint that could serve the request wants
+// requests again. found is false unless all of them are quiet.
+func (b *Balancer) QuietTime(now clock.Millis, request Request) (wait clock.Millis, found bool) {
+	p := b.backends[request.Backend]
+	if p == nil {
+		return 0, false
+	}
+	for _, r := range p.members {
+		if r.Leaving || !request.Software.allows(&r.Endpoint) {
+			continue
+		}
+		if !r.isQuiet(now) {
+			return 0, false
+		}
+		if left := r.quietUntil - now; !found || left < wait {
+			wait, found = left, true
+		}
+	}
+	return wait, found
+}
--- a/internal/decide/balance/replica.go
+++ b/internal/decide/balance/replica.go
@@ -62,6 +62,8 @@
 	failureShare           float64
 	consecutiveUnreachable int
 	ejectedUntil           clock.Millis
+	// quietUntil is the end of the last quiet time, 0 if there was none.
+	quietUntil clock.Millis
 	// reportedLoad is the number of requests that the endpoint reported at
 	// reportedAt.
 	reportedLoad int
--- a/internal/observe/explain/explain.go
+++ b/internal/observe/explain/explain.go
@@ -148,6 +148,7 @@
 	{"unknown key", "configuration: no team of the version in force has the key"},
 	{"no endpoint of the back end", "no endpoints: no endpoint of the back end could take the request"},
 	{"no endpoint of the software version", "no endpoints: none of the software version that began the stream was left to continue it"},
+	{"have asked for no requests", "quiet endpoints: all endpoints of the back end had refused a request and asked for no others for some time"},
 	{"origin of the stream unknown", "unknown origin: the stream was taken up, and no daemon that was asked knew which software version began it"},
 	{"caller left", "caller: it left before the answer was complete"},
 	{"time limit reached", "time limit: the endpoint did not answer within the time limit"},
--- a/internal/peer/fleet/fleet_test.go
+++ b/internal/peer/fleet/fleet_test.go
@@ -85,7 +85,7 @@
 	d := &daemon{address: uniqueAddress(), document: document.NewHolder(), tally: tally.New(id, clock.Second)}
 	d.link = link.New(link.Config{ID: id, Listen: d.address}, clk, logger)
 	rng := rand.New(rand.NewPCG(1, 2))
-	d.scheduler = fleet.NewScheduler(clk, budget.Rules{Ratio: 0.2, FixedRetries: 10, Window: clock.Second}, func() int { return d.fleet.DaemonCount() }, rng)
+	d.scheduler = fleet.NewScheduler(clk, logger, budget.Rules{Ratio: 0.2, FixedRetries: 10, Window: clock.Second}, func() int { return d.fleet.DaemonCount() }, rng)
 	d.roster = roster.New(clk, 0, func(list []roster.Endpoint) {
 		d.scheduler.SetEndpoints(list)
 		d.fleet.NotifyEndpoints()
--- a/internal/peer/fleet/scheduler.go
+++ b/internal/peer/fleet/scheduler.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"sync"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/caller/relay"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
@@ -28,7 +30,8 @@
 // all daemons share, and collects what it has to report to them. It is safe
 // for concurrent use.
 type Scheduler struct {
-	clock clock.Clock
+	clock  clock.Clock
+	logger logrus.FieldLogger
 	// daemonCount returns how many daemons share the endpoints and the retry
 	// budget.
 	daemonCount func() int
@@ -58,9 +61,10 @@
 }
 
 // NewScheduler returns a Scheduler that knows no endpoints.
-func NewScheduler(clk clock.Clock, rules budget.Rules, daemonCount func() int, rng *rand.Rand) *Scheduler {
+func NewScheduler(clk clock.Clock, logger logrus.FieldLogger, rules budget.Rules, daemonCount func() int, rng *rand.Rand) *Scheduler {
 	return &Scheduler{
 		clock:        clk,
+		logger:       logger,
 		daemonCount:  daemonCount,
 		balancer:     balance.New(),
 		budget:       budget.New(rules),
@@ -94,7 +98,7 @@
 // recordLeaving is called when an endpoint reports that it is about to end.
 func (s *Scheduler) RelayScheduler(recordLeaving func(relay.Placement)) relay.Scheduler {
 	return relay.Scheduler{
-		RecordLeaving: recordLeaving, Place: s.place, RecordFirstToken: s.recordFirstToken, RecordEnd: s.recordEnd, RecordLoad: s.recordLoad, InvalidateAddress: s.invalidateAddress, CountRequest: s.countRequest, TakeRetry: s.takeRetry,
+		RecordLeaving: recordLeaving, RecordQuiet: s.recordQuiet, Place: s.place, RecordFirstToken: s.recordFirstToken, RecordEnd: s.recordEnd, RecordLoad: s.recordLoad, InvalidateAddress: s.invalidateAddress, CountRequest: s.countRequest, TakeRetry: s.takeRetry,
 	}
 }
 
@@ -148,6 +152,9 @@
 			return leaving, relay.Refusal{}
 		}
 	}
+	if quiet, allQuiet := s.balancer.QuietTime(now, request); !found && allQuiet {
+		return choice, relay.Refusal{Reason: "all endpoints of the back end have asked for no requests", RetryAfter: s.spread(quiet)}
+	}
 	if !found {
 		reason := "no endpoint of the back end can take the request"
 		if request.Software.Limited {
@@ -164,7 +171,12 @@
 // retryAfter adds jitter to the wait so that refused callers do not return at
 // the same time.
 func (s *Scheduler) retryAfter(wait clock.Millis) clock.Millis {
-	base := min(max(wait, minRetryAfter), maxRetryAfter)
+	return s.spread(min(wait, maxRetryAfter))
+}
+
+// spread returns a wait of at least minRetryAfter, with jitter.
+func (s *Scheduler) spread(wait clock.Millis) clock.Millis {
+	base := max(wait, minRetryAfter)
 	return base + clock.Millis(s.rng.Int64N(int64(base/2)+1))
 }
 
@@ -200,6 +212,16 @@
 	s.balancer.RecordLoad(s.clock.Now(), endpoint, load.Running, load.Waiting, load.Slots)
 }
 
+// recordQuiet stops sending requests to an endpoint for a time.
+func (s *Scheduler) recordQuiet(endpoint string, quiet clock.Millis) {
+	s.mu.Lock()
+	begun := s.balancer.RecordQuiet(s.clock.Now(), endpoint, quiet)
+	s.mu.Unlock()
+	if begun {
+		eventEndpointQuiet.Log(s.logger, logrus.Fields{"Endpoint": endpoint, "Quiet": int64(quiet)})
+	}
+}
+
 // invalidateAddress stops sending requests to an endpoint whose address now
 // belongs to another endpoint.
 func (s *Scheduler) invalidateAddress(endpoint string) {
