--- a/internal/caller/relay/exchange.go
+++ b/internal/caller/relay/exchange.go
@@ -149,6 +149,7 @@
 		return false
 	}
 	x.stream.software = limit
+	x.recordTakenUp()
 	return true
 }
 
--- a/internal/caller/relay/trace.go
+++ b/internal/caller/relay/trace.go
@@ -20,6 +20,8 @@
 		"An endpoint gave no usable answer; the reason says whether the request may have run.")
 	eventFirstEvent = event.New(1132, logrus.InfoLevel, "stream started",
 		"The first event of a stream was forwarded to the caller.")
+	eventTakenUp = event.New(1134, logrus.InfoLevel, "stream is taken up",
+		"The caller takes up the stream of the named request. It may only go on at endpoints of the software version that began it.")
 	eventEnded = event.New(1133, logrus.InfoLevel, "request ended",
 		"A request got its final answer. Status 0 means that the connection ended without a complete answer.")
 
@@ -67,6 +69,13 @@
 	}})
 }
 
+// recordTakenUp records the software version that began the stream that is taken up.
+func (x *exchange) recordTakenUp() {
+	x.trace.decisions = append(x.trace.decisions, decision{event: eventTakenUp, at: x.handler.config.Clock.Now(), fields: logrus.Fields{
+		"Resumes": x.call.ResumedID, "LastEvent": x.call.LastEventID, "SoftwareVersion": x.stream.software.Version,
+	}})
+}
+
 // recordFailure records an attempt that failed.
 func (x *exchange) recordFailure(reason string, p Placement, err error) {
 	fields := logrus.Fields{"Endpoint": p.Endpoint, "Reason": reason}
--- a/internal/observe/explain/explain.go
+++ b/internal/observe/explain/explain.go
@@ -33,8 +33,18 @@
 	eventAttemptFailed    = 1131
 	eventRequestEnded     = 1133
 	eventEndpointChanged  = 1210
+	eventEndpointLeaves   = 1212
+	eventEndpointQuiet    = 1213
 	eventStoreUnavailable = 2010
 	eventStoreAvailable   = 2011
+	eventStoreRestored    = 2013
+)
+
+// storeEvents are about a daemon's view of the store, and endpointEvents about that of an
+// endpoint.
+var (
+	storeEvents    = []int{eventStoreUnavailable, eventStoreAvailable, eventStoreRestored}
+	endpointEvents = []int{eventEndpointChanged, eventEndpointLeaves, eventEndpointQuiet}
 )
 
 // maxLineBytes is the maximum length of a line.
@@ -128,8 +138,8 @@
 		if !slices.Contains(daemons, line.Daemon) {
 			continue
 		}
-		store := line.Event == eventStoreUnavailable || line.Event == eventStoreAvailable
-		if store || (line.Event == eventEndpointChanged && slices.Contains(endpoints, line.Endpoint)) {
+		aboutStore := slices.Contains(storeEvents, line.Event)
+		if aboutStore || (slices.Contains(endpointEvents, line.Event) && slices.Contains(endpoints, line.Endpoint)) {
 			found = append(found, line)
 		}
 	}
--- a/internal/peer/fleet/events.go
+++ b/internal/peer/fleet/events.go
@@ -28,10 +28,6 @@
 		"A newer configuration or list of endpoints, or the usage of a peer, could not be fetched. The next ping or collection tries again.")
 	eventTimeCorrected = event.New(1415, logrus.WarnLevel, "time of day corrected",
 		"The clock of the VM was off when the daemon started. Usage is counted by the time of the other daemons.")
-	eventOriginFound = event.New(1134, logrus.InfoLevel, "stream is taken up",
-		"A caller takes up a stream; it may only go on at endpoints of the software version that began it. The source tells whether this daemon or a peer knew the version, or the back end has had no other.")
-	eventOriginUnknown = event.New(1135, logrus.WarnLevel, "origin of a stream is not known",
-		"A caller takes up a stream that endpoints of several software versions may have begun. It is refused.")
 	eventRegisterFailed = event.New(1414, logrus.WarnLevel, "registering in the table failed",
 		"Other daemons may not find this one through the table yet. The daemon tries again.")
 )
--- a/internal/peer/fleet/fleet_test.go
+++ b/internal/peer/fleet/fleet_test.go
@@ -154,6 +154,33 @@
 	})
 }
 
+// TestConfigurationOfALaterEraReachesAllDaemons gives the version that all hold to another
+// content, and lets a daemon go on that has heard nothing of the later era.
+func TestConfigurationOfALaterEraReachesAllDaemons(t *testing.T) {
+	const applyTime = 2 * time.Second
+	fleet := startTree(t)
+	index, raw := version(7)
+	for _, d := range fleet {
+		d.document.Update(index, raw, document.Reading{Era: 1, AsOf: clock.System().Now()})
+	}
+	other, _ := json.Marshal(document.Document{Version: 7, Backends: []document.Backend{{Name: "new"}}})
+	changed, _ := decode(other)
+	written := time.Now()
+	root := fleet["north-1"]
+	root.document.Update(changed, other, document.Reading{Era: 2, AsOf: clock.System().Now()})
+	root.fleet.Announce()
+	for id, d := range fleet {
+		eventually(t, id+" holds the other content", func() bool {
+			fleet["south-1"].document.Confirm(document.IdentityOf(index, raw), document.Reading{Era: 1, AsOf: clock.System().Now()})
+			held, _ := d.document.Current()
+			return held.Backend("new") != nil
+		})
+	}
+	if took := time.Since(written); took > applyTime {
+		t.Errorf("took %s, want at most %s", took, applyTime)
+	}
+}
+
 func TestDaemonDetectsIsolation(t *testing.T) {
 	rows := table.NewMemory().Client()
 	a, b, c := start(t, "a", rows), start(t, "b", rows), start(t, "c", rows)
@@ -267,6 +294,32 @@
 	}
 }
 
+// TestRowsAreWrittenAgain guards against daemons that others no longer find, since the
+// table has lost their rows.
+func TestRowsAreWrittenAgain(t *testing.T) {
+	t.Parallel()
+	rows := table.NewMemory().Client()
+	d := start(t, "a", rows)
+	eventually(t, "the row is written", func() bool { return hasRow(t, rows, "VM/a") })
+	if err := rows.Commit(context.Background(), table.Txn{Writes: []table.Write{{Key: "VM/a", Delete: true}}}); err != nil {
+		t.Fatal(err)
+	}
+	for deadline := time.Now().Add(22 * time.Second); !hasRow(t, rows, "VM/a"); time.Sleep(100 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("the row of %s is not written again", d.address)
+		}
+	}
+}
+
+func hasRow(t *testing.T, rows table.Client, key string) bool {
+	t.Helper()
+	row, err := rows.Get(context.Background(), key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return row.Version != 0
+}
+
 func TestUsageIsCollectedFromPeers(t *testing.T) {
 	rows := table.NewMemory().Client()
 	a, b := start(t, "a", rows), start(t, "b", rows)
--- a/internal/peer/fleet/streams.go
+++ b/internal/peer/fleet/streams.go
@@ -4,8 +4,6 @@
 	"context"
 	"sync"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
 	"github.com/banyanshift/banyanshift/internal/decide/origin"
@@ -108,32 +106,19 @@
 func (f *Fleet) FindStream(ctx context.Context, attempt, backend string) (limit balance.SoftwareLimit, known bool) {
 	s := f.streams
 	id := origin.ID(attempt)
-	version, source := s.find(id), originHere
+	version := s.find(id)
 	if version == nil {
-		version, source = s.sole(backend), originSole
+		version = s.sole(backend)
 	}
 	if version == nil {
-		version, source = s.ask(ctx, id, f.contacts(), true), originPeer
+		version = s.ask(ctx, id, f.contacts(), true)
 	}
-	fields := logrus.Fields{"Request": attempt, "Backend": backend, "Source": string(source)}
 	if version == nil {
-		eventOriginUnknown.Log(f.config.Logger, fields)
 		return balance.SoftwareLimit{}, false
 	}
-	fields["SoftwareVersion"] = *version
-	eventOriginFound.Log(f.config.Logger, fields)
 	return balance.SoftwareLimit{Limited: true, Version: *version}, true
 }
 
-// originSource is where the origin of a stream was looked up last.
-type originSource string
-
-const (
-	originHere originSource = "Here"
-	originSole originSource = "Sole"
-	originPeer originSource = "Peer"
-)
-
 // find returns the software version that began a stream if this daemon knows it.
 func (s *streams) find(id uint64) *string {
 	s.mu.Lock()
