Read the endpoints once at the start, without copies between daemons that start

Cause, found with a hundred gateways in one process: while they start, each reads the whole list from the store and also takes it from up to three peers at once; each then announces the whole list as changed to all its subscribers, and logs a line for each endpoint. What grows is daemons x endpoints, four to five times over, in the seconds in which callers wait.

Change: within 1.5 s of the start the first list comes from the store, unless that fails; one list at a time is taken from peers; the first list is neither announced (receivers compare digests) nor logged one by one (1214 gives its size, 1522 a list that was taken from a peer).

Serving from the first page on is not built.

--- a/internal/daemon/gateway/events.go
+++ b/internal/daemon/gateway/events.go
@@ -25,6 +25,8 @@
 		"The configuration in the store cannot be decoded; the last valid version stays in force.")
 	eventEndpointChanged = event.New(1210, logrus.InfoLevel, "endpoint changed",
 		"An endpoint was added, started to leave, is missing after an outage of the store, or was removed.")
+	eventEndpointsKnown = event.New(1214, logrus.InfoLevel, "endpoints known",
+		"The first list of endpoints was received. Later changes are logged one by one.")
 	eventEndpointUnreadable = event.New(1211, logrus.WarnLevel, "entry of an endpoint cannot be read",
 		"The entry of the endpoint in the store cannot be decoded; the endpoint is not used.")
 )
--- a/internal/daemon/gateway/follow.go
+++ b/internal/daemon/gateway/follow.go
@@ -151,13 +151,16 @@
 	d.scheduler.SetEndpoints(joined)
 }
 
-// logChanges logs the differences from the previous list.
+// logChanges logs the differences from the previous list, or the size of the first one.
 func (d *Daemon) logChanges(list []roster.Endpoint) {
-	before := make(map[string]roster.Endpoint)
-	if old := d.endpoints.Load(); old != nil {
-		for _, endpoint := range *old {
-			before[endpoint.ID] = endpoint
-		}
+	old := d.endpoints.Load()
+	if old == nil {
+		eventEndpointsKnown.Log(d.logger, logrus.Fields{"Endpoints": len(list)})
+		return
+	}
+	before := make(map[string]roster.Endpoint, len(*old))
+	for _, endpoint := range *old {
+		before[endpoint.ID] = endpoint
 	}
 	for _, endpoint := range list {
 		old, known := before[endpoint.ID]
--- a/internal/peer/fleet/events.go
+++ b/internal/peer/fleet/events.go
@@ -26,6 +26,8 @@
 		"A peer had a newer version of the configuration than this daemon.")
 	eventFetchFailed = event.New(1521, logrus.WarnLevel, "fetching from a peer failed",
 		"A newer configuration or list of endpoints, or the usage of a peer, could not be fetched. The next ping or collection tries again.")
+	eventListFetched = event.New(1522, logrus.InfoLevel, "endpoints taken from a peer",
+		"A peer had a newer list of endpoints than this daemon, or this one could not read the store.")
 	eventTimeCorrected = event.New(1415, logrus.WarnLevel, "time of day corrected",
 		"The clock of the VM was off when the daemon started. Usage is counted by the time of the other daemons.")
 	eventRegisterFailed = event.New(1414, logrus.WarnLevel, "registering in the table failed",
--- a/internal/peer/fleet/fleet.go
+++ b/internal/peer/fleet/fleet.go
@@ -87,6 +87,12 @@
 	publisher *publisher
 	streams   *streams
 
+	startedAt clock.Millis
+	// listFetch is held while a list of endpoints is fetched, so that several peers do
+	// not send the same one. It guards listFetchedAt, when the last fetch began.
+	listFetch     sync.Mutex
+	listFetchedAt clock.Millis
+
 	mu       sync.Mutex
 	view     *topology.View
 	exchange *fanout.Exchange[report]
@@ -119,7 +125,7 @@
 // Run exchanges state with the other daemons until ctx ends.
 func (f *Fleet) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	f.group = group
+	f.group, f.startedAt = group, f.config.Clock.Now()
 	f.mu.Lock()
 	for _, seed := range f.config.Seeds {
 		f.view.AddAddress(f.config.Clock.Now(), seed)
--- a/internal/peer/fleet/peer.go
+++ b/internal/peer/fleet/peer.go
@@ -44,10 +44,8 @@
 	wake     chan struct{}
 	answered bool
 	failures int
-	// listedAt is when the peer last sent the VMs that it knows, and fetchedAt when
-	// the list of endpoints was last fetched from it.
+	// listedAt is when the peer last sent the VMs that it knows.
 	listedAt  clock.Millis
-	fetchedAt clock.Millis
 	startedAt clock.Millis
 }
 
--- a/internal/peer/fleet/publish.go
+++ b/internal/peer/fleet/publish.go
@@ -44,13 +44,15 @@
 }
 
 // publish announces what changed since the last call. A receiver that misses an
-// announcement notices by the digest in the next answer to a ping.
+// announcement notices by the digest in the next answer to a ping. The first list is not
+// announced: it holds no news, and receivers that lack it fetch it.
 func (p *publisher) publish() {
 	f := p.fleet
 	list, at, _, _ := f.config.Roster.List()
+	first := len(p.published) == 0
 	changes := p.diff(list)
 	changes.Position = at
-	if len(changes.Changed) == 0 && len(changes.Removed) == 0 {
+	if first || (len(changes.Changed) == 0 && len(changes.Removed) == 0) {
 		return
 	}
 	followsStore := f.config.FollowsStore()
--- a/internal/peer/fleet/sync.go
+++ b/internal/peer/fleet/sync.go
@@ -17,8 +17,11 @@
 	// daemon cannot read the table.
 	maxListAge             = 1500 * clock.Millisecond
 	maxListAgeWithoutTable = 700 * clock.Millisecond
-	// minFetchInterval is the least time between two fetches of a peer's list.
+	// minFetchInterval is the least time between two fetches of a list.
 	minFetchInterval = clock.Second
+	// firstReadTime is the time after the start in which the first list comes from the
+	// store, unless that fails: it serves all daemons at once, and peers cannot.
+	firstReadTime = 1500 * clock.Millisecond
 )
 
 // syncDocument takes over the time at which the peer's configuration was confirmed to be
@@ -69,13 +72,25 @@
 		return
 	}
 	now := f.config.Clock.Now()
-	if own.Known && (!isNewer(now, asOf, own, answer) || now-p.fetchedAt < minFetchInterval) {
+	if !f.wantsList(now, asOf, own, answer) || !f.listFetch.TryLock() {
 		return
 	}
-	p.fetchedAt = now
+	defer f.listFetch.Unlock()
+	if now-f.listFetchedAt < minFetchInterval {
+		return
+	}
+	f.listFetchedAt = now
 	p.fetchEndpoints(ctx)
 }
 
+// wantsList reports whether a peer's list that differs from the own one is to be fetched.
+func (f *Fleet) wantsList(now, asOf clock.Millis, own roster.State, answer pong) bool {
+	if own.Known {
+		return isNewer(now, asOf, own, answer)
+	}
+	return now-f.startedAt > firstReadTime || f.config.StoreUnavailable()
+}
+
 // isNewer reports whether a peer's list that differs from the own one is to replace
 // it. Lists of the same position may differ by what endpoints themselves said.
 func isNewer(now, asOf clock.Millis, own roster.State, answer pong) bool {
@@ -100,6 +115,7 @@
 		return
 	}
 	if fetched.Known {
+		eventListFetched.Log(f.config.Logger, logrus.Fields{"Peer": p.address, "Endpoints": len(fetched.Endpoints), "Age": int64(fetched.Age)})
 		f.config.Roster.ReplaceFromPeer(fetched.Endpoints, fetched.Position, sentAt-fetched.Age)
 	}
 }
