Write no other answer into a stream that is resumed

Cause: an answer other than 200 took the way of plain answers, which only regarded 5xx.

Change: once the head of a stream is sent, an answer that is not its continuation is a failed attempt; the stream goes on elsewhere if attempts are left, or breaks off. TestFailureOfAResumedStreamIsNotWrittenIntoIt failed for 404 before and passes.

--- a/internal/caller/relay/answer.go
+++ b/internal/caller/relay/answer.go
@@ -60,14 +60,11 @@
 }
 
 // handleServerError forwards an endpoint's 5xx answer to the caller, unless the
-// request may be retried or the header of a stream has been sent.
+// request may be retried.
 func (x *exchange) handleServerError(buffered *bufferedAnswer) result {
-	if x.route.Repeatable() && !x.stream.headSent {
+	if x.route.Repeatable() {
 		return failed
 	}
-	if x.stream.headSent {
-		return noAnswer
-	}
 	x.writeAnswer(buffered)
 	return answered
 }
--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -150,6 +150,8 @@
 		return x.handleNotRun(placement, answer.Status)
 	case x.route.Kind == document.Streaming && answer.Status == http.StatusOK:
 		return x.forwardStream(placement, answer, head)
+	case x.stream.headSent:
+		return x.handleNotResumed(placement, answer.Status)
 	}
 	return x.forwardBuffered(placement, answer, head, sentWall)
 }
@@ -231,6 +233,15 @@
 	return notRun
 }
 
+// handleNotResumed records an attempt to continue a stream to which the endpoint gave
+// another answer than events. The caller has the head of the first one.
+func (x *exchange) handleNotResumed(placement Placement, status int) result {
+	x.handler.config.Scheduler.RecordEnd(placement, balance.Failed)
+	x.attempts.lastReason = "endpoint did not resume the stream: " + http.StatusText(status)
+	x.recordFailure(x.attempts.lastReason, placement, nil)
+	return noAnswer
+}
+
 // countStart counts the request for billing when it starts to run. Later calls
 // for the same request do nothing.
 func (x *exchange) countStart(wall clock.Millis) {
--- a/internal/caller/relay/relay_test.go
+++ b/internal/caller/relay/relay_test.go
@@ -369,6 +369,17 @@
 	}
 }
 
+// TestFailureOfAResumedStreamIsNotWrittenIntoIt guards against the body of an answer other
+// than 200 between the events that the caller has got.
+func TestFailureOfAResumedStreamIsNotWrittenIntoIt(t *testing.T) {
+	for _, code := range []int{404, 500} {
+		f := newFixture(t, events(1, 3, false), status(code))
+		if got := f.send("/resumable/1"); got.err == nil || got.body != eventText(1, 3) {
+			t.Errorf("%d: got %q, %v; want an incomplete stream", code, got.body, got.err)
+		}
+	}
+}
+
 func TestInvalidRequestsAreDenied(t *testing.T) {
 	f := newFixture(t, ok)
 	f.expect(f.send("/none/1"), 404, "")
