--- a/internal/peer/fleet/publish.go
+++ b/internal/peer/fleet/publish.go
@@ -15,8 +15,9 @@
 type publisher struct {
 	fleet *Fleet
 	wake  chan struct{}
-	// published is the list as of the last announcement.
-	published map[string]roster.Endpoint
+	// published is the list as of the last announcement, if hasPublished.
+	published    map[string]roster.Endpoint
+	hasPublished bool
 }
 
 func newPublisher(f *Fleet) *publisher {
@@ -49,7 +50,8 @@
 func (p *publisher) publish() {
 	f := p.fleet
 	list, at, _, _ := f.config.Roster.List()
-	first := len(p.published) == 0
+	first := !p.hasPublished
+	p.hasPublished = true
 	changes := p.diff(list)
 	changes.Position = at
 	if first || (len(changes.Changed) == 0 && len(changes.Removed) == 0) {
