--- a/internal/endpoint/roster/peer.go
+++ b/internal/endpoint/roster/peer.go
@@ -78,4 +78,3 @@
 	}
 	return changed
 }
-
