--- a/internal/endpoint/roster/peer.go
+++ b/internal/endpoint/roster/peer.go
@@ -22,9 +22,8 @@
 // UpdateFromPeer applies the entries that changed or were removed in the list of
 // another daemon. If this list is of a later position or of another era, it only takes
 // over that endpoints are leaving, which a read that was behind may have missed.
-// UpdateFromPeer
-// neither ends an outage of the table nor confirms the list. An entry that is missing
-// there is missing here, too, until its grace period expires.
+// UpdateFromPeer neither ends an outage of the table nor confirms the list. An entry that
+// is missing there is missing here, too, until its grace period expires.
 func (r *Roster) UpdateFromPeer(entries []Endpoint, removed []string, at table.Position) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
