--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -53,7 +53,7 @@
 )
 
 // Platform adapts a platform's store, wire format and calls to the daemon. All
-// fields must be set.
+// fields but DialEndpoint must be set.
 type Platform struct {
 	// NewStoreClients returns a client and a feed of the store at an address.
 	NewStoreClients func(address string, httpClient *http.Client) (table.Client, table.Feed)
@@ -71,6 +71,8 @@
 	// ReportUsage and SendOrder are called only by the lease holder.
 	ReportUsage func(ctx context.Context, call HolderCall, window billing.Window) error
 	SendOrder   func(ctx context.Context, call HolderCall, order supply.Order) error
+	// DialEndpoint replaces the dialer of endpoints in tests. It may be nil.
+	DialEndpoint func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // HolderCall is the address, the identity and the client of a lease holder's call.
@@ -218,7 +220,7 @@
 }
 
 func (d *Daemon) buildCallers() {
-	d.pool = http1.New(http1.Config{Clock: d.clock, MatchesRequest: d.platform.MatchesRequest})
+	d.pool = http1.New(http1.Config{Clock: d.clock, MatchesRequest: d.platform.MatchesRequest, Dial: d.platform.DialEndpoint})
 	d.handler = relay.New(relay.Config{
 		Streams: relay.Streams{Record: d.fleet.RecordStream, Find: d.fleet.FindStream},
 		Clock:   d.clock, Logger: d.logger, Wire: d.platform.Wire, Pool: d.pool, Scheduler: d.scheduler.RelayScheduler(d.fleet.RecordLeaving),
--- a/internal/endpoint/http1/pool.go
+++ b/internal/endpoint/http1/pool.go
@@ -89,7 +89,6 @@
 func New(config Config) *Pool {
 	if config.Dial == nil {
 		dialer := &net.Dialer{
-			Timeout:         dialTimeout.Duration(),
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlivePeriod.Duration(), Interval: keepAlivePeriod.Duration(), Count: keepAliveProbes},
 		}
 		config.Dial = dialer.DialContext
@@ -160,6 +159,8 @@
 
 // dial opens a connection.
 func (p *Pool) dial(ctx context.Context, key, address string) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout.Duration())
+	defer cancel()
 	netConn, err := p.config.Dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
