Reach endpoints through a peer when a gateway's own path is broken

Cause: a gateway knew no other way to an endpoint than its own connections, and nothing told a dead endpoint from a broken path. Each request tried up to five endpoints one after the other, 1.2 s each, also beyond the caller's time; each endpoint was learned by one request and again after each ejection.

Evidence: 144 dials to 21 endpoints timed out at the five gateways that were cut off, none at the other three, on the same endpoints in the same seconds.

Change: a dial that is silent for 120 ms has sent nothing, so a peer is asked meanwhile (package forward). The peer connects to the endpoint before it agrees, and passes request and answer on. If it agrees, the daemon's own path to that endpoint is broken (package path): later requests go through peers at once, and the path is tried again in the background, for endpoints with requests only. Peers that reach endpoints share the requests. Open connections that work are used; after a path broke silently, others from which nothing was heard for 500 ms are checked by a dial first. A request that is overdue is ended only if it may be repeated and a peer reaches the endpoint. The wait for a connection is bounded by the caller's time, and the time left is stated when the request is sent.

Weighed: readiness alone does not help callers on open connections, nor a failure domain that is cut off whole; messages of package link would let a long body delay pings. Cost: nothing when paths work; state for endpoints in use and peers asked; at most 3 peers asked a request, out of the VMs that the view holds (own domain, 8 of each other one).

--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -1,12 +1,14 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"net/http"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/config/document"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
+	"github.com/banyanshift/banyanshift/internal/endpoint/connect"
 	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
 )
 
@@ -126,15 +128,12 @@
 func (x *exchange) attempt(placement Placement) result {
 	h := x.handler
 	x.trace.recordPlacement(x, placement)
-	request := http1.Request{
-		ID:       x.call.ID,
-		Method:   x.call.Method,
-		Head:     h.config.Wire.EncodeAttempt(&x.call, x.newAttempt(placement)),
-		Body:     x.body,
-		Deadline: x.deadline + answerMargin,
-	}
+	connection, err := x.connect(placement)
 	sentWall := h.config.Clock.Wall()
-	answer, err := h.config.Pool.Do(x.r.Context(), placement.Endpoint, placement.Address, request)
+	if err != nil {
+		return x.handleNoAnswer(placement, err, sentWall)
+	}
+	answer, err := connection.Do(x.r.Context(), x.newRequest(placement))
 	if err != nil {
 		return x.handleNoAnswer(placement, err, sentWall)
 	}
@@ -144,7 +143,7 @@
 	if head.WrongEndpoint {
 		return x.handleWrongEndpoint(placement)
 	}
-	x.recordSignals(placement, head)
+	x.handler.config.Scheduler.RecordSignals(placement, head)
 	switch {
 	case head.NotRun:
 		return x.handleNotRun(placement, answer.Status)
@@ -156,17 +155,28 @@
 	return x.forwardBuffered(placement, answer, head, sentWall)
 }
 
-// recordSignals records what an endpoint says of itself in an answer.
-func (x *exchange) recordSignals(placement Placement, head AnswerHead) {
-	s := x.handler.config.Scheduler
-	if head.Load != nil {
-		s.RecordLoad(placement.Endpoint, *head.Load)
-	}
-	if head.QuietTime > 0 {
-		s.RecordQuiet(placement.Endpoint, head.QuietTime)
+// connect finds a way to the endpoint within the time that is left.
+func (x *exchange) connect(placement Placement) (connection connect.Connection, err error) {
+	ctx, cancel := context.WithTimeout(x.r.Context(), x.timeLeft().Duration())
+	defer cancel()
+	connection, err = x.handler.config.Connect(ctx, connect.Target{
+		Endpoint: placement.Endpoint, Address: placement.Address, FailureDomain: placement.FailureDomain,
+		ExpectedAnswer: placement.ExpectedFirstToken, Repeatable: x.route.Repeatable(),
+	})
+	if err == nil && connection.Peer != "" {
+		x.trace.recordPeer(x, placement, connection.Peer)
 	}
-	if head.Leaving {
-		s.RecordLeaving(placement)
+	return connection, err
+}
+
+// newRequest returns the request to an endpoint, which states the time that is left now.
+func (x *exchange) newRequest(placement Placement) http1.Request {
+	return http1.Request{
+		ID:       x.call.ID,
+		Method:   x.call.Method,
+		Head:     x.handler.config.Wire.EncodeAttempt(&x.call, x.newAttempt(placement)),
+		Body:     x.body,
+		Deadline: x.deadline + answerMargin,
 	}
 }
 
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -17,7 +17,7 @@
 //
 // # Usage
 //
-//	handler := relay.New(relay.Config{Clock: clk, Logger: logger, Wire: wire, Pool: pool, Scheduler: scheduler, ...})
+//	handler := relay.New(relay.Config{Clock: clk, Logger: logger, Wire: wire, Connect: connector.Connect, Scheduler: scheduler, ...})
 //	server := &http.Server{Handler: handler}
 package relay
 
@@ -31,7 +31,7 @@
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/config/document"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
-	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
+	"github.com/banyanshift/banyanshift/internal/endpoint/connect"
 )
 
 // Call holds the contents of the request line and header of a caller's request.
@@ -150,6 +150,19 @@
 	TakeRetry func(backend string) bool
 }
 
+// RecordSignals records what an endpoint says of itself in an answer.
+func (s Scheduler) RecordSignals(placement Placement, head AnswerHead) {
+	if head.Load != nil {
+		s.RecordLoad(placement.Endpoint, *head.Load)
+	}
+	if head.QuietTime > 0 {
+		s.RecordQuiet(placement.Endpoint, head.QuietTime)
+	}
+	if head.Leaving {
+		s.RecordLeaving(placement)
+	}
+}
+
 // Streams remembers which software versions began streams. All fields must be set.
 type Streams struct {
 	// Record is called when the first event of a request's stream arrives.
@@ -164,6 +177,8 @@
 	Job      uint64
 	Endpoint string
 	Address  string
+	// FailureDomain is that of the endpoint.
+	FailureDomain string
 	// Incarnation is that of the endpoint as far as is known.
 	Incarnation int64
 	// SoftwareVersion is the version of the endpoint's software.
@@ -194,10 +209,11 @@
 
 // Config configures a Handler. All fields must be set.
 type Config struct {
-	Clock         clock.Clock
-	Logger        logrus.FieldLogger
-	Wire          Wire
-	Pool          *http1.Pool
+	Clock  clock.Clock
+	Logger logrus.FieldLogger
+	Wire   Wire
+	// Connect finds a way to an endpoint. Its error is a *http1.RequestError.
+	Connect       func(ctx context.Context, target connect.Target) (connect.Connection, error)
 	Scheduler     Scheduler
 	Streams       Streams
 	Configuration func() Configuration
--- a/internal/caller/relay/relay_test.go
+++ b/internal/caller/relay/relay_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -22,6 +23,8 @@
 	"github.com/banyanshift/banyanshift/internal/caller/relay"
 	"github.com/banyanshift/banyanshift/internal/config/document"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
+	"github.com/banyanshift/banyanshift/internal/decide/path"
+	"github.com/banyanshift/banyanshift/internal/endpoint/connect"
 	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
 )
 
@@ -68,6 +71,14 @@
 	refusal relay.Refusal
 }
 
+// newConnector returns a Connector of a daemon without peers.
+func newConnector(logger logrus.FieldLogger, pool *http1.Pool) *connect.Connector {
+	return connect.New(connect.Config{
+		Clock: clock.System(), Logger: logger, Pool: pool, Rand: rand.New(rand.NewPCG(1, 1)),
+		Peers: func() []path.Peer { return nil },
+	})
+}
+
 // newFixture starts one endpoint for each function.
 func newFixture(t testing.TB, serve ...http.HandlerFunc) *fixture {
 	f := &fixture{t: t, retryTokens: 10}
@@ -106,7 +117,7 @@
 				return balance.SoftwareLimit{}, true
 			},
 		},
-		Clock: clock.System(), Logger: logger, Wire: wire(), Pool: pool, Scheduler: f.scheduler(),
+		Clock: clock.System(), Logger: logger, Wire: wire(), Connect: newConnector(logger, pool).Connect, Scheduler: f.scheduler(),
 		Configuration: func() relay.Configuration { return f.config },
 		RecordStarted: func(string, clock.Millis) {
 			f.mu.Lock()
--- a/internal/caller/relay/trace.go
+++ b/internal/caller/relay/trace.go
@@ -22,6 +22,8 @@
 		"The first event of a stream was forwarded to the caller.")
 	eventTakenUp = event.New(1134, logrus.InfoLevel, "stream is taken up",
 		"The caller takes up the stream of the named request. It may only go on at endpoints of the software version that began it.")
+	eventPassedOn = event.New(1135, logrus.InfoLevel, "request goes through a peer",
+		"This daemon's own path to the endpoint is broken, so a peer forwards the request.")
 	eventEnded = event.New(1133, logrus.InfoLevel, "request ended",
 		"A request got its final answer. Status 0 means that the connection ended without a complete answer.")
 
@@ -69,6 +71,13 @@
 	}})
 }
 
+// recordPeer records that a peer forwards the request.
+func (t *trace) recordPeer(x *exchange, p Placement, peer string) {
+	t.decisions = append(t.decisions, decision{event: eventPassedOn, at: x.handler.config.Clock.Now(), fields: logrus.Fields{
+		"Endpoint": p.Endpoint, "Peer": peer,
+	}})
+}
+
 // recordTakenUp records the software version that began the stream that is taken up.
 func (x *exchange) recordTakenUp() {
 	x.trace.decisions = append(x.trace.decisions, decision{event: eventTakenUp, at: x.handler.config.Clock.Now(), fields: logrus.Fields{
--- a/internal/daemon/gateway/follow.go
+++ b/internal/daemon/gateway/follow.go
@@ -127,7 +127,7 @@
 	for _, endpoint := range list {
 		known[endpoint.ID] = true
 	}
-	d.pool.CloseIdleExcept(func(id string) bool { return known[id] })
+	d.connector.Keep(func(id string) bool { return known[id] })
 }
 
 // applyEndpoints adds the engine settings of the configuration to the endpoints
--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -38,11 +38,13 @@
 	"github.com/banyanshift/banyanshift/internal/daemon/background"
 	"github.com/banyanshift/banyanshift/internal/decide/budget"
 	"github.com/banyanshift/banyanshift/internal/decide/supply"
+	"github.com/banyanshift/banyanshift/internal/endpoint/connect"
 	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
 	"github.com/banyanshift/banyanshift/internal/endpoint/roster"
 	"github.com/banyanshift/banyanshift/internal/observe/server"
 	"github.com/banyanshift/banyanshift/internal/order/leader"
 	"github.com/banyanshift/banyanshift/internal/peer/fleet"
+	"github.com/banyanshift/banyanshift/internal/peer/forward"
 	"github.com/banyanshift/banyanshift/internal/peer/link"
 	"github.com/banyanshift/banyanshift/internal/peer/topology"
 	"github.com/banyanshift/banyanshift/internal/peer/walltime"
@@ -105,6 +107,9 @@
 	link                        *link.Link
 	tally                       *tally.Tally
 	pool                        *http1.Pool
+	connector                   *connect.Connector
+	forwarding                  *forward.Server
+	relayScheduler              relay.Scheduler
 	lease                       *lease.Lease
 	leader                      *leader.Runner
 	planner                     *supply.Planner
@@ -149,6 +154,7 @@
 	d.buildState()
 	d.buildPeers()
 	d.buildLease()
+	d.buildConnections()
 	d.buildCallers()
 	d.metrics = server.New(settings.Metrics.Listen, d.logger)
 	return d, nil
@@ -220,10 +226,10 @@
 }
 
 func (d *Daemon) buildCallers() {
-	d.pool = http1.New(http1.Config{Clock: d.clock, MatchesRequest: d.platform.MatchesRequest, Dial: d.platform.DialEndpoint})
+	d.relayScheduler = d.scheduler.RelayScheduler(d.fleet.RecordLeaving)
 	d.handler = relay.New(relay.Config{
 		Streams: relay.Streams{Record: d.fleet.RecordStream, Find: d.fleet.FindStream},
-		Clock:   d.clock, Logger: d.logger, Wire: d.platform.Wire, Pool: d.pool, Scheduler: d.scheduler.RelayScheduler(d.fleet.RecordLeaving),
+		Clock:   d.clock, Logger: d.logger, Wire: d.platform.Wire, Connect: d.connector.Connect, Scheduler: d.relayScheduler,
 		Configuration: d.currentConfiguration, RecordStarted: d.tally.Add, FailureDomain: d.settings.Daemon.FailureDomain,
 	})
 	caller := d.settings.Caller
@@ -264,6 +270,9 @@
 	if err := d.link.Start(); err != nil {
 		return err
 	}
+	if err := d.startForwarding(); err != nil {
+		return err
+	}
 	for _, l := range []struct {
 		server  *http.Server
 		address string
@@ -319,6 +328,7 @@
 	d.stopping.Store(true)
 	d.fleet.SetStopping()
 	d.handler.Drain()
+	d.forwarding.SetStopping()
 	d.holderTasks.Stop()
 	d.leaseTasks.Stop()
 	_ = d.clock.Sleep(context.Background(), balancerDelay)
@@ -326,6 +336,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout.Duration())
 	defer cancel()
 	err := d.callers.Shutdown(ctx)
+	d.forwarding.Drain(ctx)
+	d.forwarding.Close()
 	d.fleet.Flush()
 	_ = d.callers.Close()
 	_ = d.ready.Close()
--- a/internal/decide/balance/quiet.go
+++ b/internal/decide/balance/quiet.go
@@ -31,6 +31,12 @@
 	return now < r.quietUntil
 }
 
+// Accepts reports whether an endpoint is known, is not leaving and wants requests.
+func (b *Balancer) Accepts(now clock.Millis, id string) bool {
+	r := b.replicas[id]
+	return r != nil && !r.Leaving && !r.isQuiet(now)
+}
+
 // isRampedUp reports whether the endpoint may get one more request, shortly after a quiet
 // time. Others are preferred until then, so that daemons do not return all at once.
 func (r *replica) isRampedUp(now clock.Millis) bool {
--- /dev/null
+++ b/internal/endpoint/connect/connect.go
@@ -0,0 +1,272 @@
+// Package connect finds a way to an endpoint: over a connection of this daemon's own, or
+// through a peer if the daemon's own path is broken.
+//
+// Package path decides; this package dials, asks peers and watches requests that wait. A
+// dial that stays silent for dialPatience goes on in the background while peers are asked,
+// since nothing has been sent on it. An open connection is used as long as it works. If a
+// request on it waits much longer than expected, the Connector dials the endpoint to see
+// whether it is slow or cannot be reached. If it cannot, but a peer reaches it, the idle
+// connections to it are closed and requests that may be repeated are ended, so that
+// they are sent again another way. An endpoint that is silent for everyone ends nothing.
+//
+// # Usage
+//
+//	connector := connect.New(connect.Config{Clock: clk, Logger: logger, Pool: pool, ...})
+//	connection, err := connector.Connect(ctx, connect.Target{Endpoint: "i-7f3a91c2", Address: "10.0.1.9:8080"})
+//	answer, err := connection.Do(ctx, request)
+package connect
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/decide/path"
+	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
+	"github.com/banyanshift/banyanshift/internal/peer/forward"
+)
+
+const (
+	// dialPatience is how long a dial to an endpoint, a millisecond away, may be silent
+	// before another way is tried. It is longer than a VM with a processor quota pauses.
+	dialPatience = 120 * clock.Millisecond
+	// peerPatience is how long a peer may take to answer whether it reaches an endpoint.
+	// It includes the dialPatience of the peer.
+	peerPatience = 200 * clock.Millisecond
+)
+
+// Config configures a Connector. All fields must be set.
+type Config struct {
+	Clock  clock.Clock
+	Logger logrus.FieldLogger
+	Pool   *http1.Pool
+	// Open asks a peer whether it reaches an endpoint.
+	Open func(ctx context.Context, peer string, target forward.Target) (*forward.Passage, error)
+	// Peers returns the other daemons that are believed to be alive.
+	Peers func() []path.Peer
+	// FailureDomain is the failure domain of this daemon.
+	FailureDomain string
+	Rand          *rand.Rand
+}
+
+// Target is the endpoint that a request is to reach.
+type Target struct {
+	Endpoint      string
+	Address       string
+	FailureDomain string
+	// ExpectedAnswer is the expected time to the first byte of the answer.
+	ExpectedAnswer clock.Millis
+	// Repeatable is set if the request may run more than once.
+	Repeatable bool
+}
+
+func (t Target) forward() forward.Target {
+	return forward.Target{Endpoint: t.Endpoint, Address: t.Address}
+}
+
+// Connection is a way to an endpoint that is ready for one request.
+type Connection struct {
+	// Peer is the address of the peer that forwards the request, "" if none does.
+	Peer string
+	// Do sends a request and reads the status and header of its answer. The error is a
+	// *http1.RequestError.
+	Do func(ctx context.Context, request http1.Request) (*http1.Answer, error)
+}
+
+// Connector finds ways to endpoints. It is safe for concurrent use.
+type Connector struct {
+	config Config
+
+	mu    sync.Mutex
+	table *path.Table
+	rng   *rand.Rand
+	// checks holds the checks of silent endpoints that are under way, and probes counts
+	// the probes.
+	checks map[string]*check
+	probes int
+}
+
+// New returns a Connector.
+func New(config Config) *Connector {
+	return &Connector{config: config, table: path.New(), rng: config.Rand, checks: make(map[string]*check)}
+}
+
+// Connect returns a way to an endpoint. ctx bounds the wait. The error is a
+// *http1.RequestError, and the request has not been sent.
+func (c *Connector) Connect(ctx context.Context, target Target) (connection Connection, err error) {
+	defer func() {
+		if err != nil {
+			connections.Add("Failed", 1)
+			err = &http1.RequestError{DialFailed: true, Cause: err}
+		}
+	}()
+	if kept := c.config.Pool.Take(target.Endpoint); kept != nil {
+		return c.useKept(ctx, target, kept)
+	}
+	if c.way(target.Endpoint) == path.ThroughPeer {
+		c.probe(target.Endpoint, target.Address)
+		return c.throughPeer(ctx, target)
+	}
+	d := c.startDial(target.Endpoint, target.Address)
+	if own, err := d.wait(ctx, dialPatience); err == nil {
+		return c.direct(own, target), nil
+	}
+	return c.goRound(ctx, target, d)
+}
+
+// useKept returns the way over an open connection. If other paths of this daemon have just
+// broken, it first dials the endpoint, since a request that is sent on a connection that has
+// lost its path may not be sent again.
+func (c *Connector) useKept(ctx context.Context, target Target, kept *http1.Conn) (Connection, error) {
+	if c.isDoubtful(target.Endpoint) {
+		d := c.startDial(target.Endpoint, target.Address)
+		opened, err := d.wait(ctx, dialPatience)
+		if err != nil && d.isSilent() {
+			kept.Close()
+			return c.goRound(ctx, target, d)
+		}
+		if err == nil {
+			opened.Release()
+		}
+	}
+	connections.Add("Kept", 1)
+	return c.direct(kept, target), nil
+}
+
+// goRound asks peers for a way to an endpoint while a dial to it is silent or has failed.
+func (c *Connector) goRound(ctx context.Context, target Target, d *dial) (Connection, error) {
+	connection, err := c.throughPeer(ctx, target)
+	if err == nil {
+		c.recordBroken(target.Endpoint, d.isSilent())
+		return connection, nil
+	}
+	var refusal *forward.Refusal
+	if errors.As(err, &refusal) && refusal.Code != forward.Unavailable {
+		return Connection{}, errors.Join(d.failure(), err)
+	}
+	// No peer knows anything of the endpoint.
+	own, dialErr := d.wait(ctx, dialTimeout)
+	if dialErr != nil {
+		return Connection{}, errors.Join(dialErr, err)
+	}
+	return c.direct(own, target), nil
+}
+
+// direct returns the way over a connection of this daemon's own.
+func (c *Connector) direct(own *http1.Conn, target Target) Connection {
+	return Connection{Do: func(ctx context.Context, request http1.Request) (*http1.Answer, error) {
+		w, ctx := c.watch(ctx, target)
+		answer, err := own.Do(ctx, request)
+		w.stop()
+		if err != nil {
+			if cause := context.Cause(ctx); errors.Is(cause, errPathBroken) {
+				err = &http1.RequestError{Sent: true, Cause: cause}
+			}
+			return nil, err
+		}
+		c.recordHeard(target.Endpoint)
+		return answer, nil
+	}}
+}
+
+// throughPeer returns a way through the first peer that reaches the endpoint.
+func (c *Connector) throughPeer(ctx context.Context, target Target) (Connection, error) {
+	err := errNoPeer
+	for _, peer := range c.choosePeers(target) {
+		passage, openErr := c.open(ctx, peer.Address, target)
+		if openErr == nil {
+			connections.Add("ThroughPeer", 1)
+			return c.passing(passage, peer.Address), nil
+		}
+		if ctx.Err() != nil {
+			return Connection{}, ctx.Err()
+		}
+		err = mergeFailures(err, openErr)
+	}
+	c.recordNoWay(target.Endpoint)
+	return Connection{}, err
+}
+
+// errNoPeer means that no peer could be asked.
+var errNoPeer = errors.New("no peer to ask for a way to the endpoint")
+
+// mergeFailures returns the failure that says most: a peer that has tried to reach the
+// endpoint says more than one that could not be asked.
+func mergeFailures(before, after error) error {
+	var refusal *forward.Refusal
+	if errors.As(before, &refusal) && refusal.Code != forward.Unavailable {
+		return before
+	}
+	return after
+}
+
+// open asks a peer for a way to the endpoint.
+func (c *Connector) open(ctx context.Context, peer string, target Target) (*forward.Passage, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerPatience.Duration())
+	defer cancel()
+	passage, err := c.config.Open(ctx, peer, target.forward())
+	c.recordPeer(peer, err)
+	return passage, err
+}
+
+// passing returns the way through a peer that has agreed.
+func (c *Connector) passing(passage *forward.Passage, peer string) Connection {
+	return Connection{Peer: peer, Do: func(ctx context.Context, request http1.Request) (*http1.Answer, error) {
+		answer, err := passage.Do(ctx, request)
+		if err != nil {
+			c.recordPassed(peer)
+			return nil, err
+		}
+		body := &countedBody{Answer: answer, done: func() { c.recordPassed(peer) }}
+		return http1.NewAnswer(answer.Status, answer.Header, answer.Length, body), nil
+	}}
+}
+
+// countedBody calls done once when the answer is closed.
+type countedBody struct {
+	*http1.Answer
+	done func()
+	once sync.Once
+}
+
+// Close implements io.Closer.
+func (b *countedBody) Close() error {
+	b.once.Do(b.done)
+	b.Answer.Close()
+	return nil
+}
+
+// ConnectForPeer returns a connection to an endpoint for a request of a peer. Unlike
+// Connect, it never asks another peer, and it uses an open connection only if the endpoint
+// has just been heard from, since the peer asks because the endpoint may be out of reach.
+func (c *Connector) ConnectForPeer(ctx context.Context, target forward.Target) (own *http1.Conn, err error) {
+	if c.way(target.Endpoint) == path.ThroughPeer {
+		c.probe(target.Endpoint, target.Address)
+		return nil, &forward.Refusal{Code: forward.Unreachable, Reason: "this daemon does not reach the endpoint either"}
+	}
+	if c.isFresh(target.Endpoint) {
+		if kept := c.config.Pool.Take(target.Endpoint); kept != nil {
+			return kept, nil
+		}
+	}
+	d := c.startDial(target.Endpoint, target.Address)
+	own, err = d.wait(ctx, dialPatience)
+	if err != nil {
+		return nil, &forward.Refusal{Code: forward.Unreachable, Reason: fmt.Sprintf("the endpoint does not answer: %v", err)}
+	}
+	return own, nil
+}
+
+// Keep forgets what is known of endpoints for which known returns false, and closes the idle
+// connections to them.
+func (c *Connector) Keep(known func(endpoint string) bool) {
+	c.config.Pool.CloseIdleExcept(known)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.Keep(known)
+}
--- a/internal/endpoint/http1/exchange.go
+++ b/internal/endpoint/http1/exchange.go
@@ -75,8 +75,8 @@
 	// Length is the length of the body, or -1 if it is not known in advance.
 	Length int64
 
-	pool *Pool
-	conn *conn
+	// conn is nil for an answer of NewAnswer.
+	conn *Conn
 	body io.ReadCloser
 	// framed is set if the answer has a content length or a transfer encoding.
 	// Other answers end when the endpoint closes the connection.
@@ -88,20 +88,32 @@
 	reachedEOF bool
 }
 
+// NewAnswer returns an answer that did not arrive on a connection of a pool. length is
+// -1 if it is not known in advance. Read and Close pass on to the body.
+func NewAnswer(status int, header http.Header, length int64, body io.ReadCloser) *Answer {
+	return &Answer{Status: status, Header: header, Length: length, body: body}
+}
+
 // Do sends a request to the endpoint with the given key and address and reads
 // the status and header of its answer. It uses an idle connection of that key
 // if there is one. The connection is closed when ctx is canceled, also while
 // the body is being read.
 func (p *Pool) Do(ctx context.Context, key, address string, request Request) (answer *Answer, err error) {
-	c := p.takeIdle(key)
+	c := p.Take(key)
 	if c == nil {
-		c, err = p.dial(ctx, key, address)
+		c, err = p.Dial(ctx, key, address)
 		if err != nil {
 			return nil, &RequestError{DialFailed: true, Cause: err}
 		}
 	}
+	return c.Do(ctx, request)
+}
+
+// Do sends a request and reads the status and header of its answer. The connection is
+// closed when ctx is canceled, also while the body is being read.
+func (c *Conn) Do(ctx context.Context, request Request) (answer *Answer, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.netConn.Close() })
-	answer, err = p.exchange(c, request)
+	answer, err = c.exchange(request)
 	if err != nil {
 		stop()
 		_ = c.netConn.Close()
@@ -116,7 +128,8 @@
 
 // exchange writes the request and reads the status and header of its answer.
 // It discards answers to earlier requests.
-func (p *Pool) exchange(c *conn, request Request) (*Answer, error) {
+func (c *Conn) exchange(request Request) (*Answer, error) {
+	p := c.pool
 	if err := c.netConn.SetDeadline(p.config.Clock.Deadline(request.Deadline)); err != nil {
 		return nil, err
 	}
@@ -130,7 +143,7 @@
 			return nil, err
 		}
 		if p.config.MatchesRequest(answer.Status, answer.Header, request.ID) {
-			answer.pool, answer.conn, answer.bodyWrite = p, c, write
+			answer.conn, answer.bodyWrite = c, write
 			return answer, nil
 		}
 		if err := answer.discard(); err != nil {
@@ -155,7 +168,7 @@
 
 // readHead reads the status and header of the next answer and skips interim
 // (1xx) answers.
-func readHead(c *conn, method string) (*Answer, error) {
+func readHead(c *Conn, method string) (*Answer, error) {
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
@@ -179,7 +192,7 @@
 
 // bodyWrite writes a long request body while the answer is read.
 type bodyWrite struct {
-	conn *conn
+	conn *Conn
 	body []byte
 	done chan struct{}
 	err  error
@@ -187,7 +200,7 @@
 
 // writeRequest writes the request. It starts a bodyWrite for a body longer than
 // maxInlineBodyBytes and otherwise returns nil.
-func writeRequest(c *conn, request Request) (*bodyWrite, error) {
+func writeRequest(c *Conn, request Request) (*bodyWrite, error) {
 	head := make([]byte, 0, len(request.Head)+64+min(len(request.Body), maxInlineBodyBytes))
 	head = append(head, request.Head...)
 	if len(request.Body) > 0 || (request.Method != http.MethodGet && request.Method != http.MethodHead && request.Method != http.MethodDelete) {
@@ -249,12 +262,16 @@
 }
 
 func (a *Answer) close() {
+	if a.conn == nil {
+		_ = a.body.Close()
+		return
+	}
 	alive := a.stopCancel()
 	if !alive || !a.reachedEOF || !a.reusable || !a.bodyWrite.succeeded() {
 		_ = a.conn.netConn.Close()
 		return
 	}
-	a.pool.putIdle(a.conn, idleTimeout(a.Header))
+	a.conn.pool.putIdle(a.conn, idleTimeout(a.Header))
 }
 
 // idleTimeout returns how long the endpoint keeps an idle connection open,
--- a/internal/endpoint/http1/pool.go
+++ b/internal/endpoint/http1/pool.go
@@ -26,21 +26,13 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/endpoint/tcp"
 )
 
 const (
 	// dialTimeout bounds opening a connection. Endpoints are a millisecond
 	// away, and TCP resends a lost SYN packet after one second.
 	dialTimeout = 1200 * clock.Millisecond
-	// userTimeout is how long the kernel waits for the acknowledgement of
-	// sent data before it closes the connection (TCP_USER_TIMEOUT).
-	userTimeout = 3 * clock.Second
-	// keepAlivePeriod is the time between TCP keep-alive probes on a
-	// connection without traffic.
-	keepAlivePeriod = clock.Second
-	// keepAliveProbes is the number of unanswered probes after which the
-	// kernel closes the connection.
-	keepAliveProbes = 3
 	// maxIdleTime is the longest time that a connection stays idle, even if
 	// the endpoint allows more.
 	maxIdleTime = 20 * clock.Second
@@ -72,11 +64,12 @@
 	config Config
 
 	mu   sync.Mutex
-	idle map[string][]*conn
+	idle map[string][]*Conn
 }
 
-// conn is one connection to an endpoint.
-type conn struct {
+// Conn is one connection to an endpoint. It carries one request at a time.
+type Conn struct {
+	pool    *Pool
 	netConn net.Conn
 	reader  *bufio.Reader
 	// key identifies the endpoint.
@@ -88,19 +81,16 @@
 // New returns an empty Pool.
 func New(config Config) *Pool {
 	if config.Dial == nil {
-		dialer := &net.Dialer{
-			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlivePeriod.Duration(), Interval: keepAlivePeriod.Duration(), Count: keepAliveProbes},
-		}
-		config.Dial = dialer.DialContext
+		config.Dial = tcp.Dial
 	}
-	return &Pool{config: config, idle: make(map[string][]*conn)}
+	return &Pool{config: config, idle: make(map[string][]*Conn)}
 }
 
 // CloseIdleExcept closes the idle connections to endpoints for which keep
 // returns false.
 func (p *Pool) CloseIdleExcept(keep func(key string) bool) {
 	p.mu.Lock()
-	var dropped []*conn
+	var dropped []*Conn
 	for key, conns := range p.idle {
 		if !keep(key) {
 			dropped = append(dropped, conns...)
@@ -113,9 +103,9 @@
 	}
 }
 
-// takeIdle removes a usable idle connection from the pool and returns it, or
-// nil if there is none. It closes unusable ones.
-func (p *Pool) takeIdle(key string) *conn {
+// Take removes a usable idle connection to the endpoint with the given key from the
+// pool and returns it, or nil if there is none. It closes unusable ones.
+func (p *Pool) Take(key string) *Conn {
 	for {
 		c := p.popIdle(key)
 		if c == nil {
@@ -128,7 +118,7 @@
 	}
 }
 
-func (p *Pool) popIdle(key string) *conn {
+func (p *Pool) popIdle(key string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[key]
@@ -143,7 +133,7 @@
 // putIdle adds a connection to the pool. It closes the connection instead if
 // the pool has enough for the endpoint, idleTime is too short, or unread bytes
 // are buffered.
-func (p *Pool) putIdle(c *conn, idleTime clock.Millis) {
+func (p *Pool) putIdle(c *Conn, idleTime clock.Millis) {
 	c.expiresAt = p.config.Clock.Now() + min(idleTime-idleMargin, maxIdleTime)
 	p.mu.Lock()
 	conns := p.idle[c.key]
@@ -157,38 +147,36 @@
 	}
 }
 
-// dial opens a connection.
-func (p *Pool) dial(ctx context.Context, key, address string) (*conn, error) {
+// Release returns a connection that has not been used to the pool.
+func (c *Conn) Release() {
+	c.pool.putIdle(c, defaultIdleTime)
+}
+
+// Close closes a connection that is not to be used.
+func (c *Conn) Close() {
+	_ = c.netConn.Close()
+}
+
+// CloseIdle closes the idle connections to the endpoint with the given key.
+func (p *Pool) CloseIdle(key string) {
+	p.CloseIdleExcept(func(other string) bool { return other != key })
+}
+
+// Dial opens a connection to the endpoint with the given key and address.
+func (p *Pool) Dial(ctx context.Context, key, address string) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout.Duration())
 	defer cancel()
 	netConn, err := p.config.Dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	setUserTimeout(netConn)
-	return &conn{netConn: netConn, reader: bufio.NewReaderSize(netConn, readBufferBytes), key: key}, nil
-}
-
-// setUserTimeout makes the kernel close the connection if the peer does not
-// acknowledge sent data within userTimeout.
-func setUserTimeout(netConn net.Conn) {
-	tcp, ok := netConn.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout/clock.Millisecond))
-	})
+	return &Conn{pool: p, netConn: netConn, reader: bufio.NewReaderSize(netConn, readBufferBytes), key: key}, nil
 }
 
 // isOpenAndQuiet reports whether an idle connection is open and has no unread
 // bytes. The endpoint may have closed it, or sent bytes that belong to no
 // request.
-func isOpenAndQuiet(c *conn) bool {
+func isOpenAndQuiet(c *Conn) bool {
 	if c.reader.Buffered() > 0 {
 		return false
 	}
--- /dev/null
+++ b/internal/endpoint/tcp/tcp.go
@@ -0,0 +1,59 @@
+// Package tcp opens TCP connections on which a peer that falls silent is noticed within
+// seconds: unanswered keep-alive probes and unacknowledged data both close them.
+//
+// # Usage
+//
+//	conn, err := tcp.Dial(ctx, "tcp", "10.0.0.7:8080")
+package tcp
+
+import (
+	"context"
+	"net"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+)
+
+const (
+	// userTimeout is how long the kernel waits for the acknowledgement of sent data or
+	// of a keep-alive probe before it closes the connection (TCP_USER_TIMEOUT). It goes
+	// before the number of keep-alive probes.
+	userTimeout = 3 * clock.Second
+	// keepAlivePeriod is the time between TCP keep-alive probes on a connection without
+	// traffic.
+	keepAlivePeriod = clock.Second
+)
+
+// Dial opens a connection. ctx bounds opening it.
+func Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlivePeriod.Duration(), Interval: keepAlivePeriod.Duration()}}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	if err := setUserTimeout(conn); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
+func setUserTimeout(conn net.Conn) error {
+	tcpConn, ok := conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	raw, err := tcpConn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var setErr error
+	err = raw.Control(func(fd uintptr) {
+		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout/clock.Millisecond))
+	})
+	if err != nil {
+		return err
+	}
+	return setErr
+}
--- a/internal/peer/fleet/fleet.go
+++ b/internal/peer/fleet/fleet.go
@@ -152,6 +152,14 @@
 	return f.view.Status(f.config.Clock.Now()).Daemons
 }
 
+// LivingVMs returns the other VMs that this daemon knows of, without those that have
+// failed or are shutting down.
+func (f *Fleet) LivingVMs() []topology.VM {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.Living(f.config.Clock.Now())
+}
+
 // LeaderRank returns the place of this daemon in the order of the fleet, counted
 // from 0. The first ones do the work for which a few daemons suffice.
 func (f *Fleet) LeaderRank() int {
--- a/internal/peer/fleet/scheduler.go
+++ b/internal/peer/fleet/scheduler.go
@@ -126,7 +126,7 @@
 	}
 	endpoint := s.endpoints[choice.Endpoint]
 	return relay.Placement{
-		Job: job.ID, Endpoint: choice.Endpoint, Address: endpoint.Address, Incarnation: endpoint.Incarnation, SoftwareVersion: endpoint.SoftwareVersion, ExpectedFirstToken: choice.ExpectedFirstToken,
+		Job: job.ID, Endpoint: choice.Endpoint, Address: endpoint.Address, FailureDomain: endpoint.FailureDomain, Incarnation: endpoint.Incarnation, SoftwareVersion: endpoint.SoftwareVersion, ExpectedFirstToken: choice.ExpectedFirstToken,
 	}, relay.Refusal{}
 }
 
@@ -230,6 +230,22 @@
 	s.balancer.InvalidateAddress(endpoint)
 }
 
+// Accepts reports whether a peer's request may be sent to an endpoint at an address: the
+// endpoint is known there, is not leaving and has not asked for a quiet time.
+func (s *Scheduler) Accepts(endpoint, address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known, found := s.endpoints[endpoint]
+	return found && known.Address == address && s.balancer.Accepts(s.clock.Now(), endpoint)
+}
+
+// Incarnation returns the incarnation of an endpoint, 0 if it is not known.
+func (s *Scheduler) Incarnation(endpoint string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.endpoints[endpoint].Incarnation
+}
+
 func (s *Scheduler) countRequest(backend string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/internal/peer/forward/client.go
@@ -0,0 +1,261 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
+	"github.com/banyanshift/banyanshift/internal/endpoint/tcp"
+	"github.com/banyanshift/banyanshift/internal/peer/frame"
+	"github.com/banyanshift/banyanshift/internal/peer/message"
+)
+
+const (
+	// maxIdleTime is how long a Client keeps an idle connection.
+	maxIdleTime = 20 * clock.Second
+	// maxIdlePerPeer bounds the idle connections to one peer.
+	maxIdlePerPeer = 8
+)
+
+// Client sends requests through peers. It is safe for concurrent use.
+type Client struct {
+	clock clock.Clock
+	// port is the port at which all Servers listen.
+	port string
+
+	mu   sync.Mutex
+	idle map[string][]idleConn
+}
+
+// idleConn is a connection that waits for its next request.
+type idleConn struct {
+	conn  *conn
+	until clock.Millis
+}
+
+// NewClient returns a Client for Servers that listen on a port.
+func NewClient(clk clock.Clock, port string) *Client {
+	return &Client{clock: clk, port: port, idle: make(map[string][]idleConn)}
+}
+
+// Passage is a connection to a peer that is ready to forward one request to an endpoint.
+type Passage struct {
+	client *Client
+	peer   string
+	conn   *conn
+}
+
+// Open asks the peer at an address of its link whether it reaches an endpoint. ctx bounds
+// the wait. The error is a *Refusal if the peer answers that it does not.
+func (c *Client) Open(ctx context.Context, peer string, target Target) (passage *Passage, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("peer %s: %w", peer, err)
+		}
+	}()
+	used, err := c.connect(ctx, peer)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := ask(ctx, used, target)
+	if err != nil {
+		_ = used.net.Close()
+		return nil, err
+	}
+	if answer.Code != "" {
+		c.keep(peer, used)
+		return nil, &Refusal{Code: answer.Code, Reason: answer.Reason}
+	}
+	return &Passage{client: c, peer: peer, conn: used}, nil
+}
+
+// ask sends open and reads the answer to it.
+func ask(ctx context.Context, c *conn, target Target) (answer opened, err error) {
+	stop := context.AfterFunc(ctx, func() { _ = c.net.Close() })
+	defer func() {
+		if !stop() && err == nil {
+			err = ctx.Err()
+		}
+	}()
+	if err := c.write(message.ForwardOpen, open{Target: target}); err != nil {
+		return answer, err
+	}
+	if err := c.writer.Flush(); err != nil {
+		return answer, err
+	}
+	return readAs[opened](c, message.ForwardOpened)
+}
+
+// connect returns an idle connection to a peer, or opens one.
+func (c *Client) connect(ctx context.Context, peer string) (*conn, error) {
+	if kept := c.takeIdle(peer); kept != nil {
+		return kept, nil
+	}
+	host, _, err := net.SplitHostPort(peer)
+	if err != nil {
+		return nil, err
+	}
+	netConn, err := tcp.Dial(ctx, "tcp", net.JoinHostPort(host, c.port))
+	if err != nil {
+		return nil, err
+	}
+	return newConn(netConn), nil
+}
+
+func (c *Client) takeIdle(peer string) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	for list := c.idle[peer]; len(list) > 0; list = c.idle[peer] {
+		last := list[len(list)-1]
+		c.idle[peer] = list[:len(list)-1]
+		if now < last.until {
+			return last.conn
+		}
+		_ = last.conn.net.Close()
+	}
+	delete(c.idle, peer)
+	return nil
+}
+
+// keep keeps a connection for the next request, or closes it.
+func (c *Client) keep(peer string, used *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.idle[peer]) >= maxIdlePerPeer {
+		_ = used.net.Close()
+		return
+	}
+	c.idle[peer] = append(c.idle[peer], idleConn{conn: used, until: c.clock.Now() + maxIdleTime})
+}
+
+// Cancel gives the passage up without a request.
+func (p *Passage) Cancel() {
+	_ = p.conn.net.Close()
+}
+
+// Do sends a request and reads the status and header of its answer. The error is a
+// *http1.RequestError; the request may have run. The connection is closed when ctx is
+// canceled, also while the body is being read.
+func (p *Passage) Do(ctx context.Context, request http1.Request) (answer *http1.Answer, err error) {
+	stop := context.AfterFunc(ctx, func() { _ = p.conn.net.Close() })
+	head, err := p.exchange(request)
+	if err != nil {
+		stop()
+		_ = p.conn.net.Close()
+		if ctx.Err() != nil {
+			err = errors.Join(ctx.Err(), err)
+		}
+		return nil, &http1.RequestError{Sent: true, Cause: fmt.Errorf("through peer %s: %w", p.peer, err)}
+	}
+	return http1.NewAnswer(head.Status, head.Header, head.Length, &answerBody{passage: p, stopCancel: stop}), nil
+}
+
+// exchange sends the request and reads the head of the answer.
+func (p *Passage) exchange(request http1.Request) (head answerHead, err error) {
+	now := p.client.clock.Now()
+	if err := p.conn.net.SetDeadline(p.client.clock.Deadline(request.Deadline)); err != nil {
+		return head, err
+	}
+	err = p.conn.write(message.ForwardRequest, requestHead{
+		ID: request.ID, Method: request.Method, Head: request.Head, BodyBytes: len(request.Body), TimeLeft: request.Deadline - now,
+	})
+	if err != nil {
+		return head, err
+	}
+	if err := p.conn.writeBody(request.Body); err != nil {
+		return head, err
+	}
+	if err := p.conn.writer.Flush(); err != nil {
+		return head, err
+	}
+	return p.readHead()
+}
+
+func (p *Passage) readHead() (head answerHead, err error) {
+	f, err := p.conn.read()
+	if err != nil {
+		return head, err
+	}
+	if f.Type != message.ForwardEnd {
+		head, err = decode[answerHead](f, message.ForwardAnswer)
+		if head.Header == nil {
+			head.Header = make(http.Header)
+		}
+		return head, err
+	}
+	ended, err := decode[end](f, message.ForwardEnd)
+	if err != nil {
+		return head, err
+	}
+	return head, errors.New(ended.Error)
+}
+
+// answerBody reads the body of an answer.
+type answerBody struct {
+	passage    *Passage
+	stopCancel func() bool
+	// rest is what remains of the last message.
+	rest     []byte
+	complete bool
+}
+
+// Read implements io.Reader. It returns io.EOF only after a complete answer.
+func (b *answerBody) Read(buf []byte) (int, error) {
+	for len(b.rest) == 0 {
+		if b.complete {
+			return 0, io.EOF
+		}
+		if err := b.readMessage(); err != nil {
+			return 0, err
+		}
+	}
+	n := copy(buf, b.rest)
+	b.rest = b.rest[n:]
+	return n, nil
+}
+
+// readMessage reads the next part of the body or its end.
+func (b *answerBody) readMessage() error {
+	f, err := b.passage.conn.read()
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return err
+	}
+	if f.Type == message.ForwardBody {
+		b.rest = f.Body
+		return nil
+	}
+	return b.readEnd(f)
+}
+
+func (b *answerBody) readEnd(f frame.Frame) error {
+	ended, err := decode[end](f, message.ForwardEnd)
+	if err != nil {
+		return err
+	}
+	if ended.Error != "" {
+		return errors.New(ended.Error)
+	}
+	b.complete = true
+	return nil
+}
+
+// Close implements io.Closer. It keeps the connection if the answer was read completely;
+// otherwise the peer ends the request at the endpoint.
+func (b *answerBody) Close() error {
+	p := b.passage
+	if !b.stopCancel() || !b.complete {
+		return p.conn.net.Close()
+	}
+	p.client.keep(p.peer, p.conn)
+	return nil
+}
--- a/internal/peer/message/message.go
+++ b/internal/peer/message/message.go
@@ -45,4 +45,12 @@
 	FleetNews            Type = 0x88
 	FleetStreams         Type = 0x89
 	FleetStreamOrigin    Type = 0x8a
+	// Requests that are forwarded to an endpoint for another daemon, on connections of
+	// their own.
+	ForwardOpen    Type = 0x90
+	ForwardOpened  Type = 0x91
+	ForwardRequest Type = 0x92
+	ForwardBody    Type = 0x93
+	ForwardAnswer  Type = 0x94
+	ForwardEnd     Type = 0x95
 )
--- a/internal/peer/topology/topology.go
+++ b/internal/peer/topology/topology.go
@@ -388,6 +388,19 @@
 	return vms
 }
 
+// Living returns the other known VMs that have not failed and are not stopping, as far as
+// this daemon knows.
+func (v *View) Living(now clock.Millis) (vms []VM) {
+	for _, list := range v.domains {
+		for _, c := range list {
+			if c.state(now) != failed {
+				vms = append(vms, c.VM)
+			}
+		}
+	}
+	return vms
+}
+
 // Subscribers returns the addresses of the daemons that follow this one.
 func (v *View) Subscribers() []string {
 	addresses := make([]string, 0, len(v.subscribers))
--- a/internal/settings/gateway/settings.go
+++ b/internal/settings/gateway/settings.go
@@ -65,6 +65,9 @@
 	// Seeds is a comma-separated list of host:port of other VMs. The ports are
 	// ignored, since all daemons listen on the port of Listen.
 	Seeds string
+	// Forward is the address at which requests of other daemons for endpoints that they
+	// do not reach are taken. Daemons do not forward when it is empty.
+	Forward string
 }
 
 // Platform holds the addresses of the platform's services.
@@ -138,6 +141,8 @@
 		func(s *Settings) any { return &s.Peer.Listen }},
 	{ini.Field{Section: "Peer", Name: "Seeds", Type: ini.Text, Help: "Comma-separated addresses of some other VMs. The ports are ignored."},
 		func(s *Settings) any { return &s.Peer.Seeds }},
+	{ini.Field{Section: "Peer", Name: "Forward", Type: ini.Address, Help: "Address for requests of other daemons to endpoints that they do not reach. All daemons use the same port. They do not help each other when empty."},
+		func(s *Settings) any { return &s.Peer.Forward }},
 	{ini.Field{Section: "Platform", Name: "Store", Type: ini.Address, Required: true, Help: "Address of the store."},
 		func(s *Settings) any { return &s.Platform.Store }},
 	{ini.Field{Section: "Platform", Name: "Duties", Type: ini.Address, Help: "Address for usage reports and orders. None are sent when empty."},
