Reuse a connection to an endpoint after the deadline of its last request

Cause: the deadline of a request stays set on its connection. The check of an idle connection reads from it, and a read after the deadline fails, so the connection was taken for closed and closed.

Change: the deadline is removed when the connection becomes idle. TestConnectionIsReusedAfterTheDeadlineOfItsLastRequest failed before (2 connections for two requests).

--- a/internal/endpoint/http1/http1_test.go
+++ b/internal/endpoint/http1/http1_test.go
@@ -275,3 +275,26 @@
 		t.Error("the connection to the endpoint was not closed")
 	}
 }
+
+// TestConnectionIsReusedAfterTheDeadlineOfItsLastRequest guards against open connections
+// that are closed because the time limit of an earlier request has passed.
+func TestConnectionIsReusedAfterTheDeadlineOfItsLastRequest(t *testing.T) {
+	e := newEndpoint(t, func(conn net.Conn, _ int) {
+		reader := bufio.NewReader(conn)
+		for id := readRequest(reader); id != ""; id = readRequest(reader) {
+			reply(conn, id, "answer to "+id)
+		}
+	})
+	pool := newPool()
+	for _, id := range []string{"a", "b"} {
+		r := request(id)
+		r.Deadline = clock.System().Now() + 100
+		if _, err := get(pool, e, r); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	if e.connections() != 1 {
+		t.Errorf("got %d connections for two requests, want 1", e.connections())
+	}
+}
--- a/internal/endpoint/http1/pool.go
+++ b/internal/endpoint/http1/pool.go
@@ -22,6 +22,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -132,8 +133,12 @@
 
 // putIdle adds a connection to the pool. It closes the connection instead if
 // the pool has enough for the endpoint, idleTime is too short, or unread bytes
-// are buffered.
+// are buffered. The deadline of the last request is removed.
 func (p *Pool) putIdle(c *Conn, idleTime clock.Millis) {
+	if err := c.netConn.SetDeadline(time.Time{}); err != nil {
+		_ = c.netConn.Close()
+		return
+	}
 	c.expiresAt = p.config.Clock.Now() + min(idleTime-idleMargin, maxIdleTime)
 	p.mu.Lock()
 	conns := p.idle[c.key]
