--- a/coord/table/feed.go
+++ b/coord/table/feed.go
@@ -8,7 +8,7 @@
 )
 
 // ErrHistoryGone is returned when the service no longer has the changes since a
-// revision. The caller must take a new Snapshot.
+// revision. The caller must take a new snapshot.
 var ErrHistoryGone = errors.New("table: history since the revision is gone")
 
 // Position is a point in the history of the service. A service that comes back from
@@ -30,19 +30,31 @@
 	return p.Revision < other.Revision
 }
 
+// Page is a part of the rows under a prefix.
+type Page struct {
+	Rows []Row
+	// At is the position of the service when it read the rows.
+	At Position
+	// More is set if further rows follow.
+	More bool
+}
+
 // Feed reads the changes of rows. All fields are required.
 //
-// A reader takes a Snapshot and then requests the changes after its position:
+// A reader takes a snapshot, which is all pages of rows, and then requests the changes
+// after the position of its first page:
 //
-//	rows, at, err := feed.Snapshot(ctx, "Endpoints/")
-//	changes, at, err := feed.Changes(ctx, "Endpoints/", at, 2*clock.Second)
+//	page, err := feed.ReadPage(ctx, "Endpoints/", "")
+//	next, err := feed.ReadPage(ctx, "Endpoints/", page.Rows[len(page.Rows)-1].Key)
+//	changes, at, err := feed.Changes(ctx, "Endpoints/", page.At, 2*clock.Second)
 //
-// If the era of an answer differs from that of the snapshot, changes may be missing,
-// and the reader must take a new Snapshot.
+// If the era of an answer differs from that of the first page, changes may be missing,
+// and the reader must take a new snapshot.
 type Feed struct {
-	// Snapshot reads all rows whose key starts with prefix. Every change that
-	// the rows do not include has a later position.
-	Snapshot func(ctx context.Context, prefix string) (rows []Row, at Position, err error)
+	// ReadPage reads the next rows whose key starts with prefix and is greater than
+	// after, in the order of their keys. Every change that the rows do not include has a
+	// later position.
+	ReadPage func(ctx context.Context, prefix, after string) (Page, error)
 	// Changes returns the rows that changed after a position, in order. It
 	// blocks until there are any and returns none after wait. A deleted row
 	// has Version 0. The next call continues from the returned position.
--- a/coord/table/observe.go
+++ b/coord/table/observe.go
@@ -9,7 +9,7 @@
 
 // Call describes a finished call of the table to an observer.
 type Call struct {
-	// Name is the name of the function: Get, Scan, Commit, Snapshot or
+	// Name is the name of the function: Get, Scan, Commit, ReadPage or
 	// Changes.
 	Name     string
 	Duration clock.Millis
@@ -68,9 +68,9 @@
 func (f Feed) WithObserver(clk clock.Clock, observe func(Call)) Feed {
 	o := observer{clock: clk, observe: observe}
 	return Feed{
-		Snapshot: func(ctx context.Context, prefix string) (rows []Row, at Position, err error) {
-			defer o.callFinished("Snapshot", clk.Now(), &err)
-			return f.Snapshot(ctx, prefix)
+		ReadPage: func(ctx context.Context, prefix, after string) (page Page, err error) {
+			defer o.callFinished("ReadPage", clk.Now(), &err)
+			return f.ReadPage(ctx, prefix, after)
 		},
 		Changes: func(ctx context.Context, prefix string, after Position, wait clock.Millis) (rows []Row, at Position, err error) {
 			defer o.callFinished("Changes", clk.Now(), &err)
--- a/internal/platform/feed/feed.go
+++ b/internal/platform/feed/feed.go
@@ -22,6 +22,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
 
@@ -48,9 +49,11 @@
 	callTimeoutMargin = 700 * clock.Millisecond
 	// minSnapshotInterval is the least time between two snapshots without a delay.
 	minSnapshotInterval = clock.Second
-	// snapshotTimeout is the maximum time to read all rows, which takes several
-	// pages in a large fleet.
-	snapshotTimeout = 5 * clock.Second
+	// pageTimeout is the maximum time to read one page of the rows.
+	pageTimeout = 5 * clock.Second
+	// maxSnapshotAge is the age from which the first pages of a snapshot are read again
+	// if the rest could not be read. The service keeps its history longer.
+	maxSnapshotAge = 10 * clock.Second
 	// maxWaitAfterFailure is the maximum wait of the call after a failed one. It
 	// is short so that the end of an outage is detected soon.
 	maxWaitAfterFailure = 100 * clock.Millisecond
@@ -104,7 +107,9 @@
 // Follower passes the rows under a prefix and their changes to the callbacks of its
 // Config.
 type Follower struct {
-	config       Config
+	config Config
+	// partial is the snapshot that is being read, nil if none is.
+	partial      *snapshot
 	position     table.Position
 	hasSnapshot  bool
 	snapshotAt   clock.Millis
@@ -213,17 +218,61 @@
 	})
 }
 
+// snapshot is the rows of the pages that have been read.
+type snapshot struct {
+	rows []table.Row
+	// at is the position and asOf the time of the first page.
+	at   table.Position
+	asOf clock.Millis
+}
+
+// readSnapshot reads all rows. Pages that were read before a call failed are kept, so
+// that a start that is slow does not read them again.
 func (f *Follower) readSnapshot(ctx context.Context) error {
+	if f.partial != nil && f.config.Clock.Now()-f.partial.asOf > maxSnapshotAge {
+		f.partial = nil
+	}
+	for more := true; more; {
+		page, err := f.readPage(ctx)
+		if err != nil {
+			return err
+		}
+		more = page.More
+	}
+	complete := f.partial
+	f.partial = nil
+	f.hasSnapshot, f.position, f.snapshotAt = true, complete.at, complete.asOf
+	f.config.OnSnapshot(complete.rows, complete.at, complete.asOf)
+	return nil
+}
+
+// readPage adds the next page to the snapshot. Pages of different eras do not belong
+// together; the error is table.ErrHistoryGone then, and the snapshot begins anew.
+func (f *Follower) readPage(ctx context.Context) (page table.Page, err error) {
 	asOf := f.config.Clock.Now()
-	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout.Duration())
+	ctx, cancel := context.WithTimeout(ctx, pageTimeout.Duration())
 	defer cancel()
-	rows, at, err := f.config.Feed.Snapshot(ctx, f.config.Prefix)
+	page, err = f.config.Feed.ReadPage(ctx, f.config.Prefix, f.partial.lastKey())
 	if err != nil {
-		return err
+		return page, err
 	}
-	f.hasSnapshot, f.position, f.snapshotAt = true, at, asOf
-	f.config.OnSnapshot(rows, at, asOf)
-	return nil
+	if f.partial == nil {
+		f.partial = &snapshot{at: page.At, asOf: asOf}
+	}
+	if page.At.Era != f.partial.at.Era {
+		f.partial = nil
+		return page, fmt.Errorf("%w: the era changed between two pages", table.ErrHistoryGone)
+	}
+	f.partial.rows = append(f.partial.rows, page.Rows...)
+	return page, nil
+}
+
+// lastKey returns the key of the last row, "" if there is none.
+func (s *snapshot) lastKey() string {
+	if s == nil || len(s.rows) == 0 {
+		return ""
+	}
+	return s.rows[len(s.rows)-1].Key
 }
 
 // lastStates returns the last state of each row. A response may hold several states of
--- a/internal/platform/feed/feed_test.go
+++ b/internal/platform/feed/feed_test.go
@@ -51,7 +51,7 @@
 	defer cancel()
 	logger, _ := logtest.NewNullLogger()
 	f := feed.New(feed.Config{
-		Feed: table.Feed{Snapshot: s.snapshot, Changes: func(context.Context, string, table.Position, clock.Millis) ([]table.Row, table.Position, error) {
+		Feed: table.Feed{ReadPage: s.page, Changes: func(context.Context, string, table.Position, clock.Millis) ([]table.Row, table.Position, error) {
 			return s.next(cancel)
 		}},
 		Clock: s.clock.Clock(), Logger: logger, Prefix: "E/",
@@ -81,11 +81,12 @@
 	}
 }
 
-func (s *scriptedFeed) snapshot(context.Context, string) ([]table.Row, table.Position, error) {
+// page returns all rows in a page.
+func (s *scriptedFeed) page(context.Context, string, string) (table.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.snapshots++
-	return make([]table.Row, s.snapshots), table.Position{Era: s.era, Revision: 7}, nil
+	return table.Page{Rows: make([]table.Row, s.snapshots), At: table.Position{Era: s.era, Revision: 7}}, nil
 }
 
 func (s *scriptedFeed) next(end func()) ([]table.Row, table.Position, error) {
@@ -166,12 +167,12 @@
 	logger, _ := logtest.NewNullLogger()
 	f := feed.New(feed.Config{
 		Feed: table.Feed{
-			Snapshot: func(ctx context.Context, _ string) ([]table.Row, table.Position, error) {
+			ReadPage: func(ctx context.Context, _, _ string) (table.Page, error) {
 				select {
 				case <-time.After(readTime):
-					return nil, table.Position{Revision: 7}, nil
+					return table.Page{At: table.Position{Revision: 7}}, nil
 				case <-ctx.Done():
-					return nil, table.Position{}, ctx.Err()
+					return table.Page{}, ctx.Err()
 				}
 			},
 		},
@@ -186,6 +187,94 @@
 	}
 }
 
+// pagedStore is a store with pages of one row, in which some calls fail.
+type pagedStore struct {
+	keys []string
+	// failures is the number of failed calls before each page.
+	failures int
+	era      uint64
+	asked    []string
+	failed   int
+	// restoreAfter is the key of the page after which the store comes back from a copy.
+	restoreAfter string
+}
+
+func (s *pagedStore) read(_ context.Context, _, after string) (table.Page, error) {
+	s.asked = append(s.asked, after)
+	if s.failed < s.failures {
+		s.failed++
+		return table.Page{}, table.ErrUnavailable
+	}
+	s.failed = 0
+	if after != "" && after == s.restoreAfter {
+		s.restoreAfter = ""
+		s.era++
+	}
+	for i, key := range s.keys {
+		if key > after {
+			return table.Page{Rows: []table.Row{{Key: key}}, At: table.Position{Era: s.era, Revision: uint64(7 + i)}, More: i+1 < len(s.keys)}, nil
+		}
+	}
+	return table.Page{}, errors.New("no row left")
+}
+
+// readAll returns the rows and the position of the first snapshot, and when it was current.
+func (s *pagedStore) readAll(t *testing.T) (rows []table.Row, at table.Position, asOf clock.Millis) {
+	t.Helper()
+	manual := clock.NewManual(1000)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	logger, _ := logtest.NewNullLogger()
+	f := feed.New(feed.Config{
+		Feed: table.Feed{ReadPage: s.read}, Clock: manual.Clock(), Logger: logger, Prefix: "E/",
+		Mode: func() feed.Mode { return feed.Read },
+		OnSnapshot: func(read []table.Row, position table.Position, current clock.Millis) {
+			rows, at, asOf = read, position, current
+			cancel()
+		},
+		Rand: rand.New(rand.NewPCG(1, 2)),
+	})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = f.Run(ctx)
+	}()
+	for {
+		select {
+		case <-done:
+			return rows, at, asOf
+		case <-time.After(time.Millisecond):
+			if manual.Sleepers() > 0 {
+				manual.Advance(50)
+			}
+		}
+	}
+}
+
+// TestPagesThatWereReadAreKept guards against a start that reads the same pages again and
+// again because the store is slow, which makes the store slower.
+func TestPagesThatWereReadAreKept(t *testing.T) {
+	s := &pagedStore{keys: []string{"E/a", "E/b", "E/c"}, failures: 1}
+	rows, at, asOf := s.readAll(t)
+	if len(rows) != 3 || at.Revision != 7 {
+		t.Errorf("got %d rows at %v, want 3 at the position of the first page", len(rows), at)
+	}
+	if asOf <= 1000 || asOf > 2000 {
+		t.Errorf("current as of %d, want the time of the first page that was read", asOf)
+	}
+	if want := []string{"", "", "E/a", "E/a", "E/b", "E/b"}; fmt.Sprint(s.asked) != fmt.Sprint(want) {
+		t.Errorf("asked for the pages after %q, want %q", s.asked, want)
+	}
+}
+
+func TestPagesOfDifferentErasAreNotMixed(t *testing.T) {
+	s := &pagedStore{keys: []string{"E/a", "E/b", "E/c"}, restoreAfter: "E/a"}
+	rows, at, _ := s.readAll(t)
+	if len(rows) != 3 || at.Era != 1 || len(s.asked) != 5 {
+		t.Errorf("got %d rows of era %d in %d calls, want 3 of the later era in 5", len(rows), at.Era, len(s.asked))
+	}
+}
+
 // modeFixture is a running Follower whose mode and store a test controls.
 type modeFixture struct {
 	clock *clock.Manual
@@ -207,7 +296,10 @@
 	}
 	f := feed.New(feed.Config{
 		Feed: table.Feed{
-			Snapshot: func(context.Context, string) ([]table.Row, table.Position, error) { return read() },
+			ReadPage: func(context.Context, string, string) (table.Page, error) {
+				rows, at, err := read()
+				return table.Page{Rows: rows, At: at}, err
+			},
 			Changes: func(ctx context.Context, _ string, _ table.Position, wait clock.Millis) ([]table.Row, table.Position, error) {
 				if err := m.clock.Clock().Sleep(ctx, wait); err != nil {
 					return nil, table.Position{}, err
