Give a starting daemon no place in the fleet before it is answered

Cause: a daemon that had not been answered yet took itself for the first of the fleet, and one that waited for the daemon before it for the second, so that most of them competed for the lease.

Change: such a daemon has no place until the first answer or failure, at most 1.5 s after it has contacted the other. What it reads from the store at its start does not depend on that.

--- a/internal/peer/topology/role.go
+++ b/internal/peer/topology/role.go
@@ -1,6 +1,7 @@
 package topology
 
 import (
+	"math"
 	"slices"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
@@ -19,6 +20,8 @@
 	// storeFollowers is the number of daemons of the fleet that follow the store. The
 	// others learn of changes from them.
 	storeFollowers = 3
+	// unranked is the rank of a daemon that does not know its place in the fleet.
+	unranked = math.MaxInt
 	// maxUnconfirmed is the age of a view from which all roots follow the store: the
 	// followers may be refused by the store or may have failed.
 	maxUnconfirmed = 2500 * clock.Millisecond
@@ -223,10 +226,30 @@
 // the roots by the name of their domain, then the daemons that come next in each
 // domain. Daemons with a low rank do the work with the store of which a few suffice;
 // those that cannot use the store do not count.
+//
+// A daemon has no place yet, and its rank is unranked, while it waits for the first answer
+// of any VM, or of one that may precede it.
 func (v *View) LeaderRank(now clock.Millis) int {
+	preceding := v.preceding()
+	mayFollow := firstInState(now, preceding, (*candidate).state, undecided) != nil
+	if v.awaitsFirstAnswer(now) || (mayFollow && firstResponding(now, preceding) == nil) {
+		return unranked
+	}
 	return v.leaderRank(now, (*candidate).state)
 }
 
+// awaitsFirstAnswer reports whether no VM has answered yet, though some may.
+func (v *View) awaitsFirstAnswer(now clock.Millis) bool {
+	awaited := false
+	for _, c := range v.candidates {
+		if c.everAnswered {
+			return false
+		}
+		awaited = awaited || c.state(now) == undecided
+	}
+	return awaited
+}
+
 // stateFunc is candidate.state or candidate.newsState.
 type stateFunc func(c *candidate, now clock.Millis) state
 
--- a/internal/peer/topology/topology_test.go
+++ b/internal/peer/topology/topology_test.go
@@ -403,3 +403,34 @@
 		t.Errorf("follows %q, want the larger VM", upstream)
 	}
 }
+
+// TestStartingDaemonHasNoPlaceBeforeItIsAnswered guards against a fleet that starts and
+// of which every daemon takes itself for the first one, and reads the lease.
+func TestStartingDaemonHasNoPlaceBeforeItIsAnswered(t *testing.T) {
+	const leaders = 2
+	v := topology.New(topology.VM{ID: "vm-5", Address: "5", FailureDomain: "a"})
+	v.AddAddress(0, "1")
+	v.RecordContact(0, "1")
+	if rank := v.LeaderRank(100); rank < leaders {
+		t.Errorf("got rank %d before the first answer", rank)
+	}
+	v.RecordAnswer(200, "1", topology.VM{ID: "vm-1", Address: "1", FailureDomain: "b"}, topology.Status{})
+	v.Add(200, topology.VM{ID: "vm-4", Address: "4", FailureDomain: "a"})
+	v.RecordContact(200, "4")
+	if rank := v.LeaderRank(300); rank < leaders {
+		t.Errorf("got rank %d while a daemon that precedes it may answer", rank)
+	}
+	v.RecordFailure(1000, "4")
+	if rank := v.LeaderRank(1000); rank != 0 {
+		t.Errorf("got rank %d after the daemon that precedes it failed, want 0", rank)
+	}
+}
+
+func TestDaemonWithoutAnswersTakesItsPlaceInTime(t *testing.T) {
+	v := topology.New(topology.VM{ID: "vm-5", Address: "5", FailureDomain: "a"})
+	v.AddAddress(0, "1")
+	v.RecordContact(0, "1")
+	if rank := v.LeaderRank(2000); rank != 0 {
+		t.Errorf("got rank %d 2 s after the only seed was contacted, want 0", rank)
+	}
+}
