Check the path to an endpoint after an open connection to it was reset

Cause: a broken path that resets what is sent shows only when something is sent. Each open connection cost one request, since nothing was concluded from the first reset; and a dial that was refused did not keep an open connection in doubt from being used.

Change: after an answer was lost on a connection of this daemon's own, the path is checked at once: a dial, and a question to a peer. TestResetOfOneConnectionIsAWarningForTheOthers fails without it: three more requests lost, none with it.

--- a/internal/endpoint/connect/connect.go
+++ b/internal/endpoint/connect/connect.go
@@ -106,6 +106,7 @@
 		}
 	}()
 	if kept := c.config.Pool.Take(target.Endpoint); kept != nil {
+		connections.Add("Kept", 1)
 		return c.useKept(ctx, target, kept)
 	}
 	if c.way(target.Endpoint) == path.ThroughPeer {
@@ -123,18 +124,20 @@
 // broken, it first dials the endpoint, since a request that is sent on a connection that has
 // lost its path may not be sent again.
 func (c *Connector) useKept(ctx context.Context, target Target, kept *http1.Conn) (Connection, error) {
-	if c.isDoubtful(target.Endpoint) {
-		d := c.startDial(target.Endpoint, target.Address)
-		opened, err := d.wait(ctx, dialPatience)
-		if err != nil && d.isSilent() {
-			kept.Close()
-			return c.goRound(ctx, target, d)
-		}
-		if err == nil {
-			opened.Release()
-		}
+	if !c.isDoubtful(target.Endpoint) {
+		return c.direct(kept, target), nil
+	}
+	d := c.startDial(target.Endpoint, target.Address)
+	opened, err := d.wait(ctx, dialPatience)
+	if err == nil {
+		opened.Release()
+		return c.direct(kept, target), nil
+	}
+	connection, err := c.goRound(ctx, target, d)
+	if err == nil || d.isSilent() {
+		kept.Close()
+		return connection, err
 	}
-	connections.Add("Kept", 1)
 	return c.direct(kept, target), nil
 }
 
@@ -164,16 +167,26 @@
 		answer, err := own.Do(ctx, request)
 		w.stop()
 		if err != nil {
-			if cause := context.Cause(ctx); errors.Is(cause, errPathBroken) {
-				err = &http1.RequestError{Sent: true, Cause: cause}
-			}
-			return nil, err
+			return nil, c.handleNoAnswer(ctx, target, err)
 		}
 		c.recordHeard(target.Endpoint)
 		return answer, nil
 	}}
 }
 
+// handleNoAnswer returns the error of a request that got no answer on a connection of this
+// daemon's own. Unless the caller has left, it checks the path to the endpoint.
+func (c *Connector) handleNoAnswer(ctx context.Context, target Target, err error) error {
+	cause := context.Cause(ctx)
+	if errors.Is(cause, errPathBroken) {
+		return &http1.RequestError{Sent: true, Cause: cause}
+	}
+	if cause == nil {
+		go (&lostAnswer{connector: c, target: target}).run()
+	}
+	return err
+}
+
 // throughPeer returns a way through the first peer that reaches the endpoint.
 func (c *Connector) throughPeer(ctx context.Context, target Target) (Connection, error) {
 	err := errNoPeer
--- a/internal/endpoint/connect/connect_test.go
+++ b/internal/endpoint/connect/connect_test.go
@@ -11,7 +11,9 @@
 	"net/http/httptest"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -35,7 +37,8 @@
 	// silent makes the daemon's own dials hang, and peerRefuses makes the peer say that it
 	// does not reach the endpoint either.
 	silent, peerRefuses atomic.Bool
-	dials               atomic.Int64
+	// resets makes the daemon's own path refuse dials and reset open connections.
+	resets atomic.Bool
 }
 
 func newPool(dial func(context.Context, string, string) (net.Conn, error)) *http1.Pool {
@@ -71,12 +74,28 @@
 }
 
 func (d *daemon) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	d.dials.Add(1)
+	if d.resets.Load() {
+		return nil, syscall.ECONNREFUSED
+	}
 	if d.silent.Load() {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	return (&net.Dialer{}).DialContext(ctx, network, address)
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	return &resettableConn{Conn: conn, daemon: d}, err
+}
+
+// resettableConn is a connection that fails when something is sent while the path resets.
+type resettableConn struct {
+	net.Conn
+	daemon *daemon
+}
+
+func (c *resettableConn) Read(buf []byte) (int, error) {
+	if c.daemon.resets.Load() {
+		return 0, syscall.ECONNRESET
+	}
+	return c.Conn.Read(buf)
 }
 
 // call sends a request and returns the body of the answer, and whether a peer passed it on.
@@ -216,3 +235,33 @@
 		t.Errorf("through a peer %v, error %v, want that the open connection is not used", throughPeer, err)
 	}
 }
+
+// TestResetOfOneConnectionIsAWarningForTheOthers guards against requests that are sent on
+// one open connection after the other, each of which has lost its path.
+func TestResetOfOneConnectionIsAWarningForTheOthers(t *testing.T) {
+	const connections = 4
+	d := startDaemon(t, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(100 * time.Millisecond)
+		_, _ = io.WriteString(w, "answer")
+	})
+	var calls sync.WaitGroup
+	for range connections {
+		calls.Go(func() {
+			if _, _, err := d.call(false, 900); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	calls.Wait()
+	time.Sleep(600 * time.Millisecond)
+	d.resets.Store(true)
+	if _, _, err := d.call(false, 900); err == nil {
+		t.Error("got an answer on a connection that is reset")
+	}
+	time.Sleep(100 * time.Millisecond)
+	for range connections - 1 {
+		if _, throughPeer, err := d.call(false, 900); err != nil || !throughPeer {
+			t.Errorf("through a peer %v, error %v, want that no other open connection is used", throughPeer, err)
+		}
+	}
+}
--- a/internal/endpoint/connect/watch.go
+++ b/internal/endpoint/connect/watch.go
@@ -52,7 +52,7 @@
 	ticker := time.NewTicker(checkInterval.Duration())
 	defer ticker.Stop()
 	for {
-		if w.connector.isBroken(w.ctx, w.target) {
+		if w.connector.isSilent(w.ctx, w.target) {
 			w.end()
 			return
 		}
@@ -78,46 +78,55 @@
 	}
 }
 
-// check finds out whether this daemon reaches an endpoint that is silent.
+// check finds out whether this daemon reaches an endpoint. A path is broken if a peer
+// reaches the endpoint and this daemon does not.
 type check struct {
 	done   chan struct{}
 	broken bool
+	// silent is set if the endpoint did not refuse the dial either.
+	silent bool
 }
 
-// isBroken reports whether nothing from an endpoint arrives here, though a peer reaches it.
-func (c *Connector) isBroken(ctx context.Context, target Target) bool {
+// isSilent reports whether nothing from an endpoint arrives here, though a peer reaches it.
+func (c *Connector) isSilent(ctx context.Context, target Target) bool {
 	if c.heardWithin(target.Endpoint, checkInterval) {
 		return false
 	}
+	made := c.check(ctx, target)
+	return made.broken && made.silent
+}
+
+// check checks the path to an endpoint, or waits for the check that is under way.
+func (c *Connector) check(ctx context.Context, target Target) *check {
 	c.mu.Lock()
 	running := c.checks[target.Endpoint]
-	if running == nil {
-		running = &check{done: make(chan struct{})}
-		c.checks[target.Endpoint] = running
+	if running != nil {
 		c.mu.Unlock()
-		running.broken = c.checkPath(ctx, target)
-		c.mu.Lock()
-		delete(c.checks, target.Endpoint)
-		close(running.done)
+		<-running.done
+		return running
 	}
+	made := &check{done: make(chan struct{})}
+	c.checks[target.Endpoint] = made
+	c.mu.Unlock()
+	made.broken, made.silent = c.checkPath(ctx, target)
+	c.mu.Lock()
+	delete(c.checks, target.Endpoint)
 	c.mu.Unlock()
-	<-running.done
-	return running.broken
+	close(made.done)
+	return made
 }
 
-// checkPath dials the endpoint and, if it is silent, asks peers.
-func (c *Connector) checkPath(ctx context.Context, target Target) (broken bool) {
-	if c.way(target.Endpoint) == path.ThroughPeer {
-		return true
-	}
+// checkPath dials the endpoint and, if that fails, asks peers.
+func (c *Connector) checkPath(ctx context.Context, target Target) (broken, silent bool) {
 	d := c.startDial(target.Endpoint, target.Address)
 	own, err := d.wait(ctx, dialPatience)
 	if err == nil {
 		own.Release()
-		return false
+		return false, false
 	}
-	if !d.isSilent() {
-		return false
+	silent = d.isSilent()
+	if c.way(target.Endpoint) == path.ThroughPeer {
+		return true, silent
 	}
 	for _, peer := range c.choosePeers(target) {
 		passage, err := c.open(ctx, peer.Address, target)
@@ -126,8 +135,21 @@
 		}
 		passage.Cancel()
 		c.recordPassed(peer.Address)
-		c.recordBroken(target.Endpoint, true)
-		return true
+		c.recordBroken(target.Endpoint, silent)
+		return true, silent
 	}
-	return false
+	return false, silent
+}
+
+// lostAnswer checks the path to an endpoint after an open connection to it has failed
+// without an answer, so that requests are not sent on others that fail in the same way.
+type lostAnswer struct {
+	connector *Connector
+	target    Target
+}
+
+func (l *lostAnswer) run() {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout.Duration())
+	defer cancel()
+	l.connector.check(ctx, l.target)
 }
