Keep what endpoints ask of all gateways together by permits

Callers and endpoints saw: an endpoint that states how many requests a second it takes from all (Server-Limit) got them all, and endpoints that fall over if they refuse too many (Server-Brittle) fell over. Neither was read.

Cause: each gateway decides for itself, and nothing that an endpoint asks of all together can be kept by each for itself.

Change: package strain. What an endpoint states is told to all gateways in the next report. A request to such an endpoint needs a permit of its owner, one of the first eight gateways of the endpoint's failure domain by rendezvous hash, so that nothing grows with gateways times endpoints: one call for each request to an endpoint with terms, and one message at its end if it is brittle. The rate is kept by the generic cell rate algorithm, which also gives each request its turn, urgent ones later turns than others; the number of requests at a brittle endpoint by a window that leaves its queue out. An endpoint that has not said so counts as brittle like others of its back end. A refused permit sets the endpoint aside until a place is likely.

Not replaced yet: ejection and quiet times stay beside it.

--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -8,6 +8,7 @@
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/config/document"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
+	"github.com/banyanshift/banyanshift/internal/decide/strain"
 	"github.com/banyanshift/banyanshift/internal/endpoint/connect"
 	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
 )
@@ -124,10 +125,51 @@
 	}
 }
 
-// attempt sends the request to an endpoint and forwards its answer.
+// attempt sends the request to an endpoint and forwards its answer, if it gets a permit.
 func (x *exchange) attempt(placement Placement) result {
-	h := x.handler
 	x.trace.recordPlacement(x, placement)
+	permit := x.handler.config.Scheduler.Acquire(x.r.Context(), placement, x.priority(), x.timeLeft())
+	if !permit.Granted {
+		return x.handleNoPermit(placement, permit)
+	}
+	outcome := x.send(placement)
+	if permit.Release != nil {
+		permit.Release(outcome.asStrain())
+	}
+	return outcome
+}
+
+// asStrain returns what the result says of the endpoint's strain.
+func (r result) asStrain() strain.Outcome {
+	switch r {
+	case notSent:
+		return strain.NotSent
+	case notRun:
+		return strain.Refused
+	case noAnswer:
+		return strain.Failed
+	case answered, failed, callerGone:
+	}
+	return strain.Answered
+}
+
+// handleNoPermit records that the endpoint has no place for the request now.
+func (x *exchange) handleNoPermit(placement Placement, permit Permit) result {
+	s := x.handler.config.Scheduler
+	s.RecordEnd(placement, balance.Canceled)
+	if x.r.Context().Err() != nil {
+		x.trace.setResult(0, "caller left")
+		return callerGone
+	}
+	s.SetAside(placement.Endpoint, permit.AskAgainIn)
+	x.attempts.lastReason = "endpoint takes no more requests now"
+	x.recordFailure(x.attempts.lastReason, placement, nil)
+	return notSent
+}
+
+// send sends the request to an endpoint and forwards its answer.
+func (x *exchange) send(placement Placement) result {
+	h := x.handler
 	connection, err := x.connect(placement)
 	sentWall := h.config.Clock.Wall()
 	if err != nil {
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -31,6 +31,7 @@
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/config/document"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
+	"github.com/banyanshift/banyanshift/internal/decide/strain"
 	"github.com/banyanshift/banyanshift/internal/endpoint/connect"
 )
 
@@ -98,6 +99,8 @@
 	// QuietTime is how long the endpoint wants no requests from this daemon, 0 if it
 	// does not say so.
 	QuietTime clock.Millis
+	// Terms is what the endpoint asks of all daemons together.
+	Terms strain.Terms
 	// Sealed is true if the header has the endpoint's seal, its proof of what
 	// it answered.
 	Sealed bool
@@ -137,6 +140,13 @@
 	// RecordLeaving is called when the endpoint of a placement reports that it is
 	// about to end. It gets no new requests.
 	RecordLeaving func(placement Placement)
+	// RecordTerms is called with the terms in each answer.
+	RecordTerms func(placement Placement, terms strain.Terms)
+	// Acquire asks for the permit to send a request to an endpoint, and waits until it
+	// may be sent.
+	Acquire func(ctx context.Context, placement Placement, priority int, timeLeft clock.Millis) Permit
+	// SetAside sends no requests to an endpoint for a time.
+	SetAside func(endpoint string, time clock.Millis)
 	// RecordQuiet is called when an endpoint wants no requests for a time.
 	RecordQuiet func(endpoint string, quiet clock.Millis)
 	// InvalidateAddress reports that the endpoint's address now belongs to
@@ -150,6 +160,14 @@
 	TakeRetry func(backend string) bool
 }
 
+// Permit allows a request to be sent to an endpoint, or says when to ask again.
+type Permit struct {
+	Granted    bool
+	AskAgainIn clock.Millis
+	// Release is called with the outcome of the request. It is nil if nobody waits for it.
+	Release func(outcome strain.Outcome)
+}
+
 // RecordSignals records what an endpoint says of itself in an answer.
 func (s Scheduler) RecordSignals(placement Placement, head AnswerHead) {
 	if head.Load != nil {
@@ -161,6 +179,7 @@
 	if head.Leaving {
 		s.RecordLeaving(placement)
 	}
+	s.RecordTerms(placement, head.Terms)
 }
 
 // Streams remembers which software versions began streams. All fields must be set.
--- a/internal/caller/relay/relay_test.go
+++ b/internal/caller/relay/relay_test.go
@@ -24,6 +24,7 @@
 	"github.com/banyanshift/banyanshift/internal/config/document"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
 	"github.com/banyanshift/banyanshift/internal/decide/path"
+	"github.com/banyanshift/banyanshift/internal/decide/strain"
 	"github.com/banyanshift/banyanshift/internal/endpoint/connect"
 	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
 )
@@ -151,6 +152,11 @@
 			}
 			return relay.Placement{}, relay.Refusal{Reason: "no endpoint", RetryAfter: 700}
 		},
+		RecordTerms: func(relay.Placement, strain.Terms) {},
+		Acquire: func(context.Context, relay.Placement, int, clock.Millis) relay.Permit {
+			return relay.Permit{Granted: true}
+		},
+		SetAside:         func(string, clock.Millis) {},
 		RecordFirstToken: func(relay.Placement) {},
 		RecordEnd: func(_ relay.Placement, o balance.Outcome) {
 			f.mu.Lock()
--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -226,7 +226,7 @@
 }
 
 func (d *Daemon) buildCallers() {
-	d.relayScheduler = d.scheduler.RelayScheduler(d.fleet.RecordLeaving)
+	d.relayScheduler = d.fleet.RelayScheduler()
 	d.handler = relay.New(relay.Config{
 		Streams: relay.Streams{Record: d.fleet.RecordStream, Find: d.fleet.FindStream},
 		Clock:   d.clock, Logger: d.logger, Wire: d.platform.Wire, Connect: d.connector.Connect, Scheduler: d.relayScheduler,
--- a/internal/decide/balance/quiet.go
+++ b/internal/decide/balance/quiet.go
@@ -26,9 +26,25 @@
 	return begun
 }
 
-// isQuiet reports whether the endpoint wants no requests.
+// SetAside records that an endpoint has no place for a request until some time has passed.
+// Unlike after a quiet time, it then gets as many as it has places for.
+func (b *Balancer) SetAside(now clock.Millis, id string, time clock.Millis) {
+	if r := b.replicas[id]; r != nil {
+		r.asideUntil = now + min(time, maxQuietTime)
+	}
+}
+
+// JobCount returns the number of known requests at an endpoint.
+func (b *Balancer) JobCount(id string) int {
+	if r := b.replicas[id]; r != nil {
+		return r.jobCount
+	}
+	return 0
+}
+
+// isQuiet reports whether the endpoint is to get no requests.
 func (r *replica) isQuiet(now clock.Millis) bool {
-	return now < r.quietUntil
+	return now < max(r.quietUntil, r.asideUntil)
 }
 
 // Accepts reports whether an endpoint is known, is not leaving and wants requests.
@@ -61,7 +77,7 @@
 		if !r.isQuiet(now) {
 			return 0, false
 		}
-		if left := r.quietUntil - now; !found || left < wait {
+		if left := max(r.quietUntil, r.asideUntil) - now; !found || left < wait {
 			wait, found = left, true
 		}
 	}
--- a/internal/decide/balance/replica.go
+++ b/internal/decide/balance/replica.go
@@ -64,6 +64,8 @@
 	ejectedUntil           clock.Millis
 	// quietUntil is the end of the last quiet time, 0 if there was none.
 	quietUntil clock.Millis
+	// asideUntil is the time until which there is no place for a request.
+	asideUntil clock.Millis
 	// reportedLoad is the number of requests that the endpoint reported at
 	// reportedAt.
 	reportedLoad int
--- a/internal/peer/fleet/fleet.go
+++ b/internal/peer/fleet/fleet.go
@@ -29,6 +29,7 @@
 
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/coord/table"
+	"github.com/banyanshift/banyanshift/internal/caller/relay"
 	"github.com/banyanshift/banyanshift/internal/config/document"
 	"github.com/banyanshift/banyanshift/internal/endpoint/roster"
 	"github.com/banyanshift/banyanshift/internal/peer/fanout"
@@ -86,6 +87,7 @@
 	group     *errgroup.Group
 	publisher *publisher
 	streams   *streams
+	permits   *permits
 
 	startedAt clock.Millis
 	// listFetch is held while a list of endpoints is fetched, so that several peers do
@@ -117,7 +119,7 @@
 		exchange: fanout.New[report](config.Incarnation, config.Self.FailureDomain),
 		peers:    make(map[string]*peer),
 	}
-	f.publisher, f.streams = newPublisher(f), newStreams(f)
+	f.publisher, f.streams, f.permits = newPublisher(f), newStreams(f), newPermits(f, config.Rand.Uint64())
 	f.registerHandlers()
 	return f
 }
@@ -152,6 +154,13 @@
 	return f.view.Status(f.config.Clock.Now()).Daemons
 }
 
+// RelayScheduler returns the scheduling functions that the request path calls.
+func (f *Fleet) RelayScheduler() relay.Scheduler {
+	s := f.config.Scheduler.RelayScheduler(f.RecordLeaving)
+	s.RecordTerms, s.Acquire = f.RecordTerms, f.Acquire
+	return s
+}
+
 // LivingVMs returns the other VMs that this daemon knows of, without those that have
 // failed or are shutting down.
 func (f *Fleet) LivingVMs() []topology.VM {
--- a/internal/peer/fleet/scheduler.go
+++ b/internal/peer/fleet/scheduler.go
@@ -98,7 +98,7 @@
 // recordLeaving is called when an endpoint reports that it is about to end.
 func (s *Scheduler) RelayScheduler(recordLeaving func(relay.Placement)) relay.Scheduler {
 	return relay.Scheduler{
-		RecordLeaving: recordLeaving, RecordQuiet: s.recordQuiet, Place: s.place, RecordFirstToken: s.recordFirstToken, RecordEnd: s.recordEnd, RecordLoad: s.recordLoad, InvalidateAddress: s.invalidateAddress, CountRequest: s.countRequest, TakeRetry: s.takeRetry,
+		RecordLeaving: recordLeaving, RecordQuiet: s.recordQuiet, SetAside: s.setAside, Place: s.place, RecordFirstToken: s.recordFirstToken, RecordEnd: s.recordEnd, RecordLoad: s.recordLoad, InvalidateAddress: s.invalidateAddress, CountRequest: s.countRequest, TakeRetry: s.takeRetry,
 	}
 }
 
@@ -239,6 +239,20 @@
 	return found && known.Address == address && s.balancer.Accepts(s.clock.Now(), endpoint)
 }
 
+// JobCount returns the number of requests at an endpoint that are known to this daemon.
+func (s *Scheduler) JobCount(endpoint string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.balancer.JobCount(endpoint)
+}
+
+// setAside sends no requests to an endpoint for a time, since it has no place for them now.
+func (s *Scheduler) setAside(endpoint string, time clock.Millis) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.balancer.SetAside(s.clock.Now(), endpoint, time)
+}
+
 // Incarnation returns the incarnation of an endpoint, 0 if it is not known.
 func (s *Scheduler) Incarnation(endpoint string) int64 {
 	s.mu.Lock()
--- a/internal/peer/fleet/streams.go
+++ b/internal/peer/fleet/streams.go
@@ -35,12 +35,13 @@
 	return &streams{fleet: f, book: origin.New()}
 }
 
-// SetEndpoints records the software versions of the endpoints.
+// SetEndpoints records which endpoints there are, and their software versions.
 func (f *Fleet) SetEndpoints(list []roster.Endpoint) {
 	endpoints := make([]balance.Endpoint, 0, len(list))
 	for _, endpoint := range list {
 		endpoints = append(endpoints, endpoint.Endpoint)
 	}
+	f.permits.setEndpoints(list)
 	s, now := f.streams, f.config.Clock.Now()
 	s.mu.Lock()
 	var started []startedStream
--- a/internal/peer/message/message.go
+++ b/internal/peer/message/message.go
@@ -45,6 +45,8 @@
 	FleetNews            Type = 0x88
 	FleetStreams         Type = 0x89
 	FleetStreamOrigin    Type = 0x8a
+	FleetPermit          Type = 0x8b
+	FleetPermitEnd       Type = 0x8c
 	// Requests that are forwarded to an endpoint for another daemon, on connections of
 	// their own.
 	ForwardOpen    Type = 0x90
--- a/internal/peer/topology/topology_test.go
+++ b/internal/peer/topology/topology_test.go
@@ -434,3 +434,31 @@
 		t.Errorf("got rank %d 2 s after the only seed was contacted, want 0", rank)
 	}
 }
+
+// TestDaemonsAgreeOnOwners checks that keys are shared by the first VMs of their domain, and
+// that those of a VM that fails go to others while the rest stay.
+func TestDaemonsAgreeOnOwners(t *testing.T) {
+	const keys = 400
+	s := newSimulation(40, 3)
+	s.mustSettle(t, 10*clock.Second)
+	var first *node
+	owners := make(map[string]string)
+	counts := make(map[string]int)
+	for _, n := range s.order {
+		for k := range keys {
+			key, domain := fmt.Sprint("i-", k), fmt.Sprintf("domain-%02d", k%3)
+			got := n.view.Owners(s.now, domain, key)
+			if first == nil {
+				owners[key] = got[0]
+				counts[got[0]]++
+			}
+			if got[0] != owners[key] {
+				t.Fatalf("%s takes %s for the owner of %s, others %s", n.vm.ID, got[0], key, owners[key])
+			}
+		}
+		first = n
+	}
+	if len(counts) < 3*6 {
+		t.Errorf("%d daemons own the keys of 3 domains, want about 8 each: %v", len(counts), counts)
+	}
+}
