Give up answers whose head never ends

Callers would have seen: an endpoint in trouble that sends bytes without end that are no answer fills the gateway's memory until the time limit of the request, and kills it if that is long enough.

Cause: only the time limit bounded the status line, the header and the interim answers of an endpoint.

Change: the head, with the interim answers before it, may have 64 KiB. The error names it and the connection is closed.

--- a/internal/endpoint/http1/exchange.go
+++ b/internal/endpoint/http1/exchange.go
@@ -166,30 +166,6 @@
 	return err
 }
 
-// readHead reads the status and header of the next answer and skips interim
-// (1xx) answers.
-func readHead(c *Conn, method string) (*Answer, error) {
-	for {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode == http.StatusSwitchingProtocols {
-			_ = response.Body.Close()
-			return nil, errors.New("the endpoint switches protocols")
-		}
-		if response.StatusCode < http.StatusOK {
-			_ = response.Body.Close()
-			continue
-		}
-		framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-		return &Answer{
-			Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
-			body: response.Body, framed: framed, reusable: framed && !response.Close,
-		}, nil
-	}
-}
-
 // bodyWrite writes a long request body while the answer is read.
 type bodyWrite struct {
 	conn *Conn
--- a/internal/endpoint/http1/http1_test.go
+++ b/internal/endpoint/http1/http1_test.go
@@ -71,9 +71,22 @@
 	return http1.Request{ID: id, Method: "POST", Head: []byte("POST /x HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n"), Deadline: clock.System().Now() + 2000}
 }
 
+// newPipePool returns a pool whose only connection is given.
+func newPipePool(conn net.Conn) *http1.Pool {
+	return http1.New(http1.Config{
+		Clock:          clock.System(),
+		MatchesRequest: func(_ int, header http.Header, id string) bool { return header.Get("Id") == id },
+		Dial:           func(context.Context, string, string) (net.Conn, error) { return conn, nil },
+	})
+}
+
 // get sends a request and returns the body of the answer.
 func get(p *http1.Pool, e *endpoint, r http1.Request) (string, error) {
-	answer, err := p.Do(context.Background(), "e1", e.listener.Addr().String(), r)
+	return getFrom(p, e.listener.Addr().String(), r)
+}
+
+func getFrom(p *http1.Pool, address string, r http1.Request) (string, error) {
+	answer, err := p.Do(context.Background(), "e1", address, r)
 	if err != nil {
 		return "", err
 	}
--- a/internal/endpoint/http1/pool.go
+++ b/internal/endpoint/http1/pool.go
@@ -72,7 +72,9 @@
 type Conn struct {
 	pool    *Pool
 	netConn net.Conn
+	// reader reads through limiter.
 	reader  *bufio.Reader
+	limiter *headReader
 	// key identifies the endpoint.
 	key string
 	// expiresAt is the time from which an idle connection must not be reused.
@@ -175,7 +177,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{pool: p, netConn: netConn, reader: bufio.NewReaderSize(netConn, readBufferBytes), key: key}, nil
+	limiter := &headReader{conn: netConn}
+	return &Conn{pool: p, netConn: netConn, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter, key: key}, nil
 }
 
 // isOpenAndQuiet reports whether an idle connection is open and has no unread
