Check long answers of plain services like short ones

Cause: answers that are too long to be buffered went to the caller before their status and proof were looked at.

Change: the checks come first; a long failure is not kept for the case that no retry succeeds. TestLongAnswersAreCheckedLikeOthers failed before (200 instead of 502, 500 instead of a retry).

--- a/internal/caller/relay/answer.go
+++ b/internal/caller/relay/answer.go
@@ -25,15 +25,13 @@
 	s := x.handler.config.Scheduler
 	x.countStart(sentWall)
 	body, err := readBuffered(answer)
-	if errors.Is(err, errAnswerTooLarge) {
-		return x.forwardLong(placement, answer, body)
-	}
+	long := errors.Is(err, errAnswerTooLarge)
 	if x.r.Context().Err() != nil {
 		s.RecordEnd(placement, balance.Canceled)
 		x.trace.setResult(0, "caller left")
 		return callerGone
 	}
-	if err != nil {
+	if err != nil && !long {
 		s.RecordEnd(placement, balance.Failed)
 		x.attempts.lastReason = err.Error()
 		x.recordFailure("answer broke off", placement, err)
@@ -41,27 +39,32 @@
 	}
 	buffered := &bufferedAnswer{status: answer.Status, header: answer.Header, body: body}
 	switch {
-	case answer.Status >= http.StatusInternalServerError:
-		s.RecordEnd(placement, balance.Failed)
-		x.attempts.errorAnswer = buffered
-		x.attempts.lastReason = "endpoint answered " + strconv.Itoa(answer.Status)
-		x.recordFailure(x.attempts.lastReason, placement, nil)
-		return x.handleServerError(buffered)
 	case answer.Status < http.StatusMultipleChoices && !head.Sealed:
 		s.RecordEnd(placement, balance.Failed)
 		x.attempts.lastReason = "answer without the endpoint's proof"
 		x.recordFailure(x.attempts.lastReason, placement, nil)
 		return noAnswer
+	case answer.Status >= http.StatusInternalServerError && (!long || x.route.Repeatable()):
+		s.RecordEnd(placement, balance.Failed)
+		x.attempts.lastReason = "endpoint answered " + strconv.Itoa(answer.Status)
+		x.recordFailure(x.attempts.lastReason, placement, nil)
+		return x.handleServerError(buffered, long)
 	}
 	s.RecordFirstToken(placement)
+	if long {
+		return x.forwardLong(placement, answer, body)
+	}
 	s.RecordEnd(placement, balance.Succeeded)
 	x.writeAnswer(buffered)
 	return answered
 }
 
 // handleServerError forwards an endpoint's 5xx answer to the caller, unless the
-// request may be retried.
-func (x *exchange) handleServerError(buffered *bufferedAnswer) result {
+// request may be retried. A long answer is not kept for the case that no retry succeeds.
+func (x *exchange) handleServerError(buffered *bufferedAnswer, long bool) result {
+	if !long {
+		x.attempts.errorAnswer = buffered
+	}
 	if x.route.Repeatable() {
 		return failed
 	}
@@ -105,13 +108,16 @@
 	if err == nil {
 		_, err = io.Copy(x.w, answer)
 	}
-	s.RecordFirstToken(placement)
 	if err != nil {
 		s.RecordEnd(placement, balance.Failed)
 		x.abortAnswer("answer broke off: " + err.Error())
 		return answered
 	}
-	s.RecordEnd(placement, balance.Succeeded)
+	outcome := balance.Succeeded
+	if answer.Status >= http.StatusInternalServerError {
+		outcome = balance.Failed
+	}
+	s.RecordEnd(placement, outcome)
 	x.trace.setResult(answer.Status, "")
 	return answered
 }
