Send no event twice when a resumed stream has events without IDs

Cause: an event without an ID ended the search for events that the caller has, and everything after it in the same piece was passed on.

Change: such an event waits for the next one with an ID, which tells whether the caller has it.

--- a/internal/caller/relay/splitter.go
+++ b/internal/caller/relay/splitter.go
@@ -43,7 +43,12 @@
 	ready = s.pending[:end:end]
 	s.pending = append([]byte(nil), s.pending[end:]...)
 	if s.skipThroughID != "" {
-		ready, err = s.skipSentEvents(ready)
+		var undecided []byte
+		ready, undecided, err = s.skipSentEvents(ready)
+		s.pending = append(append([]byte(nil), undecided...), s.pending...)
+		if err == nil && len(s.pending) > maxEventBytes {
+			err = errEventTooLong
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -54,26 +59,30 @@
 	return ready, nil
 }
 
-// skipSentEvents drops the events that the caller has. It returns an error if
-// the events after them are missing.
-func (s *eventSplitter) skipSentEvents(ready []byte) ([]byte, error) {
-	for len(ready) > 0 {
-		end := firstEventLength(ready)
-		id, found := lastEventID(ready[:end])
+// skipSentEvents drops the events that the caller has and returns the others. Whether the
+// caller has an event without an ID shows at the next event with one; those at the end are
+// returned as undecided. It returns an error if the events after the dropped ones are
+// missing.
+func (s *eventSplitter) skipSentEvents(events []byte) (ready, undecided []byte, err error) {
+	undecided = events
+	for at := 0; at < len(events); {
+		end := at + firstEventLength(events[at:])
+		id, found := lastEventID(events[at:end])
+		at = end
 		if !found {
-			return ready, nil
+			continue
 		}
 		gap, numbered := idDistance(s.skipThroughID, id)
 		if !numbered || gap == 1 {
 			s.skipThroughID = ""
-			return ready, nil
+			return undecided, nil, nil
 		}
 		if gap > 1 {
-			return nil, fmt.Errorf("resumed stream goes on at event %s after %s", id, s.skipThroughID)
+			return nil, nil, fmt.Errorf("resumed stream goes on at event %s after %s", id, s.skipThroughID)
 		}
-		ready = ready[end:]
+		undecided = events[end:]
 	}
-	return nil, nil
+	return nil, undecided, nil
 }
 
 // idDistance returns next minus have. numbered is false if one of the IDs is not
