Hold reports across failure domains until another root has answered

Cause, as read: a daemon that becomes the root of its domain sends the reports of its domain to the other roots, but drops them while none has answered it yet. What its followers reported in that moment is not reported again, since their way to the root does not change any more. Bills are not touched: the holder of the lease asks the roots before it seals a window.

Change: such reports wait for the first answer of another root, or until none can be expected. TestNewRootAwaitsTheOtherRoots checks when.

--- a/internal/peer/fleet/report.go
+++ b/internal/peer/fleet/report.go
@@ -62,7 +62,11 @@
 	if !own.empty() {
 		f.exchange.Add(own)
 	}
-	up, across, down := f.exchange.Take(fanout.Up), f.exchange.Take(fanout.Across), f.exchange.Take(fanout.Down)
+	up, down := f.exchange.Take(fanout.Up), f.exchange.Take(fanout.Down)
+	var across []fanout.Item[report]
+	if !f.view.AwaitsRemoteRoots(now) {
+		across = f.exchange.Take(fanout.Across)
+	}
 	roots, subscribers := f.view.RemoteRoots(now), f.view.Subscribers()
 	var upstreams []string
 	if upstream, found := f.view.Upstream(now); found {
--- a/internal/peer/topology/role.go
+++ b/internal/peer/topology/role.go
@@ -222,6 +222,17 @@
 	return addresses
 }
 
+// AwaitsRemoteRoots reports whether this daemon is a root that no root of another failure
+// domain has answered yet, though some may. That is so for a moment after a takeover.
+func (v *View) AwaitsRemoteRoots(now clock.Millis) bool {
+	if !v.IsRoot(now) || len(v.RemoteRoots(now)) > 0 {
+		return false
+	}
+	return slices.ContainsFunc(v.otherDomains(), func(name string) bool {
+		return firstInState(now, v.domains[name], (*candidate).state, undecided) != nil
+	})
+}
+
 // LeaderRank returns the place of this daemon in the order of the whole fleet:
 // the roots by the name of their domain, then the daemons that come next in each
 // domain. Daemons with a low rank do the work with the store of which a few suffice;
--- a/internal/peer/topology/topology_test.go
+++ b/internal/peer/topology/topology_test.go
@@ -462,3 +462,28 @@
 		t.Errorf("%d daemons own the keys of 3 domains, want about 8 each: %v", len(counts), counts)
 	}
 }
+
+// TestNewRootAwaitsTheOtherRoots guards against reports that a daemon drops after a takeover
+// because no other root has answered it yet.
+func TestNewRootAwaitsTheOtherRoots(t *testing.T) {
+	v := topology.New(topology.VM{ID: "vm-2", Address: "2", FailureDomain: "a"})
+	if v.AwaitsRemoteRoots(0) {
+		t.Error("a daemon that knows no other failure domain awaits a root")
+	}
+	v.Add(0, topology.VM{ID: "vm-3", Address: "3", FailureDomain: "b"})
+	v.Add(0, topology.VM{ID: "vm-4", Address: "4", FailureDomain: "c"})
+	if !v.AwaitsRemoteRoots(100) {
+		t.Error("a new root does not await the others")
+	}
+	v.RecordContact(100, "3")
+	v.RecordAnswer(200, "3", topology.VM{ID: "vm-3", Address: "3", FailureDomain: "b"}, topology.Status{})
+	if v.AwaitsRemoteRoots(300) {
+		t.Error("the root of a failed domain holds up reports to the others")
+	}
+	v.RecordFailure(5000, "3")
+	v.RecordContact(5000, "4")
+	v.RecordFailure(5100, "4")
+	if v.AwaitsRemoteRoots(9000) {
+		t.Error("roots that have failed are awaited")
+	}
+}
