Name connections through peers and the limiter by the terms of the field

Passage and gate become connection and limiter. A peer that has closed an idle connection is asked again on a new one (TestPeerThatHasRestartedIsAskedAgain), instead of counting as one that fails.

--- a/internal/decide/path/path.go
+++ b/internal/decide/path/path.go
@@ -213,15 +213,15 @@
 	return cost + unknownWeight
 }
 
-// RecordPassing records that a peer reached an endpoint and a request passes through it.
-func (t *Table) RecordPassing(now clock.Millis, peer string) {
+// RecordForwardBegun records that a peer reached an endpoint and a request passes through it.
+func (t *Table) RecordForwardBegun(now clock.Millis, peer string) {
 	s := t.peer(now, peer)
 	s.reached, s.reachedAt, s.failed = true, now, false
 	s.requests++
 }
 
-// RecordPassed records that a request that passed through a peer has ended.
-func (t *Table) RecordPassed(now clock.Millis, peer string) {
+// RecordForwardEnded records that a request that passed through a peer has ended.
+func (t *Table) RecordForwardEnded(now clock.Millis, peer string) {
 	t.peer(now, peer).requests--
 }
 
--- a/internal/decide/path/path_test.go
+++ b/internal/decide/path/path_test.go
@@ -149,8 +149,8 @@
 func askPeers(table *path.Table, now clock.Millis, peers []path.Peer, reaches map[string]bool) int {
 	for i, peer := range peers {
 		if reaches[peer.Address] {
-			table.RecordPassing(now, peer.Address)
-			table.RecordPassed(now, peer.Address)
+			table.RecordForwardBegun(now, peer.Address)
+			table.RecordForwardEnded(now, peer.Address)
 			return i
 		}
 		table.RecordPeerFailed(now, peer.Address)
@@ -166,7 +166,7 @@
 	through := make(map[string]int)
 	for range requests {
 		peer := table.Choose(0, peers, []string{"domain-0", "domain-1", "domain-2"}, rng.Float64)[0]
-		table.RecordPassing(0, peer.Address)
+		table.RecordForwardBegun(0, peer.Address)
 		through[peer.Address]++
 	}
 	for _, peer := range peers {
--- a/internal/decide/strain/book.go
+++ b/internal/decide/strain/book.go
@@ -5,7 +5,7 @@
 // A Book holds the terms that endpoints have stated, as this daemon heard them itself or
 // from others. A request to an endpoint with terms needs a permit. One daemon, the owner of
 // the endpoint, gives the permits for all daemons, so that they keep the terms together
-// however their traffic is divided. Its Gate works like a queue of which only the head is
+// however their traffic is divided. Its Limiter works like a queue of which only the head is
 // known: it states when the request may be sent, as long as that is soon enough for the
 // request, and otherwise when to ask again.
 //
@@ -25,9 +25,9 @@
 //
 //	book := strain.NewBook()
 //	changed := book.Record(now, strain.Statement{Endpoint: "i-7f3a91c2", Incarnation: 3, Terms: terms})
-//	gate := strain.NewGate()
-//	decision := gate.Decide(now, strain.Ask{Endpoint: "i-7f3a91c2", Permit: 7, Terms: terms, Slots: 64, MaxWait: 300, Lifetime: 5000})
-//	gate.Finish(now, "i-7f3a91c2", 7, terms, strain.Answered)
+//	limiter := strain.NewLimiter()
+//	decision := limiter.Decide(now, strain.Ask{Endpoint: "i-7f3a91c2", Permit: 7, Terms: terms, Slots: 64, MaxWait: 300, Lifetime: 5000})
+//	limiter.Finish(now, "i-7f3a91c2", 7, terms, strain.Answered)
 package strain
 
 import "github.com/banyanshift/banyanshift/coord/clock"
--- a/internal/decide/strain/limiter.go
+++ b/internal/decide/strain/limiter.go
@@ -68,14 +68,14 @@
 	Wait clock.Millis
 }
 
-// Gate gives the permits for the endpoints that a daemon owns.
-type Gate struct {
-	endpoints map[string]*gateState
+// Limiter gives the permits for the endpoints that a daemon owns.
+type Limiter struct {
+	endpoints map[string]*limiterState
 	lastSweep clock.Millis
 }
 
-// gateState is the state of one endpoint.
-type gateState struct {
+// limiterState is the state of one endpoint.
+type limiterState struct {
 	usedAt clock.Millis
 	// nextSend is the theoretical time of the next request at the stated rate, in ms.
 	nextSend float64
@@ -89,15 +89,15 @@
 	permits map[uint64]clock.Millis
 }
 
-// NewGate returns a Gate that has given no permits.
-func NewGate() *Gate {
-	return &Gate{endpoints: make(map[string]*gateState)}
+// NewLimiter returns a Limiter that has given no permits.
+func NewLimiter() *Limiter {
+	return &Limiter{endpoints: make(map[string]*limiterState)}
 }
 
 // Decide decides on a permit.
-func (g *Gate) Decide(now clock.Millis, ask Ask) Decision {
-	g.sweep(now)
-	s := g.state(now, ask)
+func (l *Limiter) Decide(now clock.Millis, ask Ask) Decision {
+	l.sweep(now)
+	s := l.state(now, ask)
 	s.usedAt = now
 	s.setBrittle(now, ask)
 	if s.brittle {
@@ -119,18 +119,18 @@
 	return Decision{Granted: true, Wait: wait}
 }
 
-func (g *Gate) state(now clock.Millis, ask Ask) *gateState {
-	s := g.endpoints[ask.Endpoint]
+func (l *Limiter) state(now clock.Millis, ask Ask) *limiterState {
+	s := l.endpoints[ask.Endpoint]
 	if s == nil {
-		s = &gateState{nextSend: float64(now), window: float64(slots(ask)), permits: make(map[uint64]clock.Millis)}
-		g.endpoints[ask.Endpoint] = s
+		s = &limiterState{nextSend: float64(now), window: float64(slots(ask)), permits: make(map[uint64]clock.Millis)}
+		l.endpoints[ask.Endpoint] = s
 	}
 	return s
 }
 
 // setBrittle begins or ends to count the requests at the endpoint. Those that it has when
 // it becomes brittle count until they have had time to end.
-func (s *gateState) setBrittle(now clock.Millis, ask Ask) {
+func (s *limiterState) setBrittle(now clock.Millis, ask Ask) {
 	brittle := ask.Terms.RefusalsPerSecond > 0
 	if brittle == s.brittle {
 		return
@@ -161,7 +161,7 @@
 }
 
 // waitForRoom returns when to ask again for a place in the window, 0 if there is one.
-func (s *gateState) waitForRoom(now clock.Millis, ask Ask) clock.Millis {
+func (s *limiterState) waitForRoom(now clock.Millis, ask Ask) clock.Millis {
 	if now < s.pausedUntil {
 		return s.pausedUntil - now
 	}
@@ -179,19 +179,19 @@
 }
 
 // waitForRate returns the time until a request may be sent at the stated rate.
-func (s *gateState) waitForRate(now clock.Millis, terms Terms) clock.Millis {
+func (s *limiterState) waitForRate(now clock.Millis, terms Terms) clock.Millis {
 	earliest := s.nextSend - (burst-1)*interval(terms)
 	return max(clock.Millis(earliest)-now, 0)
 }
 
-func (s *gateState) takeRate(now clock.Millis, terms Terms) {
+func (s *limiterState) takeRate(now clock.Millis, terms Terms) {
 	s.nextSend = max(s.nextSend, float64(now)) + interval(terms)
 }
 
 // Finish records how a request with a permit ended. Unknown permits, of an earlier owner,
 // count as well.
-func (g *Gate) Finish(now clock.Millis, endpoint string, permit uint64, terms Terms, outcome Outcome) {
-	s := g.endpoints[endpoint]
+func (l *Limiter) Finish(now clock.Millis, endpoint string, permit uint64, terms Terms, outcome Outcome) {
+	s := l.endpoints[endpoint]
 	if s == nil {
 		return
 	}
@@ -210,17 +210,17 @@
 }
 
 // pause spaces the refusals that are drawn from a brittle endpoint.
-func (s *gateState) pause(now clock.Millis, terms Terms) {
+func (s *limiterState) pause(now clock.Millis, terms Terms) {
 	if terms.RefusalsPerSecond > 0 {
 		s.pausedUntil = now + clock.Millis(float64(clock.Second)/(terms.RefusalsPerSecond*refusalShare))
 	}
 }
 
 // sweep forgets endpoints without requests.
-func (g *Gate) sweep(now clock.Millis) {
-	if now-g.lastSweep < forgetAfter {
+func (l *Limiter) sweep(now clock.Millis) {
+	if now-l.lastSweep < forgetAfter {
 		return
 	}
-	g.lastSweep = now
-	maps.DeleteFunc(g.endpoints, func(_ string, s *gateState) bool { return now-s.usedAt > forgetAfter })
+	l.lastSweep = now
+	maps.DeleteFunc(l.endpoints, func(_ string, s *limiterState) bool { return now-s.usedAt > forgetAfter })
 }
--- a/internal/decide/strain/strain_test.go
+++ b/internal/decide/strain/strain_test.go
@@ -77,7 +77,7 @@
 // play returns the times at which requests were sent.
 func (l rateLoad) play(seed uint64) (sent []clock.Millis) {
 	rng := rand.New(rand.NewPCG(seed, 1))
-	gates := []*strain.Gate{strain.NewGate(), strain.NewGate()}
+	limiters := []*strain.Limiter{strain.NewLimiter(), strain.NewLimiter()}
 	terms := strain.Terms{RequestsPerSecond: l.limit}
 	var waiting []caller
 	permit := uint64(0)
@@ -91,12 +91,12 @@
 				later = append(later, c)
 				continue
 			}
-			gate := gates[0]
+			limiter := limiters[0]
 			if l.handover > 0 && (now >= l.handover+l.overlap || (now >= l.handover && c.daemon%2 == 0)) {
-				gate = gates[1]
+				limiter = limiters[1]
 			}
 			permit++
-			d := gate.Decide(now, strain.Ask{Endpoint: "e", Permit: permit, Terms: terms, MaxWait: 300, Lifetime: 3000})
+			d := limiter.Decide(now, strain.Ask{Endpoint: "e", Permit: permit, Terms: terms, MaxWait: 300, Lifetime: 3000})
 			switch {
 			case d.Granted:
 				sent = append(sent, now+d.Wait)
@@ -168,7 +168,7 @@
 // TestRequestsThatMayWaitLongerComeFirst checks the order of tiers at an endpoint that takes
 // half of the requests.
 func TestRequestsThatMayWaitLongerComeFirst(t *testing.T) {
-	gate := strain.NewGate()
+	limiter := strain.NewLimiter()
 	rng := rand.New(rand.NewPCG(1, 1))
 	terms := strain.Terms{RequestsPerSecond: 20}
 	asked, granted := map[clock.Millis]int{}, map[clock.Millis]int{}
@@ -176,7 +176,7 @@
 		for range poisson(rng, 0.04) {
 			maxWait := []clock.Millis{100, 400}[rng.IntN(2)]
 			asked[maxWait]++
-			if gate.Decide(now, strain.Ask{Endpoint: "e", Permit: rng.Uint64(), Terms: terms, MaxWait: maxWait}).Granted {
+			if limiter.Decide(now, strain.Ask{Endpoint: "e", Permit: rng.Uint64(), Terms: terms, MaxWait: maxWait}).Granted {
 				granted[maxWait]++
 			}
 		}
@@ -272,7 +272,7 @@
 	)
 	rng := rand.New(rand.NewPCG(3, uint64(count)))
 	terms := strain.Terms{RefusalsPerSecond: survives}
-	gate := strain.NewGate()
+	limiter := strain.NewLimiter()
 	endpoints := make([]brittleEndpoint, count)
 	for i := range endpoints {
 		// A third of the endpoints have fewer slots than they state.
@@ -292,14 +292,14 @@
 				open = append(open, e)
 				continue
 			}
-			gate.Finish(now, fmt.Sprint(e.endpoint), e.permit, terms, e.outcome)
+			limiter.Finish(now, fmt.Sprint(e.endpoint), e.permit, terms, e.outcome)
 		}
 		endings = open
 		for range poisson(rng, offered/float64(clock.Second)) {
 			n := rng.IntN(count)
 			permit++
 			ask := strain.Ask{Endpoint: fmt.Sprint(n), Permit: permit, Terms: terms, Slots: slots, Lifetime: 2 * clock.Second}
-			if !gate.Decide(now, ask).Granted {
+			if !limiter.Decide(now, ask).Granted {
 				continue
 			}
 			end, outcome := endpoints[n].take(now, work)
@@ -317,7 +317,7 @@
 
 // BenchmarkDecide measures a decision with 3,300 endpoints.
 func BenchmarkDecide(b *testing.B) {
-	gate := strain.NewGate()
+	limiter := strain.NewLimiter()
 	names := make([]string, 3300)
 	for i := range names {
 		names[i] = fmt.Sprint("i-", i)
@@ -327,8 +327,8 @@
 	for b.Loop() {
 		name := names[n%len(names)]
 		n++
-		if gate.Decide(clock.Millis(n/10), strain.Ask{Endpoint: name, Permit: uint64(n), Terms: terms, Slots: 64, MaxWait: 300, Lifetime: 500}).Granted {
-			gate.Finish(clock.Millis(n/10), name, uint64(n), terms, strain.Answered)
+		if limiter.Decide(clock.Millis(n/10), strain.Ask{Endpoint: name, Permit: uint64(n), Terms: terms, Slots: 64, MaxWait: 300, Lifetime: 500}).Granted {
+			limiter.Finish(clock.Millis(n/10), name, uint64(n), terms, strain.Answered)
 		}
 	}
 }
--- a/internal/endpoint/connect/connect.go
+++ b/internal/endpoint/connect/connect.go
@@ -46,7 +46,7 @@
 	Logger logrus.FieldLogger
 	Pool   *http1.Pool
 	// Open asks a peer whether it reaches an endpoint.
-	Open func(ctx context.Context, peer string, target forward.Target) (*forward.Passage, error)
+	Open func(ctx context.Context, peer string, target forward.Target) (*forward.Conn, error)
 	// Peers returns the other daemons that are believed to be alive.
 	Peers func() []path.Peer
 	// FailureDomain is the failure domain of this daemon.
@@ -105,9 +105,9 @@
 			err = &http1.RequestError{DialFailed: true, Cause: err}
 		}
 	}()
-	if kept := c.config.Pool.Take(target.Endpoint); kept != nil {
-		connections.Add("Kept", 1)
-		return c.useKept(ctx, target, kept)
+	if idle := c.config.Pool.Take(target.Endpoint); idle != nil {
+		connections.Add("Idle", 1)
+		return c.useIdle(ctx, target, idle)
 	}
 	if c.way(target.Endpoint) == path.ThroughPeer {
 		c.probe(target.Endpoint, target.Address)
@@ -117,32 +117,32 @@
 	if own, err := d.wait(ctx, dialPatience); err == nil {
 		return c.direct(own, target), nil
 	}
-	return c.goRound(ctx, target, d)
+	return c.askPeers(ctx, target, d)
 }
 
-// useKept returns the way over an open connection. If other paths of this daemon have just
+// useIdle returns the way over an open connection. If other paths of this daemon have just
 // broken, it first dials the endpoint, since a request that is sent on a connection that has
 // lost its path may not be sent again.
-func (c *Connector) useKept(ctx context.Context, target Target, kept *http1.Conn) (Connection, error) {
+func (c *Connector) useIdle(ctx context.Context, target Target, idle *http1.Conn) (Connection, error) {
 	if !c.isDoubtful(target.Endpoint) {
-		return c.direct(kept, target), nil
+		return c.direct(idle, target), nil
 	}
 	d := c.startDial(target.Endpoint, target.Address)
 	opened, err := d.wait(ctx, dialPatience)
 	if err == nil {
 		opened.Release()
-		return c.direct(kept, target), nil
+		return c.direct(idle, target), nil
 	}
-	connection, err := c.goRound(ctx, target, d)
+	connection, err := c.askPeers(ctx, target, d)
 	if err == nil || d.isSilent() {
-		kept.Close()
+		idle.Close()
 		return connection, err
 	}
-	return c.direct(kept, target), nil
+	return c.direct(idle, target), nil
 }
 
-// goRound asks peers for a way to an endpoint while a dial to it is silent or has failed.
-func (c *Connector) goRound(ctx context.Context, target Target, d *dial) (Connection, error) {
+// askPeers asks peers for a way to an endpoint while a dial to it is silent or has failed.
+func (c *Connector) askPeers(ctx context.Context, target Target, d *dial) (Connection, error) {
 	connection, err := c.throughPeer(ctx, target)
 	if err == nil {
 		c.recordBroken(target.Endpoint, d.isSilent())
@@ -182,7 +182,7 @@
 		return &http1.RequestError{Sent: true, Cause: cause}
 	}
 	if cause == nil {
-		go (&lostAnswer{connector: c, target: target}).run()
+		go (&pathRecheck{connector: c, target: target}).run()
 	}
 	return err
 }
@@ -191,10 +191,10 @@
 func (c *Connector) throughPeer(ctx context.Context, target Target) (Connection, error) {
 	err := errNoPeer
 	for _, peer := range c.choosePeers(target) {
-		passage, openErr := c.open(ctx, peer.Address, target)
+		conn, openErr := c.open(ctx, peer.Address, target)
 		if openErr == nil {
 			connections.Add("ThroughPeer", 1)
-			return c.passing(passage, peer.Address), nil
+			return c.forwarded(conn, peer.Address), nil
 		}
 		if ctx.Err() != nil {
 			return Connection{}, ctx.Err()
@@ -219,23 +219,23 @@
 }
 
 // open asks a peer for a way to the endpoint.
-func (c *Connector) open(ctx context.Context, peer string, target Target) (*forward.Passage, error) {
+func (c *Connector) open(ctx context.Context, peer string, target Target) (*forward.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerPatience.Duration())
 	defer cancel()
-	passage, err := c.config.Open(ctx, peer, target.forward())
+	conn, err := c.config.Open(ctx, peer, target.forward())
 	c.recordPeer(peer, err)
-	return passage, err
+	return conn, err
 }
 
-// passing returns the way through a peer that has agreed.
-func (c *Connector) passing(passage *forward.Passage, peer string) Connection {
+// forwarded returns the way through a peer that has agreed.
+func (c *Connector) forwarded(conn *forward.Conn, peer string) Connection {
 	return Connection{Peer: peer, Do: func(ctx context.Context, request http1.Request) (*http1.Answer, error) {
-		answer, err := passage.Do(ctx, request)
+		answer, err := conn.Do(ctx, request)
 		if err != nil {
-			c.recordPassed(peer)
+			c.recordForwardEnded(peer)
 			return nil, err
 		}
-		body := &countedBody{Answer: answer, done: func() { c.recordPassed(peer) }}
+		body := &countedBody{Answer: answer, done: func() { c.recordForwardEnded(peer) }}
 		return http1.NewAnswer(answer.Status, answer.Header, answer.Length, body), nil
 	}}
 }
@@ -263,8 +263,8 @@
 		return nil, &forward.Refusal{Code: forward.Unreachable, Reason: "this daemon does not reach the endpoint either"}
 	}
 	if c.isFresh(target.Endpoint) {
-		if kept := c.config.Pool.Take(target.Endpoint); kept != nil {
-			return kept, nil
+		if idle := c.config.Pool.Take(target.Endpoint); idle != nil {
+			return idle, nil
 		}
 	}
 	d := c.startDial(target.Endpoint, target.Address)
--- a/internal/endpoint/connect/record.go
+++ b/internal/endpoint/connect/record.go
@@ -15,7 +15,7 @@
 	eventPathHealed = event.New(1221, logrus.InfoLevel, "endpoint is reached again",
 		"This daemon reaches the endpoint over its own path again.")
 
-	connections = metric.NewMap("Endpoint.Connections", "Ways found to endpoints: connections that were kept or opened, or through a peer, or none.")
+	connections = metric.NewMap("Endpoint.Connections", "Ways found to endpoints: connections that were idle or opened, or through a peer, or none.")
 )
 
 func (c *Connector) way(endpoint string) path.Way {
@@ -81,13 +81,13 @@
 		c.table.RecordPeerFailed(c.config.Clock.Now(), peer)
 		return
 	}
-	c.table.RecordPassing(c.config.Clock.Now(), peer)
+	c.table.RecordForwardBegun(c.config.Clock.Now(), peer)
 }
 
-func (c *Connector) recordPassed(peer string) {
+func (c *Connector) recordForwardEnded(peer string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.table.RecordPassed(c.config.Clock.Now(), peer)
+	c.table.RecordForwardEnded(c.config.Clock.Now(), peer)
 }
 
 // choosePeers returns the peers to ask for a way to an endpoint, in order.
--- a/internal/endpoint/connect/watch.go
+++ b/internal/endpoint/connect/watch.go
@@ -129,26 +129,26 @@
 		return true, silent
 	}
 	for _, peer := range c.choosePeers(target) {
-		passage, err := c.open(ctx, peer.Address, target)
+		conn, err := c.open(ctx, peer.Address, target)
 		if err != nil {
 			continue
 		}
-		passage.Cancel()
-		c.recordPassed(peer.Address)
+		conn.Cancel()
+		c.recordForwardEnded(peer.Address)
 		c.recordBroken(target.Endpoint, silent)
 		return true, silent
 	}
 	return false, silent
 }
 
-// lostAnswer checks the path to an endpoint after an open connection to it has failed
+// pathRecheck checks the path to an endpoint after an open connection to it has failed
 // without an answer, so that requests are not sent on others that fail in the same way.
-type lostAnswer struct {
+type pathRecheck struct {
 	connector *Connector
 	target    Target
 }
 
-func (l *lostAnswer) run() {
+func (l *pathRecheck) run() {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout.Duration())
 	defer cancel()
 	l.connector.check(ctx, l.target)
--- a/internal/peer/fleet/permits.go
+++ b/internal/peer/fleet/permits.go
@@ -40,9 +40,9 @@
 	anyTerms atomic.Bool
 	lastID   atomic.Uint64
 
-	mu   sync.Mutex
-	book *strain.Book
-	gate *strain.Gate
+	mu      sync.Mutex
+	book    *strain.Book
+	limiter *strain.Limiter
 	// endpoints holds the endpoints by ID.
 	endpoints map[string]roster.Endpoint
 	// news lists the changed terms that were heard here and are to be reported.
@@ -59,7 +59,7 @@
 
 func newPermits(f *Fleet, firstID uint64) *permits {
 	p := &permits{
-		fleet: f, book: strain.NewBook(), gate: strain.NewGate(),
+		fleet: f, book: strain.NewBook(), limiter: strain.NewLimiter(),
 		endpoints: make(map[string]roster.Endpoint), ownerFailedAt: make(map[string]clock.Millis),
 	}
 	p.lastID.Store(firstID)
@@ -229,7 +229,7 @@
 	jobs := f.config.Scheduler.JobCount(request.Terms.ID)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	decision := p.gate.Decide(f.config.Clock.Now(), strain.Ask{
+	decision := p.limiter.Decide(f.config.Clock.Now(), strain.Ask{
 		Endpoint: request.Terms.ID, Permit: request.ID, Terms: request.Terms.statement().Terms,
 		Slots: p.endpoints[request.Terms.ID].Slots, Jobs: jobs, MaxWait: request.MaxWait, Lifetime: request.Lifetime,
 	})
@@ -251,7 +251,7 @@
 func (p *permits) finish(ended permitEnd) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.gate.Finish(p.fleet.config.Clock.Now(), ended.Terms.ID, ended.ID, ended.Terms.statement().Terms, ended.Outcome)
+	p.limiter.Finish(p.fleet.config.Clock.Now(), ended.Terms.ID, ended.ID, ended.Terms.statement().Terms, ended.Outcome)
 }
 
 func (f *Fleet) servePermit(_ context.Context, _ string, request permitRequest) (permitAnswer, error) {
--- a/internal/peer/forward/client.go
+++ b/internal/peer/forward/client.go
@@ -35,7 +35,7 @@
 
 // idleConn is a connection that waits for its next request.
 type idleConn struct {
-	conn  *conn
+	conn  *framedConn
 	until clock.Millis
 }
 
@@ -44,39 +44,56 @@
 	return &Client{clock: clk, port: port, idle: make(map[string][]idleConn)}
 }
 
-// Passage is a connection to a peer that is ready to forward one request to an endpoint.
-type Passage struct {
+// Conn is a connection to a peer that is ready to forward one request to an endpoint.
+type Conn struct {
 	client *Client
 	peer   string
-	conn   *conn
+	framed *framedConn
 }
 
 // Open asks the peer at an address of its link whether it reaches an endpoint. ctx bounds
 // the wait. The error is a *Refusal if the peer answers that it does not.
-func (c *Client) Open(ctx context.Context, peer string, target Target) (passage *Passage, err error) {
+func (c *Client) Open(ctx context.Context, peer string, target Target) (conn *Conn, err error) {
 	defer func() {
 		if err != nil {
 			err = fmt.Errorf("peer %s: %w", peer, err)
 		}
 	}()
-	used, err := c.connect(ctx, peer)
+	used, answer, err := c.askPeer(ctx, peer, target)
 	if err != nil {
 		return nil, err
 	}
-	answer, err := ask(ctx, used, target)
-	if err != nil {
-		_ = used.net.Close()
-		return nil, err
-	}
 	if answer.Code != "" {
 		c.keep(peer, used)
 		return nil, &Refusal{Code: answer.Code, Reason: answer.Reason}
 	}
-	return &Passage{client: c, peer: peer, conn: used}, nil
+	return &Conn{client: c, peer: peer, framed: used}, nil
+}
+
+// askPeer sends open to a peer and reads the answer. It uses an idle connection, or a new one
+// if the peer has closed that.
+func (c *Client) askPeer(ctx context.Context, peer string, target Target) (used *framedConn, answer opened, err error) {
+	if used = c.takeIdle(peer); used != nil {
+		if answer, err = ask(ctx, used, target); err == nil {
+			return used, answer, nil
+		}
+		_ = used.net.Close()
+		if ctx.Err() != nil {
+			return nil, answer, err
+		}
+	}
+	if used, err = c.dial(ctx, peer); err != nil {
+		return nil, answer, err
+	}
+	if answer, err = ask(ctx, used, target); err != nil {
+		_ = used.net.Close()
+		return nil, answer, err
+	}
+	return used, answer, nil
 }
 
 // ask sends open and reads the answer to it.
-func ask(ctx context.Context, c *conn, target Target) (answer opened, err error) {
+func ask(ctx context.Context, c *framedConn, target Target) (answer opened, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.net.Close() })
 	defer func() {
 		if !stop() && err == nil {
@@ -92,11 +109,8 @@
 	return readAs[opened](c, message.ForwardOpened)
 }
 
-// connect returns an idle connection to a peer, or opens one.
-func (c *Client) connect(ctx context.Context, peer string) (*conn, error) {
-	if kept := c.takeIdle(peer); kept != nil {
-		return kept, nil
-	}
+// dial opens a connection to a peer.
+func (c *Client) dial(ctx context.Context, peer string) (*framedConn, error) {
 	host, _, err := net.SplitHostPort(peer)
 	if err != nil {
 		return nil, err
@@ -105,10 +119,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(netConn), nil
+	return newFramedConn(netConn), nil
 }
 
-func (c *Client) takeIdle(peer string) *conn {
+func (c *Client) takeIdle(peer string) *framedConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
@@ -125,7 +139,7 @@
 }
 
 // keep keeps a connection for the next request, or closes it.
-func (c *Client) keep(peer string, used *conn) {
+func (c *Client) keep(peer string, used *framedConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.idle[peer]) >= maxIdlePerPeer {
@@ -135,51 +149,51 @@
 	c.idle[peer] = append(c.idle[peer], idleConn{conn: used, until: c.clock.Now() + maxIdleTime})
 }
 
-// Cancel gives the passage up without a request.
-func (p *Passage) Cancel() {
-	_ = p.conn.net.Close()
+// Cancel gives the connection up without a request.
+func (c *Conn) Cancel() {
+	_ = c.framed.net.Close()
 }
 
 // Do sends a request and reads the status and header of its answer. The error is a
 // *http1.RequestError; the request may have run. The connection is closed when ctx is
 // canceled, also while the body is being read.
-func (p *Passage) Do(ctx context.Context, request http1.Request) (answer *http1.Answer, err error) {
-	stop := context.AfterFunc(ctx, func() { _ = p.conn.net.Close() })
-	head, err := p.exchange(request)
+func (c *Conn) Do(ctx context.Context, request http1.Request) (answer *http1.Answer, err error) {
+	stop := context.AfterFunc(ctx, func() { _ = c.framed.net.Close() })
+	head, err := c.exchange(request)
 	if err != nil {
 		stop()
-		_ = p.conn.net.Close()
+		_ = c.framed.net.Close()
 		if ctx.Err() != nil {
 			err = errors.Join(ctx.Err(), err)
 		}
-		return nil, &http1.RequestError{Sent: true, Cause: fmt.Errorf("through peer %s: %w", p.peer, err)}
+		return nil, &http1.RequestError{Sent: true, Cause: fmt.Errorf("through peer %s: %w", c.peer, err)}
 	}
-	return http1.NewAnswer(head.Status, head.Header, head.Length, &answerBody{passage: p, stopCancel: stop}), nil
+	return http1.NewAnswer(head.Status, head.Header, head.Length, &answerBody{conn: c, stopCancel: stop}), nil
 }
 
 // exchange sends the request and reads the head of the answer.
-func (p *Passage) exchange(request http1.Request) (head answerHead, err error) {
-	now := p.client.clock.Now()
-	if err := p.conn.net.SetDeadline(p.client.clock.Deadline(request.Deadline)); err != nil {
+func (c *Conn) exchange(request http1.Request) (head answerHead, err error) {
+	now := c.client.clock.Now()
+	if err := c.framed.net.SetDeadline(c.client.clock.Deadline(request.Deadline)); err != nil {
 		return head, err
 	}
-	err = p.conn.write(message.ForwardRequest, requestHead{
+	err = c.framed.write(message.ForwardRequest, requestHead{
 		ID: request.ID, Method: request.Method, Head: request.Head, BodyBytes: len(request.Body), TimeLeft: request.Deadline - now,
 	})
 	if err != nil {
 		return head, err
 	}
-	if err := p.conn.writeBody(request.Body); err != nil {
+	if err := c.framed.writeBody(request.Body); err != nil {
 		return head, err
 	}
-	if err := p.conn.writer.Flush(); err != nil {
+	if err := c.framed.writer.Flush(); err != nil {
 		return head, err
 	}
-	return p.readHead()
+	return c.readHead()
 }
 
-func (p *Passage) readHead() (head answerHead, err error) {
-	f, err := p.conn.read()
+func (c *Conn) readHead() (head answerHead, err error) {
+	f, err := c.framed.read()
 	if err != nil {
 		return head, err
 	}
@@ -199,7 +213,7 @@
 
 // answerBody reads the body of an answer.
 type answerBody struct {
-	passage    *Passage
+	conn       *Conn
 	stopCancel func() bool
 	// rest is what remains of the last message.
 	rest     []byte
@@ -223,7 +237,7 @@
 
 // readMessage reads the next part of the body or its end.
 func (b *answerBody) readMessage() error {
-	f, err := b.passage.conn.read()
+	f, err := b.conn.framed.read()
 	if errors.Is(err, io.EOF) {
 		return io.ErrUnexpectedEOF
 	}
@@ -252,10 +266,10 @@
 // Close implements io.Closer. It keeps the connection if the answer was read completely;
 // otherwise the peer ends the request at the endpoint.
 func (b *answerBody) Close() error {
-	p := b.passage
+	c := b.conn
 	if !b.stopCancel() || !b.complete {
-		return p.conn.net.Close()
+		return c.framed.net.Close()
 	}
-	p.client.keep(p.peer, p.conn)
+	c.client.keep(c.peer, c.framed)
 	return nil
 }
--- a/internal/peer/forward/forward.go
+++ b/internal/peer/forward/forward.go
@@ -19,8 +19,8 @@
 // # Usage
 //
 //	client := forward.NewClient(clk, "7355")
-//	passage, err := client.Open(ctx, "10.0.0.7:7340", forward.Target{Endpoint: "i-7f3a91c2", Address: "10.0.1.9:8080"})
-//	answer, err := passage.Do(ctx, request)
+//	conn, err := client.Open(ctx, "10.0.0.7:7340", forward.Target{Endpoint: "i-7f3a91c2", Address: "10.0.1.9:8080"})
+//	answer, err := conn.Do(ctx, request)
 package forward
 
 import (
@@ -41,19 +41,19 @@
 	maxMessageBytes = 1 << 20
 )
 
-// conn is a connection between a Client and a Server.
-type conn struct {
+// framedConn is a connection between a Client and a Server.
+type framedConn struct {
 	net    net.Conn
 	reader *bufio.Reader
 	writer *bufio.Writer
 }
 
-func newConn(netConn net.Conn) *conn {
-	return &conn{net: netConn, reader: bufio.NewReader(netConn), writer: bufio.NewWriterSize(netConn, bufferBytes)}
+func newFramedConn(netConn net.Conn) *framedConn {
+	return &framedConn{net: netConn, reader: bufio.NewReader(netConn), writer: bufio.NewWriterSize(netConn, bufferBytes)}
 }
 
 // write buffers a message.
-func (c *conn) write(t message.Type, body any) error {
+func (c *framedConn) write(t message.Type, body any) error {
 	encoded, err := frame.Encode(body)
 	if err != nil {
 		return err
@@ -62,7 +62,7 @@
 }
 
 // writeBody buffers a part of a body.
-func (c *conn) writeBody(data []byte) error {
+func (c *framedConn) writeBody(data []byte) error {
 	for len(data) > 0 {
 		n := min(len(data), maxChunkBytes)
 		if err := frame.Write(c.writer, frame.Frame{Kind: frame.OneWay, Type: message.ForwardBody, Body: data[:n]}); err != nil {
@@ -74,7 +74,7 @@
 }
 
 // read reads the next message.
-func (c *conn) read() (frame.Frame, error) {
+func (c *framedConn) read() (frame.Frame, error) {
 	return frame.Read(c.reader, maxMessageBytes)
 }
 
@@ -87,7 +87,7 @@
 }
 
 // readAs reads a message that must be of one type.
-func readAs[Body any](c *conn, t message.Type) (body Body, err error) {
+func readAs[Body any](c *framedConn, t message.Type) (body Body, err error) {
 	f, err := c.read()
 	if err != nil {
 		return body, err
--- a/internal/peer/forward/forward_test.go
+++ b/internal/peer/forward/forward_test.go
@@ -24,6 +24,7 @@
 
 // peer is a daemon that forwards requests to one endpoint.
 type peer struct {
+	config   forward.ServerConfig
 	server   *forward.Server
 	client   *forward.Client
 	address  string
@@ -45,7 +46,7 @@
 	ip := fmt.Sprintf("127.%d.%d.7", 10+os.Getpid()%100, lastIP.Add(1))
 	p.address = ip + ":1"
 	pool := http1.New(http1.Config{Clock: clock.System(), MatchesRequest: func(int, http.Header, string) bool { return true }})
-	p.server = forward.NewServer(forward.ServerConfig{
+	p.config = forward.ServerConfig{
 		Clock: clock.System(), Logger: logger, Listen: net.JoinHostPort(ip, port),
 		Connect: func(ctx context.Context, target forward.Target) (*http1.Conn, error) {
 			if refusal := p.refusal.Load(); refusal != nil {
@@ -54,12 +55,25 @@
 			return pool.Dial(ctx, target.Endpoint, target.Address)
 		},
 		RecordAnswer: func(forward.Target, int, http.Header) { p.heads.Add(1) },
-	})
+	}
+	p.start(t)
+	return p
+}
+
+func (p *peer) start(t *testing.T) {
+	t.Helper()
+	p.server = forward.NewServer(p.config)
 	if err := p.server.Start(); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(p.server.Close)
-	return p
+}
+
+// restart ends all connections to the peer.
+func (p *peer) restart(t *testing.T) {
+	t.Helper()
+	p.server.Close()
+	p.start(t)
 }
 
 func (p *peer) target() forward.Target {
@@ -72,11 +86,11 @@
 
 // do sends a request through the peer.
 func (p *peer) do(ctx context.Context, request http1.Request) (*http1.Answer, error) {
-	passage, err := p.client.Open(ctx, p.address, p.target())
+	conn, err := p.client.Open(ctx, p.address, p.target())
 	if err != nil {
 		return nil, err
 	}
-	return passage.Do(ctx, request)
+	return conn.Do(ctx, request)
 }
 
 func TestRequestAndAnswerPassUnchanged(t *testing.T) {
@@ -188,7 +202,7 @@
 		<-release
 		_, _ = io.WriteString(w, "whole")
 	})
-	passage, err := p.client.Open(context.Background(), p.address, p.target())
+	conn, err := p.client.Open(context.Background(), p.address, p.target())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -203,7 +217,7 @@
 		close(drained)
 	}()
 	time.AfterFunc(50*time.Millisecond, func() { close(release) })
-	answer, err := passage.Do(context.Background(), newRequest(nil, 5*clock.Second))
+	answer, err := conn.Do(context.Background(), newRequest(nil, 5*clock.Second))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -252,3 +266,18 @@
 		t.Errorf("took %v", took)
 	}
 }
+
+func TestPeerThatHasRestartedIsAskedAgain(t *testing.T) {
+	p := startPeer(t, func(http.ResponseWriter, *http.Request) {})
+	p.refusal.Store(&forward.Refusal{Code: forward.Unreachable, Reason: "no path"})
+	if _, err := p.client.Open(context.Background(), p.address, p.target()); err == nil {
+		t.Fatal("got no refusal")
+	}
+	p.refusal.Store(nil)
+	p.restart(t)
+	answer, err := p.do(context.Background(), newRequest(nil, clock.Second))
+	if err != nil {
+		t.Fatal(err)
+	}
+	answer.Close()
+}
--- a/internal/peer/forward/server.go
+++ b/internal/peer/forward/server.go
@@ -110,7 +110,7 @@
 const acceptRetryDelay = 50 * clock.Millisecond
 
 func (s *Server) add(netConn net.Conn) {
-	c := &serverConn{server: s, conn: newConn(netConn), frames: make(chan frame.Frame)}
+	c := &serverConn{server: s, conn: newFramedConn(netConn), frames: make(chan frame.Frame)}
 	s.mu.Lock()
 	full := len(s.conns) >= maxConnections
 	if !full {
@@ -206,7 +206,7 @@
 // serverConn serves one connection of a Client, one request at a time.
 type serverConn struct {
 	server *Server
-	conn   *conn
+	conn   *framedConn
 	// frames receives the messages of the Client. It is closed when the connection ends.
 	frames chan frame.Frame
 	ctx    context.Context
