--- a/internal/peer/fleet/fleet_test.go
+++ b/internal/peer/fleet/fleet_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"strings"
 	"sync"
@@ -83,10 +84,15 @@
 
 // start starts a daemon that registers in the table.
 func start(t *testing.T, id string, rows table.Client, seeds ...string) *daemon {
+	return startWith(t, nil, id, rows, seeds...)
+}
+
+// startWith starts a daemon whose connections to others are opened by dial, unless that is nil.
+func startWith(t *testing.T, dial func(context.Context, string, string) (net.Conn, error), id string, rows table.Client, seeds ...string) *daemon {
 	logger, hook := logtest.NewNullLogger()
 	clk := clock.System()
 	d := &daemon{log: hook, address: uniqueAddress(), document: document.NewHolder(), tally: tally.New(id, clock.Second)}
-	d.link = link.New(link.Config{ID: id, Listen: d.address}, clk, logger)
+	d.link = link.New(link.Config{ID: id, Listen: d.address, Dial: dial}, clk, logger)
 	rng := rand.New(rand.NewPCG(1, 2))
 	d.scheduler = fleet.NewScheduler(clk, logger, budget.Rules{Ratio: 0.2, FixedRetries: 10, Window: clock.Second}, func() int { return d.fleet.DaemonCount() }, rng)
 	d.roster = roster.New(clk, 0, func(list []roster.Endpoint) {
