Forward requests to an endpoint that only this gateway has set aside

Found while reading: a gateway that got no permit for an endpoint refused to forward the requests of a peer that had one. TestEndpointThatWasSetAsideAcceptsRequestsOfOthers. The choice of peers has a random source of its own; failed owners are forgotten; two long lines are split.

--- a/internal/daemon/gateway/forward.go
+++ b/internal/daemon/gateway/forward.go
@@ -18,7 +18,7 @@
 	client := forward.NewClient(d.clock, d.forwardPort())
 	d.connector = connect.New(connect.Config{
 		Clock: d.clock, Logger: d.logger, Pool: d.pool, Open: client.Open, Peers: d.forwardingPeers,
-		FailureDomain: d.settings.Daemon.FailureDomain, Rand: d.random(5),
+		FailureDomain: d.settings.Daemon.FailureDomain, Rand: d.random(6),
 	})
 	d.forwarding = forward.NewServer(forward.ServerConfig{
 		Clock: d.clock, Logger: d.logger, Listen: d.settings.Peer.Forward, Connect: d.connectForPeer, RecordAnswer: d.recordForwardedAnswer,
--- a/internal/decide/balance/quiet.go
+++ b/internal/decide/balance/quiet.go
@@ -47,10 +47,12 @@
 	return now < max(r.quietUntil, r.asideUntil)
 }
 
-// Accepts reports whether an endpoint is known, is not leaving and wants requests.
+// Accepts reports whether an endpoint is known, is not leaving and has not asked for a quiet
+// time. One that was set aside by this daemon accepts requests of others, which have their
+// own permits.
 func (b *Balancer) Accepts(now clock.Millis, id string) bool {
 	r := b.replicas[id]
-	return r != nil && !r.Leaving && !r.isQuiet(now)
+	return r != nil && !r.Leaving && now >= r.quietUntil
 }
 
 // isRampedUp reports whether the endpoint may get one more request, shortly after a quiet
--- a/internal/decide/balance/quiet_test.go
+++ b/internal/decide/balance/quiet_test.go
@@ -96,3 +96,27 @@
 		t.Errorf("the next incarnation got %d of 200 requests, want all", sent["a"])
 	}
 }
+
+// TestEndpointThatWasSetAsideAcceptsRequestsOfOthers guards against a daemon that refuses to
+// forward requests which have a permit, because it got none itself.
+func TestEndpointThatWasSetAsideAcceptsRequestsOfOthers(t *testing.T) {
+	b := balance.New()
+	b.SetEndpoints(0, []balance.Endpoint{{ID: "e1", Backend: "b", Slots: 2}, {ID: "e2", Backend: "b", Slots: 2}})
+	b.SetAside(0, "e1", 500)
+	for now := range clock.Millis(500) {
+		if choice, _ := b.Choose(now, balance.Request{Backend: "b"}); choice.Endpoint != "e2" {
+			t.Fatalf("got endpoint %q at %d, want the one that was not set aside", choice.Endpoint, now)
+		}
+	}
+	if !b.Accepts(100, "e1") {
+		t.Error("the endpoint accepts no requests of others")
+	}
+	b.RecordQuiet(100, "e1", 300)
+	if b.Accepts(200, "e1") || !b.Accepts(500, "e1") {
+		t.Error("the quiet time does not hold for requests of others")
+	}
+	b.MarkLeaving("e2")
+	if b.Accepts(100, "e2") || b.Accepts(100, "unknown") {
+		t.Error("an endpoint that is leaving or unknown accepts requests")
+	}
+}
--- a/internal/peer/fleet/permits.go
+++ b/internal/peer/fleet/permits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 
@@ -208,8 +209,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, address := range all {
-		failedAt, failed := p.ownerFailedAt[address]
-		if !failed || now-failedAt > ownerFailureMemory {
+		if failedAt, failed := p.ownerFailedAt[address]; !failed || now-failedAt > ownerFailureMemory {
 			addresses = append(addresses, address)
 		}
 	}
@@ -218,9 +218,11 @@
 
 func (p *permits) recordOwnerFailure(owner string, err error) {
 	p.fleet.config.Logger.WithError(err).WithField("Address", owner).Debug("owner of an endpoint could not be asked for a permit")
+	now := p.fleet.config.Clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.ownerFailedAt[owner] = p.fleet.config.Clock.Now()
+	maps.DeleteFunc(p.ownerFailedAt, func(_ string, at clock.Millis) bool { return now-at > ownerFailureMemory })
+	p.ownerFailedAt[owner] = now
 }
 
 // decide decides on a permit as the owner of the endpoint.
--- a/internal/peer/fleet/scheduler.go
+++ b/internal/peer/fleet/scheduler.go
@@ -98,7 +98,16 @@
 // recordLeaving is called when an endpoint reports that it is about to end.
 func (s *Scheduler) RelayScheduler(recordLeaving func(relay.Placement)) relay.Scheduler {
 	return relay.Scheduler{
-		RecordLeaving: recordLeaving, RecordQuiet: s.recordQuiet, SetAside: s.setAside, Place: s.place, RecordFirstToken: s.recordFirstToken, RecordEnd: s.recordEnd, RecordLoad: s.recordLoad, InvalidateAddress: s.invalidateAddress, CountRequest: s.countRequest, TakeRetry: s.takeRetry,
+		Place:             s.place,
+		RecordFirstToken:  s.recordFirstToken,
+		RecordEnd:         s.recordEnd,
+		RecordLoad:        s.recordLoad,
+		RecordLeaving:     recordLeaving,
+		RecordQuiet:       s.recordQuiet,
+		SetAside:          s.setAside,
+		InvalidateAddress: s.invalidateAddress,
+		CountRequest:      s.countRequest,
+		TakeRetry:         s.takeRetry,
 	}
 }
 
@@ -126,7 +135,8 @@
 	}
 	endpoint := s.endpoints[choice.Endpoint]
 	return relay.Placement{
-		Job: job.ID, Endpoint: choice.Endpoint, Address: endpoint.Address, FailureDomain: endpoint.FailureDomain, Incarnation: endpoint.Incarnation, SoftwareVersion: endpoint.SoftwareVersion, ExpectedFirstToken: choice.ExpectedFirstToken,
+		Job: job.ID, Endpoint: choice.Endpoint, Address: endpoint.Address, FailureDomain: endpoint.FailureDomain,
+		Incarnation: endpoint.Incarnation, SoftwareVersion: endpoint.SoftwareVersion, ExpectedFirstToken: choice.ExpectedFirstToken,
 	}, relay.Refusal{}
 }
 
