Release the permit of an answer that breaks off on its way to the caller

Cause: a long answer that breaks off ends its handler by a panic, which passed over the release of the permit; the place at a brittle endpoint stayed taken for the time limit of the request. TestPermitIsReleasedWhenALongAnswerBreaksOff: released never before, once as failed after.

--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -132,10 +132,12 @@
 	if !permit.Granted {
 		return x.handleNoPermit(placement, permit)
 	}
-	outcome := x.send(placement)
+	// send ends with a panic if an answer breaks off on its way to the caller.
+	outcome := noAnswer
 	if permit.Release != nil {
-		permit.Release(outcome.asStrain())
+		defer func() { permit.Release(outcome.asStrain()) }()
 	}
+	outcome = x.send(placement)
 	return outcome
 }
 
--- a/internal/caller/relay/long_test.go
+++ b/internal/caller/relay/long_test.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strings"
 	"testing"
+
+	"github.com/banyanshift/banyanshift/internal/decide/strain"
 )
 
 // longBody is longer than the answers that are buffered.
@@ -35,3 +37,20 @@
 	f = newFixture(t, long(http.StatusOK, true))
 	f.expect(f.send("/pay/1"), http.StatusOK, longBody)
 }
+
+// TestPermitIsReleasedWhenALongAnswerBreaksOff guards against places at an endpoint that stay
+// taken after its answer has broken off on the way to the caller.
+func TestPermitIsReleasedWhenALongAnswerBreaksOff(t *testing.T) {
+	f := newFixture(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Seal", "s")
+		_, _ = io.WriteString(w, longBody)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	})
+	f.send("/pay/1")
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.released) != 1 || f.released[0] != strain.Failed {
+		t.Errorf("the permit was released with %v, want once, as failed", f.released)
+	}
+}
--- a/internal/caller/relay/relay_test.go
+++ b/internal/caller/relay/relay_test.go
@@ -68,6 +68,8 @@
 	// received lists the requests that reached an endpoint, each as the
 	// endpoint's ID and the event ID to resume after.
 	received []string
+	// released lists the outcomes of requests with a permit.
+	released []strain.Outcome
 	// refusal makes the scheduler refuse all requests if its reason is set.
 	refusal relay.Refusal
 }
@@ -134,6 +136,13 @@
 
 // scheduler returns a Scheduler that chooses the first endpoint that is not
 // excluded.
+// release records the outcome of a request with a permit.
+func (f *fixture) release(outcome strain.Outcome) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.released = append(f.released, outcome)
+}
+
 func (f *fixture) scheduler() relay.Scheduler {
 	return relay.Scheduler{
 		Place: func(r balance.Request, _ clock.Millis) (relay.Placement, relay.Refusal) {
@@ -154,7 +163,7 @@
 		},
 		RecordTerms: func(relay.Placement, strain.Terms) {},
 		Acquire: func(context.Context, relay.Placement, int, clock.Millis) relay.Permit {
-			return relay.Permit{Granted: true}
+			return relay.Permit{Granted: true, Release: f.release}
 		},
 		SetAside:         func(string, clock.Millis) {},
 		RecordFirstToken: func(relay.Placement) {},
