Log the quiet time of an endpoint that was set aside

Cause: whether a quiet time has begun was judged by the end of either, so that event 1213 was missing for an endpoint without permits. TestQuietTimeOfAnEndpointThatWasSetAsideHasBegun failed before. The two ends are now read in one place.

--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -288,7 +288,7 @@
 	best := 0.0
 	unreportedWork := b.unreportedWork(now, p)
 	for _, r := range p.members {
-		if slices.Contains(request.Exclude, r.ID) || !request.Software.allows(&r.Endpoint) || r.isQuiet(now) {
+		if slices.Contains(request.Exclude, r.ID) || !request.Software.allows(&r.Endpoint) || now < r.openAt() {
 			continue
 		}
 		e := p.estimate(now, r, request)
--- a/internal/decide/balance/quiet.go
+++ b/internal/decide/balance/quiet.go
@@ -21,7 +21,7 @@
 	if r == nil {
 		return false
 	}
-	begun = !r.isQuiet(now)
+	begun = now >= r.quietUntil
 	r.quietUntil = max(r.quietUntil, now+min(quiet, maxQuietTime))
 	return begun
 }
@@ -42,9 +42,9 @@
 	return 0
 }
 
-// isQuiet reports whether the endpoint is to get no requests.
-func (r *replica) isQuiet(now clock.Millis) bool {
-	return now < max(r.quietUntil, r.asideUntil)
+// openAt returns the time from which the endpoint may get requests again.
+func (r *replica) openAt() clock.Millis {
+	return max(r.quietUntil, r.asideUntil)
 }
 
 // Accepts reports whether an endpoint is known, is not leaving and has not asked for a quiet
@@ -65,8 +65,8 @@
 	return r.jobCount < rampStartJobs+int(since/rampStep)
 }
 
-// QuietTime returns the time until the first endpoint that could serve the request wants
-// requests again. found is false unless all of them are quiet.
+// QuietTime returns the time until the first endpoint that could serve the request may get
+// requests again. found is false unless all of them are quiet or set aside.
 func (b *Balancer) QuietTime(now clock.Millis, request Request) (wait clock.Millis, found bool) {
 	p := b.backends[request.Backend]
 	if p == nil {
@@ -76,10 +76,11 @@
 		if r.Leaving || !request.Software.allows(&r.Endpoint) {
 			continue
 		}
-		if !r.isQuiet(now) {
+		left := r.openAt() - now
+		if left <= 0 {
 			return 0, false
 		}
-		if left := max(r.quietUntil, r.asideUntil) - now; !found || left < wait {
+		if !found || left < wait {
 			wait, found = left, true
 		}
 	}
--- a/internal/decide/balance/quiet_test.go
+++ b/internal/decide/balance/quiet_test.go
@@ -120,3 +120,12 @@
 		t.Error("an endpoint that is leaving or unknown accepts requests")
 	}
 }
+
+func TestQuietTimeOfAnEndpointThatWasSetAsideHasBegun(t *testing.T) {
+	b := balance.New()
+	b.SetEndpoints(0, []balance.Endpoint{{ID: "e", Backend: "b"}})
+	b.SetAside(0, "e", 500)
+	if !b.RecordQuiet(100, "e", 300) || b.RecordQuiet(200, "e", 300) {
+		t.Error("the quiet time must begin once")
+	}
+}
