Explain requests by the limits of endpoints and by broken paths

banyanshift explain left out events 1215, 1220 and 1221 and knew no cause for a request without a permit or without a way; a refusal for want of permits said that endpoints had asked for no requests. TestContextNamesEndpointsAndTheStore and TestCauseTellsWhoKeepsARequestFromItsEndpoint failed before. The functions of the request path are put together in one place, and the scheduler tells what it knows of an endpoint.

--- a/internal/daemon/gateway/forward.go
+++ b/internal/daemon/gateway/forward.go
@@ -63,7 +63,7 @@
 	if head.WrongEndpoint {
 		return
 	}
-	d.relayScheduler.RecordSignals(relay.Placement{Endpoint: target.Endpoint, Incarnation: d.scheduler.Incarnation(target.Endpoint)}, head)
+	d.relayScheduler.RecordSignals(relay.Placement{Endpoint: target.Endpoint, Incarnation: d.scheduler.Endpoint(target.Endpoint).Incarnation}, head)
 }
 
 // startForwarding starts to forward requests of peers if the settings say where.
--- a/internal/observe/explain/explain.go
+++ b/internal/observe/explain/explain.go
@@ -35,6 +35,9 @@
 	eventEndpointChanged  = 1210
 	eventEndpointLeaves   = 1212
 	eventEndpointQuiet    = 1213
+	eventEndpointTerms    = 1215
+	eventPathBroken       = 1220
+	eventPathHealed       = 1221
 	eventStoreUnavailable = 2010
 	eventStoreAvailable   = 2011
 	eventStoreRestored    = 2013
@@ -44,7 +47,7 @@
 // endpoint.
 var (
 	storeEvents    = []int{eventStoreUnavailable, eventStoreAvailable, eventStoreRestored}
-	endpointEvents = []int{eventEndpointChanged, eventEndpointLeaves, eventEndpointQuiet}
+	endpointEvents = []int{eventEndpointChanged, eventEndpointLeaves, eventEndpointQuiet, eventEndpointTerms, eventPathBroken, eventPathHealed}
 )
 
 // maxLineBytes is the maximum length of a line.
@@ -158,7 +161,9 @@
 	{"unknown key", "configuration: no team of the version in force has the key"},
 	{"no endpoint of the back end", "no endpoints: no endpoint of the back end could take the request"},
 	{"no endpoint of the software version", "no endpoints: none of the software version that began the stream was left to continue it"},
-	{"have asked for no requests", "quiet endpoints: all endpoints of the back end had refused a request and asked for no others for some time"},
+	{"are to get no requests now", "quiet endpoints: all endpoints of the back end had asked for no requests for some time, or had no place within their limits"},
+	{"takes no more requests now", "limit of the endpoints: those that were tried had stated limits, and their owners gave no permit"},
+	{"does not forward the request", "unreachable endpoint: neither this daemon nor the peers that it asked reached the endpoint"},
 	{"origin of the stream unknown", "unknown origin: the stream was taken up, and no daemon that was asked knew which software version began it"},
 	{"caller left", "caller: it left before the answer was complete"},
 	{"time limit reached", "time limit: the endpoint did not answer within the time limit"},
--- a/internal/observe/explain/explain_test.go
+++ b/internal/observe/explain/explain_test.go
@@ -1,6 +1,7 @@
 package explain_test
 
 import (
+	"slices"
 	"strings"
 	"testing"
 
@@ -11,10 +12,13 @@
 // its daemon knew of its endpoint and of the store, and nothing of others.
 func TestContextNamesEndpointsAndTheStore(t *testing.T) {
 	log := `{"Event":1130,"Request":"r1","Daemon":"vm-1","Endpoint":"i-1","msg":"request placed"}
-{"Event":1133,"Request":"r1","Daemon":"vm-1","Status":503,"Reason":"all endpoints of the back end have asked for no requests","msg":"request ended"}
+{"Event":1133,"Request":"r1","Daemon":"vm-1","Status":503,"Reason":"all endpoints of the back end are to get no requests now","msg":"request ended"}
 {"Event":1212,"Daemon":"vm-1","Endpoint":"i-1","msg":"endpoint says that it leaves"}
 {"Event":1213,"Daemon":"vm-1","Endpoint":"i-1","msg":"endpoint wants no requests"}
 {"Event":1213,"Daemon":"vm-1","Endpoint":"i-2","msg":"endpoint wants no requests"}
+{"Event":1215,"Daemon":"vm-1","Endpoint":"i-1","msg":"endpoint states terms"}
+{"Event":1220,"Daemon":"vm-1","Endpoint":"i-1","msg":"endpoint is reached through peers only"}
+{"Event":1221,"Daemon":"vm-1","Endpoint":"i-1","msg":"endpoint is reached again"}
 {"Event":2013,"Daemon":"vm-1","msg":"store came back from a copy"}
 {"Event":2013,"Daemon":"vm-2","msg":"store came back from a copy"}`
 	report, err := explain.Find(strings.NewReader(log), "r1")
@@ -25,10 +29,29 @@
 	for _, line := range report.Context {
 		events = append(events, line.Event)
 	}
-	if len(events) != 3 || events[0] != 1212 || events[1] != 1213 || events[2] != 2013 {
-		t.Errorf("got the context events %v, want 1212, 1213 and 2013 of vm-1", events)
+	if want := []int{1212, 1213, 1215, 1220, 1221, 2013}; !slices.Equal(events, want) {
+		t.Errorf("got the context events %v, want %v of vm-1", events, want)
 	}
 	if !strings.HasPrefix(report.Cause, "quiet endpoints") {
 		t.Errorf("got the cause %q, want the quiet endpoints", report.Cause)
 	}
 }
+
+// TestCauseTellsWhoKeepsARequestFromItsEndpoint checks the causes that are beliefs about an
+// endpoint or the path to it.
+func TestCauseTellsWhoKeepsARequestFromItsEndpoint(t *testing.T) {
+	for reason, want := range map[string]string{
+		"endpoint takes no more requests now":                                                                 "limit of the endpoints",
+		"all endpoints of the back end are to get no requests now":                                            "quiet endpoints",
+		"request not sent to the endpoint: peer 10.0.0.7:7340: the peer does not forward the request: silent": "unreachable endpoint",
+	} {
+		log := `{"Event":1133,"Request":"r1","Daemon":"vm-1","Status":503,"Reason":"` + reason + `","msg":"request ended"}`
+		report, err := explain.Find(strings.NewReader(log), "r1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !strings.HasPrefix(report.Cause, want) {
+			t.Errorf("%s: got the cause %q, want %q", reason, report.Cause, want)
+		}
+	}
+}
--- a/internal/peer/fleet/fleet.go
+++ b/internal/peer/fleet/fleet.go
@@ -156,9 +156,21 @@
 
 // RelayScheduler returns the scheduling functions that the request path calls.
 func (f *Fleet) RelayScheduler() relay.Scheduler {
-	s := f.config.Scheduler.RelayScheduler(f.RecordLeaving)
-	s.RecordTerms, s.Acquire = f.RecordTerms, f.Acquire
-	return s
+	s := f.config.Scheduler
+	return relay.Scheduler{
+		Place:             s.place,
+		RecordFirstToken:  s.recordFirstToken,
+		RecordEnd:         s.recordEnd,
+		RecordLoad:        s.recordLoad,
+		RecordLeaving:     f.RecordLeaving,
+		RecordTerms:       f.RecordTerms,
+		Acquire:           f.Acquire,
+		SetAside:          s.setAside,
+		RecordQuiet:       s.recordQuiet,
+		InvalidateAddress: s.invalidateAddress,
+		CountRequest:      s.countRequest,
+		TakeRetry:         s.takeRetry,
+	}
 }
 
 // LivingVMs returns the other VMs that this daemon knows of, without those that have
--- a/internal/peer/fleet/fleet_test.go
+++ b/internal/peer/fleet/fleet_test.go
@@ -84,15 +84,22 @@
 
 // start starts a daemon that registers in the table.
 func start(t *testing.T, id string, rows table.Client, seeds ...string) *daemon {
-	return startWith(t, nil, id, rows, seeds...)
+	return startWith(t, environment{clock: clock.System()}, id, rows, seeds...)
 }
 
-// startWith starts a daemon whose connections to others are opened by dial, unless that is nil.
-func startWith(t *testing.T, dial func(context.Context, string, string) (net.Conn, error), id string, rows table.Client, seeds ...string) *daemon {
+// environment is what a daemon runs in.
+type environment struct {
+	clock clock.Clock
+	// dial opens the connections to other daemons, unless it is nil.
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// startWith starts a daemon in an environment.
+func startWith(t *testing.T, env environment, id string, rows table.Client, seeds ...string) *daemon {
 	logger, hook := logtest.NewNullLogger()
-	clk := clock.System()
+	clk := env.clock
 	d := &daemon{log: hook, address: uniqueAddress(), document: document.NewHolder(), tally: tally.New(id, clock.Second)}
-	d.link = link.New(link.Config{ID: id, Listen: d.address, Dial: dial}, clk, logger)
+	d.link = link.New(link.Config{ID: id, Listen: d.address, Dial: env.dial}, clk, logger)
 	rng := rand.New(rand.NewPCG(1, 2))
 	d.scheduler = fleet.NewScheduler(clk, logger, budget.Rules{Ratio: 0.2, FixedRetries: 10, Window: clock.Second}, func() int { return d.fleet.DaemonCount() }, rng)
 	d.roster = roster.New(clk, 0, func(list []roster.Endpoint) {
@@ -236,12 +243,12 @@
 	b.roster.Replace(list, table.Position{Revision: 1}, clock.System().Now())
 	eventually(t, "both know each other", func() bool { return a.fleet.DaemonCount() == 2 && b.fleet.DaemonCount() == 2 })
 	request := balance.Request{Backend: "books", Parts: []balance.PromptPart{{Hash: 1, Tokens: 10}}}
-	if _, refusal := b.scheduler.RelayScheduler(b.fleet.RecordLeaving).Place(request, clock.Second); refusal.Reason != "" {
+	if _, refusal := b.fleet.RelayScheduler().Place(request, clock.Second); refusal.Reason != "" {
 		t.Fatal(refusal.Reason)
 	}
 	a.roster.MarkLeaving("e", 0)
 	eventually(t, "b refuses requests for the leaving endpoint", func() bool {
-		_, refusal := b.scheduler.RelayScheduler(b.fleet.RecordLeaving).Place(request, clock.Second)
+		_, refusal := b.fleet.RelayScheduler().Place(request, clock.Second)
 		return refusal.Reason != ""
 	})
 }
--- a/internal/peer/fleet/scheduler.go
+++ b/internal/peer/fleet/scheduler.go
@@ -94,23 +94,6 @@
 	s.balancer.SetEndpoints(s.clock.Now(), known)
 }
 
-// RelayScheduler returns the scheduling functions that the request path calls.
-// recordLeaving is called when an endpoint reports that it is about to end.
-func (s *Scheduler) RelayScheduler(recordLeaving func(relay.Placement)) relay.Scheduler {
-	return relay.Scheduler{
-		Place:             s.place,
-		RecordFirstToken:  s.recordFirstToken,
-		RecordEnd:         s.recordEnd,
-		RecordLoad:        s.recordLoad,
-		RecordLeaving:     recordLeaving,
-		RecordQuiet:       s.recordQuiet,
-		SetAside:          s.setAside,
-		InvalidateAddress: s.invalidateAddress,
-		CountRequest:      s.countRequest,
-		TakeRetry:         s.takeRetry,
-	}
-}
-
 // place chooses an endpoint for a request of this daemon and records the job.
 func (s *Scheduler) place(request balance.Request, timeLeft clock.Millis) (relay.Placement, relay.Refusal) {
 	s.mu.Lock()
@@ -163,7 +146,7 @@
 		}
 	}
 	if quiet, allQuiet := s.balancer.QuietTime(now, request); !found && allQuiet {
-		return choice, relay.Refusal{Reason: "all endpoints of the back end have asked for no requests", RetryAfter: s.spread(quiet)}
+		return choice, relay.Refusal{Reason: "all endpoints of the back end are to get no requests now", RetryAfter: s.spread(quiet)}
 	}
 	if !found {
 		reason := "no endpoint of the back end can take the request"
@@ -263,11 +246,11 @@
 	s.balancer.SetAside(s.clock.Now(), endpoint, time)
 }
 
-// Incarnation returns the incarnation of an endpoint, 0 if it is not known.
-func (s *Scheduler) Incarnation(endpoint string) int64 {
+// Endpoint returns an endpoint, the zero value if it is not known.
+func (s *Scheduler) Endpoint(id string) roster.Endpoint {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.endpoints[endpoint].Incarnation
+	return s.endpoints[id]
 }
 
 func (s *Scheduler) countRequest(backend string) {
--- a/internal/peer/fleet/silence_test.go
+++ b/internal/peer/fleet/silence_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/coord/table"
 )
 
@@ -83,7 +84,7 @@
 	rows := table.NewMemory().Client()
 	fleet := make(map[string]*daemon)
 	for _, id := range []string{"north-1", "north-2", "south-1", "south-2", "south-3"} {
-		fleet[id] = startWith(t, s.dial, id, rows)
+		fleet[id] = startWith(t, environment{clock: clock.System(), dial: s.dial}, id, rows)
 	}
 	for id, d := range fleet {
 		eventually(t, id+" counts all daemons", func() bool { return d.fleet.DaemonCount() == len(fleet) })
