Give back a permit that cannot be used in time

Cause: a gateway that is held up uses the permits that it holds together. Change: a permit is used up to 200 ms late and given back after that. The endpoints are looked up in the scheduler instead of a copy of the list; one function makes the message.

--- a/internal/peer/fleet/message.go
+++ b/internal/peer/fleet/message.go
@@ -3,7 +3,6 @@
 import (
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/coord/table"
-	"github.com/banyanshift/banyanshift/internal/caller/relay"
 	"github.com/banyanshift/banyanshift/internal/config/document"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
 	"github.com/banyanshift/banyanshift/internal/decide/strain"
@@ -112,10 +111,10 @@
 	Age               clock.Millis
 }
 
-func newEndpointTerms(placement relay.Placement, terms strain.Terms) endpointTerms {
+func newEndpointTerms(s strain.Statement, age clock.Millis) endpointTerms {
 	return endpointTerms{
-		ID: placement.Endpoint, Incarnation: placement.Incarnation,
-		RequestsPerSecond: terms.RequestsPerSecond, RefusalsPerSecond: terms.RefusalsPerSecond,
+		ID: s.Endpoint, Incarnation: s.Incarnation,
+		RequestsPerSecond: s.Terms.RequestsPerSecond, RefusalsPerSecond: s.Terms.RefusalsPerSecond, Age: age,
 	}
 }
 
--- a/internal/peer/fleet/permits.go
+++ b/internal/peer/fleet/permits.go
@@ -19,6 +19,9 @@
 const (
 	// permitTimeout limits the wait for the answer of an owner.
 	permitTimeout = 150 * clock.Millisecond
+	// maxPermitDelay is how late a permit may be used. Requests that are held up for
+	// longer would arrive together.
+	maxPermitDelay = 200 * clock.Millisecond
 	// ownerFailureMemory is how long an owner that did not answer is passed over.
 	ownerFailureMemory = 3 * clock.Second
 	// maxOwnersAsked limits the owners that are asked for one permit.
@@ -44,8 +47,6 @@
 	mu      sync.Mutex
 	book    *strain.Book
 	limiter *strain.Limiter
-	// endpoints holds the endpoints by ID.
-	endpoints map[string]roster.Endpoint
 	// news lists the changed terms that were heard here and are to be reported.
 	news []heardTerms
 	// ownerFailedAt is when owners last did not answer, by address.
@@ -59,25 +60,22 @@
 }
 
 func newPermits(f *Fleet, firstID uint64) *permits {
-	p := &permits{
-		fleet: f, book: strain.NewBook(), limiter: strain.NewLimiter(),
-		endpoints: make(map[string]roster.Endpoint), ownerFailedAt: make(map[string]clock.Millis),
-	}
+	p := &permits{fleet: f, book: strain.NewBook(), limiter: strain.NewLimiter(), ownerFailedAt: make(map[string]clock.Millis)}
 	p.lastID.Store(firstID)
 	return p
 }
 
 // setEndpoints forgets the terms of endpoints that have ended.
 func (p *permits) setEndpoints(list []roster.Endpoint) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	clear(p.endpoints)
+	incarnations := make(map[string]int64, len(list))
 	for _, endpoint := range list {
-		p.endpoints[endpoint.ID] = endpoint
+		incarnations[endpoint.ID] = endpoint.Incarnation
 	}
-	p.book.Keep(func(id string) (int64, bool) {
-		endpoint, known := p.endpoints[id]
-		return endpoint.Incarnation, known
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.book.Keep(func(id string) (current int64, known bool) {
+		current, known = incarnations[id]
+		return current, known
 	})
 }
 
@@ -98,10 +96,10 @@
 	p.news = append(p.news, heardTerms{statement: statement, heardAt: now})
 }
 
-// record records terms and logs a change.
+// record records terms with the back end of the endpoint, and logs a change.
 func (p *permits) record(heardAt clock.Millis, s strain.Statement, source string) (changed bool) {
+	s.Backend = p.fleet.config.Scheduler.Endpoint(s.Endpoint).Backend
 	p.mu.Lock()
-	s.Backend = p.endpoints[s.Endpoint].Backend
 	changed = p.book.Record(heardAt, s)
 	p.anyTerms.Store(!p.book.IsEmpty())
 	p.mu.Unlock()
@@ -118,10 +116,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, heard := range p.news {
-		s := heard.statement
-		news = append(news, endpointTerms{
-			ID: s.Endpoint, Incarnation: s.Incarnation, RequestsPerSecond: s.Terms.RequestsPerSecond, RefusalsPerSecond: s.Terms.RefusalsPerSecond, Age: now - heard.heardAt,
-		})
+		news = append(news, newEndpointTerms(heard.statement, now-heard.heardAt))
 	}
 	p.news = nil
 	return news
@@ -145,31 +140,35 @@
 	if !needed {
 		return relay.Permit{Granted: true}
 	}
+	askedAt := f.config.Clock.Now()
 	answer, owner := p.ask(ctx, request)
 	if !answer.Granted {
 		permitResults.Add("Refused", 1)
 		return relay.Permit{AskAgainIn: answer.Wait}
 	}
-	permitResults.Add("Granted", 1)
-	release := func(outcome strain.Outcome) { p.release(owner, request, outcome) }
-	if f.config.Clock.Sleep(ctx, answer.Wait) != nil {
-		release(strain.NotSent)
+	err := f.config.Clock.Sleep(ctx, answer.Wait)
+	late := f.config.Clock.Now()-askedAt-answer.Wait > maxPermitDelay
+	if err != nil || late {
+		permitResults.Add("GivenBack", 1)
+		p.release(owner, request, strain.NotSent)
 		return relay.Permit{}
 	}
-	return relay.Permit{Granted: true, Release: release}
+	permitResults.Add("Granted", 1)
+	return relay.Permit{Granted: true, Release: func(outcome strain.Outcome) { p.release(owner, request, outcome) }}
 }
 
 // newRequest returns the request for a permit. needed is false if the endpoint has no terms.
 func (p *permits) newRequest(placement relay.Placement, priority int, timeLeft clock.Millis) (request permitRequest, needed bool) {
+	backend := p.fleet.config.Scheduler.Endpoint(placement.Endpoint).Backend
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	terms := p.book.Terms(placement.Endpoint, p.endpoints[placement.Endpoint].Backend)
+	terms := p.book.Terms(placement.Endpoint, backend)
 	if terms.IsZero() {
 		return permitRequest{}, false
 	}
 	urgency := maxWaitRank - min(max(priority, 0), maxWaitRank)
 	return permitRequest{
-		ID: p.lastID.Add(1), Terms: newEndpointTerms(placement, terms),
+		ID: p.lastID.Add(1), Terms: newEndpointTerms(strain.Statement{Endpoint: placement.Endpoint, Incarnation: placement.Incarnation, Terms: terms}, 0),
 		MaxWait:  min(minPermitWait+clock.Millis(urgency)*permitWaitStep, timeLeft/maxWaitShare),
 		Lifetime: timeLeft,
 	}, true
@@ -200,9 +199,7 @@
 func (p *permits) owners(endpoint string) (addresses []string) {
 	f := p.fleet
 	now := f.config.Clock.Now()
-	p.mu.Lock()
-	domain := p.endpoints[endpoint].FailureDomain
-	p.mu.Unlock()
+	domain := f.config.Scheduler.Endpoint(endpoint).FailureDomain
 	f.mu.Lock()
 	all := f.view.Owners(now, domain, endpoint)
 	f.mu.Unlock()
@@ -228,12 +225,12 @@
 // decide decides on a permit as the owner of the endpoint.
 func (p *permits) decide(request permitRequest) permitAnswer {
 	f := p.fleet
-	jobs := f.config.Scheduler.JobCount(request.Terms.ID)
+	endpoint, jobs := f.config.Scheduler.Endpoint(request.Terms.ID), f.config.Scheduler.JobCount(request.Terms.ID)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	decision := p.limiter.Decide(f.config.Clock.Now(), strain.Ask{
 		Endpoint: request.Terms.ID, Permit: request.ID, Terms: request.Terms.statement().Terms,
-		Slots: p.endpoints[request.Terms.ID].Slots, Jobs: jobs, MaxWait: request.MaxWait, Lifetime: request.Lifetime,
+		Slots: endpoint.Slots, Jobs: jobs, MaxWait: request.MaxWait, Lifetime: request.Lifetime,
 	})
 	return permitAnswer{Granted: decision.Granted, Wait: decision.Wait}
 }
