--- a/internal/endpoint/connect/connect.go
+++ b/internal/endpoint/connect/connect.go
@@ -32,8 +32,8 @@
 )
 
 const (
-	// dialPatience is how long a dial to an endpoint, a millisecond away, may be silent
-	// before another way is tried. It is longer than a VM with a processor quota pauses.
+	// dialPatience is how long a dial to an endpoint may be silent before another way is
+	// tried. It is longer than a VM pauses that has used up its processor quota.
 	dialPatience = 120 * clock.Millisecond
 	// peerPatience is how long a peer may take to answer whether it reaches an endpoint.
 	// It includes the dialPatience of the peer.
@@ -114,7 +114,7 @@
 		return c.throughPeer(ctx, target)
 	}
 	d := c.startDial(target.Endpoint, target.Address)
-	if own, err := d.wait(ctx, dialPatience); err == nil {
+	if own, err := d.wait(ctx); err == nil {
 		return c.direct(own, target), nil
 	}
 	return c.askPeers(ctx, target, d)
@@ -128,7 +128,7 @@
 		return c.direct(idle, target), nil
 	}
 	d := c.startDial(target.Endpoint, target.Address)
-	opened, err := d.wait(ctx, dialPatience)
+	opened, err := d.wait(ctx)
 	if err == nil {
 		opened.Release()
 		return c.direct(idle, target), nil
@@ -153,7 +153,7 @@
 		return Connection{}, errors.Join(d.failure(), err)
 	}
 	// No peer knows anything of the endpoint.
-	own, dialErr := d.wait(ctx, dialTimeout)
+	own, dialErr := d.waitToEnd(ctx)
 	if dialErr != nil {
 		return Connection{}, errors.Join(dialErr, err)
 	}
@@ -268,7 +268,7 @@
 		}
 	}
 	d := c.startDial(target.Endpoint, target.Address)
-	own, err = d.wait(ctx, dialPatience)
+	own, err = d.wait(ctx)
 	if err != nil {
 		return nil, &forward.Refusal{Code: forward.Unreachable, Reason: fmt.Sprintf("the endpoint does not answer: %v", err)}
 	}
--- a/internal/endpoint/connect/dial.go
+++ b/internal/endpoint/connect/dial.go
@@ -5,13 +5,9 @@
 	"errors"
 	"sync"
 
-	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
 )
 
-// dialTimeout bounds a dial. TCP resends a lost SYN packet after one second.
-const dialTimeout = 1200 * clock.Millisecond
-
 // errDialSilent means that an endpoint has not answered a dial yet.
 var errDialSilent = errors.New("the endpoint has not answered the dial")
 
@@ -42,9 +38,7 @@
 
 func (d *dial) run() {
 	defer close(d.done)
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout.Duration())
-	defer cancel()
-	conn, err := d.connector.config.Pool.Dial(ctx, d.endpoint, d.address)
+	conn, err := d.connector.config.Pool.Dial(context.Background(), d.endpoint, d.address)
 	if err != nil {
 		d.err = err
 		return
@@ -60,21 +54,28 @@
 	d.conn = conn
 }
 
-// wait returns the connection, or errDialSilent after patience. The dial goes on then.
-func (d *dial) wait(ctx context.Context, patience clock.Millis) (*http1.Conn, error) {
+// wait returns the connection, or errDialSilent after dialPatience. The dial goes on then.
+func (d *dial) wait(ctx context.Context) (*http1.Conn, error) {
+	patient, cancel := context.WithTimeout(ctx, dialPatience.Duration())
+	defer cancel()
+	conn, err := d.waitToEnd(patient)
+	if err != nil && patient.Err() != nil && ctx.Err() == nil {
+		return nil, errDialSilent
+	}
+	return conn, err
+}
+
+// waitToEnd returns the connection, or the error of the dial. If ctx ends first, the dial
+// goes on.
+func (d *dial) waitToEnd(ctx context.Context) (*http1.Conn, error) {
 	d.mu.Lock()
 	d.awaited = true
 	d.mu.Unlock()
-	waitCtx, cancel := context.WithTimeout(ctx, patience.Duration())
-	defer cancel()
 	select {
 	case <-d.done:
-	case <-waitCtx.Done():
+	case <-ctx.Done():
 		d.abandon()
-		if ctx.Err() != nil {
-			return nil, ctx.Err()
-		}
-		return nil, errDialSilent
+		return nil, ctx.Err()
 	}
 	if d.err != nil {
 		return nil, d.err
--- a/internal/endpoint/connect/watch.go
+++ b/internal/endpoint/connect/watch.go
@@ -119,7 +119,7 @@
 // checkPath dials the endpoint and, if that fails, asks peers.
 func (c *Connector) checkPath(ctx context.Context, target Target) (broken, silent bool) {
 	d := c.startDial(target.Endpoint, target.Address)
-	own, err := d.wait(ctx, dialPatience)
+	own, err := d.wait(ctx)
 	if err == nil {
 		own.Release()
 		return false, false
@@ -149,7 +149,5 @@
 }
 
 func (l *pathRecheck) run() {
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout.Duration())
-	defer cancel()
-	l.connector.check(ctx, l.target)
+	l.connector.check(context.Background(), l.target)
 }
--- a/internal/endpoint/http1/pool.go
+++ b/internal/endpoint/http1/pool.go
@@ -31,8 +31,8 @@
 )
 
 const (
-	// dialTimeout bounds opening a connection. Endpoints are a millisecond
-	// away, and TCP resends a lost SYN packet after one second.
+	// dialTimeout bounds opening a connection. TCP resends a lost SYN packet after
+	// one second.
 	dialTimeout = 1200 * clock.Millisecond
 	// maxIdleTime is the longest time that a connection stays idle, even if
 	// the endpoint allows more.
@@ -102,7 +102,7 @@
 	}
 	p.mu.Unlock()
 	for _, c := range dropped {
-		_ = c.netConn.Close()
+		c.Close()
 	}
 }
 
@@ -166,10 +166,17 @@
 
 // CloseIdle closes the idle connections to the endpoint with the given key.
 func (p *Pool) CloseIdle(key string) {
-	p.CloseIdleExcept(func(other string) bool { return other != key })
+	p.mu.Lock()
+	dropped := p.idle[key]
+	delete(p.idle, key)
+	p.mu.Unlock()
+	for _, c := range dropped {
+		c.Close()
+	}
 }
 
-// Dial opens a connection to the endpoint with the given key and address.
+// Dial opens a connection to the endpoint with the given key and address, within
+// dialTimeout.
 func (p *Pool) Dial(ctx context.Context, key, address string) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout.Duration())
 	defer cancel()
--- a/internal/peer/topology/owner.go
+++ b/internal/peer/topology/owner.go
@@ -43,11 +43,7 @@
 // livingIn returns the VMs of a failure domain that have not failed, this daemon included,
 // in the common order.
 func (v *View) livingIn(now clock.Millis, domain string) (vms []VM) {
-	for _, c := range v.domains[domain] {
-		if c.state(now) != failed {
-			vms = append(vms, c.VM)
-		}
-	}
+	vms = living(now, v.domains[domain])
 	if domain == v.self.FailureDomain && !v.stopping {
 		vms = append(vms, v.self)
 		slices.SortFunc(vms, compare)
--- a/internal/peer/topology/topology.go
+++ b/internal/peer/topology/topology.go
@@ -392,10 +392,16 @@
 // this daemon knows.
 func (v *View) Living(now clock.Millis) (vms []VM) {
 	for _, list := range v.domains {
-		for _, c := range list {
-			if c.state(now) != failed {
-				vms = append(vms, c.VM)
-			}
+		vms = append(vms, living(now, list)...)
+	}
+	return vms
+}
+
+// living returns the VMs of a list that have not failed and are not stopping, in order.
+func living(now clock.Millis, list []*candidate) (vms []VM) {
+	for _, c := range list {
+		if c.state(now) != failed {
+			vms = append(vms, c.VM)
 		}
 	}
 	return vms
