--- a/internal/platform/feed/feed_test.go
+++ b/internal/platform/feed/feed_test.go
@@ -69,13 +69,19 @@
 		defer close(done)
 		_ = f.Run(ctx)
 	}()
+	advanceUntil(done, s.clock)
+	return s.callbacks
+}
+
+// advanceUntil advances a clock while somebody sleeps by it, until done is closed.
+func advanceUntil(done <-chan struct{}, manual *clock.Manual) {
 	for {
 		select {
 		case <-done:
-			return s.callbacks
+			return
 		case <-time.After(time.Millisecond):
-			if s.clock.Sleepers() > 0 {
-				s.clock.Advance(100)
+			if manual.Sleepers() > 0 {
+				manual.Advance(100)
 			}
 		}
 	}
@@ -239,16 +245,8 @@
 		defer close(done)
 		_ = f.Run(ctx)
 	}()
-	for {
-		select {
-		case <-done:
-			return rows, at, asOf
-		case <-time.After(time.Millisecond):
-			if manual.Sleepers() > 0 {
-				manual.Advance(50)
-			}
-		}
-	}
+	advanceUntil(done, manual)
+	return rows, at, asOf
 }
 
 // TestPagesThatWereReadAreKept guards against a start that reads the same pages again and
--- a/internal/standin/faultproxy/link.go
+++ b/internal/standin/faultproxy/link.go
@@ -20,6 +20,8 @@
 	fault  Fault
 	// faultChanged is closed and replaced when the fault changes.
 	faultChanged chan struct{}
+	// silenced is closed when the connections that are open fall silent, and replaced.
+	silenced chan struct{}
 	// conns holds the open connections of both sides; nil when closed.
 	conns map[net.Conn]bool
 }
@@ -51,9 +53,10 @@
 	}
 	l.track(target)
 	defer l.closeTracked(target)
+	silenced := l.currentSilence()
 	var wg sync.WaitGroup
-	wg.Go(func() { l.copyLoop(client, target, false) })
-	wg.Go(func() { l.copyLoop(target, client, true) })
+	wg.Go(func() { l.copyLoop(client, target, silenced, false) })
+	wg.Go(func() { l.copyLoop(target, client, silenced, true) })
 	wg.Wait()
 }
 
@@ -70,11 +73,16 @@
 
 // copyLoop forwards one direction until it ends. It forwards an end of file as
 // a half-close, and resets the destination on a read error. It resets both
-// sides when a write fails or the fault drops data.
-func (l *link) copyLoop(from, to net.Conn, fromTarget bool) {
+// sides when a write fails or the fault drops data. Once silenced is closed, it forwards
+// nothing and discards what arrives until the connection is closed.
+func (l *link) copyLoop(from, to net.Conn, silenced <-chan struct{}, fromTarget bool) {
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, readErr := from.Read(buffer)
+		if isClosed(silenced) {
+			_, _ = io.Copy(io.Discard, from)
+			return
+		}
 		if n > 0 && (!l.applyFault(fromTarget) || !write(to, buffer[:n])) {
 			reset(from)
 			reset(to)
@@ -92,6 +100,15 @@
 	}
 }
 
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 func write(to net.Conn, data []byte) bool {
 	_, err := to.Write(data)
 	return err == nil
@@ -124,6 +141,14 @@
 	return l.fault, l.faultChanged
 }
 
+// currentSilence returns the channel that is closed when the connections that are open now
+// fall silent.
+func (l *link) currentSilence() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.silenced
+}
+
 func (l *link) setFault(fault Fault) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -133,6 +158,10 @@
 	if fault.Cut {
 		l.resetAll()
 	}
+	if fault.Silence {
+		close(l.silenced)
+		l.silenced = make(chan struct{})
+	}
 }
 
 // resetAll resets all connections. The caller holds l.mu.
--- a/internal/standin/faultproxy/proxy.go
+++ b/internal/standin/faultproxy/proxy.go
@@ -39,6 +39,9 @@
 	Cut bool
 	// Stall keeps connections open and forwards nothing, in either direction.
 	Stall bool
+	// Silence makes the connections that are open when the fault is set lose all data from
+	// then on, in both directions and for good. New connections work.
+	Silence bool
 	// StallAnswers forwards only from the client to the target.
 	StallAnswers bool
 	// Delay delays each chunk of data, plus a random time up to Jitter.
@@ -129,7 +132,7 @@
 		return "", err
 	}
 	l := &link{proxy: p, target: target, listener: listener, conns: make(map[net.Conn]bool)}
-	l.faultChanged = make(chan struct{})
+	l.faultChanged, l.silenced = make(chan struct{}), make(chan struct{})
 	for _, rule := range p.rules {
 		if matches(rule.Pattern, name) {
 			l.fault = rule.Fault
--- a/internal/standin/faultproxy/proxy_test.go
+++ b/internal/standin/faultproxy/proxy_test.go
@@ -117,3 +117,40 @@
 		t.Error("read succeeded after the cut, want an error")
 	}
 }
+
+func TestSilenceIsForGoodAndForOpenConnectionsOnly(t *testing.T) {
+	target, _ := echo(t)
+	p := New(1, clock.System())
+	defer p.Close()
+	address, err := p.SetLink("x", target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ask := func(conn net.Conn) error {
+		conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+		conn.Write([]byte("hello\n"))
+		_, err := bufio.NewReader(conn).ReadString('\n')
+		return err
+	}
+	old, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer old.Close()
+	if err := ask(old); err != nil {
+		t.Fatal(err)
+	}
+	p.SetFault(Rule{Pattern: "x", Fault: Fault{Silence: true}})
+	fresh, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer fresh.Close()
+	if err := ask(fresh); err != nil {
+		t.Errorf("a new connection is silent: %v", err)
+	}
+	p.SetFault(Rule{Pattern: "x"})
+	if err := ask(old); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("got error %v on the old connection, want none but silence", err)
+	}
+}
