Let the daemons of a test ask the owner of a claim, as daemons do

Cause: a claim is released in the background, after the caller has its answer. Until the release is written, the table shows the claim as open, and another daemon asks the owner, which knows better. The daemons of the test had no RemoteLookup, so a retry that came before the write was told that the request was in progress.

Change: the daemons of the test ask the owner's own record, and the test holds the owner's write until a retry at the other daemon was answered. The assertions stay; one was added.

--- a/internal/caller/plain/plain_test.go
+++ b/internal/caller/plain/plain_test.go
@@ -25,6 +25,7 @@
 	"github.com/banyanshift/banyanshift/internal/config/state"
 	"github.com/banyanshift/banyanshift/internal/endpoint/service"
 	"github.com/banyanshift/banyanshift/internal/endpoint/transport"
+	"github.com/banyanshift/banyanshift/internal/peer/link"
 	"github.com/banyanshift/banyanshift/internal/settings/ini"
 )
 
@@ -37,11 +38,14 @@
 	mode   atomic.Value
 	runs   atomic.Int64
 	server *httptest.Server
+	// refusing is called before the service rejects a call.
+	refusing func()
 }
 
 func (f *fakeService) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	mode, _ := f.mode.Load().(string)
 	if mode == "refusing" {
+		f.refusing()
 		w.Header().Set("Run", "Not")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -65,6 +69,22 @@
 type daemon struct {
 	address string
 	store   *coordclaim.Store
+	writes  *writeGate
+}
+
+// writeGate delays the commits of one daemon while it is held.
+type writeGate struct {
+	held sync.RWMutex
+}
+
+func (g *writeGate) client(client table.Client) table.Client {
+	commit := client.Commit
+	client.Commit = func(ctx context.Context, txn table.Txn) error {
+		g.held.RLock()
+		defer g.held.RUnlock()
+		return commit(ctx, txn)
+	}
+	return client
 }
 
 type testCluster struct {
@@ -104,7 +124,7 @@
 	r.service.server = httptest.NewServer(r.service)
 	t.Cleanup(r.service.server.Close)
 	for i := range daemons {
-		r.startDaemon(t, fmt.Sprintf("vm-%d", i))
+		r.startDaemon(t, daemonName(i))
 	}
 	return r
 }
@@ -130,8 +150,9 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	clk := clock.System()
+	writes := &writeGate{}
 	store := coordclaim.New(coordclaim.Config{
-		Table: r.table.Client(), Clock: clk, Prefix: "Claim/", EpochKey: "ClaimEpoch", Owner: name, Incarnation: name + ".1",
+		Table: writes.client(r.table.Client()), Clock: clk, Prefix: "Claim/", EpochKey: "ClaimEpoch", Owner: name, Incarnation: name + ".1",
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -152,7 +173,8 @@
 		Service: service.New(transport.New(transport.Config{})), Scheduler: r.scheduler(),
 		Claims: claim.New(claim.Config{
 			Store: store, Clock: clk, Logger: logger,
-			OwnerAlive: func(string, string) bool { return true },
+			OwnerAlive:   func(string, string) bool { return true },
+			RemoteLookup: r.lookUp,
 		}),
 		TakeRetry:   func(*request.Request) bool { return true },
 		RecordUsage: func(*request.Request, int, int) {},
@@ -162,7 +184,22 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = server.Shutdown(context.Background()) })
-	r.daemons = append(r.daemons, daemon{address: server.Address(), store: store})
+	r.daemons = append(r.daemons, daemon{address: server.Address(), store: store, writes: writes})
+}
+
+// lookUp asks the owner of a claim for its record, as daemons ask each other.
+func (r *testCluster) lookUp(_ context.Context, owner string, lookup claim.LookupRequest) (claim.LookupResponse, error) {
+	for i, d := range r.daemons {
+		if owner == daemonName(i) {
+			record, held := d.store.LocalRecord(lookup.Scope, lookup.Key, lookup.Nonce)
+			return claim.LookupResponse{Held: held, Record: record}, nil
+		}
+	}
+	return claim.LookupResponse{}, link.ErrUnreachable
+}
+
+func daemonName(index int) string {
+	return fmt.Sprintf("vm-%d", index)
 }
 
 func (r *testCluster) call(t *testing.T, daemon int, method, uri, idempotencyKey, body string) (status int, run, text string) {
@@ -258,14 +295,26 @@
 	}
 }
 
+// The key of a call that did not run is free as soon as its owner has written
+// so. Until then, other daemons must report that the call did not run, although
+// the table still shows the claim as open.
 func TestUnrunCallFreesItsKey(t *testing.T) {
 	r := newTestCluster(t, 2)
 	r.service.mode.Store("refusing")
+	owner := r.daemons[0].writes
+	release := sync.OnceFunc(owner.held.Unlock)
+	defer release()
+	r.service.refusing = sync.OnceFunc(owner.held.Lock)
 	status, run, _ := r.call(t, 0, http.MethodPost, "/certificates", "k", "body")
 	if status < 500 || run != "Not" {
 		t.Errorf("got status %d, run %q; want a 5xx status, Not", status, run)
 	}
 	r.service.mode.Store("")
+	status, run, _ = r.call(t, 1, http.MethodPost, "/certificates", "k", "body")
+	if status != http.StatusConflict || run != "Not" {
+		t.Errorf("retry before the release is written: got status %d, run %q; want 409, Not", status, run)
+	}
+	release()
 	for range 100 {
 		status, run, _ = r.call(t, 1, http.MethodPost, "/certificates", "k", "body")
 		if status == http.StatusCreated {
