Hold the write itself in the test of a denial ahead of the store

Cause: the test held only the result of the commit. The change was in the store by then, and the accepting daemon, which polls the store each 30 ms, read it, applied it and settled the denial. The awaited state, in which all four daemons refuse the key with one withdrawal pending, lasted as long as the peers' answers were faster than that poll.

Change: the test holds the commit before it takes effect. That is also the stricter reading of its name. The assertions stay.

--- a/internal/config/follow/fleet_test.go
+++ b/internal/config/follow/fleet_test.go
@@ -53,13 +53,14 @@
 	done     chan struct{}
 }
 
-// faultyStore is one daemon's client of the shared store. It can be down, and
-// afterCommit can change the result of a commit.
+// faultyStore is one daemon's client of the shared store. It can be down.
+// beforeCommit can delay a commit, and afterCommit can change its result.
 type faultyStore struct {
-	mu          sync.Mutex
-	down        bool
-	afterCommit func(table.Txn, error) error
-	table       table.Client
+	mu           sync.Mutex
+	down         bool
+	beforeCommit func()
+	afterCommit  func(table.Txn, error) error
+	table        table.Client
 }
 
 func (s *faultyStore) setDown(down bool) {
@@ -92,10 +93,13 @@
 			if s.unavailable() {
 				return table.ErrUnavailable
 			}
-			err := s.table.Commit(ctx, txn)
 			s.mu.Lock()
-			after := s.afterCommit
+			before, after := s.beforeCommit, s.afterCommit
 			s.mu.Unlock()
+			if before != nil {
+				before()
+			}
+			err := s.table.Commit(ctx, txn)
 			if after != nil {
 				return after(txn, err)
 			}
--- a/internal/config/follow/follow_test.go
+++ b/internal/config/follow/follow_test.go
@@ -195,14 +195,13 @@
 func TestDenialDoesNotWaitForTheStore(t *testing.T) {
 	fl, revision := newFleetWithKey(t, 2, 2)
 	acceptor := fl.nodes[1]
-	answer := make(chan struct{})
+	write := make(chan struct{})
 	acceptor.store.mu.Lock()
-	acceptor.store.afterCommit = func(_ table.Txn, err error) error {
+	acceptor.store.beforeCommit = func() {
 		if !acceptor.refuses() {
 			t.Error("the accepting daemon wrote to the store before it denied the key")
 		}
-		<-answer
-		return err
+		<-write
 	}
 	acceptor.store.mu.Unlock()
 	// The other daemons cannot read the log, so only the denial reaches them.
@@ -213,7 +212,7 @@
 		fl.mustPropose(acceptor, "w1", revision, key(true))
 	}()
 	fl.eventuallyOnAll("key refused", func(n *node) bool { return n.refuses() && n.follower.PendingWithdrawals() == 1 })
-	close(answer)
+	close(write)
 	<-done
 	fl.eventuallyOnAll("settled", func(n *node) bool {
 		return n.refuses() && n.state.Sequence() == revision+1 && n.follower.PendingWithdrawals() == 0
