Log the digests of the prompt's parts when an answer ends early

Cause: the logs of gateways name no part, so that a crash by what requests have in common cannot be told from a fault of the endpoints (hypotheses 1 and 3 of docs/incidents/prompt-part-crashes.md).

--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -70,6 +70,8 @@
 	// it sent none.
 	ExpectedOutput int
 	Parts          []balance.PromptPart
+	// PartDigests holds a digest of each part by itself, whatever comes before it.
+	PartDigests []uint64
 }
 
 // Attempt describes one attempt to send a call to an endpoint.
--- a/internal/caller/relay/trace.go
+++ b/internal/caller/relay/trace.go
@@ -17,7 +17,7 @@
 	eventPlaced = event.New(1130, logrus.InfoLevel, "request placed",
 		"A request was assigned to an endpoint. The fields give the expected time to first token, and the version of the configuration with the time since it was last known to be the newest.")
 	eventAttemptFailed = event.New(1131, logrus.InfoLevel, "attempt failed",
-		"An endpoint gave no usable answer; the reason says whether the request may have run.")
+		"An endpoint gave no usable answer; the reason says whether the request may have run. Parts holds digests of the parts of the prompt if the answer ended early or never came.")
 	eventFirstEvent = event.New(1132, logrus.InfoLevel, "stream started",
 		"The first event of a stream was forwarded to the caller.")
 	eventTakenUp = event.New(1134, logrus.InfoLevel, "stream is taken up",
@@ -90,10 +90,24 @@
 	fields := logrus.Fields{"Endpoint": p.Endpoint, "Reason": reason}
 	if err != nil {
 		fields["Error"] = err.Error()
+		x.addPartDigests(fields)
 	}
 	x.trace.decisions = append(x.trace.decisions, decision{event: eventAttemptFailed, at: x.handler.config.Clock.Now(), fields: fields})
 }
 
+// addPartDigests adds the digests of the parts of the prompt to the fields of an event, so
+// that the log shows what requests have in common.
+func (x *exchange) addPartDigests(fields logrus.Fields) {
+	if x.call.Prompt == nil {
+		return
+	}
+	parts := make([]string, 0, len(x.call.Prompt.PartDigests))
+	for _, digest := range x.call.Prompt.PartDigests {
+		parts = append(parts, strconv.FormatUint(digest, 16))
+	}
+	fields["Parts"] = strings.Join(parts, ",")
+}
+
 func (t *trace) recordFirstEvent(x *exchange) {
 	now := x.handler.config.Clock.Now()
 	if t.firstEventAt == 0 {
