Keep requests from endpoints after several have crashed under them

Callers saw streams of endpoint after endpoint cut, as long as requests with a certain part in their prompts came: each such request crashed the endpoint that began its answer, took the streams beside it along and its cache.

Cause: nothing remembers what a request did to an endpoint. A gateway forgets a request with its end, and the requests of one cause reach all gateways, so that none of them, nor all together, see more than one crash after the other.

Change: decide/quarantine holds the evidence and decides, peer/crashnews checks whether an endpoint has crashed, tells all daemons and asks for trials one at a time in the whole fleet; relay asks before each attempt. Messages have numbers of their own and the answer to a ping a field of its own, which a daemon of the last release skips.

--- a/internal/caller/relay/answer.go
+++ b/internal/caller/relay/answer.go
@@ -35,8 +35,10 @@
 		s.RecordEnd(placement, balance.Failed)
 		x.attempts.lastReason = err.Error()
 		x.recordFailure("answer broke off", placement, err)
+		x.recordLost(placement, err)
 		return noAnswer
 	}
+	x.recordSound()
 	buffered := &bufferedAnswer{status: answer.Status, header: answer.Header, body: body}
 	switch {
 	case answer.Status < http.StatusMultipleChoices && !head.Sealed:
--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -69,12 +69,12 @@
 func (x *exchange) forward() {
 	x.handler.config.Scheduler.CountRequest(x.backend)
 	for range maxTries {
-		placement, refusal := x.place()
+		placement, outcome, refusal := x.tryOnce()
 		if refusal.Reason != "" {
 			x.conclude(refusal)
 			return
 		}
-		switch x.attempt(placement) {
+		switch outcome {
 		case answered, callerGone:
 			return
 		case failed, noAnswer:
@@ -90,6 +90,26 @@
 	x.conclude(Refusal{Reason: x.attempts.lastReason, RetryAfter: defaultRetryAfter})
 }
 
+// tryOnce sends the request to an endpoint, unless it is in quarantine or has no place.
+func (x *exchange) tryOnce() (placement Placement, outcome result, refusal Refusal) {
+	admission := x.handler.config.Quarantine.Admit(x.r.Context(), x.digests(), x.timeLeft())
+	if !admission.Granted {
+		return Placement{}, notSent, admission.Refusal
+	}
+	// attempt ends with a panic if an answer breaks off on its way to the caller.
+	outcome = noAnswer
+	if admission.Release != nil {
+		defer func() { admission.Release(outcome != noAnswer) }()
+	}
+	placement, refusal = x.place()
+	if refusal.Reason != "" {
+		outcome = notSent
+		return placement, outcome, refusal
+	}
+	outcome = x.attempt(placement)
+	return placement, outcome, Refusal{}
+}
+
 // place asks the scheduler for an endpoint. If the request has been sent
 // before, it first checks the time and attempts left and takes a retry from the
 // budget.
@@ -120,6 +140,8 @@
 		x.refuse(http.StatusGatewayTimeout, Refusal{Reason: "time limit reached: " + refusal.Reason})
 	case x.attempts.mayHaveRun:
 		x.refuse(http.StatusBadGateway, Refusal{Reason: refusal.Reason})
+	case refusal.Final:
+		x.refuse(http.StatusUnprocessableEntity, refusal)
 	default:
 		x.refuse(http.StatusServiceUnavailable, refusal)
 	}
@@ -187,7 +209,8 @@
 	if head.WrongEndpoint {
 		return x.handleWrongEndpoint(placement)
 	}
-	x.handler.config.Scheduler.RecordSignals(placement, head)
+	h.config.Scheduler.RecordSignals(placement, head)
+	h.config.Quarantine.RecordAnswer(placement)
 	switch {
 	case head.NotRun:
 		return x.handleNotRun(placement, answer.Status)
@@ -261,6 +284,7 @@
 	}
 	s.RecordEnd(placement, balance.Failed)
 	x.recordFailure("no answer from endpoint", placement, err)
+	x.recordLost(placement, err)
 	if x.route.Kind != document.Streaming {
 		x.countStart(sentWall)
 	}
--- /dev/null
+++ b/internal/caller/relay/quarantine.go
@@ -0,0 +1,36 @@
+package relay
+
+import (
+	"errors"
+	"os"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/decide/quarantine"
+)
+
+// proofTime is how long an endpoint must have lived after the first event of a stream for
+// the stream to count as answered.
+const proofTime = 250 * clock.Millisecond
+
+// digests returns what the request may have in common with others that crash endpoints: the
+// parts of its prompt, without the last one, which is its own.
+func (x *exchange) digests() []quarantine.Digest {
+	prompt := x.call.Prompt
+	if prompt == nil || len(prompt.PartDigests) == 0 {
+		return nil
+	}
+	return prompt.PartDigests[:len(prompt.PartDigests)-1]
+}
+
+// recordLost records that the connection to the endpoint ended without an answer. One that
+// was given up after its time limit tells nothing.
+func (x *exchange) recordLost(placement Placement, err error) {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		x.handler.config.Quarantine.RecordLost(placement, x.digests())
+	}
+}
+
+// recordSound records that the request was answered.
+func (x *exchange) recordSound() {
+	x.handler.config.Quarantine.RecordSound(x.digests())
+}
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -31,6 +31,7 @@
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/config/document"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
+	"github.com/banyanshift/banyanshift/internal/decide/quarantine"
 	"github.com/banyanshift/banyanshift/internal/decide/strain"
 	"github.com/banyanshift/banyanshift/internal/endpoint/connect"
 )
@@ -71,7 +72,7 @@
 	ExpectedOutput int
 	Parts          []balance.PromptPart
 	// PartDigests holds a digest of each part by itself, whatever comes before it.
-	PartDigests []uint64
+	PartDigests []quarantine.Digest
 }
 
 // Attempt describes one attempt to send a call to an endpoint.
@@ -213,6 +214,31 @@
 	Reason string
 	// RetryAfter is how long the caller should wait before it retries.
 	RetryAfter clock.Millis
+	// Final is set if the caller should not retry.
+	Final bool
+}
+
+// Quarantine keeps requests that crash endpoints from being sent. All fields must be set.
+type Quarantine struct {
+	// Admit decides whether a request with these digests may be sent, and waits for its
+	// trial if it is under suspicion.
+	Admit func(ctx context.Context, digests []quarantine.Digest, timeLeft clock.Millis) Admission
+	// RecordLost is called when a request with these digests got no answer because its
+	// connection ended.
+	RecordLost func(placement Placement, digests []quarantine.Digest)
+	// RecordSound is called when a request with these digests was answered.
+	RecordSound func(digests []quarantine.Digest)
+	// RecordAnswer is called when the endpoint of a placement has answered anything.
+	RecordAnswer func(placement Placement)
+}
+
+// Admission allows a request to be sent, or says why not.
+type Admission struct {
+	Granted bool
+	Refusal Refusal
+	// Release is called when the attempt has ended, with whether the endpoint answered. It
+	// is nil if nobody waits for it.
+	Release func(answered bool)
 }
 
 // Configuration is the configuration that this daemon uses.
@@ -236,6 +262,7 @@
 	// Connect finds a way to an endpoint. Its error is a *http1.RequestError.
 	Connect       func(ctx context.Context, target connect.Target) (connect.Connection, error)
 	Scheduler     Scheduler
+	Quarantine    Quarantine
 	Streams       Streams
 	Configuration func() Configuration
 	// RecordStarted counts a team's request for billing, at the wall-clock time
--- a/internal/caller/relay/relay_test.go
+++ b/internal/caller/relay/relay_test.go
@@ -24,6 +24,7 @@
 	"github.com/banyanshift/banyanshift/internal/config/document"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
 	"github.com/banyanshift/banyanshift/internal/decide/path"
+	"github.com/banyanshift/banyanshift/internal/decide/quarantine"
 	"github.com/banyanshift/banyanshift/internal/decide/strain"
 	"github.com/banyanshift/banyanshift/internal/endpoint/connect"
 	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
@@ -114,6 +115,14 @@
 		return header.Get("Id") == id
 	}})
 	handler := relay.New(relay.Config{
+		Quarantine: relay.Quarantine{
+			Admit: func(context.Context, []quarantine.Digest, clock.Millis) relay.Admission {
+				return relay.Admission{Granted: true}
+			},
+			RecordLost:   func(relay.Placement, []quarantine.Digest) {},
+			RecordSound:  func([]quarantine.Digest) {},
+			RecordAnswer: func(relay.Placement) {},
+		},
 		Streams: relay.Streams{
 			Record: func(string, string, string) {},
 			Find: func(context.Context, string, string) (balance.SoftwareLimit, bool) {
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 
+	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
 	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
 )
@@ -44,9 +45,13 @@
 		s.RecordEnd(placement, balance.Failed)
 		x.attempts.lastReason = "stream broke off: " + err.Error()
 		x.recordFailure("stream broke off", placement, err)
+		if !p.isProved() {
+			x.recordLost(placement, err)
+		}
 		return noAnswer
 	}
 	s.RecordEnd(placement, balance.Succeeded)
+	x.recordSound()
 	x.trace.setResult(http.StatusOK, "")
 	return answered
 }
@@ -59,6 +64,10 @@
 	answer         *http1.Answer
 	events         *eventSplitter
 	firstEventSeen bool
+	// firstEventAt is when the first event arrived.
+	firstEventAt clock.Millis
+	// soundRecorded is set after the request was recorded as sound.
+	soundRecorded bool
 }
 
 // run forwards the answer until it ends. It returns nil if the stream is
@@ -92,11 +101,21 @@
 	}
 	if !p.firstEventSeen {
 		p.firstEventSeen = true
+		p.firstEventAt = p.exchange.handler.config.Clock.Now()
 		p.recordFirstEvent()
 	}
+	if !p.soundRecorded && p.isProved() {
+		p.soundRecorded = true
+		p.exchange.recordSound()
+	}
 	return p.write(ready)
 }
 
+// isProved reports whether the endpoint has lived for proofTime after the first event.
+func (p *streamForwarder) isProved() bool {
+	return p.firstEventSeen && p.exchange.handler.config.Clock.Now()-p.firstEventAt >= proofTime
+}
+
 // recordFirstEvent reports the first event of this answer to the scheduler, to
 // billing and to the trace.
 func (p *streamForwarder) recordFirstEvent() {
--- a/internal/caller/relay/trace.go
+++ b/internal/caller/relay/trace.go
@@ -103,7 +103,7 @@
 	}
 	parts := make([]string, 0, len(x.call.Prompt.PartDigests))
 	for _, digest := range x.call.Prompt.PartDigests {
-		parts = append(parts, strconv.FormatUint(digest, 16))
+		parts = append(parts, strconv.FormatUint(uint64(digest), 16))
 	}
 	fields["Parts"] = strings.Join(parts, ",")
 }
--- a/internal/daemon/gateway/follow.go
+++ b/internal/daemon/gateway/follow.go
@@ -121,6 +121,7 @@
 	d.logChanges(list)
 	d.endpoints.Store(&list)
 	d.fleet.SetEndpoints(list)
+	d.crashes.SetEndpoints(list)
 	d.applyEndpoints()
 	d.fleet.NotifyEndpoints()
 	known := make(map[string]bool, len(list))
--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -43,6 +43,7 @@
 	"github.com/banyanshift/banyanshift/internal/endpoint/roster"
 	"github.com/banyanshift/banyanshift/internal/observe/server"
 	"github.com/banyanshift/banyanshift/internal/order/leader"
+	"github.com/banyanshift/banyanshift/internal/peer/crashnews"
 	"github.com/banyanshift/banyanshift/internal/peer/fleet"
 	"github.com/banyanshift/banyanshift/internal/peer/forward"
 	"github.com/banyanshift/banyanshift/internal/peer/link"
@@ -104,6 +105,7 @@
 	roster                      *roster.Roster
 	scheduler                   *fleet.Scheduler
 	fleet                       *fleet.Fleet
+	crashes                     *crashnews.Exchange
 	link                        *link.Link
 	tally                       *tally.Tally
 	pool                        *http1.Pool
@@ -155,6 +157,7 @@
 	d.buildPeers()
 	d.buildLease()
 	d.buildConnections()
+	d.buildCrashes()
 	d.buildCallers()
 	d.metrics = server.New(settings.Metrics.Listen, d.logger)
 	return d, nil
@@ -205,9 +208,34 @@
 		FollowsStore:     func() bool { return d.endpointsMode() == feed.Follow },
 		StoreUnavailable: func() bool { return d.documentFeed.Failing() || d.endpointsFeed.Failing() }, Rand: d.random(2),
 		HighestFence: func() uint64 { return d.lease.HighestFence() },
+		Crashes: fleet.Crashes{
+			Fingerprint: func() uint64 { return d.crashes.Fingerprint() },
+			Sync: func(ctx context.Context, address string, fingerprint uint64) {
+				d.crashes.Sync(ctx, address, fingerprint)
+			},
+		},
 	})
 }
 
+// buildCrashes builds the exchange of news of endpoints that crashed.
+func (d *Daemon) buildCrashes() {
+	d.crashes = crashnews.New(crashnews.Config{
+		Link: d.link, Clock: d.clock, Logger: d.logger, Self: d.settings.Peer.Listen,
+		Neighbors: d.fleet.Neighbors, Owners: d.fleet.Owners, Endpoint: d.scheduler.Endpoint,
+		IsEvidence: d.isEvidence, IsDown: d.isDown, Rand: d.random(7),
+	})
+}
+
+// isEvidence reports whether the end of an endpoint says something of its requests.
+func (d *Daemon) isEvidence(endpoint roster.Endpoint) bool {
+	return d.scheduler.Accepts(endpoint.ID, endpoint.Address) && !d.fleet.IsBrittle(endpoint)
+}
+
+// isDown reports whether an endpoint refuses connections.
+func (d *Daemon) isDown(ctx context.Context, endpoint roster.Endpoint) bool {
+	return d.connector.IsDown(ctx, connect.Target{Endpoint: endpoint.ID, Address: endpoint.Address, FailureDomain: endpoint.FailureDomain})
+}
+
 // seedAddresses returns the hosts of the seeds with this daemon's peer port. Seeds
 // that are not host:port are left out.
 func seedAddresses(settings gateway.Peer) []string {
@@ -229,7 +257,10 @@
 	d.relayScheduler = d.fleet.RelayScheduler()
 	d.handler = relay.New(relay.Config{
 		Streams: relay.Streams{Record: d.fleet.RecordStream, Find: d.fleet.FindStream},
-		Clock:   d.clock, Logger: d.logger, Wire: d.platform.Wire, Connect: d.connector.Connect, Scheduler: d.relayScheduler,
+		Quarantine: relay.Quarantine{
+			Admit: d.crashes.Admit, RecordLost: d.crashes.RecordLost, RecordSound: d.crashes.RecordSound, RecordAnswer: d.crashes.RecordAnswer,
+		},
+		Clock: d.clock, Logger: d.logger, Wire: d.platform.Wire, Connect: d.connector.Connect, Scheduler: d.relayScheduler,
 		Configuration: d.currentConfiguration, RecordStarted: d.tally.Add, FailureDomain: d.settings.Daemon.FailureDomain,
 	})
 	caller := d.settings.Caller
--- /dev/null
+++ b/internal/decide/quarantine/quarantine.go
@@ -0,0 +1,462 @@
+// Package quarantine finds out which requests crash endpoints, so that they are no longer
+// sent to any.
+//
+// What requests have in common is told by digests, such as those of the parts of a prompt.
+// When an endpoint crashes, the requests whose answers had not begun are suspects, most of
+// them innocent ones that were there at the time. A digest that is found in two crashes is
+// under suspicion: its requests go one at a time in the whole fleet, each as a trial. A trial
+// that is answered clears the digest, as does any other answer to a request that has it,
+// because a request that crashes endpoints is never answered. From the third crash on, the
+// time until the next trial grows with each further crash, and requests are refused
+// meanwhile. Crashes that come together count as one for that time, so that what was lost
+// with many endpoints at once is tried again soon.
+//
+// Digests that always crash endpoints together cannot be told apart. Requests that have all
+// of them are stopped; one that has only some is a trial. Crashes that come with many others
+// without the digest say nothing about it.
+//
+// Evidence is forgotten after a time, when the software version under which the endpoints
+// crashed has been gone for a while, and when the endpoint turns out to be alive. A Book is
+// bounded: crashes that support no suspicion go first.
+//
+// Considered: a count of crashes for each digest, which innocent digests reach as well when
+// endpoints fail for other reasons, and which ends only with time; and a list of refused
+// requests at each daemon, for which each daemon loses endpoints of its own.
+//
+// The package is pure: it has no clock, lock or goroutine of its own.
+//
+// # Usage
+//
+//	book := quarantine.New()
+//	book.RecordCrash(now, quarantine.Crash{Endpoint: "i-7f3a91c2", Incarnation: 3, Backend: "books", At: now, Requests: lost})
+//	decision := book.Decide(now, digests)
+//	if len(decision.Suspects) > 0 && decision.Wait == 0 && trials.Begin(now, decision.Suspects, lifetime) { ... send the request ... }
+//	cleared := book.RecordSound(now, digests)
+package quarantine
+
+import (
+	"cmp"
+	"encoding/binary"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+)
+
+const (
+	// suspectCrashes and stopCrashes are the numbers of crashes from which a digest is
+	// under suspicion and in quarantine.
+	suspectCrashes = 2
+	stopCrashes    = 3
+	// memory is how long a crash is remembered.
+	memory = 60 * clock.Minute
+	// versionMemory is how long a software version counts as in use after its last endpoint
+	// has gone, so that a crash does not erase its own evidence.
+	versionMemory = 30 * clock.Second
+	// lossWindow is the time around a crash in which others of the back end are compared
+	// with it, and maxUnrelated by how many those without a digest may exceed those with it.
+	lossWindow   = clock.Second
+	maxUnrelated = 3
+	// burstGap is the time between two crashes from which they do not count as one.
+	burstGap = 500 * clock.Millisecond
+	// maxCrashesInWindow limits the crashes of a back end in a lossWindow. Further ones are
+	// a mass loss, and are not recorded.
+	maxCrashesInWindow = 32
+	// aliveTime is how long after a crash an answer of the endpoint shows that it did not
+	// crash. Later, it may be one of the next incarnation.
+	aliveTime = 2 * clock.Second
+	// maxCrashes limits the crashes that are remembered, and maxRequests and maxDigests the
+	// requests of a crash and the digests of a request.
+	maxCrashes  = 128
+	maxRequests = 32
+	maxDigests  = 16
+)
+
+// Digest identifies something that requests may have in common.
+type Digest uint64
+
+// trialDelays are the times from the last crash of a digest in quarantine to the next trial,
+// by the number of times at which endpoints have crashed with it.
+var trialDelays = []clock.Millis{clock.Second, 20 * clock.Second, 2 * clock.Minute, 10 * clock.Minute}
+
+// Decision says what is to be done with a request.
+type Decision struct {
+	// Suspects lists the digests of the request that are under suspicion or in
+	// quarantine. If there are none, the request is free; else it is sent only as a trial.
+	Suspects []Digest
+	// Wait is the time until the next trial may begin.
+	Wait clock.Millis
+}
+
+// Crash is the crash of one incarnation of an endpoint.
+type Crash struct {
+	Endpoint        string
+	Incarnation     int64
+	Backend         string
+	SoftwareVersion string
+	At              clock.Millis
+	// Requests holds the digests of each request whose answer had not begun.
+	Requests [][]Digest
+	// Cleared lists digests that were found to be sound after the crash.
+	Cleared []Digest
+	// Alive is set if the endpoint turned out not to have crashed.
+	Alive bool
+}
+
+// identity identifies a crash.
+type identity struct {
+	endpoint    string
+	incarnation int64
+}
+
+// record is a crash that is remembered.
+type record struct {
+	Crash
+	// digests holds those of all requests, and cleared those that were found to be sound.
+	digests, cleared map[Digest]bool
+}
+
+// Book holds the evidence. It is not safe for concurrent use.
+type Book struct {
+	crashes map[identity]*record
+	// index holds the crashes whose requests have a digest.
+	index map[Digest][]*record
+	// versions holds when software versions of back ends were last in use.
+	versions map[version]clock.Millis
+}
+
+// version is a software version of a back end.
+type version struct {
+	backend string
+	name    string
+}
+
+// New returns an empty Book.
+func New() *Book {
+	return &Book{crashes: make(map[identity]*record), index: make(map[Digest][]*record), versions: make(map[version]clock.Millis)}
+}
+
+// IsEmpty reports whether no crash is known.
+func (b *Book) IsEmpty() bool {
+	return len(b.crashes) == 0
+}
+
+// SetVersion records that a software version of a back end is in use.
+func (b *Book) SetVersion(now clock.Millis, backend, name string) {
+	b.versions[version{backend, name}] = now
+}
+
+// RecordCrash merges what is known of a crash into the book, and reports whether that
+// is new.
+func (b *Book) RecordCrash(now clock.Millis, crash Crash) (changed bool) {
+	b.expire(now)
+	id := identity{crash.Endpoint, crash.Incarnation}
+	held := b.crashes[id]
+	if held == nil {
+		if now-crash.At >= memory || b.countNear(crash) >= maxCrashesInWindow {
+			return false
+		}
+		held = &record{Crash: crash, digests: make(map[Digest]bool), cleared: make(map[Digest]bool)}
+		held.Requests, held.Cleared = nil, nil
+		b.crashes[id] = held
+		changed = true
+	}
+	changed = b.merge(held, crash) || changed
+	b.limit(held)
+	return changed
+}
+
+// countNear counts the crashes of a back end around the time of one.
+func (b *Book) countNear(crash Crash) (count int) {
+	for _, other := range b.crashes {
+		if other.isNear(crash) {
+			count++
+		}
+	}
+	return count
+}
+
+// isNear reports whether two crashes of a back end came within lossWindow.
+func (r *record) isNear(crash Crash) bool {
+	return r.Backend == crash.Backend && max(r.At-crash.At, crash.At-r.At) <= lossWindow
+}
+
+// merge adds what a report of the same crash says.
+func (b *Book) merge(held *record, crash Crash) (changed bool) {
+	for _, request := range crash.Requests {
+		request = request[:min(len(request), maxDigests)]
+		if len(held.Requests) >= maxRequests || slices.ContainsFunc(held.Requests, func(known []Digest) bool { return slices.Equal(known, request) }) {
+			continue
+		}
+		held.Requests = append(held.Requests, request)
+		b.addToIndex(held, request)
+		changed = true
+	}
+	for _, digest := range crash.Cleared {
+		changed = held.clear(digest) || changed
+	}
+	if crash.Alive && !held.Alive {
+		held.Alive, changed = true, true
+	}
+	return changed
+}
+
+func (b *Book) addToIndex(held *record, request []Digest) {
+	for _, digest := range request {
+		if !held.digests[digest] {
+			held.digests[digest] = true
+			b.index[digest] = append(b.index[digest], held)
+		}
+	}
+}
+
+// clear records that a digest is sound, if a request of the crash has it.
+func (r *record) clear(digest Digest) (changed bool) {
+	if r.cleared[digest] || !r.digests[digest] {
+		return false
+	}
+	r.cleared[digest] = true
+	return true
+}
+
+// accuses reports whether the crash speaks against a digest.
+func (r *record) accuses(digest Digest) bool {
+	return !r.Alive && !r.cleared[digest] && r.digests[digest]
+}
+
+// RecordSound records that a request with these digests was answered at a time. It returns
+// those of the digests against which a crash spoke, of which others are to be told.
+func (b *Book) RecordSound(at clock.Millis, digests []Digest) (cleared []Digest) {
+	for _, digest := range digests {
+		if b.Clear(at, digest) {
+			cleared = append(cleared, digest)
+		}
+	}
+	return cleared
+}
+
+// Clear records that a digest was found to be sound at a time. It reports whether that
+// changes anything.
+func (b *Book) Clear(at clock.Millis, digest Digest) (changed bool) {
+	for _, crash := range b.index[digest] {
+		if crash.At < at {
+			changed = crash.clear(digest) || changed
+		}
+	}
+	return changed
+}
+
+// RecordAnswer records that an incarnation of an endpoint has answered. It reports whether
+// the endpoint was taken for crashed.
+func (b *Book) RecordAnswer(now clock.Millis, endpoint string, incarnation int64) (wasCrashed bool) {
+	held := b.crashes[identity{endpoint, incarnation}]
+	if held == nil || held.Alive || now-held.At > aliveTime {
+		return false
+	}
+	held.Alive = true
+	return true
+}
+
+// Decide returns what is to be done with a request.
+func (b *Book) Decide(now clock.Millis, digests []Digest) (d Decision) {
+	for _, digest := range digests {
+		if len(b.index[digest]) < suspectCrashes {
+			continue
+		}
+		evidence := b.evidence(now, digest)
+		if len(evidence) < suspectCrashes {
+			continue
+		}
+		d.Suspects = append(d.Suspects, digest)
+		if len(evidence) >= stopCrashes && containsAll(digests, companions(digest, evidence)) {
+			d.Wait = max(d.Wait, nextTrial(evidence)-now)
+		}
+	}
+	return d
+}
+
+// nextTrial returns when the next trial of a digest in quarantine may begin.
+func nextTrial(evidence []*record) clock.Millis {
+	times := make([]clock.Millis, 0, len(evidence))
+	for _, crash := range evidence {
+		times = append(times, crash.At)
+	}
+	slices.Sort(times)
+	separate := 0
+	for n := 1; n < len(times); n++ {
+		if times[n]-times[n-1] >= burstGap {
+			separate++
+		}
+	}
+	return times[len(times)-1] + trialDelays[min(separate, len(trialDelays)-1)]
+}
+
+// Stopped returns the digests that are in quarantine, by themselves or together with others.
+func (b *Book) Stopped(now clock.Millis) (digests []Digest) {
+	for digest, crashes := range b.index {
+		if len(crashes) >= stopCrashes && len(b.evidence(now, digest)) >= stopCrashes {
+			digests = append(digests, digest)
+		}
+	}
+	slices.Sort(digests)
+	return digests
+}
+
+// evidence returns the crashes that count against a digest.
+func (b *Book) evidence(now clock.Millis, digest Digest) (evidence []*record) {
+	for _, crash := range b.index[digest] {
+		if now-crash.At < memory && crash.accuses(digest) && b.isInUse(now, crash) && !b.isMassLoss(crash, digest) {
+			evidence = append(evidence, crash)
+		}
+	}
+	return evidence
+}
+
+// isInUse reports whether the software version that crashed may still be in use. One that
+// was never listed here may be.
+func (b *Book) isInUse(now clock.Millis, crash *record) bool {
+	lastUse, known := b.versions[version{crash.Backend, crash.SoftwareVersion}]
+	return !known || now-lastUse <= versionMemory
+}
+
+// isMassLoss reports whether a crash came together with many of the back end that a digest
+// has nothing to do with.
+func (b *Book) isMassLoss(crash *record, digest Digest) bool {
+	unrelated := 0
+	for _, other := range b.crashes {
+		switch {
+		case other.Alive || !other.isNear(crash.Crash):
+		case other.digests[digest]:
+			unrelated--
+		default:
+			unrelated++
+		}
+	}
+	return unrelated > maxUnrelated
+}
+
+// companions returns the other digests that the requests with a digest had in all of its
+// crashes, without those that were cleared.
+func companions(digest Digest, crashes []*record) (common []Digest) {
+	common = crashes[0].companions(digest)
+	for _, crash := range crashes[1:] {
+		others := crash.companions(digest)
+		common = slices.DeleteFunc(common, func(d Digest) bool { return !slices.Contains(others, d) })
+	}
+	return common
+}
+
+// companions returns the digests that requests with a digest had in this crash.
+func (r *record) companions(digest Digest) (others []Digest) {
+	for _, request := range r.Requests {
+		if !slices.Contains(request, digest) {
+			continue
+		}
+		for _, other := range request {
+			if other != digest && !r.cleared[other] {
+				others = append(others, other)
+			}
+		}
+	}
+	return others
+}
+
+func containsAll(digests, wanted []Digest) bool {
+	return !slices.ContainsFunc(wanted, func(d Digest) bool { return !slices.Contains(digests, d) })
+}
+
+// Crashes returns all that is known.
+func (b *Book) Crashes() (crashes []Crash) {
+	for _, held := range b.crashes {
+		crash := held.Crash
+		crash.Cleared = slices.Sorted(maps.Keys(held.cleared))
+		crashes = append(crashes, crash)
+	}
+	slices.SortFunc(crashes, func(a, b Crash) int { return cmp.Compare(a.At, b.At) })
+	return crashes
+}
+
+// Fingerprint returns a number that is the same in two books with the same crashes and the
+// same digests in quarantine, whatever their order. It is 0 for an empty book.
+func (b *Book) Fingerprint(now clock.Millis) (sum uint64) {
+	for id, held := range b.crashes {
+		state := binary.BigEndian.AppendUint64([]byte(id.endpoint), uint64(id.incarnation))
+		state = binary.BigEndian.AppendUint32(state, uint32(len(held.Requests)))
+		if held.Alive {
+			state = append(state, 1)
+		}
+		sum ^= xxhash.Sum64(state)
+	}
+	for _, digest := range b.Stopped(now) {
+		sum ^= xxhash.Sum64(binary.BigEndian.AppendUint64(nil, uint64(digest)))
+	}
+	return sum
+}
+
+// expire forgets crashes that are too old.
+func (b *Book) expire(now clock.Millis) {
+	for id, held := range b.crashes {
+		if now-held.At >= memory {
+			b.forget(id, held)
+		}
+	}
+}
+
+// limit forgets a crash if there are too many, but not the newest one: first those that
+// support no suspicion, then the oldest.
+func (b *Book) limit(newest *record) {
+	if len(b.crashes) <= maxCrashes {
+		return
+	}
+	suspected := b.suspected(newest.At)
+	var first identity
+	var worst *record
+	for id, held := range b.crashes {
+		if held != newest && (worst == nil || goesBefore(suspected, held, worst)) {
+			first, worst = id, held
+		}
+	}
+	b.forget(first, worst)
+}
+
+// suspected returns the digests that are under suspicion or in quarantine.
+func (b *Book) suspected(now clock.Millis) map[Digest]bool {
+	suspected := make(map[Digest]bool)
+	for digest, crashes := range b.index {
+		if len(crashes) >= suspectCrashes && len(b.evidence(now, digest)) >= suspectCrashes {
+			suspected[digest] = true
+		}
+	}
+	return suspected
+}
+
+// goesBefore reports whether a crash is to be forgotten before another one.
+func goesBefore(suspected map[Digest]bool, held, other *record) bool {
+	supports, otherSupports := held.supports(suspected), other.supports(suspected)
+	if supports != otherSupports {
+		return otherSupports
+	}
+	return held.At < other.At
+}
+
+// supports reports whether a crash counts against a digest that is under suspicion.
+func (r *record) supports(suspected map[Digest]bool) bool {
+	for digest := range r.digests {
+		if suspected[digest] && r.accuses(digest) {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Book) forget(id identity, held *record) {
+	delete(b.crashes, id)
+	for digest := range held.digests {
+		b.index[digest] = slices.DeleteFunc(b.index[digest], func(r *record) bool { return r == held })
+		if len(b.index[digest]) == 0 {
+			delete(b.index, digest)
+		}
+	}
+}
--- a/internal/endpoint/connect/watch.go
+++ b/internal/endpoint/connect/watch.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"syscall"
 	"time"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/decide/path"
+	"github.com/banyanshift/banyanshift/internal/peer/forward"
 )
 
 const (
@@ -85,6 +87,14 @@
 	broken bool
 	// silent is set if the endpoint did not refuse the dial either.
 	silent bool
+	// refused is set if the endpoint refused the dial and no peer reaches it.
+	refused bool
+}
+
+// IsDown reports whether an endpoint refuses the connections of this daemon, and no peer
+// that is asked reaches it.
+func (c *Connector) IsDown(ctx context.Context, target Target) bool {
+	return c.check(ctx, target).refused
 }
 
 // isSilent reports whether nothing from an endpoint arrives here, though a peer reaches it.
@@ -108,7 +118,7 @@
 	made := &check{done: make(chan struct{})}
 	c.checks[target.Endpoint] = made
 	c.mu.Unlock()
-	made.broken, made.silent = c.checkPath(ctx, target)
+	c.checkPath(ctx, target, made)
 	c.mu.Lock()
 	delete(c.checks, target.Endpoint)
 	c.mu.Unlock()
@@ -117,28 +127,44 @@
 }
 
 // checkPath dials the endpoint and, if that fails, asks peers.
-func (c *Connector) checkPath(ctx context.Context, target Target) (broken, silent bool) {
+func (c *Connector) checkPath(ctx context.Context, target Target, made *check) {
 	d := c.startDial(target.Endpoint, target.Address)
 	own, err := d.wait(ctx)
 	if err == nil {
 		own.Release()
-		return false, false
+		return
 	}
-	silent = d.isSilent()
-	if c.way(target.Endpoint) == path.ThroughPeer {
-		return true, silent
+	made.silent = d.isSilent()
+	wasBroken := c.way(target.Endpoint) == path.ThroughPeer
+	reached, refused := c.askWhetherReached(ctx, target)
+	made.broken = reached || wasBroken
+	made.refused = !reached && (isRefused(err) || wasBroken && refused)
+	if reached && !wasBroken {
+		c.recordBroken(target.Endpoint, made.silent)
 	}
+}
+
+// askWhetherReached asks peers whether they reach an endpoint. refused is set if one of them
+// says that it does not.
+func (c *Connector) askWhetherReached(ctx context.Context, target Target) (reached, refused bool) {
 	for _, peer := range c.choosePeers(target) {
 		conn, err := c.open(ctx, peer.Address, target)
-		if err != nil {
-			continue
+		if err == nil {
+			conn.Cancel()
+			c.recordForwardEnded(peer.Address)
+			return true, false
+		}
+		var refusal *forward.Refusal
+		if errors.As(err, &refusal) && refusal.Code == forward.Unreachable {
+			refused = true
 		}
-		conn.Cancel()
-		c.recordForwardEnded(peer.Address)
-		c.recordBroken(target.Endpoint, silent)
-		return true, silent
 	}
-	return false, silent
+	return false, refused
+}
+
+// isRefused reports whether nothing listens at the address of a dial.
+func isRefused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
 // pathRecheck checks the path to an endpoint after an open connection to it has failed
--- /dev/null
+++ b/internal/peer/crashnews/events.go
@@ -0,0 +1,47 @@
+package crashnews
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/banyanshift/banyanshift/internal/decide/quarantine"
+	"github.com/banyanshift/banyanshift/internal/observe/event"
+	"github.com/banyanshift/banyanshift/internal/observe/metric"
+)
+
+var (
+	eventCrashed = event.New(1216, logrus.WarnLevel, "endpoint crashed",
+		"An endpoint ended while requests waited for their answers, and refuses connections. Suspects lists the digests of each of these requests, as far as this daemon knows them; most of them are innocent.")
+	eventQuarantined = event.New(1217, logrus.WarnLevel, "requests are in quarantine",
+		"Several endpoints have crashed under requests with this digest and none was answered since. Such requests are refused, but for rare trials. The quarantine ends when a trial is answered or when the endpoints' software has changed.")
+	eventReleased = event.New(1218, logrus.InfoLevel, "quarantine ended",
+		"A request with this digest was answered, the endpoints' software has changed, or the crashes are long past. Such requests are served again.")
+	eventAlive = event.New(1219, logrus.InfoLevel, "endpoint has not crashed",
+		"An endpoint that was taken for crashed has answered. What was concluded from its crash no longer counts.")
+
+	admissions = metric.NewMap("Quarantine.Requests", "Requests under suspicion to crash endpoints, by whether they were tried or refused.")
+	stopped    = metric.NewCounter("Quarantine.Digests", "Digests of requests that are in quarantine.")
+)
+
+// formatDigests returns digests as they are shown in logs.
+func formatDigests(digests []quarantine.Digest) string {
+	formatted := make([]string, 0, len(digests))
+	for _, digest := range digests {
+		formatted = append(formatted, formatDigest(digest))
+	}
+	return strings.Join(formatted, ",")
+}
+
+func formatDigest(digest quarantine.Digest) string {
+	return strconv.FormatUint(uint64(digest), 16)
+}
+
+func formatRequests(requests [][]quarantine.Digest) []string {
+	formatted := make([]string, 0, len(requests))
+	for _, request := range requests {
+		formatted = append(formatted, formatDigests(request))
+	}
+	return formatted
+}
--- a/internal/peer/fleet/fleet.go
+++ b/internal/peer/fleet/fleet.go
@@ -77,9 +77,18 @@
 	HighestFence func() uint64
 	// WallTime receives the times of day of the other daemons.
 	WallTime *walltime.Estimator
+	Crashes  Crashes
 	Rand     *rand.Rand
 }
 
+// Crashes exchanges what daemons know of crashed endpoints. All fields must be set.
+type Crashes struct {
+	// Fingerprint is the same in daemons that know the same.
+	Fingerprint func() uint64
+	// Sync exchanges what is known with the daemon at an address, which has a fingerprint.
+	Sync func(ctx context.Context, address string, fingerprint uint64)
+}
+
 // Fleet tracks the other daemons and exchanges state with them. It is safe for
 // concurrent use.
 type Fleet struct {
--- a/internal/peer/fleet/fleet_test.go
+++ b/internal/peer/fleet/fleet_test.go
@@ -106,10 +106,11 @@
 		d.scheduler.SetEndpoints(list)
 		d.fleet.NotifyEndpoints()
 	})
+	noCrashes := fleet.Crashes{Fingerprint: func() uint64 { return 0 }, Sync: func(context.Context, string, uint64) {}}
 	d.fleet = fleet.New(fleet.Config{
 		Link: d.link, Clock: clk, Logger: logger, Self: topology.VM{ID: id, Address: d.address, FailureDomain: domainOf(id)},
 		Incarnation: id, Seeds: seeds,
-		Table: rows, Scheduler: d.scheduler, Roster: d.roster, Document: d.document, Decode: decode, Tally: d.tally, WallTime: walltime.New(clk), StoreUnavailable: func() bool { return d.storeDown.Load() }, HighestFence: func() uint64 { return d.fence.Load() }, FollowsStore: func() bool { return d.fleet.LeaderRank() < 3 }, Rand: rng,
+		Table: rows, Scheduler: d.scheduler, Roster: d.roster, Document: d.document, Decode: decode, Tally: d.tally, WallTime: walltime.New(clk), Crashes: noCrashes, StoreUnavailable: func() bool { return d.storeDown.Load() }, HighestFence: func() uint64 { return d.fence.Load() }, FollowsStore: func() bool { return d.fleet.LeaderRank() < 3 }, Rand: rng,
 	})
 	if err := d.link.Start(); err != nil {
 		t.Fatal(err)
--- a/internal/peer/fleet/message.go
+++ b/internal/peer/fleet/message.go
@@ -48,6 +48,9 @@
 	ListPosition table.Position
 	ListDigest   uint64
 	ListAge      clock.Millis
+	// Crashes is the fingerprint of the crashes that the peer knows. It is nil if the peer
+	// does not exchange them.
+	Crashes *uint64
 }
 
 // documentState is the configuration that a daemon holds. Age is the time since the
--- a/internal/peer/fleet/news.go
+++ b/internal/peer/fleet/news.go
@@ -34,6 +34,22 @@
 	return f.view.RemoteRoots(now)
 }
 
+// Neighbors returns the addresses of the daemons next to this one in the tree, through which
+// news reaches all others.
+func (f *Fleet) Neighbors() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append(f.view.Subscribers(), f.above()...)
+}
+
+// Owners returns the addresses of the daemons that may own a key of the whole fleet, the
+// owner first.
+func (f *Fleet) Owners(key string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.Owners(f.config.Clock.Now(), "", key)
+}
+
 // wakeUpstream pings the daemon to follow now.
 func (f *Fleet) wakeUpstream() {
 	f.mu.Lock()
--- a/internal/peer/fleet/peer.go
+++ b/internal/peer/fleet/peer.go
@@ -155,6 +155,9 @@
 	p.recordWallTime(sentAt, answer)
 	p.syncDocument(ctx, sentAt, answer)
 	p.syncEndpoints(ctx, sentAt, answer)
+	if answer.Crashes != nil {
+		f.config.Crashes.Sync(ctx, p.address, *answer.Crashes)
+	}
 	return p.delayAfterAnswer(request)
 }
 
--- a/internal/peer/fleet/permits.go
+++ b/internal/peer/fleet/permits.go
@@ -130,6 +130,18 @@
 	}
 }
 
+// IsBrittle reports whether an endpoint has said that it fails if it has to refuse many
+// requests.
+func (f *Fleet) IsBrittle(endpoint roster.Endpoint) bool {
+	p := f.permits
+	if !p.anyTerms.Load() {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.book.Terms(endpoint.ID, endpoint.Backend).RefusalsPerSecond > 0
+}
+
 // Acquire asks for the permit to send a request to an endpoint, and waits for its turn.
 func (f *Fleet) Acquire(ctx context.Context, placement relay.Placement, priority int, timeLeft clock.Millis) relay.Permit {
 	p := f.permits
--- a/internal/peer/fleet/serve.go
+++ b/internal/peer/fleet/serve.go
@@ -25,7 +25,8 @@
 func (f *Fleet) servePing(_ context.Context, _ string, request ping) (pong, error) {
 	now := f.config.Clock.Now()
 	f.recordFence(request.Fence)
-	answer := pong{VM: f.config.Self, Wall: f.config.WallTime.Wall(), Fence: f.KnownFence()}
+	crashes := f.config.Crashes.Fingerprint()
+	answer := pong{VM: f.config.Self, Wall: f.config.WallTime.Wall(), Fence: f.KnownFence(), Crashes: &crashes}
 	if identity, confirmed, known := f.config.Document.Identity(); known {
 		answer.Document = newDocumentState(identity, confirmed, now)
 	}
--- a/internal/peer/message/message.go
+++ b/internal/peer/message/message.go
@@ -47,6 +47,11 @@
 	FleetStreamOrigin    Type = 0x8a
 	FleetPermit          Type = 0x8b
 	FleetPermitEnd       Type = 0x8c
+	// Crashes of endpoints.
+	CrashNews     Type = 0xa0
+	CrashBook     Type = 0xa1
+	CrashTrial    Type = 0xa2
+	CrashTrialEnd Type = 0xa3
 	// Requests that are forwarded to an endpoint for another daemon, on connections of
 	// their own.
 	ForwardOpen    Type = 0x90
