Do not take a stream that ends inside an event for a complete one

Callers could get a stream that had broken off as a complete success: an answer with neither a length nor chunks ends with its connection, also when the endpoint ends in the middle of an event or before the first one.

Cause: the bytes after the last whole event were forwarded as the end of the stream, whatever they were.

Change: a stream that ends inside an event, or an answer that announces events and ends without one, has failed: it is resumed where that is allowed, else the caller sees that it is incomplete. Comments and blank lines are still forwarded, and answers of another content type are left as they are.

Conclusion: a stream that ends between two events of such an answer cannot be told from a complete one.

--- a/internal/caller/relay/relay_test.go
+++ b/internal/caller/relay/relay_test.go
@@ -394,6 +394,50 @@
 	}
 }
 
+// endsInsideEvent writes events and a part of the next one, and closes the connection of an
+// answer without a length or chunks.
+func endsInsideEvent(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Type: text/event-stream\r\n\r\n%s", r.Header.Get("Id"), text)
+		_ = conn.Close()
+	}
+}
+
+// TestStreamThatEndsInsideAnEventIsNotComplete guards against an answer without a length or
+// chunks that breaks off and reaches the caller as a complete one.
+func TestStreamThatEndsInsideAnEventIsNotComplete(t *testing.T) {
+	for _, part := range []string{"id: 3", "id: 3\ndata: x", "id: 3\ndata: x\n"} {
+		f := newFixture(t, endsInsideEvent(eventText(1, 2)+part), events(3, 4, true))
+		if got := f.send("/stream/1"); got.err == nil || got.body != eventText(1, 2) {
+			t.Errorf("%q: got %q, %v; want two complete events and an error", part, got.body, got.err)
+		}
+		resumed := newFixture(t, endsInsideEvent(eventText(1, 2)+part), events(3, 4, true))
+		resumed.expect(resumed.send("/resumable/1"), 200, eventText(1, 4))
+	}
+}
+
+// TestStreamWithoutAnEventIsNotComplete guards against an endpoint that ends before the first
+// event of such an answer.
+func TestStreamWithoutAnEventIsNotComplete(t *testing.T) {
+	f := newFixture(t, endsInsideEvent(""))
+	if got := f.send("/stream/1"); got.status != 502 {
+		t.Errorf("got status %d, want 502", got.status)
+	}
+}
+
+// TestStreamThatEndsWithItsConnectionIsComplete guards against taking the end of an answer
+// without a length or chunks for a failure.
+func TestStreamThatEndsWithItsConnectionIsComplete(t *testing.T) {
+	for _, rest := range []string{"", ": done\n", "\n"} {
+		f := newFixture(t, endsInsideEvent(eventText(1, 2)+rest))
+		f.expect(f.send("/stream/1"), 200, eventText(1, 2)+rest)
+	}
+}
+
 func TestResumedStreamHasNoDuplicatesOrGaps(t *testing.T) {
 	f := newFixture(t, events(1, 3, false), events(2, 5, true))
 	f.expect(f.send("/resumable/1"), 200, eventText(1, 5))
--- a/internal/caller/relay/splitter.go
+++ b/internal/caller/relay/splitter.go
@@ -12,6 +12,13 @@
 
 var errEventTooLong = errors.New("event of the stream is too long")
 
+// errEndsInsideEvent means that a stream has broken off, though its connection or its body
+// ended properly.
+var errEndsInsideEvent = errors.New("stream ends inside an event")
+
+// errNoEvent means that a stream has ended before its first event.
+var errNoEvent = errors.New("stream ends without an event")
+
 // eventSplitter splits a stream of server-sent events into complete events. Only
 // complete events are forwarded, so that the stream can be resumed after the
 // last one.
@@ -104,6 +111,18 @@
 	return s.pending
 }
 
+// insideEvent reports whether the stream has begun an event that is not complete. Blank lines
+// and comments belong to no event.
+func (s *eventSplitter) insideEvent() bool {
+	for line := range bytes.Lines(s.pending) {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // eventTerminators are the blank lines that can end an event.
 var eventTerminators = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")}
 
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
@@ -130,8 +131,17 @@
 }
 
 // writeRemainder writes the bytes after the last complete event. If the stream
-// has no events, it writes the status and header.
+// has no events, it writes the status and header. It returns an error if the stream has broken
+// off, which the end of its connection does not show.
 func (p *streamForwarder) writeRemainder() error {
+	if p.hasEvents() {
+		switch {
+		case p.events.insideEvent():
+			return errEndsInsideEvent
+		case !p.firstEventSeen && !p.exchange.stream.headSent && p.answer.Length != 0:
+			return errNoEvent
+		}
+	}
 	rest := p.events.remainder()
 	if len(rest) == 0 && p.exchange.stream.headSent {
 		return nil
@@ -139,6 +149,12 @@
 	return p.write(rest)
 }
 
+// hasEvents reports whether the answer consists of events, as far as it says.
+func (p *streamForwarder) hasEvents() bool {
+	contentType := p.answer.Header.Get("Content-Type")
+	return contentType == "" || strings.HasPrefix(contentType, "text/event-stream")
+}
+
 // write writes data to the caller and flushes it. The first call writes the
 // status and header as well.
 func (p *streamForwarder) write(data []byte) error {
