Keep the evidence against requests that crash endpoints in the table

Callers would have lost streams again after the end of all gateways: they all forgot which requests crash endpoints and learned it by further crashes.

Cause: the evidence was only in the memory of the daemons.

Change: the first daemon of the fleet writes the evidence against what is in quarantine to one row of the table; seeds, or all where there are none, read it at their start.

--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -219,10 +220,13 @@
 
 // buildCrashes builds the exchange of news of endpoints that crashed.
 func (d *Daemon) buildCrashes() {
+	seeds := seedAddresses(d.settings.Peer)
 	d.crashes = crashnews.New(crashnews.Config{
 		Link: d.link, Clock: d.clock, Logger: d.logger, Self: d.settings.Peer.Listen,
 		Neighbors: d.fleet.Neighbors, Owners: d.fleet.Owners, Endpoint: d.scheduler.Endpoint,
-		IsEvidence: d.isEvidence, IsDown: d.isDown, Rand: d.random(7),
+		IsEvidence: d.isEvidence, IsDown: d.isDown,
+		Table: d.table, Rank: d.fleet.LeaderRank, Wall: d.wallTime.Wall,
+		ReadsAtStart: len(seeds) == 0 || slices.Contains(seeds, d.settings.Peer.Listen), Rand: d.random(7),
 	})
 }
 
@@ -321,6 +325,7 @@
 	d.baseTasks.Start("Endpoints", d.endpointsFeed.Run)
 	d.baseTasks.Start("Roster", d.roster.Run)
 	d.baseTasks.Start("Fleet", d.fleet.Run)
+	d.baseTasks.Start("Crashes", d.crashes.Run)
 	d.baseTasks.Start("Gauges", d.runGauges)
 	d.leaseTasks.Start("Lease", d.lease.Run)
 	d.holderTasks.Start("Duties", d.leader.Run)
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -72,6 +72,8 @@
 	maxCrashes  = 128
 	maxRequests = 32
 	maxDigests  = 16
+	// maxKept limits the crashes that StopEvidence returns.
+	maxKept = 32
 )
 
 // Digest identifies something that requests may have in common.
@@ -378,6 +380,22 @@
 	return crashes
 }
 
+// StopEvidence returns the crashes that count against digests in quarantine, the newest
+// maxKept of them, with what was cleared.
+func (b *Book) StopEvidence(now clock.Millis) (crashes []Crash) {
+	stopped := make(map[Digest]bool)
+	for _, digest := range b.Stopped(now) {
+		stopped[digest] = true
+	}
+	for _, crash := range b.Crashes() {
+		held := b.crashes[identity{crash.Endpoint, crash.Incarnation}]
+		if held.supports(stopped) {
+			crashes = append(crashes, crash)
+		}
+	}
+	return crashes[max(len(crashes)-maxKept, 0):]
+}
+
 // Fingerprint returns a number that is the same in two books with the same crashes and the
 // same digests in quarantine, whatever their order. It is 0 for an empty book.
 func (b *Book) Fingerprint(now clock.Millis) (sum uint64) {
--- a/internal/peer/crashnews/crashnews_test.go
+++ b/internal/peer/crashnews/crashnews_test.go
@@ -11,6 +11,7 @@
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/coord/table"
 	"github.com/banyanshift/banyanshift/internal/caller/relay"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
 	"github.com/banyanshift/banyanshift/internal/decide/quarantine"
@@ -54,6 +55,9 @@
 			},
 			IsEvidence: func(roster.Endpoint) bool { return d.evidence.Load() },
 			IsDown:     func(context.Context, roster.Endpoint) bool { return d.down.Load() },
+			Table:      table.NewMemory().Client(),
+			Rank:       func() int { return 0 },
+			Wall:       clock.System().Wall,
 			Rand:       rand.New(rand.NewPCG(1, uint64(n))),
 		})
 		if err := d.link.Start(); err != nil {
--- a/internal/peer/crashnews/events.go
+++ b/internal/peer/crashnews/events.go
@@ -18,6 +18,10 @@
 		"Several endpoints have crashed under requests with this digest and none was answered since. Such requests are refused, but for rare trials. The quarantine ends when a trial is answered or when the endpoints' software has changed.")
 	eventReleased = event.New(1218, logrus.InfoLevel, "quarantine ended",
 		"A request with this digest was answered, the endpoints' software has changed, or the crashes are long past. Such requests are served again.")
+	eventKeepFailed = event.New(1222, logrus.WarnLevel, "keeping crashes in the table failed",
+		"What this daemon knows of requests that crash endpoints was not read from the table or not written to it. The daemon tries again. It would be lost if all daemons ended now.")
+	eventLoaded = event.New(1223, logrus.InfoLevel, "crashes read from the table",
+		"What daemons knew of requests that crash endpoints before this one started. It tells the others.")
 	eventAlive = event.New(1219, logrus.InfoLevel, "endpoint has not crashed",
 		"An endpoint that was taken for crashed has answered. What was concluded from its crash no longer counts.")
 
--- a/internal/peer/crashnews/exchange.go
+++ b/internal/peer/crashnews/exchange.go
@@ -4,7 +4,8 @@
 //
 // News goes at once through the tree of daemons; each passes on what is new to it. A daemon
 // that was not reached, or has just started, notices with its next ping that a peer knows
-// more, and fetches it. Requests under suspicion are tried one at a time in the whole fleet:
+// more, and fetches it. The first daemon of the fleet writes the evidence against what is in
+// quarantine to a row of the table, which the first ones read at their start. Requests under suspicion are tried one at a time in the whole fleet:
 // one daemon, the owner of the digest, permits the trials. Nothing is told or asked for
 // requests of which nothing is suspected.
 //
@@ -12,6 +13,7 @@
 //
 //	e := crashnews.New(crashnews.Config{Link: l, Clock: clk, Logger: logger, Neighbors: f.Neighbors, Owners: f.Owners, ...})
 //	admission := e.Admit(ctx, digests, timeLeft)
+//	go e.Run(ctx)
 //	e.RecordLost(placement, digests)
 //	e.RecordSound(digests)
 package crashnews
@@ -26,6 +28,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/coord/table"
 	"github.com/banyanshift/banyanshift/internal/caller/relay"
 	"github.com/banyanshift/banyanshift/internal/decide/quarantine"
 	"github.com/banyanshift/banyanshift/internal/endpoint/roster"
@@ -55,7 +58,15 @@
 	// IsDown reports whether an endpoint refuses the connections of this daemon and of
 	// peers.
 	IsDown func(ctx context.Context, endpoint roster.Endpoint) bool
-	Rand   *rand.Rand
+	// Table holds the evidence while no daemon runs. Rank is the place of this daemon in
+	// the order of the fleet, and Wall the time of day.
+	Table table.Client
+	Rank  func() int
+	Wall  func() clock.Millis
+	// ReadsAtStart is set if this daemon reads the row of the table at once, because others
+	// contact it first or because it knows no other one.
+	ReadsAtStart bool
+	Rand         *rand.Rand
 }
 
 // Exchange shares what is known of crashes with the other daemons. It is safe for concurrent
