Log a digest of the request when an answer ends early

Change: event 1131 holds a digest of method, host, target, team and body if an answer ended early or never came. It is computed only then.

--- a/internal/caller/relay/quarantine.go
+++ b/internal/caller/relay/quarantine.go
@@ -4,6 +4,8 @@
 	"errors"
 	"os"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/decide/quarantine"
 )
@@ -22,6 +24,18 @@
 	return prompt.PartDigests[:len(prompt.PartDigests)-1]
 }
 
+// requestDigest returns a digest of what makes two requests the same: method, host, target,
+// team and body.
+func (x *exchange) requestDigest() quarantine.Digest {
+	hash := xxhash.New()
+	for _, field := range []string{x.call.Method, x.call.Host, x.call.Target, x.teamName()} {
+		_, _ = hash.WriteString(field)
+		_, _ = hash.Write([]byte{0})
+	}
+	_, _ = hash.Write(x.body)
+	return quarantine.Digest(hash.Sum64())
+}
+
 // recordLost records that the connection to the endpoint ended without an answer. One that
 // was given up after its time limit tells nothing.
 func (x *exchange) recordLost(placement Placement, err error) {
--- a/internal/caller/relay/trace.go
+++ b/internal/caller/relay/trace.go
@@ -17,7 +17,7 @@
 	eventPlaced = event.New(1130, logrus.InfoLevel, "request placed",
 		"A request was assigned to an endpoint. The fields give the expected time to first token, and the version of the configuration with the time since it was last known to be the newest.")
 	eventAttemptFailed = event.New(1131, logrus.InfoLevel, "attempt failed",
-		"An endpoint gave no usable answer; the reason says whether the request may have run. Parts holds digests of the parts of the prompt if the answer ended early or never came.")
+		"An endpoint gave no usable answer; the reason says whether the request may have run. If the answer ended early or never came, Digest is the same for requests that are the same but for their IDs, and Parts holds digests of the parts of the prompt.")
 	eventFirstEvent = event.New(1132, logrus.InfoLevel, "stream started",
 		"The first event of a stream was forwarded to the caller.")
 	eventTakenUp = event.New(1134, logrus.InfoLevel, "stream is taken up",
@@ -90,6 +90,7 @@
 	fields := logrus.Fields{"Endpoint": p.Endpoint, "Reason": reason}
 	if err != nil {
 		fields["Error"] = err.Error()
+		fields["Digest"] = strconv.FormatUint(uint64(x.requestDigest()), 16)
 		x.addPartDigests(fields)
 	}
 	x.trace.decisions = append(x.trace.decisions, decision{event: eventAttemptFailed, at: x.handler.config.Clock.Now(), fields: fields})
