Keep a request that comes again from endpoints that crashed under it

Callers of a service were refused for seconds, again and again: one request crashed each endpoint that ran it, its caller came again at any gateway, and each gateway sent it to a second endpoint besides.

Cause: nothing recognizes a request that comes again. What a gateway knew of a request ended with it, and the ID that callers send differs each time.

Ruled out: an overload of the first endpoint that is back (each crash has a request of the same route and team at the endpoint, others are served by it), and that the gateway's own retries are all of it: 16 of 19 failed attempts belong to 9 requests, which still came one after the other.

Change: the digest of the whole request (method, host, target, team, body) is evidence like the parts of a prompt.

A request that is answered even once, with an error of the endpoint too, is not taken for one that crashes endpoints.

--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -92,7 +92,7 @@
 
 // tryOnce sends the request to an endpoint, unless it is in quarantine or has no place.
 func (x *exchange) tryOnce() (placement Placement, outcome result, refusal Refusal) {
-	admission := x.handler.config.Quarantine.Admit(x.r.Context(), x.digests(), x.timeLeft())
+	admission := x.admit()
 	if !admission.Granted {
 		return Placement{}, notSent, admission.Refusal
 	}
--- a/internal/caller/relay/exchange.go
+++ b/internal/caller/relay/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/config/document"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
+	"github.com/banyanshift/banyanshift/internal/decide/quarantine"
 )
 
 const (
@@ -44,6 +45,8 @@
 	attempts     attemptState
 	stream       streamState
 	startCounted bool
+	// knownDigests holds the result of digests.
+	knownDigests []quarantine.Digest
 	trace        trace
 }
 
--- a/internal/caller/relay/quarantine.go
+++ b/internal/caller/relay/quarantine.go
@@ -15,13 +15,26 @@
 const proofTime = 250 * clock.Millisecond
 
 // digests returns what the request may have in common with others that crash endpoints: the
-// parts of its prompt, without the last one, which is its own.
+// whole of it, and the parts of its prompt without the last one, which is its own.
 func (x *exchange) digests() []quarantine.Digest {
-	prompt := x.call.Prompt
-	if prompt == nil || len(prompt.PartDigests) == 0 {
-		return nil
+	if x.knownDigests != nil {
+		return x.knownDigests
 	}
-	return prompt.PartDigests[:len(prompt.PartDigests)-1]
+	x.knownDigests = []quarantine.Digest{x.requestDigest()}
+	if prompt := x.call.Prompt; prompt != nil && len(prompt.PartDigests) > 0 {
+		x.knownDigests = append(x.knownDigests, prompt.PartDigests[:len(prompt.PartDigests)-1]...)
+	}
+	return x.knownDigests
+}
+
+// admit asks whether the request may be sent. Its digests are needed only while crashes are
+// known.
+func (x *exchange) admit() Admission {
+	q := x.handler.config.Quarantine
+	if !q.Active() {
+		return Admission{Granted: true}
+	}
+	return q.Admit(x.r.Context(), x.digests(), x.timeLeft())
 }
 
 // requestDigest returns a digest of what makes two requests the same: method, host, target,
@@ -46,5 +59,7 @@
 
 // recordSound records that the request was answered.
 func (x *exchange) recordSound() {
-	x.handler.config.Quarantine.RecordSound(x.digests())
+	if q := x.handler.config.Quarantine; q.Active() {
+		q.RecordSound(x.digests())
+	}
 }
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -220,6 +220,8 @@
 
 // Quarantine keeps requests that crash endpoints from being sent. All fields must be set.
 type Quarantine struct {
+	// Active reports whether any crash is known.
+	Active func() bool
 	// Admit decides whether a request with these digests may be sent, and waits for its
 	// trial if it is under suspicion.
 	Admit func(ctx context.Context, digests []quarantine.Digest, timeLeft clock.Millis) Admission
--- a/internal/caller/relay/relay_test.go
+++ b/internal/caller/relay/relay_test.go
@@ -116,6 +116,7 @@
 	}})
 	handler := relay.New(relay.Config{
 		Quarantine: relay.Quarantine{
+			Active: func() bool { return true },
 			Admit: func(context.Context, []quarantine.Digest, clock.Millis) relay.Admission {
 				return relay.Admission{Granted: true}
 			},
--- a/internal/caller/relay/trace.go
+++ b/internal/caller/relay/trace.go
@@ -90,7 +90,7 @@
 	fields := logrus.Fields{"Endpoint": p.Endpoint, "Reason": reason}
 	if err != nil {
 		fields["Error"] = err.Error()
-		fields["Digest"] = strconv.FormatUint(uint64(x.requestDigest()), 16)
+		fields["Digest"] = strconv.FormatUint(uint64(x.digests()[0]), 16)
 		x.addPartDigests(fields)
 	}
 	x.trace.decisions = append(x.trace.decisions, decision{event: eventAttemptFailed, at: x.handler.config.Clock.Now(), fields: fields})
--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -262,7 +262,7 @@
 	d.handler = relay.New(relay.Config{
 		Streams: relay.Streams{Record: d.fleet.RecordStream, Find: d.fleet.FindStream},
 		Quarantine: relay.Quarantine{
-			Admit: d.crashes.Admit, RecordLost: d.crashes.RecordLost, RecordSound: d.crashes.RecordSound, RecordAnswer: d.crashes.RecordAnswer,
+			Active: d.crashes.Active, Admit: d.crashes.Admit, RecordLost: d.crashes.RecordLost, RecordSound: d.crashes.RecordSound, RecordAnswer: d.crashes.RecordAnswer,
 		},
 		Clock: d.clock, Logger: d.logger, Wire: d.platform.Wire, Connect: d.connector.Connect, Scheduler: d.relayScheduler,
 		Configuration: d.currentConfiguration, RecordStarted: d.tally.Add, FailureDomain: d.settings.Daemon.FailureDomain,
--- a/internal/peer/crashnews/admit.go
+++ b/internal/peer/crashnews/admit.go
@@ -29,9 +29,6 @@
 // Admit decides whether a request may be sent, and waits for its trial if it is under
 // suspicion.
 func (e *Exchange) Admit(ctx context.Context, digests []quarantine.Digest, timeLeft clock.Millis) relay.Admission {
-	if len(digests) == 0 || !e.known.Load() {
-		return relay.Admission{Granted: true}
-	}
 	deadline := e.config.Clock.Now() + min(maxTrialWait, timeLeft/maxWaitShare)
 	for {
 		now := e.config.Clock.Now()
--- a/internal/peer/crashnews/exchange.go
+++ b/internal/peer/crashnews/exchange.go
@@ -98,6 +98,11 @@
 	return e
 }
 
+// Active reports whether any crash is known.
+func (e *Exchange) Active() bool {
+	return e.known.Load()
+}
+
 // SetEndpoints records the software versions that are in use.
 func (e *Exchange) SetEndpoints(list []roster.Endpoint) {
 	now := e.config.Clock.Now()
@@ -112,7 +117,7 @@
 // ended. Whether the endpoint has crashed is found out in the background.
 func (e *Exchange) RecordLost(placement relay.Placement, digests []quarantine.Digest) {
 	endpoint := e.config.Endpoint(placement.Endpoint)
-	if len(digests) == 0 || endpoint.Incarnation != placement.Incarnation || !e.config.IsEvidence(endpoint) {
+	if endpoint.Incarnation != placement.Incarnation || !e.config.IsEvidence(endpoint) {
 		return
 	}
 	lost := &lostRequest{exchange: e, endpoint: endpoint, digests: digests, at: e.config.Clock.Now()}
@@ -143,9 +148,6 @@
 
 // RecordSound records that a request was answered.
 func (e *Exchange) RecordSound(digests []quarantine.Digest) {
-	if !e.known.Load() {
-		return
-	}
 	now := e.config.Clock.Now()
 	e.mu.Lock()
 	cleared := e.book.RecordSound(now, digests)
