Explain requests that are refused or tried because endpoints crashed

Cause: a caller who gets 422 could not be told why: the log did not connect the request with the crashes, and explain knew neither.

Change: event 1136 names the digests for which a request is refused or tried; explain shows their quarantine and the crashes of the request's endpoints. Digests are formatted in one place.

Conclusion: a quarantine is explained by the log alone; operators cannot release one yet.

--- a/internal/caller/relay/quarantine.go
+++ b/internal/caller/relay/quarantine.go
@@ -34,7 +34,11 @@
 	if !q.Active() {
 		return Admission{Granted: true}
 	}
-	return q.Admit(x.r.Context(), x.digests(), x.timeLeft())
+	admission := q.Admit(x.r.Context(), x.digests(), x.timeLeft())
+	if len(admission.Suspects) > 0 {
+		x.recordSuspicion(admission)
+	}
+	return admission
 }
 
 // requestDigest returns a digest of what makes two requests the same: method, host, target,
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -238,6 +238,8 @@
 type Admission struct {
 	Granted bool
 	Refusal Refusal
+	// Suspects lists the digests for which the request is refused or tried.
+	Suspects []quarantine.Digest
 	// Release is called when the attempt has ended, with whether the endpoint answered. It
 	// is nil if nobody waits for it.
 	Release func(answered bool)
--- a/internal/caller/relay/trace.go
+++ b/internal/caller/relay/trace.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/decide/quarantine"
 	"github.com/banyanshift/banyanshift/internal/observe/event"
 	"github.com/banyanshift/banyanshift/internal/observe/metric"
 )
@@ -24,6 +25,8 @@
 		"The caller takes up the stream of the named request. It may only go on at endpoints of the software version that began it.")
 	eventPassedOn = event.New(1135, logrus.InfoLevel, "request goes through a peer",
 		"This daemon's own path to the endpoint is broken, so a peer forwards the request.")
+	eventSuspected = event.New(1136, logrus.InfoLevel, "request may crash endpoints",
+		"Endpoints have crashed under requests with these digests, see events 1216 and 1217. Tried says whether the request was sent all the same, to find out.")
 	eventEnded = event.New(1133, logrus.InfoLevel, "request ended",
 		"A request got its final answer. Status 0 means that the connection ended without a complete answer.")
 
@@ -85,12 +88,20 @@
 	}})
 }
 
+// recordSuspicion records that the request is refused or tried for what it has in common with
+// others.
+func (x *exchange) recordSuspicion(admission Admission) {
+	x.trace.decisions = append(x.trace.decisions, decision{event: eventSuspected, at: x.handler.config.Clock.Now(), fields: logrus.Fields{
+		"Digests": quarantine.Join(admission.Suspects), "Tried": admission.Granted,
+	}})
+}
+
 // recordFailure records an attempt that failed.
 func (x *exchange) recordFailure(reason string, p Placement, err error) {
 	fields := logrus.Fields{"Endpoint": p.Endpoint, "Reason": reason}
 	if err != nil {
 		fields["Error"] = err.Error()
-		fields["Digest"] = strconv.FormatUint(uint64(x.digests()[0]), 16)
+		fields["Digest"] = x.digests()[0].String()
 		x.addPartDigests(fields)
 	}
 	x.trace.decisions = append(x.trace.decisions, decision{event: eventAttemptFailed, at: x.handler.config.Clock.Now(), fields: fields})
@@ -102,11 +113,7 @@
 	if x.call.Prompt == nil {
 		return
 	}
-	parts := make([]string, 0, len(x.call.Prompt.PartDigests))
-	for _, digest := range x.call.Prompt.PartDigests {
-		parts = append(parts, strconv.FormatUint(uint64(digest), 16))
-	}
-	fields["Parts"] = strings.Join(parts, ",")
+	fields["Parts"] = quarantine.Join(x.call.Prompt.PartDigests)
 }
 
 func (t *trace) recordFirstEvent(x *exchange) {
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -39,6 +39,8 @@
 	"encoding/binary"
 	"maps"
 	"slices"
+	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -79,6 +81,20 @@
 // Digest identifies something that requests may have in common.
 type Digest uint64
 
+// String returns the digest as it is shown in logs.
+func (d Digest) String() string {
+	return strconv.FormatUint(uint64(d), 16)
+}
+
+// Join returns digests as they are shown in logs.
+func Join(digests []Digest) string {
+	shown := make([]string, 0, len(digests))
+	for _, digest := range digests {
+		shown = append(shown, digest.String())
+	}
+	return strings.Join(shown, ",")
+}
+
 // trialDelays are the times from the last crash of a digest in quarantine to the next trial,
 // by the number of times at which endpoints have crashed with it.
 var trialDelays = []clock.Millis{clock.Second, 20 * clock.Second, 2 * clock.Minute, 10 * clock.Minute}
--- a/internal/observe/explain/explain.go
+++ b/internal/observe/explain/explain.go
@@ -36,6 +36,10 @@
 	eventEndpointLeaves   = 1212
 	eventEndpointQuiet    = 1213
 	eventEndpointTerms    = 1215
+	eventEndpointCrashed  = 1216
+	eventQuarantined      = 1217
+	eventReleased         = 1218
+	eventEndpointAlive    = 1219
 	eventPathBroken       = 1220
 	eventPathHealed       = 1221
 	eventStoreUnavailable = 2010
@@ -43,11 +47,12 @@
 	eventStoreRestored    = 2013
 )
 
-// storeEvents are about a daemon's view of the store, and endpointEvents about that of an
-// endpoint.
+// storeEvents are about a daemon's view of the store, endpointEvents about that of an
+// endpoint, and digestEvents about requests that crash endpoints.
 var (
 	storeEvents    = []int{eventStoreUnavailable, eventStoreAvailable, eventStoreRestored}
-	endpointEvents = []int{eventEndpointChanged, eventEndpointLeaves, eventEndpointQuiet, eventEndpointTerms, eventPathBroken, eventPathHealed}
+	endpointEvents = []int{eventEndpointChanged, eventEndpointLeaves, eventEndpointQuiet, eventEndpointTerms, eventEndpointCrashed, eventEndpointAlive, eventPathBroken, eventPathHealed}
+	digestEvents   = []int{eventQuarantined, eventReleased}
 )
 
 // maxLineBytes is the maximum length of a line.
@@ -77,6 +82,10 @@
 	Leaving  bool
 	Route    string
 	Team     string
+	// Digest is what several requests have in common, and Digests those of a request that
+	// was refused or tried for them.
+	Digest  string
+	Digests string
 }
 
 // Report explains the outcome of a request.
@@ -128,12 +137,15 @@
 	return line, json.Unmarshal(text[start:], &line) == nil && line.Event != 0
 }
 
-// related returns the lines of the request's daemons about its endpoints and the
-// store.
+// related returns the lines of the request's daemons about its endpoints, its digests and
+// the store.
 func related(timeline, others []Line) []Line {
-	var endpoints, daemons []string
+	var endpoints, daemons, digests []string
 	for _, line := range timeline {
 		endpoints = append(endpoints, line.Endpoint)
+		if line.Digests != "" {
+			digests = append(digests, strings.Split(line.Digests, ",")...)
+		}
 		daemons = append(daemons, line.Daemon)
 	}
 	var found []Line
@@ -142,7 +154,9 @@
 			continue
 		}
 		aboutStore := slices.Contains(storeEvents, line.Event)
-		if aboutStore || (slices.Contains(endpointEvents, line.Event) && slices.Contains(endpoints, line.Endpoint)) {
+		aboutEndpoint := slices.Contains(endpointEvents, line.Event) && slices.Contains(endpoints, line.Endpoint)
+		aboutDigest := slices.Contains(digestEvents, line.Event) && slices.Contains(digests, line.Digest)
+		if aboutStore || aboutEndpoint || aboutDigest {
 			found = append(found, line)
 		}
 	}
@@ -161,6 +175,8 @@
 	{"unknown key", "configuration: no team of the version in force has the key"},
 	{"no endpoint of the back end", "no endpoints: no endpoint of the back end could take the request"},
 	{"no endpoint of the software version", "no endpoints: none of the software version that began the stream was left to continue it"},
+	{"have crashed under requests like this one", "quarantine: endpoints have crashed under requests that had this in common with it, and none was answered since"},
+	{"like this one is tried first", "suspicion: endpoints have crashed under requests like it, and another such request was being tried"},
 	{"are to get no requests now", "quiet endpoints: all endpoints of the back end had asked for no requests for some time, or had no place within their limits"},
 	{"takes no more requests now", "limit of the endpoints: those that were tried had stated limits, and their owners gave no permit"},
 	{"does not forward the request", "unreachable endpoint: neither this daemon nor the peers that it asked reached the endpoint"},
--- a/internal/observe/explain/explain_test.go
+++ b/internal/observe/explain/explain_test.go
@@ -37,11 +37,30 @@
 	}
 }
 
+// TestContextNamesTheQuarantineOfARequest checks that the explanation of a refused request has
+// when its quarantine began, and not that of other requests.
+func TestContextNamesTheQuarantineOfARequest(t *testing.T) {
+	log := `{"Event":1136,"Request":"r1","Daemon":"vm-1","Digests":"7a,8b","Tried":false,"msg":"request may crash endpoints"}
+{"Event":1133,"Request":"r1","Daemon":"vm-1","Status":422,"Reason":"endpoints have crashed under requests like this one","msg":"request ended"}
+{"Event":1217,"Daemon":"vm-1","Digest":"8b","msg":"requests are in quarantine"}
+{"Event":1217,"Daemon":"vm-1","Digest":"9c","msg":"requests are in quarantine"}
+{"Event":1218,"Daemon":"vm-1","Digest":"","msg":"quarantine ended"}`
+	report, err := explain.Find(strings.NewReader(log), "r1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(report.Context) != 1 || report.Context[0].Digest != "8b" {
+		t.Errorf("got the context %+v, want the quarantine of 8b only", report.Context)
+	}
+}
+
 // TestCauseTellsWhoKeepsARequestFromItsEndpoint checks the causes that are beliefs about an
 // endpoint or the path to it.
 func TestCauseTellsWhoKeepsARequestFromItsEndpoint(t *testing.T) {
 	for reason, want := range map[string]string{
 		"endpoint takes no more requests now":                                                                 "limit of the endpoints",
+		"endpoints have crashed under requests like this one: it is not sent to any":                          "quarantine",
+		"another request like this one is tried first":                                                        "suspicion",
 		"all endpoints of the back end are to get no requests now":                                            "quiet endpoints",
 		"request not sent to the endpoint: peer 10.0.0.7:7340: the peer does not forward the request: silent": "unreachable endpoint",
 	} {
--- a/internal/peer/crashnews/admit.go
+++ b/internal/peer/crashnews/admit.go
@@ -42,7 +42,7 @@
 		if decision.Wait == 0 {
 			if t := e.beginTrial(ctx, decision.Suspects, timeLeft); t != nil {
 				admissions.Add("Tried", 1)
-				return relay.Admission{Granted: true, Release: t.end}
+				return relay.Admission{Granted: true, Suspects: decision.Suspects, Release: t.end}
 			}
 		}
 		if err := e.config.Clock.Sleep(ctx, max(decision.Wait, askInterval)); err != nil {
@@ -61,7 +61,7 @@
 func (e *Exchange) refuse(decision quarantine.Decision) relay.Admission {
 	if decision.Wait > maxTrialWait {
 		admissions.Add("Stopped", 1)
-		return relay.Admission{Refusal: relay.Refusal{
+		return relay.Admission{Suspects: decision.Suspects, Refusal: relay.Refusal{
 			Reason: "endpoints have crashed under requests like this one: it is not sent to any, do not send it again", Final: true,
 		}}
 	}
@@ -69,7 +69,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	wait := decision.Wait + askInterval
-	return relay.Admission{Refusal: relay.Refusal{
+	return relay.Admission{Suspects: decision.Suspects, Refusal: relay.Refusal{
 		Reason: "another request like this one is tried first", RetryAfter: wait + clock.Millis(e.rng.Int64N(int64(maxTrialWait/2))),
 	}}
 }
@@ -89,7 +89,7 @@
 		return nil
 	}
 	t := &trial{exchange: e, digests: digests}
-	owners := e.config.Owners("Crash/" + formatDigest(digests[0]))
+	owners := e.config.Owners("Crash/" + digests[0].String())
 	for _, owner := range owners[:min(len(owners), maxOwnersAsked)] {
 		granted, err := e.askOwner(ctx, owner, trialRequest{Digests: digests, Lifetime: lifetime})
 		if err != nil {
--- a/internal/peer/crashnews/events.go
+++ b/internal/peer/crashnews/events.go
@@ -1,9 +1,6 @@
 package crashnews
 
 import (
-	"strconv"
-	"strings"
-
 	"github.com/sirupsen/logrus"
 
 	"github.com/banyanshift/banyanshift/internal/decide/quarantine"
@@ -29,23 +26,11 @@
 	stopped    = metric.NewCounter("Quarantine.Digests", "Digests of requests that are in quarantine.")
 )
 
-// formatDigests returns digests as they are shown in logs.
-func formatDigests(digests []quarantine.Digest) string {
-	formatted := make([]string, 0, len(digests))
-	for _, digest := range digests {
-		formatted = append(formatted, formatDigest(digest))
-	}
-	return strings.Join(formatted, ",")
-}
-
-func formatDigest(digest quarantine.Digest) string {
-	return strconv.FormatUint(uint64(digest), 16)
-}
-
+// formatRequests returns the digests of each request as they are shown in logs.
 func formatRequests(requests [][]quarantine.Digest) []string {
 	formatted := make([]string, 0, len(requests))
 	for _, request := range requests {
-		formatted = append(formatted, formatDigests(request))
+		formatted = append(formatted, quarantine.Join(request))
 	}
 	return formatted
 }
--- a/internal/peer/crashnews/exchange.go
+++ b/internal/peer/crashnews/exchange.go
@@ -231,12 +231,12 @@
 	stopped.Set(int64(len(after)))
 	for _, digest := range after {
 		if !slices.Contains(before, digest) {
-			eventQuarantined.Log(e.config.Logger, logrus.Fields{"Digest": formatDigest(digest)})
+			eventQuarantined.Log(e.config.Logger, logrus.Fields{"Digest": digest.String()})
 		}
 	}
 	for _, digest := range before {
 		if !slices.Contains(after, digest) {
-			eventReleased.Log(e.config.Logger, logrus.Fields{"Digest": formatDigest(digest)})
+			eventReleased.Log(e.config.Logger, logrus.Fields{"Digest": digest.String()})
 		}
 	}
 }
