Guard the encodings that two neighboring releases exchange and store

Cause: nothing said what may change between two releases, and no test noticed: a field added to a message that is encoded as an array makes the whole message unreadable to the release before, whose decoder demands the same length.

The messages of banyanshift serve are not covered yet.

--- /dev/null
+++ b/internal/usage/billing/golden_test.go
@@ -0,0 +1,17 @@
+package billing_test
+
+import (
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/banyanshift/banyanshift/internal/standin/golden"
+	"github.com/banyanshift/banyanshift/internal/usage/billing"
+	"github.com/banyanshift/banyanshift/internal/usage/tally"
+)
+
+func TestGoldenRows(t *testing.T) {
+	golden.Check(t, "billing", msgpack.Marshal, msgpack.Unmarshal, map[string]any{
+		"sealedWindow": &billing.Window{}, "openWindow": &tally.WindowSnapshot{},
+	})
+}
