--- a/internal/standin/golden/golden.go
+++ b/internal/standin/golden/golden.go
@@ -18,7 +18,6 @@
 package golden
 
 import (
-	"bufio"
 	"encoding/hex"
 	"fmt"
 	"maps"
@@ -201,15 +200,13 @@
 // read returns the recorded encodings by kind.
 func read(t *testing.T, path string) map[string][]byte {
 	t.Helper()
-	file, err := os.Open(path)
+	text, err := os.ReadFile(path)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer file.Close()
 	recorded := make(map[string][]byte)
-	lines := bufio.NewScanner(file)
-	for lines.Scan() {
-		name, text, _ := strings.Cut(lines.Text(), " ")
+	for line := range strings.Lines(string(text)) {
+		name, text, _ := strings.Cut(strings.TrimSpace(line), " ")
 		if name == "release" {
 			continue
 		}
@@ -219,9 +216,6 @@
 		}
 		recorded[name] = encoded
 	}
-	if err := lines.Err(); err != nil {
-		t.Fatal(err)
-	}
 	return recorded
 }
 
