Let a quarantine last while no endpoint comes or goes

Requests that crash endpoints would have been sent again 30 s after the last change of the list of endpoints, also while their software was the same.

Cause: the book refreshed when a software version was last in use only with each new list, and took one that had not been refreshed for 30 s for gone.

Change: the book holds which versions are listed, and since when others are not.

Evidence: TestQuarantineLastsWhileNothingChanges fails before (sent at 100 s) and passes after.

--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -141,19 +141,20 @@
 	crashes map[identity]*record
 	// index holds the crashes whose requests have a digest.
 	index map[Digest][]*record
-	// versions holds when software versions of back ends were last in use.
-	versions map[version]clock.Millis
+	// listed holds the software versions that are in use, and goneAt when others went.
+	listed map[Version]bool
+	goneAt map[Version]clock.Millis
 }
 
-// version is a software version of a back end.
-type version struct {
-	backend string
-	name    string
+// Version is a software version of a back end.
+type Version struct {
+	Backend string
+	Name    string
 }
 
 // New returns an empty Book.
 func New() *Book {
-	return &Book{crashes: make(map[identity]*record), index: make(map[Digest][]*record), versions: make(map[version]clock.Millis)}
+	return &Book{crashes: make(map[identity]*record), index: make(map[Digest][]*record), listed: make(map[Version]bool), goneAt: make(map[Version]clock.Millis)}
 }
 
 // IsEmpty reports whether no crash is known.
@@ -161,9 +162,17 @@
 	return len(b.crashes) == 0
 }
 
-// SetVersion records that a software version of a back end is in use.
-func (b *Book) SetVersion(now clock.Millis, backend, name string) {
-	b.versions[version{backend, name}] = now
+// SetVersions records which software versions are in use from now on.
+func (b *Book) SetVersions(now clock.Millis, current []Version) {
+	for version := range b.listed {
+		b.goneAt[version] = now
+	}
+	clear(b.listed)
+	for _, version := range current {
+		b.listed[version] = true
+		delete(b.goneAt, version)
+	}
+	maps.DeleteFunc(b.goneAt, func(_ Version, at clock.Millis) bool { return now-at >= memory })
 }
 
 // RecordCrash merges what is known of a crash into the book, and reports whether that
@@ -335,8 +344,8 @@
 // isInUse reports whether the software version that crashed may still be in use. One that
 // was never listed here may be.
 func (b *Book) isInUse(now clock.Millis, crash *record) bool {
-	lastUse, known := b.versions[version{crash.Backend, crash.SoftwareVersion}]
-	return !known || now-lastUse <= versionMemory
+	goneAt, gone := b.goneAt[Version{Backend: crash.Backend, Name: crash.SoftwareVersion}]
+	return !gone || now-goneAt <= versionMemory
 }
 
 // isMassLoss reports whether a crash came together with many of the back end that a digest
--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -111,19 +111,32 @@
 func TestEvidenceEndsWithItsTimeAndWithTheSoftwareVersion(t *testing.T) {
 	const memory = 60 * clock.Minute
 	b := quarantine.New()
-	b.SetVersion(500, "model", "1")
+	current := []quarantine.Version{{Backend: "model", Name: "1"}}
+	b.SetVersions(500, current)
 	for n := range 3 {
 		at := clock.Millis(n+1) * 2000
 		b.RecordCrash(at, crash(at, []quarantine.Digest{deadly}))
 	}
-	expect(t, b, 25*clock.Second, stopped, deadly)
-	expect(t, b, 40*clock.Second, free, deadly)
-	b.SetVersion(50*clock.Second, "model", "1")
-	expect(t, b, 50*clock.Second, stopped, deadly)
-	b.SetVersion(memory+7000, "model", "1")
+	b.SetVersions(20*clock.Second, []quarantine.Version{{Backend: "model", Name: "2"}})
+	expect(t, b, 45*clock.Second, stopped, deadly)
+	expect(t, b, 55*clock.Second, free, deadly)
+	b.SetVersions(60*clock.Second, current)
+	expect(t, b, 60*clock.Second, stopped, deadly)
 	expect(t, b, memory+7000, free, deadly)
 }
 
+// TestQuarantineLastsWhileNothingChanges guards against a software version that counts as gone
+// because no endpoint has come or left for some time.
+func TestQuarantineLastsWhileNothingChanges(t *testing.T) {
+	b := quarantine.New()
+	b.SetVersions(500, []quarantine.Version{{Backend: "model", Name: "1"}})
+	for n := range 3 {
+		at := clock.Millis(n+1) * 2000
+		b.RecordCrash(at, crash(at, []quarantine.Digest{deadly}))
+	}
+	expect(t, b, 100*clock.Second, stopped, deadly)
+}
+
 func TestBooksThatLearnInAnyOrderAgree(t *testing.T) {
 	a, b := quarantine.New(), quarantine.New()
 	var crashes []quarantine.Crash
--- a/internal/peer/crashnews/exchange.go
+++ b/internal/peer/crashnews/exchange.go
@@ -105,12 +105,14 @@
 
 // SetEndpoints records the software versions that are in use.
 func (e *Exchange) SetEndpoints(list []roster.Endpoint) {
+	current := make([]quarantine.Version, 0, len(list))
+	for _, endpoint := range list {
+		current = append(current, quarantine.Version{Backend: endpoint.Backend, Name: endpoint.SoftwareVersion})
+	}
 	now := e.config.Clock.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, endpoint := range list {
-		e.book.SetVersion(now, endpoint.Backend, endpoint.SoftwareVersion)
-	}
+	e.book.SetVersions(now, current)
 }
 
 // RecordLost records that a request got no answer, because its connection to the endpoint
