Bound the news of crashes that support no quarantine

Cause: the fingerprint of what a daemon knows covered every crash. In a fleet that loses more than 128 endpoints an hour, books forget different ones, so that daemons would fetch each other's books with every ping: up to 75 kB each 0.6 s. News that an endpoint is alive made a crash of its own at daemons that had not heard of the crash, and each lost request of a crash logged a line at every daemon.

Change: the fingerprint covers the evidence against what is in quarantine only; news without requests is no crash; a crash is logged when it is first heard.

Conclusion: in calm, nothing is fetched.

--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -162,6 +162,11 @@
 	return len(b.crashes) == 0
 }
 
+// Knows reports whether the crash of an incarnation of an endpoint is known.
+func (b *Book) Knows(endpoint string, incarnation int64) bool {
+	return b.crashes[identity{endpoint, incarnation}] != nil
+}
+
 // SetVersions records which software versions are in use from now on.
 func (b *Book) SetVersions(now clock.Millis, current []Version) {
 	for version := range b.listed {
@@ -182,7 +187,7 @@
 	id := identity{crash.Endpoint, crash.Incarnation}
 	held := b.crashes[id]
 	if held == nil {
-		if now-crash.At >= memory || b.countNear(crash) >= maxCrashesInWindow {
+		if len(crash.Requests) == 0 || now-crash.At >= memory || b.countNear(crash) >= maxCrashesInWindow {
 			return false
 		}
 		held = &record{Crash: crash, digests: make(map[Digest]bool), cleared: make(map[Digest]bool)}
@@ -408,32 +413,36 @@
 // StopEvidence returns the crashes that count against digests in quarantine, the newest
 // maxKept of them, with what was cleared.
 func (b *Book) StopEvidence(now clock.Millis) (crashes []Crash) {
-	stopped := make(map[Digest]bool)
-	for _, digest := range b.Stopped(now) {
-		stopped[digest] = true
-	}
+	stopped := b.stopped(now)
 	for _, crash := range b.Crashes() {
-		held := b.crashes[identity{crash.Endpoint, crash.Incarnation}]
-		if held.supports(stopped) {
+		if b.crashes[identity{crash.Endpoint, crash.Incarnation}].supports(stopped) {
 			crashes = append(crashes, crash)
 		}
 	}
 	return crashes[max(len(crashes)-maxKept, 0):]
 }
 
-// Fingerprint returns a number that is the same in two books with the same crashes and the
-// same digests in quarantine, whatever their order. It is 0 for an empty book.
+// stopped returns the digests in quarantine as a set.
+func (b *Book) stopped(now clock.Millis) map[Digest]bool {
+	stopped := make(map[Digest]bool)
+	for _, digest := range b.Stopped(now) {
+		stopped[digest] = true
+	}
+	return stopped
+}
+
+// Fingerprint returns a number that is the same in two books with the same evidence against
+// the same digests in quarantine. It is 0 if there are none. Other crashes do not count, since
+// books may forget different ones.
 func (b *Book) Fingerprint(now clock.Millis) (sum uint64) {
+	stopped := b.stopped(now)
+	for digest := range stopped {
+		sum ^= xxhash.Sum64(binary.BigEndian.AppendUint64(nil, uint64(digest)))
+	}
 	for id, held := range b.crashes {
-		state := binary.BigEndian.AppendUint64([]byte(id.endpoint), uint64(id.incarnation))
-		state = binary.BigEndian.AppendUint32(state, uint32(len(held.Requests)))
-		if held.Alive {
-			state = append(state, 1)
+		if held.supports(stopped) {
+			sum ^= xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(id.endpoint), uint64(id.incarnation)))
 		}
-		sum ^= xxhash.Sum64(state)
-	}
-	for _, digest := range b.Stopped(now) {
-		sum ^= xxhash.Sum64(binary.BigEndian.AppendUint64(nil, uint64(digest)))
 	}
 	return sum
 }
--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -108,6 +108,13 @@
 	expect(t, b, 3200, onTrial, deadly)
 }
 
+func TestEndpointThatIsAliveIsNotTakenForACrash(t *testing.T) {
+	b := quarantine.New()
+	if b.RecordCrash(1000, quarantine.Crash{Endpoint: "i-1", Incarnation: 1, Alive: true}) || !b.IsEmpty() {
+		t.Error("news that an endpoint is alive counts as a crash")
+	}
+}
+
 func TestEvidenceEndsWithItsTimeAndWithTheSoftwareVersion(t *testing.T) {
 	const memory = 60 * clock.Minute
 	b := quarantine.New()
--- a/internal/peer/crashnews/events.go
+++ b/internal/peer/crashnews/events.go
@@ -10,7 +10,7 @@
 
 var (
 	eventCrashed = event.New(1216, logrus.WarnLevel, "endpoint crashed",
-		"An endpoint ended while requests waited for their answers, and refuses connections. Suspects lists the digests of each of these requests, as far as this daemon knows them; most of them are innocent.")
+		"An endpoint ended while requests waited for their answers, and refuses connections. Suspects lists the digests of those that were reported first; most of them are innocent. Each lost request has an event 1131 at its daemon.")
 	eventQuarantined = event.New(1217, logrus.WarnLevel, "requests are in quarantine",
 		"Several endpoints have crashed under requests with this digest and none was answered since. Such requests are refused, but for rare trials. The quarantine ends when a trial is answered or when the endpoints' software has changed.")
 	eventReleased = event.New(1218, logrus.InfoLevel, "quarantine ended",
--- a/internal/peer/crashnews/exchange.go
+++ b/internal/peer/crashnews/exchange.go
@@ -185,11 +185,32 @@
 // learn adds what is new to the book, and passes it on.
 func (e *Exchange) learn(cleared []clearance, crashes []quarantine.Crash, source string) {
 	now := e.config.Clock.Now()
-	fresh := news{}
+	fresh, firstHeard := e.merge(now, cleared, crashes)
+	if len(fresh.Crashes) == 0 && len(fresh.Cleared) == 0 {
+		return
+	}
+	for _, c := range firstHeard {
+		eventCrashed.Log(e.config.Logger, logrus.Fields{
+			"Endpoint": c.Endpoint, "Backend": c.Backend, "SoftwareVersion": c.SoftwareVersion,
+			"Suspects": formatRequests(c.Requests), "Age": int64(now - c.At), "Source": source,
+		})
+	}
+	e.logChanges(now)
+	e.passOn(fresh)
+}
+
+// merge adds to the book. It returns what was new, and the crashes of which nothing was known.
+func (e *Exchange) merge(now clock.Millis, cleared []clearance, crashes []quarantine.Crash) (fresh news, firstHeard []quarantine.Crash) {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	for _, c := range crashes {
-		if e.book.RecordCrash(now, c) {
-			fresh.Crashes = append(fresh.Crashes, newCrash(now, c))
+		known := e.book.Knows(c.Endpoint, c.Incarnation)
+		if !e.book.RecordCrash(now, c) {
+			continue
+		}
+		fresh.Crashes = append(fresh.Crashes, newCrash(now, c))
+		if !known {
+			firstHeard = append(firstHeard, c)
 		}
 	}
 	for _, c := range cleared {
@@ -198,18 +219,7 @@
 		}
 	}
 	e.known.Store(!e.book.IsEmpty())
-	e.mu.Unlock()
-	if len(fresh.Crashes) == 0 && len(fresh.Cleared) == 0 {
-		return
-	}
-	for _, c := range fresh.Crashes {
-		eventCrashed.Log(e.config.Logger, logrus.Fields{
-			"Endpoint": c.Endpoint, "Backend": c.Backend, "SoftwareVersion": c.SoftwareVersion,
-			"Suspects": formatRequests(c.Requests), "Age": int64(c.Age), "Source": source,
-		})
-	}
-	e.logChanges(now)
-	e.passOn(fresh)
+	return fresh, firstHeard
 }
 
 // passOn sends news to the neighbors.
