Tell operators which build each gateway runs, and what a peer lacks

Cause: in a fleet of two releases nothing showed which gateway ran which build, nor that news of crashes is not exchanged with the older ones.

Change: the commit stands in the start line, in the answer to a ping and in the line of a peer that joined; event 1416 names a feature that a peer lacks, which is told by the absence of its field, not by a failure.

--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -42,6 +42,7 @@
 	"github.com/banyanshift/banyanshift/internal/endpoint/connect"
 	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
 	"github.com/banyanshift/banyanshift/internal/endpoint/roster"
+	"github.com/banyanshift/banyanshift/internal/observe/build"
 	"github.com/banyanshift/banyanshift/internal/observe/server"
 	"github.com/banyanshift/banyanshift/internal/order/leader"
 	"github.com/banyanshift/banyanshift/internal/peer/crashnews"
@@ -329,7 +330,7 @@
 	d.baseTasks.Start("Gauges", d.runGauges)
 	d.leaseTasks.Start("Lease", d.lease.Run)
 	d.holderTasks.Start("Duties", d.leader.Run)
-	eventStarted.Log(d.logger, logrus.Fields{"Incarnation": d.incarnation, "Callers": d.settings.Caller.Listen, "Peers": d.settings.Peer.Listen})
+	eventStarted.Log(d.logger, logrus.Fields{"Build": build.Revision(), "Incarnation": d.incarnation, "Callers": d.settings.Caller.Listen, "Peers": d.settings.Peer.Listen})
 	return nil
 }
 
--- a/internal/peer/fleet/events.go
+++ b/internal/peer/fleet/events.go
@@ -33,6 +33,8 @@
 		"A newer configuration or list of endpoints, or the usage of a peer, could not be fetched. The next ping or collection tries again.")
 	eventListFetched = event.New(1522, logrus.InfoLevel, "endpoints taken from a peer",
 		"A peer had a newer list of endpoints than this daemon, or this one could not read the store.")
+	eventPeerLacks = event.New(1416, logrus.InfoLevel, "peer lacks a feature",
+		"A peer is of an older release, which does not have the named feature. This daemon uses it with the others only; see docs/design/upgrades.md for what follows.")
 	eventTimeCorrected = event.New(1415, logrus.WarnLevel, "time of day corrected",
 		"The clock of the VM was off when the daemon started. Usage is counted by the time of the other daemons.")
 	eventRegisterFailed = event.New(1414, logrus.WarnLevel, "registering in the table failed",
--- a/internal/peer/fleet/fleet.go
+++ b/internal/peer/fleet/fleet.go
@@ -32,6 +32,7 @@
 	"github.com/banyanshift/banyanshift/internal/caller/relay"
 	"github.com/banyanshift/banyanshift/internal/config/document"
 	"github.com/banyanshift/banyanshift/internal/endpoint/roster"
+	"github.com/banyanshift/banyanshift/internal/observe/build"
 	"github.com/banyanshift/banyanshift/internal/peer/fanout"
 	"github.com/banyanshift/banyanshift/internal/peer/link"
 	"github.com/banyanshift/banyanshift/internal/peer/topology"
@@ -99,6 +100,8 @@
 	permits   *permits
 
 	startedAt clock.Millis
+	// build is the commit that this daemon was built from.
+	build string
 	// listFetch is held while a list of endpoints is fetched, so that several peers do
 	// not send the same one. It guards listFetchedAt, when the last fetch began.
 	listFetch     sync.Mutex
@@ -124,6 +127,7 @@
 func New(config Config) *Fleet {
 	f := &Fleet{
 		config:   config,
+		build:    build.Revision(),
 		view:     topology.New(config.Self),
 		exchange: fanout.New[report](config.Incarnation, config.Self.FailureDomain),
 		peers:    make(map[string]*peer),
--- a/internal/peer/fleet/message.go
+++ b/internal/peer/fleet/message.go
@@ -51,6 +51,8 @@
 	// Crashes is the fingerprint of the crashes that the peer knows. It is nil if the peer
 	// does not exchange them.
 	Crashes *uint64
+	// Build is the commit that the peer was built from, empty if it does not say so.
+	Build string
 }
 
 // documentState is the configuration that a daemon holds. Age is the time since the
--- a/internal/peer/fleet/peer.go
+++ b/internal/peer/fleet/peer.go
@@ -43,7 +43,9 @@
 	stop     context.CancelFunc
 	wake     chan struct{}
 	answered bool
-	failures int
+	// lacksCrashes is set while the peer exchanges no news of crashes.
+	lacksCrashes bool
+	failures     int
 	// listedAt is when the peer last sent the VMs that it knows.
 	listedAt  clock.Millis
 	startedAt clock.Millis
@@ -155,10 +157,23 @@
 	p.recordWallTime(sentAt, answer)
 	p.syncDocument(ctx, sentAt, answer)
 	p.syncEndpoints(ctx, sentAt, answer)
+	p.syncCrashes(ctx, answer)
+	return p.delayAfterAnswer(request)
+}
+
+// syncCrashes exchanges what is known of crashes, unless the peer is of a release that does
+// not.
+func (p *peer) syncCrashes(ctx context.Context, answer pong) {
+	f := p.fleet
 	if answer.Crashes != nil {
+		p.lacksCrashes = false
 		f.config.Crashes.Sync(ctx, p.address, *answer.Crashes)
+		return
+	}
+	if !p.lacksCrashes {
+		p.lacksCrashes = true
+		eventPeerLacks.Log(f.config.Logger, logrus.Fields{"Peer": answer.VM.ID, "Address": p.address, "Build": answer.Build, "Feature": "Crashes"})
 	}
-	return p.delayAfterAnswer(request)
 }
 
 func (p *peer) delayAfterAnswer(request ping) clock.Millis {
@@ -216,7 +231,7 @@
 	f.mu.Unlock()
 	if !p.answered {
 		p.answered = true
-		eventPeerJoined.Log(f.config.Logger, logrus.Fields{"Peer": answer.VM.ID, "Address": p.address})
+		eventPeerJoined.Log(f.config.Logger, logrus.Fields{"Peer": answer.VM.ID, "Address": p.address, "Build": answer.Build})
 	}
 	if recovered {
 		eventPeerRegained.Log(f.config.Logger, logrus.Fields{"Peer": answer.VM.ID, "Address": p.address})
--- a/internal/peer/fleet/serve.go
+++ b/internal/peer/fleet/serve.go
@@ -26,7 +26,7 @@
 	now := f.config.Clock.Now()
 	f.recordFence(request.Fence)
 	crashes := f.config.Crashes.Fingerprint()
-	answer := pong{VM: f.config.Self, Wall: f.config.WallTime.Wall(), Fence: f.KnownFence(), Crashes: &crashes}
+	answer := pong{VM: f.config.Self, Wall: f.config.WallTime.Wall(), Fence: f.KnownFence(), Crashes: &crashes, Build: f.build}
 	if identity, confirmed, known := f.config.Document.Identity(); known {
 		answer.Document = newDocumentState(identity, confirmed, now)
 	}
