Move the exchange of permits into a package of its own

peer/fleet held reports, leaving endpoints, permits, streams, usage, news, silence and rows. What asks for and gives permits needs none of it but the owners of an endpoint, so it stands beside peer/crashnews now, with the same shape: Config, message, events, exchange.

--- a/internal/peer/fleet/events.go
+++ b/internal/peer/fleet/events.go
@@ -8,8 +8,7 @@
 )
 
 var (
-	retries       = metric.NewMap("Budget.Retries", "Retries granted or refused by the retry budget, by back end.")
-	permitResults = metric.NewMap("Strain.Permits", "Requests to endpoints that have stated terms, by whether they got a permit.")
+	retries = metric.NewMap("Budget.Retries", "Retries granted or refused by the retry budget, by back end.")
 )
 
 var (
@@ -17,8 +16,6 @@
 		"An endpoint said in an answer, to this daemon or to a peer, that it is about to end. It gets no new requests until its next incarnation, whatever its entry says.")
 	eventEndpointQuiet = event.New(1213, logrus.InfoLevel, "endpoint wants no requests",
 		"An endpoint refused a request and asked for no others from this daemon for the stated time.")
-	eventTerms = event.New(1215, logrus.InfoLevel, "endpoint states terms",
-		"An endpoint said in an answer, to this daemon or to a peer, how many requests a second it takes from all daemons or how many refusals it survives, or that this has ended. Requests to it need a permit.")
 	eventPeerJoined = event.New(1410, logrus.InfoLevel, "peer joined",
 		"Another daemon, to which this one is to stay in contact, has answered for the first time.")
 	eventPeerLost = event.New(1411, logrus.WarnLevel, "peer does not answer",
--- a/internal/peer/fleet/fleet.go
+++ b/internal/peer/fleet/fleet.go
@@ -35,6 +35,7 @@
 	"github.com/banyanshift/banyanshift/internal/observe/build"
 	"github.com/banyanshift/banyanshift/internal/peer/fanout"
 	"github.com/banyanshift/banyanshift/internal/peer/link"
+	"github.com/banyanshift/banyanshift/internal/peer/permit"
 	"github.com/banyanshift/banyanshift/internal/peer/topology"
 	"github.com/banyanshift/banyanshift/internal/peer/walltime"
 	"github.com/banyanshift/banyanshift/internal/usage/tally"
@@ -97,7 +98,7 @@
 	group     *errgroup.Group
 	publisher *publisher
 	streams   *streams
-	permits   *permits
+	permits   *permit.Exchange
 
 	startedAt clock.Millis
 	// build is the commit that this daemon was built from.
@@ -132,7 +133,11 @@
 		exchange: fanout.New[report](config.Incarnation, config.Self.FailureDomain),
 		peers:    make(map[string]*peer),
 	}
-	f.publisher, f.streams, f.permits = newPublisher(f), newStreams(f), newPermits(f, config.Rand.Uint64())
+	f.publisher, f.streams = newPublisher(f), newStreams(f)
+	f.permits = permit.New(permit.Config{
+		Link: config.Link, Clock: config.Clock, Logger: config.Logger, Self: config.Self.Address, Owners: f.endpointOwners,
+		Endpoint: config.Scheduler.Endpoint, JobCount: config.Scheduler.JobCount, FirstID: config.Rand.Uint64(),
+	})
 	f.registerHandlers()
 	return f
 }
@@ -176,8 +181,8 @@
 		RecordEnd:         s.recordEnd,
 		RecordLoad:        s.recordLoad,
 		RecordLeaving:     f.RecordLeaving,
-		RecordTerms:       f.RecordTerms,
-		Acquire:           f.Acquire,
+		RecordTerms:       f.permits.RecordTerms,
+		Acquire:           f.permits.Acquire,
 		SetAside:          s.setAside,
 		RecordQuiet:       s.recordQuiet,
 		InvalidateAddress: s.invalidateAddress,
@@ -186,6 +191,12 @@
 	}
 }
 
+// IsBrittle reports whether an endpoint has said that it fails if it has to refuse many
+// requests.
+func (f *Fleet) IsBrittle(endpoint roster.Endpoint) bool {
+	return f.permits.IsBrittle(endpoint)
+}
+
 // LivingVMs returns the other VMs that this daemon knows of, without those that have
 // failed or are shutting down.
 func (f *Fleet) LivingVMs() []topology.VM {
--- a/internal/peer/fleet/golden_internal_test.go
+++ b/internal/peer/fleet/golden_internal_test.go
@@ -15,7 +15,6 @@
 		"endpointsRequest": &endpointsRequest{}, "endpointsAnswer": &endpointsAnswer{},
 		"usageRequest": &usageRequest{}, "usageAnswer": &usageAnswer{},
 		"startedStreams": &startedStreams{}, "originRequest": &originRequest{}, "originAnswer": &originAnswer{},
-		"permitRequest": &permitRequest{}, "permitAnswer": &permitAnswer{}, "permitEnd": &permitEnd{},
 		"vmRow": &topology.VM{},
 	})
 }
--- a/internal/peer/fleet/message.go
+++ b/internal/peer/fleet/message.go
@@ -5,9 +5,9 @@
 	"github.com/banyanshift/banyanshift/coord/table"
 	"github.com/banyanshift/banyanshift/internal/config/document"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
-	"github.com/banyanshift/banyanshift/internal/decide/strain"
 	"github.com/banyanshift/banyanshift/internal/endpoint/roster"
 	"github.com/banyanshift/banyanshift/internal/peer/fanout"
+	"github.com/banyanshift/banyanshift/internal/peer/permit"
 	"github.com/banyanshift/banyanshift/internal/peer/topology"
 	"github.com/banyanshift/banyanshift/internal/usage/tally"
 )
@@ -89,7 +89,7 @@
 	// Leaving lists the endpoints that reported in an answer that they are leaving.
 	Leaving []leavingEndpoint
 	// Terms lists the terms of endpoints that have changed.
-	Terms []endpointTerms
+	Terms []permit.Terms
 }
 
 func (r *report) empty() bool {
@@ -104,54 +104,6 @@
 	Incarnation int64
 }
 
-// endpointTerms is the terms that an incarnation of an endpoint stated, Age before this
-// message.
-type endpointTerms struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
-
-	ID                string
-	Incarnation       int64
-	RequestsPerSecond float64
-	RefusalsPerSecond float64
-	Age               clock.Millis
-}
-
-func newEndpointTerms(s strain.Statement, age clock.Millis) endpointTerms {
-	return endpointTerms{
-		ID: s.Endpoint, Incarnation: s.Incarnation,
-		RequestsPerSecond: s.Terms.RequestsPerSecond, RefusalsPerSecond: s.Terms.RefusalsPerSecond, Age: age,
-	}
-}
-
-func (e endpointTerms) statement() strain.Statement {
-	return strain.Statement{
-		Endpoint: e.ID, Incarnation: e.Incarnation,
-		Terms: strain.Terms{RequestsPerSecond: e.RequestsPerSecond, RefusalsPerSecond: e.RefusalsPerSecond},
-	}
-}
-
-// permitRequest asks the owner of an endpoint for the permit to send a request to it.
-type permitRequest struct {
-	ID       uint64
-	Terms    endpointTerms
-	MaxWait  clock.Millis
-	Lifetime clock.Millis
-}
-
-// permitAnswer answers a permitRequest. Wait is the time until the request may be sent if
-// the permit is granted, and otherwise the time after which to ask again.
-type permitAnswer struct {
-	Granted bool
-	Wait    clock.Millis
-}
-
-// permitEnd tells how the request with a permit has ended.
-type permitEnd struct {
-	ID      uint64
-	Terms   endpointTerms
-	Outcome strain.Outcome
-}
-
 // sentJob is a balance.Job that was sent to an endpoint, Age before this message.
 type sentJob struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
--- a/internal/peer/fleet/news.go
+++ b/internal/peer/fleet/news.go
@@ -45,9 +45,15 @@
 // Owners returns the addresses of the daemons that may own a key of the whole fleet, the
 // owner first.
 func (f *Fleet) Owners(key string) []string {
+	return f.endpointOwners("", key)
+}
+
+// endpointOwners returns the addresses of the daemons that may own an endpoint of a failure
+// domain, the owner first.
+func (f *Fleet) endpointOwners(domain, endpoint string) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.view.Owners(f.config.Clock.Now(), "", key)
+	return f.view.Owners(f.config.Clock.Now(), domain, endpoint)
 }
 
 // wakeUpstream pings the daemon to follow now.
--- a/internal/peer/fleet/permits_test.go
+++ b/internal/peer/fleet/permits_test.go
@@ -33,10 +33,11 @@
 	d.scheduler.SetEndpoints(list)
 	d.fleet.SetEndpoints(list)
 	placement := relay.Placement{Endpoint: list[0].ID}
-	d.fleet.RecordTerms(placement, strain.Terms{RequestsPerSecond: perSecond})
+	scheduler := d.fleet.RelayScheduler()
+	scheduler.RecordTerms(placement, strain.Terms{RequestsPerSecond: perSecond})
 	acquire := func() (granted int) {
 		for range requests {
-			if d.fleet.Acquire(context.Background(), placement, 0, 5*clock.Second).Granted {
+			if scheduler.Acquire(context.Background(), placement, 0, 5*clock.Second).Granted {
 				granted++
 			}
 		}
--- a/internal/peer/fleet/report.go
+++ b/internal/peer/fleet/report.go
@@ -58,7 +58,7 @@
 	own.Seals = f.config.Tally.TakeNewSeals()
 	f.mu.Lock()
 	own.Leaving, f.newLeaving = f.newLeaving, nil
-	own.Terms = f.permits.takeNews(now)
+	own.Terms = f.permits.TakeNews(now)
 	if !own.empty() {
 		f.exchange.Add(own)
 	}
@@ -131,7 +131,7 @@
 		f.config.Tally.Merge(countsOf(item.Source, item.Report.Usage))
 		f.config.Tally.MergeSeals(item.Report.Seals)
 		f.applyLeaving(item.Report.Leaving)
-		f.permits.applyNews(item.Report.Terms)
+		f.permits.ApplyNews(item.Report.Terms)
 	}
 	return struct{}{}, nil
 }
--- a/internal/peer/fleet/serve.go
+++ b/internal/peer/fleet/serve.go
@@ -18,8 +18,6 @@
 	link.Handle(f.config.Link, message.FleetUsage, f.serveUsage)
 	link.Handle(f.config.Link, message.FleetStreams, f.serveStreams)
 	link.Handle(f.config.Link, message.FleetStreamOrigin, f.serveOrigin)
-	link.Handle(f.config.Link, message.FleetPermit, f.servePermit)
-	link.Handle(f.config.Link, message.FleetPermitEnd, f.servePermitEnd)
 }
 
 func (f *Fleet) servePing(_ context.Context, _ string, request ping) (pong, error) {
--- a/internal/peer/fleet/streams.go
+++ b/internal/peer/fleet/streams.go
@@ -41,7 +41,7 @@
 	for _, endpoint := range list {
 		endpoints = append(endpoints, endpoint.Endpoint)
 	}
-	f.permits.setEndpoints(list)
+	f.permits.SetEndpoints(list)
 	s, now := f.streams, f.config.Clock.Now()
 	s.mu.Lock()
 	var started []startedStream
