Replace a kept row that cannot be read or that holds what has ended

Cause, by reading: a row that another program had written, or bytes that cannot be decoded, made the keeper fail for good, so that nothing was kept any more. And a daemon that became the first one after a quarantine had ended took the row for its own empty one: the evidence stayed in the table, and the quarantine came back when all daemons started again.

Change: a row that cannot be read counts as empty and is logged; a row that was read is written anew once.

--- a/internal/peer/crashnews/crashnews_test.go
+++ b/internal/peer/crashnews/crashnews_test.go
@@ -23,6 +23,9 @@
 
 const timeLeft = 8 * clock.Second
 
+// keptRow is the row of the table that holds the evidence.
+const keptRow = "Crashes/Known"
+
 // checkTime is more than the checks of lost requests take.
 const checkTime = 100 * time.Millisecond
 
@@ -30,6 +33,7 @@
 type daemon struct {
 	*crashnews.Exchange
 	link      *link.Link
+	rows      table.Client
 	neighbors []string
 	owners    []string
 	// onOwners is called when the owners of a digest are looked up.
@@ -47,7 +51,7 @@
 	logger, _ := logtest.NewNullLogger()
 	for n := range count {
 		address := fmt.Sprintf("127.42.%d.%d:9190", base, n+1)
-		d := &daemon{link: link.New(link.Config{ID: fmt.Sprint("vm-", n), Listen: address}, clock.System(), logger)}
+		d := &daemon{link: link.New(link.Config{ID: fmt.Sprint("vm-", n), Listen: address}, clock.System(), logger), rows: table.NewMemory().Client()}
 		d.down.Store(true)
 		d.evidence.Store(true)
 		d.Exchange = crashnews.New(crashnews.Config{
@@ -58,7 +62,7 @@
 			},
 			IsEvidence: func(roster.Endpoint) bool { return d.evidence.Load() },
 			IsDown:     func(context.Context, roster.Endpoint) bool { return d.down.Load() },
-			Table:      table.NewMemory().Client(),
+			Table:      d.rows,
 			Rank:       func() int { return 0 },
 			Wall:       clock.System().Wall,
 			Rand:       rand.New(rand.NewPCG(1, uint64(n))),
@@ -223,3 +227,56 @@
 		t.Errorf("the owner was asked %d times, want at most %d", n, maxAsked)
 	}
 }
+
+// keep runs the daemon that keeps the row, until the test ends.
+func (d *daemon) keep(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = d.Run(ctx)
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+}
+
+// row returns the kept row.
+func (d *daemon) row(t *testing.T) []byte {
+	row, err := d.rows.Get(t.Context(), keptRow)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return row.Value
+}
+
+func (d *daemon) putRow(t *testing.T, value []byte) {
+	if err := d.rows.Commit(t.Context(), table.Txn{Writes: []table.Write{{Key: keptRow, Value: value}}}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestRowThatCannotBeReadIsReplaced guards against a daemon that keeps nothing any more after
+// another program has written the row.
+func TestRowThatCannotBeReadIsReplaced(t *testing.T) {
+	d := startDaemons(t, 1)[0]
+	d.putRow(t, []byte("no record"))
+	d.keep(t)
+	d.lose("i-", 3, 7)
+	waitUntil(t, "the row holds the evidence", func() bool { return len(d.row(t)) > len("no record") })
+}
+
+// TestRowForgetsWhatWasCleared guards against a quarantine that comes back with the next start,
+// though it has ended while another daemon kept the row.
+func TestRowForgetsWhatWasCleared(t *testing.T) {
+	first := startDaemons(t, 1)[0]
+	first.keep(t)
+	first.lose("i-", 3, 7)
+	waitUntil(t, "the row holds the evidence", func() bool { return len(first.row(t)) > 0 })
+	second := startDaemons(t, 1)[0]
+	second.lose("i-", 3, 7)
+	waitUntil(t, "the evidence is known", func() bool { return second.Fingerprint() != 0 })
+	second.RecordSound([]quarantine.Digest{7})
+	second.putRow(t, first.row(t))
+	second.keep(t)
+	held := len(second.row(t))
+	waitUntil(t, "the row holds no evidence", func() bool { return len(second.row(t)) < held })
+}
--- a/internal/peer/crashnews/keep.go
+++ b/internal/peer/crashnews/keep.go
@@ -41,6 +41,8 @@
 type keeper struct {
 	exchange *Exchange
 	loaded   bool
+	// stale is set if the row that was read may hold what has ended since.
+	stale bool
 	// written is the fingerprint of the row's evidence, and writtenAt when it was written.
 	written   uint64
 	writtenAt clock.Millis
@@ -100,10 +102,8 @@
 	if err != nil || len(row.Value) == 0 {
 		return err
 	}
-	var kept keptCrashes
-	if err := msgpack.Unmarshal(row.Value, &kept); err != nil {
-		return err
-	}
+	k.stale = true
+	kept := e.decodeKept(row.Value)
 	eventLoaded.Log(e.config.Logger, logrus.Fields{"Crashes": len(kept.News.Crashes)})
 	since := max(e.config.Wall()-kept.Written, 0)
 	for n := range kept.News.Crashes {
@@ -113,13 +113,24 @@
 	return nil
 }
 
-// write writes the row if its evidence has changed or is old.
+// decodeKept decodes the row. One that cannot be read holds nothing, and will be replaced.
+func (e *Exchange) decodeKept(value []byte) keptCrashes {
+	var kept keptCrashes
+	err := msgpack.Unmarshal(value, &kept)
+	if err == nil {
+		return kept
+	}
+	eventKeepFailed.Log(e.config.Logger, logrus.Fields{"Error": "the row cannot be read: " + err.Error()})
+	return keptCrashes{}
+}
+
+// write writes the row if its evidence has changed, is old or was written by others.
 func (k *keeper) write(ctx context.Context) error {
 	e := k.exchange
 	now := e.config.Clock.Now()
 	held := e.evidence()
 	isOld := held.fingerprint != 0 && now-k.writtenAt >= rewriteInterval
-	if held.fingerprint == k.written && !isOld {
+	if held.fingerprint == k.written && !isOld && !k.stale {
 		return nil
 	}
 	value, err := msgpack.Marshal(keptCrashes{Written: e.config.Wall(), News: held.news})
@@ -129,7 +140,7 @@
 	if err := e.config.Table.Commit(ctx, table.Txn{Writes: []table.Write{{Key: keptRow, Value: value}}}); err != nil {
 		return err
 	}
-	k.written, k.writtenAt = held.fingerprint, now
+	k.written, k.writtenAt, k.stale = held.fingerprint, now, false
 	return nil
 }
 
