Take a stream up only if all software versions it may have begun at are known

Cause: origin.Book answered Sole with the only version that it had seen, however short the daemon had watched. After all gateways ended, one that saw only the new version sent streams of the old one there, with 200.

Change: the versions at which streams may have begun stand in one row of the table, with the era in which it was written and without times. A daemon that has not watched for as long as a stream lasts, or was cut off for 5 s, reads it when a caller takes a stream up. The setting FirstStart says that nothing ran before. TestStreamsAreNotToldWhileThereIsOneVersion asserted the fault (a daemon without any past believed the only version); it is replaced by seven cases.

Left: the versions that appear within some 50 ms before the end of all daemons; serve has no versions.

--- a/internal/caller/relay/exchange.go
+++ b/internal/caller/relay/exchange.go
@@ -146,13 +146,13 @@
 	if !x.takesUpStream() {
 		return true
 	}
-	limit, known := x.handler.config.Streams.Find(x.r.Context(), x.call.ResumedID, x.backend)
-	if !known {
-		x.refuse(http.StatusServiceUnavailable, Refusal{Reason: "origin of the stream unknown: " + x.call.ResumedID, RetryAfter: defaultRetryAfter})
+	origin := x.handler.config.Streams.Find(x.r.Context(), x.call.ResumedID, x.backend)
+	x.recordOrigin(origin)
+	if !origin.Known {
+		x.refuse(http.StatusServiceUnavailable, Refusal{Reason: "cannot resume: the software version that began the stream is unknown; request it from its start", RetryAfter: defaultRetryAfter})
 		return false
 	}
-	x.stream.software = limit
-	x.recordTakenUp()
+	x.stream.software = origin.Software
 	return true
 }
 
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -191,9 +191,23 @@
 type Streams struct {
 	// Record is called when the first event of a request's stream arrives.
 	Record func(requestID, backend, softwareVersion string)
-	// Find returns the limit to the software version that began the stream of a
-	// request. known is false if it may have been any of several.
-	Find func(ctx context.Context, requestID, backend string) (limit balance.SoftwareLimit, known bool)
+	// Find looks up which software version began the stream of a request.
+	Find func(ctx context.Context, requestID, backend string) Origin
+}
+
+// Origin is what is known of the software version that began a stream.
+type Origin struct {
+	// Known is set if Software is the version. Otherwise it may have been any of several.
+	Known    bool
+	Software balance.SoftwareLimit
+	// Source says who knew it.
+	Source string
+	// Versions lists the software versions of the back end at which the stream may have
+	// begun. AllVersions is set if there can be no others, and WatchedFor is how long this
+	// daemon has seen them all by itself.
+	Versions    []string
+	AllVersions bool
+	WatchedFor  clock.Millis
 }
 
 // Placement assigns a request to an endpoint.
--- a/internal/caller/relay/relay_test.go
+++ b/internal/caller/relay/relay_test.go
@@ -128,9 +128,7 @@
 		},
 		Streams: relay.Streams{
 			Record: func(string, string, string) {},
-			Find: func(context.Context, string, string) (balance.SoftwareLimit, bool) {
-				return balance.SoftwareLimit{}, true
-			},
+			Find:   func(context.Context, string, string) relay.Origin { return relay.Origin{Known: true} },
 		},
 		Clock: clock.System(), Logger: logger, Wire: wire(), Connect: newConnector(logger, pool).Connect, Scheduler: f.scheduler(),
 		Configuration: func() relay.Configuration { return f.config },
--- a/internal/caller/relay/trace.go
+++ b/internal/caller/relay/trace.go
@@ -22,7 +22,7 @@
 	eventFirstEvent = event.New(1132, logrus.InfoLevel, "stream started",
 		"The first event of a stream was forwarded to the caller.")
 	eventTakenUp = event.New(1134, logrus.InfoLevel, "stream is taken up",
-		"The caller takes up the stream of the named request. It may only go on at endpoints of the software version that began it.")
+		"The caller takes up the stream of the named request. It may only go on at endpoints of the software version that began it, which Source knew. Versions lists those of the back end that may have begun it; AllVersions is false if there may be others, since this daemon has seen them only for WatchedFor milliseconds and the table did not hold those of before. If the version is not known, the request is refused.")
 	eventPassedOn = event.New(1135, logrus.InfoLevel, "request goes through a peer",
 		"This daemon's own path to the endpoint is broken, so a peer forwards the request.")
 	eventSuspected = event.New(1136, logrus.InfoLevel, "request may crash endpoints",
@@ -81,10 +81,12 @@
 	}})
 }
 
-// recordTakenUp records the software version that began the stream that is taken up.
-func (x *exchange) recordTakenUp() {
+// recordOrigin records what is known of the software version that began the stream that is
+// taken up.
+func (x *exchange) recordOrigin(origin Origin) {
 	x.trace.decisions = append(x.trace.decisions, decision{event: eventTakenUp, at: x.handler.config.Clock.Now(), fields: logrus.Fields{
-		"Resumes": x.call.ResumedID, "LastEvent": x.call.LastEventID, "SoftwareVersion": x.stream.software.Version,
+		"Resumes": x.call.ResumedID, "LastEvent": x.call.LastEventID, "SoftwareVersion": origin.Software.Version,
+		"Source": origin.Source, "Versions": strings.Join(origin.Versions, " "), "AllVersions": origin.AllVersions, "WatchedFor": int64(origin.WatchedFor),
 	}})
 }
 
--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -213,7 +213,7 @@
 		Document: d.document, Drains: d.drains, Decode: d.platform.DecodeDocument, Tally: d.tally, WallTime: d.wallTime,
 		FollowsStore:     func() bool { return d.endpointsMode() == feed.Follow },
 		StoreUnavailable: func() bool { return d.documentFeed.Failing() || d.endpointsFeed.Failing() }, Rand: d.random(2),
-		HighestFence: func() uint64 { return d.lease.HighestFence() },
+		HighestFence: func() uint64 { return d.lease.HighestFence() }, FirstStart: d.settings.Daemon.FirstStart,
 		Crashes: fleet.Crashes{
 			Fingerprint: func() uint64 { return d.crashes.Fingerprint() },
 			Sync: func(ctx context.Context, address string, fingerprint uint64) {
--- a/internal/decide/origin/origin.go
+++ b/internal/decide/origin/origin.go
@@ -5,12 +5,22 @@
 // have had the same version for as long as a stream lasts. Daemons therefore need to tell
 // each other of their streams only while versions are mixed.
 //
+// A daemon knows the versions of that time if it has watched the lists of endpoints all the
+// while. One that has not been running, or was cut off, learns the others from a record
+// that outlives the daemons: the versions that streams may have begun at. A version is added
+// to it when it is first listed and taken out by a daemon that has not seen it for as long as
+// a stream lasts, so that the record needs no times.
+//
 // The package is pure: it has no clock, lock or goroutine of its own.
 //
 // # Usage
 //
-//	b := origin.New()
+//	b := origin.New(firstStart)
 //	mixed := b.SetEndpoints(now, endpoints) // tell others b.Own(now, backend) of each one
+//	b.Watch(now, asOf)
+//	if !b.Complete(now) {
+//		mixed = b.Merge(now, record)
+//	}
 //	b.RecordOwn(now, origin.Stream{ID: origin.ID("9c41d07b"), Backend: "books", SoftwareVersion: "1.2"})
 //	version, known := b.Find(now, origin.ID("9c41d07b"))
 package origin
@@ -30,8 +40,20 @@
 	maxStreamTime = 30 * clock.Second
 	// maxStreams limits the streams that are remembered.
 	maxStreams = 1 << 17
+	// maxWatchGap is the time without a confirmed list after which versions may have come
+	// and gone unseen.
+	maxWatchGap = 5 * clock.Second
 )
 
+// Versions lists the software versions at which streams that may still be taken up may have
+// begun, sorted, by back end.
+type Versions map[string][]string
+
+// Equal reports whether both are the same.
+func (v Versions) Equal(other Versions) bool {
+	return maps.EqualFunc(v, other, slices.Equal[[]string])
+}
+
 // ID identifies a stream by a hash of the ID of the attempt that brought its first event.
 func ID(attempt string) uint64 {
 	return xxhash.Sum64String(attempt)
@@ -59,6 +81,14 @@
 	// order holds the IDs of streams, the one recorded first at the start.
 	order    []uint64
 	backends map[string]*backend
+	// firstStart is set if no daemon ran before this one and those that start with it.
+	firstStart bool
+	// watchedSince is when this daemon began to watch the lists, and lastAsOf when the last
+	// one was confirmed, if watching. earlierKnown is set if the versions of the time before
+	// are known.
+	watching               bool
+	watchedSince, lastAsOf clock.Millis
+	earlierKnown           bool
 }
 
 // backend holds the software versions of the endpoints of a back end.
@@ -69,9 +99,67 @@
 	lastListed map[string]clock.Millis
 }
 
-// New returns an empty Book.
-func New() *Book {
-	return &Book{streams: make(map[uint64]record), backends: make(map[string]*backend)}
+// New returns an empty Book. firstStart is set if the whole system starts for the first time,
+// so that nothing was begun before.
+func New(firstStart bool) *Book {
+	return &Book{streams: make(map[uint64]record), backends: make(map[string]*backend), firstStart: firstStart}
+}
+
+// Watch records that the last list of endpoints was confirmed at asOf. After a gap, versions
+// may be missing that came and went meanwhile.
+func (b *Book) Watch(now, asOf clock.Millis) {
+	switch {
+	case !b.watching:
+		b.watching, b.watchedSince, b.earlierKnown = true, now, b.firstStart
+	case asOf-b.lastAsOf > maxWatchGap:
+		b.watchedSince, b.earlierKnown = now, false
+	}
+	b.lastAsOf = max(b.lastAsOf, asOf)
+}
+
+// Complete reports whether all versions are known at which streams that may still be taken
+// up have begun.
+func (b *Book) Complete(now clock.Millis) bool {
+	return b.watching && (b.earlierKnown || now-b.watchedSince > maxStreamTime)
+}
+
+// WatchedFor returns how long this daemon has watched the lists without a gap.
+func (b *Book) WatchedFor(now clock.Millis) clock.Millis {
+	if !b.watching {
+		return 0
+	}
+	return now - b.watchedSince
+}
+
+// Versions returns the versions of all back ends.
+func (b *Book) Versions(now clock.Millis) Versions {
+	versions := make(Versions, len(b.backends))
+	for name, known := range b.backends {
+		if recent := known.recent(now); len(recent) > 0 {
+			versions[name] = recent
+		}
+	}
+	return versions
+}
+
+// Merge adds recorded versions as if they had been listed until now. complete is set if the
+// record holds those of the time before this daemon watched. It returns the back ends whose
+// versions are mixed from now on.
+func (b *Book) Merge(now clock.Millis, versions Versions, complete bool) (mixed []string) {
+	b.earlierKnown = b.earlierKnown || complete && b.watching
+	for _, name := range slices.Sorted(maps.Keys(versions)) {
+		known := b.backend(name)
+		wasMixed := known.mixed(now)
+		for _, version := range versions[name] {
+			if _, seen := known.lastListed[version]; !seen && !known.listed[version] {
+				known.lastListed[version] = now
+			}
+		}
+		if known.mixed(now) && !wasMixed {
+			mixed = append(mixed, name)
+		}
+	}
+	return mixed
 }
 
 // SetEndpoints records the software versions of the listed endpoints. It returns the back
@@ -126,6 +214,12 @@
 	return len(k.recent(now)) > 1
 }
 
+// Recent returns the known versions of a back end at which streams that may still be taken
+// up may have begun, sorted.
+func (b *Book) Recent(now clock.Millis, backend string) []string {
+	return b.backend(backend).recent(now)
+}
+
 // Mixed reports whether streams of a back end that may still be taken up were begun by
 // endpoints of several software versions.
 func (b *Book) Mixed(now clock.Millis, backend string) bool {
@@ -133,10 +227,10 @@
 }
 
 // Sole returns the only software version that the back end has had for as long as a
-// stream lasts.
+// stream lasts. It finds none if this daemon does not know the versions of that time.
 func (b *Book) Sole(now clock.Millis, backend string) (version string, found bool) {
-	recent := b.backend(backend).recent(now)
-	if len(recent) != 1 {
+	recent := b.Recent(now, backend)
+	if len(recent) != 1 || !b.Complete(now) {
 		return "", false
 	}
 	return recent[0], true
--- a/internal/peer/fleet/events.go
+++ b/internal/peer/fleet/events.go
@@ -37,6 +37,10 @@
 		"A peer had a newer list of endpoints than this daemon, or this one could not read the store.")
 	eventPeerLacks = event.New(1416, logrus.InfoLevel, "peer lacks a feature",
 		"A peer is of an older release, which does not have the named feature. This daemon uses it with the others only; see docs/design/upgrades.md for what follows.")
+	eventVersionsKept = event.New(1418, logrus.InfoLevel, "software versions written to the table",
+		"The software versions at which streams of callers may have begun, by back end. After the end of all daemons, a stream is taken up only if its back end has one.")
+	eventVersionsNotKept = event.New(1419, logrus.WarnLevel, "software versions not read or written",
+		"The row of the software versions could not be read or written. The daemon tries again; until then, streams that were begun before it started are taken up only if another daemon knows them.")
 	eventTimeCorrected = event.New(1415, logrus.WarnLevel, "time of day corrected",
 		"The clock of the VM was off when the daemon started. Usage is counted by the time of the other daemons.")
 	eventRegisterFailed = event.New(1414, logrus.WarnLevel, "registering in the table failed",
--- a/internal/peer/fleet/fleet.go
+++ b/internal/peer/fleet/fleet.go
@@ -83,6 +83,8 @@
 	WallTime *walltime.Estimator
 	Crashes  Crashes
 	Rand     *rand.Rand
+	// FirstStart is set if the whole system starts for the first time.
+	FirstStart bool
 }
 
 // Crashes exchanges what daemons know of crashed endpoints. All fields must be set.
@@ -157,6 +159,7 @@
 	group.Go(func() error { return f.reportLoop(ctx) })
 	group.Go(func() error { return f.tableLoop(ctx) })
 	group.Go(func() error { return f.publisher.loop(ctx) })
+	group.Go(func() error { return f.streams.keeper.loop(ctx) })
 	return group.Wait()
 }
 
--- a/internal/peer/fleet/fleet_test.go
+++ b/internal/peer/fleet/fleet_test.go
@@ -92,6 +92,8 @@
 // environment is what a daemon runs in.
 type environment struct {
 	clock clock.Clock
+	// firstStart is set if the whole system starts for the first time.
+	firstStart bool
 	// dial opens the connections to other daemons, unless it is nil.
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -111,7 +113,7 @@
 	noCrashes := fleet.Crashes{Fingerprint: func() uint64 { return 0 }, Sync: func(context.Context, string, uint64) {}}
 	d.fleet = fleet.New(fleet.Config{
 		Link: d.link, Clock: clk, Logger: logger, Self: topology.VM{ID: id, Address: d.address, FailureDomain: domainOf(id)},
-		Incarnation: id, Seeds: seeds,
+		Incarnation: id, Seeds: seeds, FirstStart: env.firstStart,
 		Table: rows, Scheduler: d.scheduler, Roster: d.roster, Document: d.document, Drains: d.drains, Decode: decode, Tally: d.tally, WallTime: walltime.New(clk), Crashes: noCrashes, StoreUnavailable: func() bool { return d.storeDown.Load() }, HighestFence: func() uint64 { return d.fence.Load() }, FollowsStore: func() bool { return d.fleet.LeaderRank() < 3 }, Rand: rng,
 	})
 	if err := d.link.Start(); err != nil {
--- a/internal/peer/fleet/golden_internal_test.go
+++ b/internal/peer/fleet/golden_internal_test.go
@@ -15,6 +15,6 @@
 		"endpointsRequest": &endpointsRequest{}, "endpointsAnswer": &endpointsAnswer{},
 		"usageRequest": &usageRequest{}, "usageAnswer": &usageAnswer{},
 		"startedStreams": &startedStreams{}, "originRequest": &originRequest{}, "originAnswer": &originAnswer{},
-		"vmRow": &topology.VM{},
+		"vmRow": &topology.VM{}, "versionsRow": &versionsRecord{},
 	})
 }
--- a/internal/peer/fleet/streams.go
+++ b/internal/peer/fleet/streams.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/caller/relay"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
 	"github.com/banyanshift/banyanshift/internal/decide/origin"
 	"github.com/banyanshift/banyanshift/internal/endpoint/roster"
@@ -25,14 +26,22 @@
 // of a back end are mixed, each stream is told to a few other daemons, so that it can be
 // taken up when the daemon that passed it on has ended.
 type streams struct {
-	fleet *Fleet
+	fleet  *Fleet
+	keeper *versionKeeper
 
 	mu   sync.Mutex
 	book *origin.Book
+
+	// reading is held while the recorded versions are read for callers. It guards
+	// readAgainAt, until when they are not read again.
+	reading     sync.Mutex
+	readAgainAt clock.Millis
 }
 
 func newStreams(f *Fleet) *streams {
-	return &streams{fleet: f, book: origin.New()}
+	s := &streams{fleet: f, book: origin.New(f.config.FirstStart)}
+	s.keeper = newVersionKeeper(s)
+	return s
 }
 
 // SetEndpoints records which endpoints there are, and their software versions.
@@ -44,15 +53,22 @@
 	f.permits.SetEndpoints(list)
 	s, now := f.streams, f.config.Clock.Now()
 	s.mu.Lock()
-	var started []startedStream
-	for _, backend := range s.book.SetEndpoints(now, endpoints) {
+	started := s.ownStreams(now, s.book.SetEndpoints(now, endpoints))
+	s.mu.Unlock()
+	s.tell(started)
+	s.keeper.notify()
+}
+
+// ownStreams returns the streams of back ends that this daemon has begun. The lock must be
+// held.
+func (s *streams) ownStreams(now clock.Millis, backends []string) (started []startedStream) {
+	for _, backend := range backends {
 		own, ages := s.book.Own(now, backend)
 		for i, stream := range own {
 			started = append(started, startedStream{ID: stream.ID, SoftwareVersion: stream.SoftwareVersion, Age: ages[i]})
 		}
 	}
-	s.mu.Unlock()
-	s.tell(started)
+	return started
 }
 
 // RecordStream records that an endpoint has begun the stream of a caller's attempt.
@@ -101,23 +117,43 @@
 	return struct{}{}, nil
 }
 
-// FindStream returns the limit to the software version that began the stream of a
-// caller's attempt, which another daemon may have passed on. known is false if it may
-// have been any of several versions.
-func (f *Fleet) FindStream(ctx context.Context, attempt, backend string) (limit balance.SoftwareLimit, known bool) {
+// Sources of the origin of a stream.
+const (
+	sourceMemory  = "this daemon passed the stream on, or was told of it"
+	sourceSole    = "the back end has had one software version only"
+	sourcePeer    = "another daemon"
+	sourceUnknown = "unknown"
+)
+
+// FindStream returns which software version began the stream of a caller's attempt, which
+// another daemon may have passed on.
+func (f *Fleet) FindStream(ctx context.Context, attempt, backend string) relay.Origin {
 	s := f.streams
 	id := origin.ID(attempt)
-	version := s.find(id)
+	version, source := s.find(id), sourceMemory
 	if version == nil {
-		version = s.sole(backend)
+		version, source = s.sole(ctx, backend), sourceSole
 	}
 	if version == nil {
-		version = s.ask(ctx, id, f.contacts(), true)
+		version, source = s.ask(ctx, id, f.contacts(), true), sourcePeer
 	}
 	if version == nil {
-		return balance.SoftwareLimit{}, false
+		source = sourceUnknown
+	}
+	found := s.describe(backend)
+	found.Source = source
+	if version != nil {
+		found.Known, found.Software = true, balance.SoftwareLimit{Limited: true, Version: *version}
 	}
-	return balance.SoftwareLimit{Limited: true, Version: *version}, true
+	return found
+}
+
+// describe returns what this daemon knows of the software versions of a back end.
+func (s *streams) describe(backend string) relay.Origin {
+	now := s.fleet.config.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return relay.Origin{Versions: s.book.Recent(now, backend), AllVersions: s.book.Complete(now), WatchedFor: s.book.WatchedFor(now)}
 }
 
 // find returns the software version that began a stream if this daemon knows it.
@@ -131,15 +167,19 @@
 }
 
 // sole returns the only software version that the back end has had for some time. It
-// returns nil if the list of endpoints may be out of date.
-func (s *streams) sole(backend string) *string {
-	now := s.fleet.config.Clock.Now()
-	if now-s.fleet.config.Roster.State().AsOf > maxSoleAge {
+// returns nil if the list of endpoints may be out of date, or if versions from before this
+// daemon watched are not known.
+func (s *streams) sole(ctx context.Context, backend string) *string {
+	clk := s.fleet.config.Clock
+	if clk.Now()-s.fleet.config.Roster.State().AsOf > maxSoleAge {
 		return nil
 	}
+	if _, complete := s.watch(clk.Now()); !complete {
+		s.learnVersions(ctx)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if version, found := s.book.Sole(now, backend); found {
+	if version, found := s.book.Sole(clk.Now(), backend); found {
 		return &version
 	}
 	return nil
--- a/internal/peer/fleet/streams_test.go
+++ b/internal/peer/fleet/streams_test.go
@@ -29,11 +29,7 @@
 
 // findStream returns the version that began a stream, "" if it is not known.
 func findStream(d *daemon, attempt string) string {
-	limit, known := d.fleet.FindStream(context.Background(), attempt, "books")
-	if !known {
-		return ""
-	}
-	return limit.Version
+	return d.fleet.FindStream(context.Background(), attempt, "books").Software.Version
 }
 
 // TestStreamOriginIsKnownAfterTheLossOfDaemons ends the daemon that began a stream, with
@@ -71,18 +67,53 @@
 }
 
 // TestStreamsAreNotToldWhileThereIsOneVersion checks that a stream whose origin nobody
-// was told goes on at the only version, as long as the list of endpoints is up to date.
+// was told goes on at the only version, as long as the list of endpoints is up to date and
+// no other version can have been in service before the daemon started.
 func TestStreamsAreNotToldWhileThereIsOneVersion(t *testing.T) {
-	d := start(t, "a", table.NewMemory().Client())
-	d.roster.Replace(softwareList("1"), table.Position{Revision: 1}, clock.System().Now())
-	d.fleet.SetEndpoints(softwareList("1"))
-	if got := findStream(d, "other"); got != "1" {
-		t.Errorf("got version %q, want 1", got)
+	known := table.NewMemory().Client()
+	first := startWith(t, environment{clock: clock.System(), firstStart: true}, "a", known)
+	setSoftware(map[string]*daemon{"a": first}, "1")
+	if got := findStream(first, "other"); got != "1" {
+		t.Errorf("at the first start: got version %q, want 1", got)
 	}
-	outdated := start(t, "b", table.NewMemory().Client())
-	outdated.roster.Replace(softwareList("1"), table.Position{Revision: 1}, clock.System().Now()-10*clock.Second)
-	outdated.fleet.SetEndpoints(softwareList("1"))
-	if got := findStream(outdated, "other"); got != "" {
-		t.Errorf("with an outdated list: got version %q, want none", got)
+	eventually(t, "the version is in the table", func() bool {
+		row, err := known.Get(t.Context(), "Software/Versions")
+		return err == nil && row.Version > 0
+	})
+	away := table.NewMemory()
+	away.SetFault(table.Fault{Down: true})
+	for _, test := range []struct {
+		name, version string
+		rows          table.Client
+		age           clock.Millis
+		want          string
+	}{
+		{name: "recorded", version: "1", rows: known, want: "1"},
+		{name: "recorded, outdated list", version: "1", rows: known, age: 10 * clock.Second},
+		{name: "another one recorded", version: "2", rows: known},
+		{name: "nothing recorded", version: "1", rows: table.NewMemory().Client()},
+		{name: "table away", version: "1", rows: away.Client()},
+		{name: "recorded in an earlier era", version: "1", rows: inEra(known, 2)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			d := start(t, test.name, test.rows)
+			d.roster.Replace(softwareList(test.version), table.Position{Revision: 1}, clock.System().Now()-test.age)
+			d.fleet.SetEndpoints(softwareList(test.version))
+			if got := findStream(d, "other"); got != test.want {
+				t.Errorf("got version %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
+// inEra returns a client of a table that has come back from a copy.
+func inEra(rows table.Client, era uint64) table.Client {
+	get := rows.Get
+	rows.Get = func(ctx context.Context, key string) (table.Row, error) {
+		row, err := get(ctx, key)
+		row.Era = era
+		return row, err
 	}
+	return rows
 }
--- a/internal/settings/gateway/settings.go
+++ b/internal/settings/gateway/settings.go
@@ -42,6 +42,8 @@
 	MemoryLimit int64
 	// Grace is the time from SIGTERM until the process is killed.
 	Grace clock.Millis
+	// FirstStart is set if the whole system starts for the first time.
+	FirstStart bool
 }
 
 // Caller configures the interface for callers.
@@ -125,6 +127,8 @@
 		func(s *Settings) any { return &s.Daemon.MemoryLimit }},
 	{ini.Field{Section: "Daemon", Name: "Grace", Type: ini.Duration, Default: "8s", Min: 1000, Max: maxDuration, Help: "Time from SIGTERM until the process is killed."},
 		func(s *Settings) any { return &s.Daemon.Grace }},
+	{ini.Field{Section: "Daemon", Name: "FirstStart", Type: ini.Switch, Default: "false", Help: "Whether the whole system starts for the first time, so that no earlier daemon served callers."},
+		func(s *Settings) any { return &s.Daemon.FirstStart }},
 	{ini.Field{Section: "Caller", Name: "Listen", Type: ini.Address, Required: true, Help: "Address for callers."},
 		func(s *Settings) any { return &s.Caller.Listen }},
 	{ini.Field{Section: "Caller", Name: "MaxHeaderBytes", Type: ini.Size, Default: "64KiB", Min: 4096, Max: mebibyte, Help: "Maximum size of a request's header. It applies even if the configuration allows more."},
--- a/internal/settings/ini/field.go
+++ b/internal/settings/ini/field.go
@@ -17,6 +17,7 @@
 	Size     Type = "size"
 	Count    Type = "number"
 	Fraction Type = "fraction"
+	Switch   Type = "true or false"
 )
 
 // Field describes one setting.
--- a/internal/settings/ini/value.go
+++ b/internal/settings/ini/value.go
@@ -34,7 +34,7 @@
 	return f.Assign(f.target(settings), value)
 }
 
-// Assign parses value into target, which is a *string, *int, *int64, *float64 or
+// Assign parses value into target, which is a *string, *bool, *int, *int64, *float64 or
 // *clock.Millis, depending on the field's type. The error states what is
 // expected.
 func (f Field) Assign(target any, value string) error {
@@ -54,6 +54,12 @@
 		}
 		*target = value
 		return nil
+	case *bool:
+		if value != "true" && value != "false" {
+			return errors.New("must be true or false")
+		}
+		*target = value == "true"
+		return nil
 	case *float64:
 		number, err := parseFraction(value)
 		*target = number
