Copy parts of prompts from endpoints that have them cached

Hypothesis: a part that another endpoint has cached is copied several times as fast as it is computed, so copying it where it would be computed again brings first tokens sooner and pauses fewer streams, above all while a failure domain is being reclaimed.

The configuration states the rate.

Kept: their tokens cost as much as computed ones.

--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -293,6 +293,7 @@
 		TimeLeft:      max(x.timeLeft(), 1),
 		Priority:      x.priority(),
 		ToModelEngine: x.call.Prompt != nil,
+		CopyFrom:      placement.CopyFrom,
 	}
 	attempt.ResumeAfterEventID = x.call.LastEventID
 	if x.stream.lastID != "" {
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -85,6 +85,9 @@
 	// ToModelEngine is true for requests to model engines, which support
 	// priorities.
 	ToModelEngine bool
+	// CopyFrom is the address of the endpoint from whose cache the beginning of the prompt is to
+	// be copied; empty if it is to be computed.
+	CopyFrom string
 	// ResumeAfterEventID is the ID of the last event that the caller has
 	// received; empty if the stream starts at its beginning.
 	ResumeAfterEventID string
@@ -222,6 +225,10 @@
 	// SoftwareVersion is the version of the endpoint's software.
 	SoftwareVersion    string
 	ExpectedFirstToken clock.Millis
+	// CopyFrom is the address of the endpoint from whose cache CopyTokens of the prompt are to be
+	// copied; empty if none are.
+	CopyFrom   string
+	CopyTokens int
 }
 
 // Refusal states why a request was not placed. It is empty if the request was
--- a/internal/caller/relay/trace.go
+++ b/internal/caller/relay/trace.go
@@ -16,7 +16,7 @@
 
 var (
 	eventPlaced = event.New(1130, logrus.InfoLevel, "request placed",
-		"A request was assigned to an endpoint. The fields give the expected time to first token, and the version of the configuration with the time since it was last known to be the newest.")
+		"A request was assigned to an endpoint. The fields give the expected time to first token, and the version of the configuration with the time since it was last known to be the newest. CopyTokens is how much of the prompt the endpoint is to copy from the cache of the one at CopyFrom.")
 	eventAttemptFailed = event.New(1131, logrus.InfoLevel, "attempt failed",
 		"An endpoint gave no usable answer; the reason says whether the request may have run. If the answer ended early or never came, Digest is the same for requests that are the same but for their IDs, and Parts holds digests of the parts of the prompt.")
 	eventFirstEvent = event.New(1132, logrus.InfoLevel, "stream started",
@@ -69,9 +69,13 @@
 
 func (t *trace) recordPlacement(x *exchange, p Placement) {
 	t.tries++
-	t.decisions = append(t.decisions, decision{event: eventPlaced, at: x.handler.config.Clock.Now(), fields: logrus.Fields{
+	fields := logrus.Fields{
 		"Endpoint": p.Endpoint, "Address": p.Address, "SoftwareVersion": p.SoftwareVersion, "Expected": int64(p.ExpectedFirstToken), "Version": t.version, "VersionAge": int64(t.versionAge), "TimeLeft": int64(x.timeLeft()), "Try": t.tries,
-	}})
+	}
+	if p.CopyFrom != "" {
+		fields["CopyFrom"], fields["CopyTokens"] = p.CopyFrom, p.CopyTokens
+	}
+	t.decisions = append(t.decisions, decision{event: eventPlaced, at: x.handler.config.Clock.Now(), fields: fields})
 }
 
 // recordPeer records that a peer forwards the request.
--- a/internal/config/document/document.go
+++ b/internal/config/document/document.go
@@ -101,6 +101,9 @@
 	CacheTokens int
 	// EventTokens is the number of tokens in one event of a stream.
 	EventTokens int
+	// CopyRate is how many tokens of its cache an endpoint copies to another one in a ms, 0 if
+	// endpoints do not copy from each other.
+	CopyRate float64
 }
 
 // Scaling limits the number of endpoints in one failure domain and describes
--- a/internal/daemon/gateway/follow.go
+++ b/internal/daemon/gateway/follow.go
@@ -213,6 +213,7 @@
 	endpoint.ColdRate = backend.ColdRate
 	if backend.Engine != nil {
 		endpoint.CacheTokens = backend.Engine.CacheTokens
+		endpoint.CopyRate = backend.Engine.CopyRate
 		endpoint.Slots = max(endpoint.Slots, 1)
 	}
 }
--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -59,6 +59,9 @@
 	// Both are of this daemon and not part of messages.
 	ColdUntil clock.Millis `msgpack:"-"`
 	ColdRate  float64      `msgpack:"-"`
+	// CopyRate is how many tokens of its cache the endpoint copies to others of its back end in a
+	// ms, 0 if it does not. It is of this daemon and not part of messages.
+	CopyRate float64 `msgpack:"-"`
 }
 
 // PromptPart is one of the consecutive parts of a prompt. Hash covers the part
@@ -125,6 +128,11 @@
 	Endpoint string
 	// Uncached is the expected number of prompt tokens to compute.
 	Uncached int
+	// CopyFrom is the endpoint from whose cache CopyTokens of the prompt are to be copied first,
+	// which takes CopyTime; empty if none are.
+	CopyFrom   string
+	CopyTokens int
+	CopyTime   clock.Millis
 	// ExpectedFirstToken is the expected time to first token, or to the
 	// complete response of a plain service.
 	ExpectedFirstToken clock.Millis
@@ -142,6 +150,9 @@
 	Priority int
 	// Expected is the expected time to first token.
 	Expected clock.Millis
+	// CopyFrom and CopyTime are those of the Choice. Jobs of other daemons have none.
+	CopyFrom string
+	CopyTime clock.Millis
 }
 
 // Outcome is how a job ended.
@@ -181,6 +192,8 @@
 	// failureShare is the moving average of the share of requests that fail.
 	failureShare float64
 	eventGaps    EventGaps
+	// cached is the result of findCached, kept for its memory.
+	cached cachedPrompt
 }
 
 // job is a Job that has not ended.
@@ -307,7 +320,8 @@
 	load, serving := b.promptLoad(now, p, 1)
 	share := load / float64(max(serving, 1))
 	unreportedWork, price := b.unreportedWork(share), workPrice(share)
-	for _, r := range p.members {
+	cached := b.findCached(now, p, request)
+	for i, r := range p.members {
 		if slices.Contains(request.Exclude, r.ID) || !request.Software.allows(&r.Endpoint) {
 			continue
 		}
@@ -315,7 +329,7 @@
 		if standing > Leaving {
 			continue
 		}
-		e := p.estimate(now, r, request, price)
+		e := p.estimate(now, r, request, price, cached.tokens[i], cached.sources)
 		if !eligible(standing, r, e) {
 			continue
 		}
@@ -326,6 +340,9 @@
 		if !found || cost < best {
 			best, found = cost, true
 			choice = Choice{Endpoint: r.ID, Uncached: e.uncached, ExpectedFirstToken: clock.Millis(e.delays.total()), Delays: e.delays}
+			if e.copied.from != nil {
+				choice.CopyFrom, choice.CopyTokens, choice.CopyTime = e.copied.from.ID, e.copied.tokens, clock.Millis(e.copied.time)
+			}
 		}
 	}
 	return choice, found
@@ -352,17 +369,18 @@
 	j := &job{Job: sent, replica: r, sentAt: sentAt, queueFactor: r.queueFactor(sentAt)}
 	b.jobs[sent.ID] = j
 	r.add(sentAt, j, b.backend(r.Backend))
+	b.recordCopy(sentAt, j)
 }
 
 // RecordFirstToken records that a job of this daemon has produced its first token, and returns
-// the time since it was sent, 0 if the job is not known.
+// the time since it was sent, less that of the copy that it waited for, 0 if the job is not known.
 func (b *Balancer) RecordFirstToken(now clock.Millis, id uint64) (elapsed clock.Millis) {
 	j := b.jobs[id]
 	if j == nil || j.hasFirstToken {
 		return 0
 	}
 	p := b.backend(j.replica.Backend)
-	elapsed = max(now-j.sentAt, 1)
+	elapsed = max(now-j.sentAt-j.CopyTime, 1)
 	p.measure(j, elapsed)
 	j.replica.recordFirstToken(now, j, p)
 	return elapsed
--- a/internal/decide/balance/delays.go
+++ b/internal/decide/balance/delays.go
@@ -13,6 +13,8 @@
 	Work float64
 	// Queue is the time for the prompts that are queued at the endpoint.
 	Queue float64
+	// Copy is the time for copying a part of the prompt from another endpoint.
+	Copy float64
 	// Slot is the wait for a free slot.
 	Slot float64
 	// Memory is the wait for room in the key-value cache.
@@ -24,7 +26,7 @@
 }
 
 func (d Delays) total() float64 {
-	return d.Work + d.Queue + d.Slot + d.Memory + d.Overdue + d.Cold
+	return d.Work + d.Queue + d.Copy + d.Slot + d.Memory + d.Overdue + d.Cold
 }
 
 // String lists the delays that are not zero, for logs.
@@ -33,7 +35,7 @@
 	for _, delay := range []struct {
 		name string
 		time float64
-	}{{"own work", d.Work}, {"prompts ahead", d.Queue}, {"slot", d.Slot}, {"memory", d.Memory}, {"overdue answers", d.Overdue}, {"cold endpoint", d.Cold}} {
+	}{{"own work", d.Work}, {"prompts ahead", d.Queue}, {"copy of the prompt", d.Copy}, {"slot", d.Slot}, {"memory", d.Memory}, {"overdue answers", d.Overdue}, {"cold endpoint", d.Cold}} {
 		if time := clock.Millis(delay.time); time > 0 {
 			parts = append(parts, delay.name+" "+time.String())
 		}
--- a/internal/decide/balance/estimate.go
+++ b/internal/decide/balance/estimate.go
@@ -43,16 +43,18 @@
 // estimate is the expected delay and cost of a request on an endpoint.
 type estimate struct {
 	uncached int
+	copied   promptCopy
 	delays   Delays
 	cost     float64
 }
 
 // estimate predicts the delays and the cost of a request on the endpoint r. price is that of a
-// ms of an endpoint's time.
-func (p *pool) estimate(now clock.Millis, r *replica, request Request, price float64) estimate {
+// ms of an endpoint's time, cached the number of prompt tokens that r has cached, and sources are
+// the endpoints from which it can copy more.
+func (p *pool) estimate(now clock.Millis, r *replica, request Request, price float64, cached int, sources []copySource) estimate {
 	var e estimate
 	if r.CacheTokens > 0 {
-		e = p.estimateEngine(now, r, request, price)
+		e = p.estimateEngine(now, r, request, price, cached, sources)
 	} else {
 		e.delays.Work = p.estimateService(now, r)
 	}
@@ -92,10 +94,12 @@
 
 // estimateEngine predicts the time to first token on a model engine, and the
 // cost of the mutual delays of the request and the other work on the endpoint.
-func (p *pool) estimateEngine(now clock.Millis, r *replica, request Request, price float64) estimate {
-	uncached := request.PromptTokens() - r.cache.match(request.Parts)
+func (p *pool) estimateEngine(now clock.Millis, r *replica, request Request, price float64, cached int, sources []copySource) estimate {
+	copied := p.bestCopy(now, r, cached, sources)
+	uncached := request.PromptTokens() - cached - copied.tokens
 	prefill := p.prefillTime(now, r, uncached)
-	e := estimate{uncached: uncached}
+	e := estimate{uncached: uncached, copied: copied}
+	e.delays.Copy = copied.time
 	e.delays.Work = baseFirstTokenTime + prefill
 	e.delays.Queue = float64(max(r.busyUntil-now, 0))
 	if full := r.jobCount + 1 - r.Slots; full > 0 {
@@ -105,7 +109,8 @@
 		e.delays.Memory = memoryWait
 	}
 	_, mean := p.speedOf(now, r)
-	e.cost = price * float64(uncached) / mean
+	// A copy is priced like the work that it saves, so that prompts stay where they are cached.
+	e.cost = price * float64(uncached+copied.tokens) / mean
 	e.cost += prefill * streamDelayCost * float64(r.delayedStreams(request.Priority))
 	e.cost += r.recentPrefill(now) * exposureCost * exposure(request)
 	e.cost += p.pauseCost(now, r, request, prefill)
--- a/internal/decide/balance/replica.go
+++ b/internal/decide/balance/replica.go
@@ -59,6 +59,8 @@
 	reportedLoad int
 	reportedAt   clock.Millis
 	cache        *cache
+	// copiesUntil is when the copies from and to the endpoint that this daemon knows of end.
+	copiesUntil clock.Millis
 	// addressReassigned is set when the address belongs to another endpoint.
 	addressReassigned bool
 }
--- a/internal/decide/balance/speed.go
+++ b/internal/decide/balance/speed.go
@@ -55,13 +55,14 @@
 }
 
 // measure adds a job whose first token, or complete answer of a plain service, came elapsed
-// after it was sent to what the endpoint and the back end have completed.
+// after it was sent, and after the copy that it waited for, to what the endpoint and the back end have completed.
 func (p *pool) measure(j *job, elapsed clock.Millis) {
-	r, completedAt := j.replica, j.sentAt+elapsed
+	r, startedAt := j.replica, j.sentAt+j.CopyTime
+	completedAt := startedAt + elapsed
 	work, time := 1.0, float64(elapsed)/j.queueFactor
 	if r.CacheTokens > 0 {
 		work = float64(j.Uncached)
-		time = r.speed.Record(j.sentAt, completedAt, work, baseFirstTokenTime)
+		time = r.speed.Record(startedAt, completedAt, work, baseFirstTokenTime)
 	} else {
 		r.speed.Add(completedAt, work, time)
 	}
--- a/internal/peer/fleet/scheduler.go
+++ b/internal/peer/fleet/scheduler.go
@@ -123,6 +123,7 @@
 	job := balance.Job{
 		ID: s.nextJob, Endpoint: choice.Endpoint, Parts: request.Parts, Uncached: choice.Uncached,
 		Output: request.Output, Priority: request.Priority, Expected: choice.ExpectedFirstToken,
+		CopyFrom: choice.CopyFrom, CopyTime: choice.CopyTime,
 	}
 	s.balancer.RecordLocalJob(now, job)
 	if s.modelEngines[choice.Endpoint] {
@@ -133,6 +134,7 @@
 	return relay.Placement{
 		Job: job.ID, Endpoint: choice.Endpoint, Address: endpoint.Address, FailureDomain: endpoint.FailureDomain,
 		Incarnation: endpoint.Incarnation, SoftwareVersion: endpoint.SoftwareVersion, ExpectedFirstToken: choice.ExpectedFirstToken,
+		CopyFrom: s.endpoints[choice.CopyFrom].Address, CopyTokens: choice.CopyTokens,
 	}, relay.Refusal{}
 }
 
