Remove the limit on how long a prompt may wait behind others

Hypothesis of the ablation: admission keeps low ranks from waiting behind other prompts by a limit of its own (1500, 400, 1200 and 250 ms), beside the shares of time of prompts and the time that the caller has.

Kept by no test.

--- a/internal/decide/balance/admit.go
+++ b/internal/decide/balance/admit.go
@@ -6,26 +6,9 @@
 	"github.com/banyanshift/banyanshift/coord/clock"
 )
 
-// Limits on the time that a long prompt may wait behind other prompts at the
-// best endpoint, by its rank. Beyond the limit it is refused. Shorter prompts
-// delay others less and may wait proportionally longer.
-//
-// The limits protect urgent requests during an overload of less urgent long
-// prompts. Refusing a long prompt costs little: the endpoints are already busy
-// with queued work, and the caller retries after the time it is given.
-// Admitting it delays every more urgent request that arrives later.
-const (
-	secondRankMaxWait = 1500 * clock.Millisecond
-	lowerRankMaxWait  = 400 * clock.Millisecond
-	// lowerRankMaxWaitLimit is below secondRankMaxWait, so that a long prompt
-	// of the second rank is admitted when lower ranks no longer are.
-	lowerRankMaxWaitLimit = 1200 * clock.Millisecond
-	// longPromptTime is the prefill time from which a prompt counts as long.
-	longPromptTime = 250 * clock.Millisecond
-	// firstTokenBudgetShare is the share of the request's remaining time within
-	// which its first token must be expected.
-	firstTokenBudgetShare = 0.8
-)
+// firstTokenBudgetShare is the share of the request's remaining time within which its first token
+// must be expected.
+const firstTokenBudgetShare = 0.8
 
 // Admit reports whether a request should run on the endpoint that was chosen
 // for it. If not, excess is how much sooner its first token would have to come.
@@ -99,24 +82,7 @@
 	if wait := a.promptShareWait(now, r, prefill); wait > 0 {
 		return wait, false
 	}
-	allowed := a.latest
-	if maxWait, limited := a.maxQueueWait(prefill); limited {
-		allowed = min(allowed, baseFirstTokenTime+prefill+maxWait)
-	}
-	return expected - allowed, expected <= allowed
-}
-
-// maxQueueWait returns how long a request with a prefill time may wait behind other prompts.
-// limited is false if the back end has no more urgent work.
-func (a admission) maxQueueWait(prefill clock.Millis) (maxWait clock.Millis, limited bool) {
-	if len(a.request.Parts) == 0 || !a.hasMoreUrgent {
-		return 0, false
-	}
-	counted := min(max(prefill, 1), longPromptTime)
-	if rank(a.request.Priority) == 1 {
-		return secondRankMaxWait * longPromptTime / counted, true
-	}
-	return min(lowerRankMaxWait*longPromptTime/counted, lowerRankMaxWaitLimit), true
+	return expected - a.latest, expected <= a.latest
 }
 
 // hasMoreUrgent reports whether any endpoint runs or queues requests that are more urgent than
--- a/internal/decide/balance/promptshare.go
+++ b/internal/decide/balance/promptshare.go
@@ -19,6 +19,8 @@
 var maxPromptShares = [rankCount]float64{0.98, 0.92, 0.4, 0.4}
 
 const (
+	// longPromptTime is the prefill time from which a prompt counts as long.
+	longPromptTime = 250 * clock.Millisecond
 	// shortPromptBonus is the additional share for a prompt without prefill
 	// time. It falls to 0 for a prompt that takes longPromptTime.
 	shortPromptBonus = 0.1
