Give each daemon its place before it keeps the row of software versions

Cause: at a start of all daemons each takes itself for the first one until it has found the others, so all of them read the row of software versions and tried to write it. The row is kept from 2.5 s after the start, like the rows of daemons.

It stays listed: what is left of it is not of this row.

--- a/internal/peer/fleet/versions.go
+++ b/internal/peer/fleet/versions.go
@@ -83,7 +83,10 @@
 	s := k.streams
 	now := s.fleet.config.Clock.Now()
 	known, _ := s.watch(now)
-	if len(known) == 0 || now < k.retryAt || s.fleet.LeaderRank() >= maxVersionKeepers {
+	if now-s.fleet.startedAt < firstSyncDelay || now < k.retryAt {
+		return nil // This daemon may not yet know its place in the fleet.
+	}
+	if len(known) == 0 || s.fleet.LeaderRank() >= maxVersionKeepers {
 		return nil
 	}
 	if known.Equal(k.held) && now-k.heldAt < versionsRereadInterval {
