Believe the first start of the system only where no row of software versions is

A daemon that starts again with settings that still say that the whole system starts for the first time knew all versions at once, without reading the row that other daemons had left. The setting now counts only if there is no row.

--- a/internal/decide/origin/origin.go
+++ b/internal/decide/origin/origin.go
@@ -15,11 +15,11 @@
 //
 // # Usage
 //
-//	b := origin.New(firstStart)
+//	b := origin.New()
 //	mixed := b.SetEndpoints(now, endpoints) // tell others b.Own(now, backend) of each one
 //	b.Watch(now, asOf)
 //	if !b.Complete(now) {
-//		mixed = b.Merge(now, record)
+//		mixed = b.Merge(now, versions, complete)
 //	}
 //	b.RecordOwn(now, origin.Stream{ID: origin.ID("9c41d07b"), Backend: "books", SoftwareVersion: "1.2"})
 //	version, known := b.Find(now, origin.ID("9c41d07b"))
@@ -81,8 +81,6 @@
 	// order holds the IDs of streams, the one recorded first at the start.
 	order    []uint64
 	backends map[string]*backend
-	// firstStart is set if no daemon ran before this one and those that start with it.
-	firstStart bool
 	// watchedSince is when this daemon began to watch the lists, and lastAsOf when the last
 	// one was confirmed, if watching. earlierKnown is set if the versions of the time before
 	// are known.
@@ -99,10 +97,9 @@
 	lastListed map[string]clock.Millis
 }
 
-// New returns an empty Book. firstStart is set if the whole system starts for the first time,
-// so that nothing was begun before.
-func New(firstStart bool) *Book {
-	return &Book{streams: make(map[uint64]record), backends: make(map[string]*backend), firstStart: firstStart}
+// New returns an empty Book.
+func New() *Book {
+	return &Book{streams: make(map[uint64]record), backends: make(map[string]*backend)}
 }
 
 // Watch records that the last list of endpoints was confirmed at asOf. After a gap, versions
@@ -110,7 +107,7 @@
 func (b *Book) Watch(now, asOf clock.Millis) {
 	switch {
 	case !b.watching:
-		b.watching, b.watchedSince, b.earlierKnown = true, now, b.firstStart
+		b.watching, b.watchedSince = true, now
 	case asOf-b.lastAsOf > maxWatchGap:
 		b.watchedSince, b.earlierKnown = now, false
 	}
--- a/internal/decide/origin/origin_test.go
+++ b/internal/decide/origin/origin_test.go
@@ -22,8 +22,9 @@
 }
 
 func TestVersionsAreMixedUntilNoStreamOfTheFirstCanBeTakenUp(t *testing.T) {
-	b := origin.New(true)
+	b := origin.New()
 	b.Watch(0, 0)
+	b.Merge(0, nil, true)
 	b.SetEndpoints(0, endpoints("1", "1"))
 	b.SetEndpoints(10, endpoints("1"))
 	if version, found := b.Sole(40*clock.Second, "books"); !found || version != "1" {
@@ -46,7 +47,7 @@
 // TestVersionThatWasListedForLongIsRecentWhenItEnds guards against a version that counts
 // from the time at which it was first listed.
 func TestVersionThatWasListedForLongIsRecentWhenItEnds(t *testing.T) {
-	b := origin.New(false)
+	b := origin.New()
 	b.SetEndpoints(0, endpoints("1"))
 	b.SetEndpoints(clock.Minute, endpoints("2"))
 	if !b.Mixed(clock.Minute+29*clock.Second, "books") {
@@ -55,7 +56,7 @@
 }
 
 func TestStreamsAreForgotten(t *testing.T) {
-	b := origin.New(false)
+	b := origin.New()
 	b.RecordOwn(0, stream("a", "1"))
 	b.RecordOther(20*clock.Second, stream("b", "2"), 5*clock.Second)
 	b.RecordOther(20*clock.Second, stream("c", "2"), 31*clock.Second)
@@ -72,7 +73,7 @@
 // TestMemoryIsLimited checks that the oldest streams are forgotten first.
 func TestMemoryIsLimited(t *testing.T) {
 	const count = 200_000
-	b := origin.New(false)
+	b := origin.New()
 	for n := range count {
 		b.RecordOther(0, stream(fmt.Sprint(n), "1"), 0)
 	}
@@ -85,7 +86,7 @@
 }
 
 func TestOnlyOwnStreamsOfTheBackendAreToldToOthers(t *testing.T) {
-	b := origin.New(false)
+	b := origin.New()
 	b.RecordOwn(0, stream("a", "1"))
 	b.RecordOther(0, stream("b", "1"), 0)
 	b.RecordOwn(0, origin.Stream{ID: origin.ID("c"), Backend: "other", SoftwareVersion: "1"})
@@ -100,9 +101,8 @@
 func TestVersionsOfTheTimeBeforeAreNotGuessed(t *testing.T) {
 	const start = clock.Minute
 	for _, test := range []struct {
-		name       string
-		firstStart bool
-		arrange    func(b *origin.Book)
+		name    string
+		arrange func(b *origin.Book)
 		// cutOff is set if no list is confirmed after the first one until at.
 		cutOff bool
 		at     clock.Millis
@@ -110,16 +110,16 @@
 	}{
 		{name: "just started", at: start, want: ""},
 		{name: "watched for as long as a stream lasts", at: start + 31*clock.Second, want: "2"},
-		{name: "first start of the system", firstStart: true, at: start, want: "2"},
+		{name: "nothing ran before", at: start, arrange: func(b *origin.Book) { b.Merge(start, nil, true) }, want: "2"},
 		{name: "gap", cutOff: true, at: start + 31*clock.Second, want: ""},
-		{name: "gap after the first start", firstStart: true, cutOff: true, at: start + 12*clock.Second, want: ""},
+		{name: "gap after nothing ran before", cutOff: true, at: start + 12*clock.Second, arrange: func(b *origin.Book) { b.Merge(start, nil, true) }, want: ""},
 		{name: "recorded alone", at: start, arrange: func(b *origin.Book) { b.Merge(start, origin.Versions{"books": {"2"}}, true) }, want: "2"},
 		{name: "recorded with another", at: start, arrange: func(b *origin.Book) { b.Merge(start, origin.Versions{"books": {"1", "2"}}, true) }, want: ""},
 		{name: "record of an earlier era", at: start, arrange: func(b *origin.Book) { b.Merge(start, origin.Versions{"books": {"2"}}, false) }, want: ""},
 		{name: "recorded with another long ago", at: start + 31*clock.Second, arrange: func(b *origin.Book) { b.Merge(start, origin.Versions{"books": {"1", "2"}}, true) }, want: "2"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			b := origin.New(test.firstStart)
+			b := origin.New()
 			b.SetEndpoints(start, endpoints("2"))
 			b.Watch(start, start)
 			if test.arrange != nil {
@@ -139,7 +139,7 @@
 // TestMergedVersionIsForgotten guards against a version that two daemons keep adding to the
 // record for each other.
 func TestMergedVersionIsForgotten(t *testing.T) {
-	b := origin.New(false)
+	b := origin.New()
 	b.SetEndpoints(0, endpoints("2"))
 	record := origin.Versions{"books": {"1", "2"}}
 	if mixed := b.Merge(0, record, true); len(mixed) != 1 {
--- a/internal/peer/fleet/streams.go
+++ b/internal/peer/fleet/streams.go
@@ -39,7 +39,7 @@
 }
 
 func newStreams(f *Fleet) *streams {
-	s := &streams{fleet: f, book: origin.New(f.config.FirstStart)}
+	s := &streams{fleet: f, book: origin.New()}
 	s.keeper = newVersionKeeper(s)
 	return s
 }
--- a/internal/peer/fleet/versions.go
+++ b/internal/peer/fleet/versions.go
@@ -137,16 +137,19 @@
 // readVersions reads the row and adds its versions to those that this daemon knows.
 func (s *streams) readVersions(ctx context.Context) (row table.Row, record versionsRecord, err error) {
 	row, err = s.fleet.config.Table.Get(ctx, versionsRow)
-	if err != nil || row.Version == 0 {
+	if err != nil {
 		return row, record, err
 	}
-	record, readable := s.decodeVersions(row.Value)
-	if !readable {
-		return row, record, nil
+	// Without a row, nothing can have begun before the first start of the system.
+	complete := row.Version == 0 && s.fleet.config.FirstStart
+	if row.Version != 0 {
+		var readable bool
+		record, readable = s.decodeVersions(row.Value)
+		complete = readable && record.Era == row.Era
 	}
 	now := s.fleet.config.Clock.Now()
 	s.mu.Lock()
-	started := s.ownStreams(now, s.book.Merge(now, record.Versions, record.Era == row.Era))
+	started := s.ownStreams(now, s.book.Merge(now, record.Versions, complete))
 	s.mu.Unlock()
 	s.tell(started)
 	return row, record, nil
