--- a/internal/caller/relay/logging_test.go
+++ b/internal/caller/relay/logging_test.go
@@ -162,3 +162,18 @@
 		})
 	}
 }
+
+func TestEndOfAStreamIsLoggedWithItsLastEvent(t *testing.T) {
+	f := newFixture(t, events(1, 3, false))
+	f.send("/stream/1")
+	for _, entry := range f.log.AllEntries() {
+		if entry.Data["Event"] != 1133 {
+			continue
+		}
+		if entry.Data["LastEvent"] != "3" || entry.Data["Ending"] != "Chunks" {
+			t.Errorf("got fields %v, want LastEvent 3 and Ending Chunks", entry.Data)
+		}
+		return
+	}
+	t.Error("the end of the stream is not logged")
+}
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -23,6 +23,8 @@
 	// software is the version of the software that wrote the first event. Events of
 	// different versions do not fit together.
 	software balance.SoftwareLimit
+	// ending is how the last answer shows its end.
+	ending http1.Ending
 }
 
 // forwardStream forwards the events of a stream as they arrive.
@@ -35,6 +37,7 @@
 		return noAnswer
 	}
 	p := &streamForwarder{exchange: x, placement: placement, answer: answer, events: newEventSplitter(x.stream.lastID)}
+	x.stream.ending = answer.Ending
 	err := p.run()
 	x.stream.lastID = p.events.lastID
 	switch {
--- a/internal/caller/relay/trace.go
+++ b/internal/caller/relay/trace.go
@@ -28,7 +28,7 @@
 	eventSuspected = event.New(1136, logrus.InfoLevel, "request may crash endpoints",
 		"Endpoints have crashed under requests with these digests, see events 1216 and 1217. Tried says whether the request was sent all the same, to find out.")
 	eventEnded = event.New(1133, logrus.InfoLevel, "request ended",
-		"A request got its final answer. Status 0 means that the connection ended without a complete answer.")
+		"A request got its final answer. Status 0 means that the connection ended without a complete answer. For a stream, LastEvent is the ID of the last event that was passed on, and Ending is how the endpoint's answer showed its end: by its chunks, its length, the connection or a peer.")
 
 	requestCount    = metric.NewCounter("Relay.Requests", "Requests whose header was read.")
 	firstEventTimes = metric.NewHistograms("Relay.FirstEvent", "Time from a request to the first event of its stream in ms, by priority.")
@@ -196,6 +196,9 @@
 	if late != "" {
 		fields["Late"] = late
 	}
+	if x.stream.headSent {
+		fields["LastEvent"], fields["Ending"] = x.stream.lastID, x.stream.ending.String()
+	}
 	eventEnded.Log(logger, fields)
 }
 
--- /dev/null
+++ b/internal/endpoint/http1/ending.go
@@ -0,0 +1,43 @@
+package http1
+
+import "net/http"
+
+// Ending is how an answer shows where it ends.
+type Ending int
+
+const (
+	// EndsWithConnection: the endpoint closes the connection, which does not tell an answer
+	// that was cut off from a complete one.
+	EndsWithConnection Ending = iota
+	// EndsByLength: the answer has a content length.
+	EndsByLength
+	// EndsByChunks: the last chunk of the answer is empty.
+	EndsByChunks
+	// EndsByPeer: a peer that passes the answer on tells its end.
+	EndsByPeer
+)
+
+// String returns the name of the ending for logs.
+func (e Ending) String() string {
+	switch e {
+	case EndsByLength:
+		return "Length"
+	case EndsByChunks:
+		return "Chunks"
+	case EndsByPeer:
+		return "Peer"
+	case EndsWithConnection:
+	}
+	return "Connection"
+}
+
+// endingOf returns how a response shows its end.
+func endingOf(response *http.Response) Ending {
+	switch {
+	case response.ContentLength >= 0:
+		return EndsByLength
+	case len(response.TransferEncoding) > 0:
+		return EndsByChunks
+	}
+	return EndsWithConnection
+}
--- a/internal/endpoint/http1/exchange.go
+++ b/internal/endpoint/http1/exchange.go
@@ -74,13 +74,12 @@
 	Header http.Header
 	// Length is the length of the body, or -1 if it is not known in advance.
 	Length int64
+	// Ending is how the answer shows where it ends.
+	Ending Ending
 
 	// conn is nil for an answer of NewAnswer.
-	conn *Conn
-	body io.ReadCloser
-	// framed is set if the answer has a content length or a transfer encoding.
-	// Other answers end when the endpoint closes the connection.
-	framed     bool
+	conn       *Conn
+	body       io.ReadCloser
 	reusable   bool
 	bodyWrite  *bodyWrite
 	stopCancel func() bool
@@ -91,7 +90,7 @@
 // NewAnswer returns an answer that did not arrive on a connection of a pool. length is
 // -1 if it is not known in advance. Read and Close pass on to the body.
 func NewAnswer(status int, header http.Header, length int64, body io.ReadCloser) *Answer {
-	return &Answer{Status: status, Header: header, Length: length, body: body}
+	return &Answer{Status: status, Header: header, Length: length, Ending: EndsByPeer, body: body}
 }
 
 // Do sends a request to the endpoint with the given key and address and reads
@@ -156,7 +155,7 @@
 // discard reads the body of an answer to an earlier request, so that the next
 // answer on the connection can be read.
 func (a *Answer) discard() error {
-	if !a.framed {
+	if a.Ending == EndsWithConnection {
 		return errors.New("stray answer without a length")
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(a.body, maxUnmatchedBytes))
--- a/internal/endpoint/http1/head.go
+++ b/internal/endpoint/http1/head.go
@@ -59,10 +59,10 @@
 			_ = response.Body.Close()
 			continue
 		}
-		framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+		ending := endingOf(response)
 		return &Answer{
-			Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
-			body: response.Body, framed: framed, reusable: framed && !response.Close,
+			Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Ending: ending,
+			body: response.Body, reusable: ending != EndsWithConnection && !response.Close,
 		}, nil
 	}
 }
