End an answer that is given up by closing the connection, never as if it were complete

Cause: net/http cancels the context of a request as soon as reading from the caller's connection fails. The relay then returned from its handler as if the request had been answered, and net/http ends the answer of a handler that returns properly: the last chunk, or 200 with Content-Length 0. Class of fault: the end of an answer was the default, and each path that did not want it had to prevent it.

Change: the exchange records when a whole answer was written (refusal, buffered or long answer, stream to its end). Whatever else ends it closes the connection. The two places that aborted by a panic in the middle of an attempt now return like the others, so that permits and trials are released in one way.

Ruled out: the peers that pass requests on: they send the end of an answer only after the endpoint's own end, and a connection that ends before counts as broken off.

A caller that has left reads nothing, so only those that still read see a difference.

--- a/internal/caller/relay/answer.go
+++ b/internal/caller/relay/answer.go
@@ -94,7 +94,8 @@
 	}
 	x.trace.setResult(buffered.status, "")
 	x.w.WriteHeader(buffered.status)
-	_, _ = x.w.Write(buffered.body)
+	_, err := x.w.Write(buffered.body)
+	x.whole = err == nil
 }
 
 // forwardLong writes an answer to the caller while it is read. start holds the
@@ -112,9 +113,10 @@
 	}
 	if err != nil {
 		s.RecordEnd(placement, balance.Failed)
-		x.abortAnswer("answer broke off: " + err.Error())
-		return answered
+		x.trace.setResult(0, "answer broke off: "+err.Error())
+		return brokenOff
 	}
+	x.whole = true
 	outcome := balance.Succeeded
 	if answer.Status >= http.StatusInternalServerError {
 		outcome = balance.Failed
@@ -142,11 +144,3 @@
 		to["Content-Type"] = nil
 	}
 }
-
-// abortAnswer closes the connection of an answer that has started and cannot be
-// completed, so that the caller sees that it is incomplete.
-func (x *exchange) abortAnswer(reason string) {
-	x.trace.setResult(0, reason)
-	x.logEnd()
-	panic(http.ErrAbortHandler)
-}
--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -25,9 +25,10 @@
 type result int
 
 const (
-	// answered: the answer was written to the caller, in full or until an
-	// error that can't be retried.
+	// answered: the answer was written to the caller in full.
 	answered result = iota
+	// brokenOff: the answer broke off after a part of it was written to the caller.
+	brokenOff
 	// notSent: no endpoint that could run the request received any of it.
 	notSent
 	// notRun: the endpoint reported that it did not run the request.
@@ -77,7 +78,7 @@
 			return
 		}
 		switch outcome {
-		case answered, callerGone:
+		case answered, brokenOff, callerGone:
 			return
 		case failed, noAnswer:
 			x.attempts.mayHaveRun = true
@@ -122,18 +123,14 @@
 	if !admission.Granted {
 		return Placement{}, notSent, admission.Refusal
 	}
-	// attempt ends with a panic if an answer breaks off on its way to the caller.
-	outcome = noAnswer
 	if admission.Release != nil {
-		defer func() { admission.Release(outcome != noAnswer) }()
+		defer func() { admission.Release(outcome != noAnswer && outcome != brokenOff) }()
 	}
 	placement, refusal = x.place()
 	if refusal.Reason != "" {
-		outcome = notSent
-		return placement, outcome, refusal
+		return placement, notSent, refusal
 	}
-	outcome = x.attempt(placement)
-	return placement, outcome, Refusal{}
+	return placement, x.attempt(placement), Refusal{}
 }
 
 // place asks the scheduler for an endpoint. If the request has been sent
@@ -159,7 +156,7 @@
 	case x.r.Context().Err() != nil:
 		x.trace.setResult(0, "caller left")
 	case x.stream.headSent:
-		x.abortAnswer(refusal.Reason)
+		x.trace.setResult(0, refusal.Reason)
 	case x.attempts.errorAnswer != nil:
 		x.writeAnswer(x.attempts.errorAnswer)
 	case x.attempts.mayHaveRun && x.timeLeft() <= 0:
@@ -174,19 +171,16 @@
 }
 
 // attempt sends the request to an endpoint and forwards its answer, if it gets a permit.
-func (x *exchange) attempt(placement Placement) result {
+func (x *exchange) attempt(placement Placement) (outcome result) {
 	x.trace.recordPlacement(x, placement)
 	permit := x.handler.config.Scheduler.Acquire(x.r.Context(), placement, x.priority(), x.timeLeft())
 	if !permit.Granted {
 		return x.handleNoPermit(placement, permit)
 	}
-	// send ends with a panic if an answer breaks off on its way to the caller.
-	outcome := noAnswer
 	if permit.Release != nil {
 		defer func() { permit.Release(outcome.asStrain()) }()
 	}
-	outcome = x.send(placement)
-	return outcome
+	return x.send(placement)
 }
 
 // asStrain returns what the result says of the endpoint's strain.
@@ -196,7 +190,7 @@
 		return strain.NotSent
 	case notRun:
 		return strain.Refused
-	case noAnswer:
+	case noAnswer, brokenOff:
 		return strain.Failed
 	case answered, failed, callerGone:
 	}
--- a/internal/caller/relay/exchange.go
+++ b/internal/caller/relay/exchange.go
@@ -42,18 +42,29 @@
 	backend  string
 	deadline clock.Millis
 
-	attempts     attemptState
-	stream       streamState
+	attempts attemptState
+	stream   streamState
+	// whole is set once the caller has been written a whole answer, whether it succeeds or not.
+	whole        bool
 	startCounted bool
 	// knownDigests holds the result of digests.
 	knownDigests []quarantine.Digest
 	trace        trace
 }
 
-// serve runs the request through the filters and forwards it. A filter that
-// returns false has answered the request.
+// serve answers the request. Unless the answer is whole, it closes the connection, since
+// net/http would end the answer as if it were complete.
 func (x *exchange) serve() {
-	defer x.logEnd()
+	x.handle()
+	x.logEnd()
+	if !x.whole {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// handle runs the request through the filters and forwards it. A filter that
+// returns false has answered the request.
+func (x *exchange) handle() {
 	for _, filter := range []func() bool{x.decodeHead, x.findRoute, x.authenticate, x.readBody, x.findOrigin} {
 		if !filter() {
 			return
@@ -212,7 +223,8 @@
 	x.trace.setResult(status, refusal.Reason)
 	x.drainBody()
 	x.w.WriteHeader(status)
-	_, _ = io.WriteString(x.w, refusal.Reason+"\n")
+	_, err := io.WriteString(x.w, refusal.Reason+"\n")
+	x.whole = err == nil
 }
 
 // timeLeft returns the time until the deadline.
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -57,6 +57,7 @@
 	s.RecordEnd(placement, balance.Succeeded)
 	x.recordSound()
 	x.trace.setResult(http.StatusOK, "")
+	x.whole = true
 	return answered
 }
 
--- a/internal/endpoint/http1/ending.go
+++ b/internal/endpoint/http1/ending.go
@@ -6,14 +6,14 @@
 type Ending int
 
 const (
-	// EndsWithConnection: the endpoint closes the connection, which does not tell an answer
-	// that was cut off from a complete one.
+	// EndsWithConnection means that the endpoint closes the connection, which does not tell an
+	// answer that was cut off from a complete one.
 	EndsWithConnection Ending = iota
-	// EndsByLength: the answer has a content length.
+	// EndsByLength means that the answer has a content length.
 	EndsByLength
-	// EndsByChunks: the last chunk of the answer is empty.
+	// EndsByChunks means that the answer is sent in chunks, of which the last one is empty.
 	EndsByChunks
-	// EndsByPeer: a peer that passes the answer on tells its end.
+	// EndsByPeer means that a peer passes the answer on and tells its end.
 	EndsByPeer
 )
 
