Ask other daemons which version began a stream before believing there is only one

Cause: a daemon that has not been told of a stream took the only version of its own list of endpoints for the one that began it, and did not ask anybody. The list may be 3 s old: a daemon that has an endpoint of a new version in its list already may have begun streams there. It tells a few daemons of its failure domain and the next root. In a fleet of eight most daemons are told; in one of 195 hardly any is, so that most streams that are taken up elsewhere in that time are joined. Class of fault: a decision from a copy that may lag, though the daemon that knows could be asked.

Change: others are asked first, at the same time as the table; only if none of them knows the stream does the only version count. A take-up of unknown origin costs some ten messages, however large the fleet is, and at most the 300 ms that the search had before.

--- a/internal/peer/fleet/fleet_test.go
+++ b/internal/peer/fleet/fleet_test.go
@@ -355,10 +355,15 @@
 // startTree starts two failure domains of three daemons each, which discover each
 // other through the table.
 func startTree(t *testing.T) map[string]*daemon {
+	return startTreeWith(t, environment{clock: clock.System()})
+}
+
+// startTreeWith starts the daemons of startTree in an environment.
+func startTreeWith(t *testing.T, env environment) map[string]*daemon {
 	rows := table.NewMemory().Client()
 	fleet := make(map[string]*daemon)
 	for _, id := range []string{"north-1", "north-2", "north-3", "south-1", "south-2", "south-3"} {
-		fleet[id] = start(t, id, rows)
+		fleet[id] = startWith(t, env, id, rows)
 	}
 	for id, d := range fleet {
 		eventually(t, id+" counts all daemons", func() bool { return d.fleet.DaemonCount() == len(fleet) })
--- a/internal/peer/fleet/streams.go
+++ b/internal/peer/fleet/streams.go
@@ -132,13 +132,7 @@
 	id := origin.ID(attempt)
 	version, source := s.find(id), sourceMemory
 	if version == nil {
-		version, source = s.sole(ctx, backend), sourceSole
-	}
-	if version == nil {
-		version, source = s.ask(ctx, id, f.contacts(), true), sourcePeer
-	}
-	if version == nil {
-		source = sourceUnknown
+		version, source = s.search(ctx, id, backend)
 	}
 	found := s.describe(backend)
 	found.Source = source
@@ -148,6 +142,34 @@
 	return found
 }
 
+// search asks other daemons for the software version that began a stream. If none of them
+// knows, it is the only version of the back end. Meanwhile this daemon finds out whether
+// there is only one as far as it knows: its list may lack one that was added just now.
+func (s *streams) search(ctx context.Context, id uint64, backend string) (version *string, source string) {
+	others := &originSearch{streams: s, id: id, found: make(chan *string, 1)}
+	go others.run(ctx)
+	sole := s.sole(ctx, backend)
+	if version = <-others.found; version != nil {
+		return version, sourcePeer
+	}
+	if sole != nil {
+		return sole, sourceSole
+	}
+	return nil, sourceUnknown
+}
+
+// originSearch asks other daemons for the software version that began a stream.
+type originSearch struct {
+	streams *streams
+	id      uint64
+	// found receives the version, nil if no daemon knows it.
+	found chan *string
+}
+
+func (o *originSearch) run(ctx context.Context) {
+	o.found <- o.streams.ask(ctx, o.id, o.streams.fleet.contacts(), true)
+}
+
 // describe returns what this daemon knows of the software versions of a back end.
 func (s *streams) describe(backend string) relay.Origin {
 	now := s.fleet.config.Clock.Now()
--- a/internal/peer/fleet/streams_test.go
+++ b/internal/peer/fleet/streams_test.go
@@ -117,3 +117,22 @@
 	}
 	return rows
 }
+
+func TestStreamIsNotTakenUpAtTheOnlyVersionOfAnOutdatedList(t *testing.T) {
+	for _, asked := range []string{"north-2", "south-1", "south-3"} {
+		t.Run(asked, func(t *testing.T) {
+			t.Parallel()
+			fleet := startTreeWith(t, environment{clock: clock.System(), firstStart: true})
+			setSoftware(fleet, "1")
+			if got := findStream(fleet[asked], "other"); got != "1" {
+				t.Fatalf("got version %q while there is one only, want 1", got)
+			}
+			setSoftware(map[string]*daemon{"north-3": fleet["north-3"]}, "1", "2")
+			fleet["north-3"].fleet.RecordStream("late", "books", "2")
+			time.Sleep(200 * time.Millisecond) // The daemons tell each other.
+			if got := findStream(fleet[asked], "late"); got != "2" {
+				t.Errorf("got version %q, want 2", got)
+			}
+		})
+	}
+}
