Do not take the end of an endpoint for the end of its answer

Cause: such an answer ends with its connection. A kernel that ends a process closes its connections properly (FIN), so that the answer looks complete; on a simulated machine that loses power the connection hangs or is reset instead. Known since as a thing that cannot be told from the connection alone. Class of fault: the end of a transport taken for the end of a message.

Change: at the end of such an answer the pool asks whether the endpoint still accepts connections. It is in the pool, so that it holds for requests of peers as well.

An endpoint that is up again within the milliseconds of the check is not noticed.

--- a/internal/endpoint/http1/exchange.go
+++ b/internal/endpoint/http1/exchange.go
@@ -214,10 +214,17 @@
 	}
 }
 
+// ErrEndpointDown means that an answer ended with its connection and its endpoint accepts no
+// others, so that the answer may have been cut off.
+var ErrEndpointDown = errors.New("the answer ends with its connection, and the endpoint is down")
+
 // Read reads the body. It returns io.EOF at the end of the body, and a
 // *RequestError if reading fails before that.
 func (a *Answer) Read(buf []byte) (n int, err error) {
 	n, err = a.body.Read(buf)
+	if errors.Is(err, io.EOF) && !a.reachedEOF && a.endedWithEndpoint() {
+		err = ErrEndpointDown
+	}
 	switch {
 	case errors.Is(err, io.EOF):
 		a.reachedEOF = true
@@ -228,6 +235,14 @@
 	return n, nil
 }
 
+// endedWithEndpoint reports whether the end of the connection was that of the endpoint.
+func (a *Answer) endedWithEndpoint() bool {
+	if a.Ending != EndsWithConnection || a.conn == nil || a.conn.pool.config.IsDown == nil {
+		return false
+	}
+	return a.conn.pool.config.IsDown(a.conn.key, a.conn.address)
+}
+
 // Close releases the connection. It returns the connection to the pool if the
 // request was written and the answer read completely and the endpoint allows
 // reuse. Otherwise it closes the connection, which makes the endpoint stop
--- a/internal/endpoint/http1/http1_test.go
+++ b/internal/endpoint/http1/http1_test.go
@@ -311,3 +311,36 @@
 		t.Errorf("got %d connections for two requests, want 1", e.connections())
 	}
 }
+
+func TestAnswerThatEndsWithItsEndpointIsNotComplete(t *testing.T) {
+	for _, down := range []bool{false, true} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = listener.Close() })
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Read(make([]byte, 512))
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: r1\r\n\r\npart")
+			_ = conn.Close()
+		}()
+		pool := http1.New(http1.Config{
+			Clock:          clock.System(),
+			MatchesRequest: func(int, http.Header, string) bool { return true },
+			IsDown:         func(key, address string) bool { return down && key == "e" && address == listener.Addr().String() },
+		})
+		answer, err := pool.Do(t.Context(), "e", listener.Addr().String(), http1.Request{ID: "r1", Method: "GET", Head: []byte("GET / HTTP/1.1\r\nHost: e\r\n"), Deadline: clock.System().Now() + clock.Second})
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(answer)
+		answer.Close()
+		if errors.Is(err, http1.ErrEndpointDown) != down || (err == nil) == down || string(body) != "part" {
+			t.Errorf("endpoint down %t: got %q, %v", down, body, err)
+		}
+	}
+}
--- a/internal/endpoint/http1/pool.go
+++ b/internal/endpoint/http1/pool.go
@@ -55,6 +55,10 @@
 	// the given ID. An answer that does not is taken for a late answer to an
 	// earlier request and discarded.
 	MatchesRequest func(status int, header http.Header, requestID string) bool
+	// IsDown reports whether the endpoint with a key and address accepts no connections any
+	// more. It is asked at the end of an answer that ends with its connection, since that of an
+	// endpoint whose process ends looks the same. It may be nil.
+	IsDown func(key, address string) bool
 	// Dial replaces the dialer in tests. It may be nil.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -75,8 +79,8 @@
 	// reader reads through limiter.
 	reader  *bufio.Reader
 	limiter *headReader
-	// key identifies the endpoint.
-	key string
+	// key identifies the endpoint, and address is its address.
+	key, address string
 	// expiresAt is the time from which an idle connection must not be reused.
 	expiresAt clock.Millis
 }
@@ -185,7 +189,7 @@
 		return nil, err
 	}
 	limiter := &headReader{conn: netConn}
-	return &Conn{pool: p, netConn: netConn, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter, key: key}, nil
+	return &Conn{pool: p, netConn: netConn, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter, key: key, address: address}, nil
 }
 
 // isOpenAndQuiet reports whether an idle connection is open and has no unread
