Go on with a stream only by the events that come next

Callers saw the text of an error, at times the head of an answer, between or after the events of their stream, or a stream that had broken off ended as if it were complete.

Causes, in answers to an attempt to resume a stream: - A 200 of another content type, or with a content encoding, was appended as it was. - A 200 that ended with its connection before any event, or with events that the caller had long got, counted as the end of the stream. - Bytes that are no event (JSON, HTML, text, a status line and header) counted as events if a blank line followed them, also in the first endpoint's answer. - IDs that are no numbers after numbers were taken for the next event. And in the joining itself: - A stream whose events have no IDs was begun anew in the same answer, since there was no event to go on after. The same happened to an answer of a streaming route that was no event stream at all and broke off after a blank line. - An event without an ID that came after the last one with an ID was sent again. - IDs that go back within one answer brought the same events twice.

Ruled out, by tests that passed before: another status than 200 (204, 206, 302, 421, 429, 503), an answer without proof, a refusal by the endpoint or by the retry budget, and no endpoint left: all break the stream off.

Change: isStream alone decides from its head whether an answer may be written into a stream; the event splitter checks every line and the order of the IDs, and its checkEnd decides whether an end can be that of the stream. A streaming route's answer that is no event stream is read in full like others, so it is retried whole or not at all. Whether an answer says where it ends also passes through peers (forward.answerHead.Explicit); one of the last release does not tell, and then such an end without an event is not believed. A gap between IDs within one answer is still passed on: IDs need only increase.

TestEventsWithoutIDsAreNotSentTwice only calls the splitter with its new parameter.

--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
@@ -82,7 +83,7 @@
 			return
 		case failed, noAnswer:
 			x.attempts.mayHaveRun = true
-			if !x.route.Repeatable() {
+			if !x.mayTryAgain() {
 				x.conclude(Refusal{Reason: x.attempts.lastReason})
 				return
 			}
@@ -247,10 +248,10 @@
 	switch {
 	case head.NotRun:
 		return x.handleNotRun(placement, answer.Status)
-	case x.route.Kind == document.Streaming && answer.Status == http.StatusOK:
+	case x.isStream(answer):
 		return x.forwardStream(placement, answer, head)
 	case x.stream.headSent:
-		return x.handleNotResumed(placement, answer.Status)
+		return x.handleNotResumed(placement, answer)
 	}
 	return x.forwardBuffered(placement, answer, head, sentWall)
 }
@@ -290,8 +291,8 @@
 		CopyFrom:      placement.CopyFrom,
 	}
 	attempt.ResumeAfterEventID = x.call.LastEventID
-	if x.stream.lastID != "" {
-		attempt.ResumeAfterEventID = x.stream.lastID
+	if x.stream.position.lastID != "" {
+		attempt.ResumeAfterEventID = x.stream.position.lastID
 	}
 	return attempt
 }
@@ -347,9 +348,9 @@
 
 // handleNotResumed records an attempt to continue a stream to which the endpoint gave
 // another answer than events. The caller has the head of the first one.
-func (x *exchange) handleNotResumed(placement Placement, status int) result {
+func (x *exchange) handleNotResumed(placement Placement, answer *http1.Answer) result {
 	x.handler.config.Scheduler.RecordEnd(placement, balance.Failed)
-	x.attempts.lastReason = "endpoint did not resume the stream: " + http.StatusText(status)
+	x.attempts.lastReason = fmt.Sprintf("endpoint did not resume the stream: status %d, content type %q", answer.Status, answer.Header.Get("Content-Type"))
 	x.recordFailure(x.attempts.lastReason, placement, nil)
 	return noAnswer
 }
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -11,6 +11,10 @@
 // up. A request that is not repeatable is sent to another endpoint
 // only if the first one did not run it.
 //
+// An answer goes on with a stream only if it is a sealed 200 of server-sent events without an
+// encoding, whose first new event is the next one. Nothing else is written into a stream, and
+// one that cannot go on breaks off, so that it does not look complete.
+//
 // A refusal with status 408, 421, 429 or 503 always means that the request has
 // not run and will not run. A request that may have run is answered with 502 or
 // 504.
--- a/internal/caller/relay/splitter.go
+++ b/internal/caller/relay/splitter.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 )
 
@@ -16,85 +17,137 @@
 // ended properly.
 var errEndsInsideEvent = errors.New("stream ends inside an event")
 
-// errNoEvent means that a stream has ended before its first event.
+// errNoEvent means that a stream has ended before its first event, and may have broken off.
 var errNoEvent = errors.New("stream ends without an event")
 
+// errWrongEvents means that an answer does not go on with the stream that the caller has
+// begun to receive. It is wrapped by errors that say why.
+var errWrongEvents = errors.New("answer does not go on with the stream")
+
+// streamPosition is how far the caller has received a stream.
+type streamPosition struct {
+	// lastID is the ID of the last event that has one, empty if none has.
+	lastID string
+	// unnumbered is the number of events without an ID after that one.
+	unnumbered int
+}
+
+// isNumbered reports whether an endpoint can be asked to go on after this position, and its
+// answer can be checked.
+func (p streamPosition) isNumbered() bool {
+	_, err := strconv.ParseInt(p.lastID, 10, 64)
+	return err == nil
+}
+
 // eventSplitter splits a stream of server-sent events into complete events. Only
 // complete events are forwarded, so that the stream can be resumed after the
-// last one.
+// last one. It returns an error for bytes that are no events or that do not go on with the
+// stream.
 type eventSplitter struct {
+	// position is that of the caller after the events that add returned.
+	position streamPosition
+	// pending holds the bytes after the last complete event.
 	pending []byte
-	// lastID is the ID of the last event that add returned.
-	lastID string
-	// skipThroughID is the ID after which the stream is resumed. Events up to
-	// and including it are dropped, because the caller has them. It is empty
-	// for a new stream and once an event after it has arrived.
-	skipThroughID string
+	// searching is set until the first event after the position at which the stream is
+	// resumed has arrived. The events before it are dropped, because the caller has them.
+	searching bool
+	// foundID is the last ID that was found while searching, empty if there was none.
+	foundID string
+	// undecided holds the events without an ID that were found after it. Whether the caller
+	// has them shows at the next event with one.
+	undecided [][]byte
 }
 
-func newEventSplitter(resumedAfter string) *eventSplitter {
-	return &eventSplitter{lastID: resumedAfter, skipThroughID: resumedAfter}
+// newEventSplitter returns a splitter for a stream that is resumed, or starts, at a position.
+func newEventSplitter(position streamPosition) *eventSplitter {
+	return &eventSplitter{position: position, searching: position.isNumbered()}
 }
 
-// add appends data to the stream and returns the events that are complete now.
-// The result is valid until the next call.
+// add appends data to the stream and returns the events that are complete now. They are to be
+// forwarded also if it returns an error, which is about the bytes after them.
 func (s *eventSplitter) add(data []byte) (ready []byte, err error) {
 	s.pending = append(s.pending, data...)
-	end := wholeEventsLength(s.pending)
-	if end == 0 {
-		if len(s.pending) > maxEventBytes {
-			return nil, errEventTooLong
+	used := 0
+	for err == nil {
+		length := firstEventLength(s.pending[used:])
+		if length == 0 {
+			break
 		}
+		var next []byte
+		next, err = s.take(s.pending[used : used+length])
+		ready = append(ready, next...)
+		used += length
+	}
+	s.pending = s.pending[:copy(s.pending, s.pending[used:])]
+	if err == nil && len(s.remainder()) > maxEventBytes {
+		err = errEventTooLong
+	}
+	return ready, err
+}
+
+// take returns what is to be forwarded now that an event is complete.
+func (s *eventSplitter) take(event []byte) (ready []byte, err error) {
+	if !isEvent(event) {
+		return nil, fmt.Errorf("%w: it has bytes that are no event", errWrongEvents)
+	}
+	id, found := lastEventID(event)
+	switch {
+	case s.searching && found:
+		return s.takeFound(event, id)
+	case s.searching:
+		s.undecided = append(s.undecided, bytes.Clone(event))
 		return nil, nil
+	case found:
+		return s.takeNumbered(event, id)
+	case hasContent(event):
+		s.position.unnumbered++
 	}
-	ready = s.pending[:end:end]
-	s.pending = append([]byte(nil), s.pending[end:]...)
-	if s.skipThroughID != "" {
-		var undecided []byte
-		ready, undecided, err = s.skipSentEvents(ready)
-		s.pending = append(append([]byte(nil), undecided...), s.pending...)
-		if err == nil && len(s.pending) > maxEventBytes {
-			err = errEventTooLong
-		}
-		if err != nil {
-			return nil, err
-		}
+	return event, nil
+}
+
+// takeNumbered returns an event that is in its place. IDs that are numbers increase.
+func (s *eventSplitter) takeNumbered(event []byte, id string) (ready []byte, err error) {
+	distance, numbered := idDistance(s.position.lastID, id)
+	if numbered && distance <= 0 {
+		return nil, fmt.Errorf("%w: event %s comes after %s", errWrongEvents, id, s.position.lastID)
 	}
-	if id, found := lastEventID(ready); found {
-		s.lastID = id
+	s.position = streamPosition{lastID: id}
+	return event, nil
+}
+
+// takeFound drops an event that the caller has. It returns the first event that the caller
+// does not have, together with those before it, and an error if others are missing.
+func (s *eventSplitter) takeFound(event []byte, id string) (ready []byte, err error) {
+	distance, numbered := idDistance(s.position.lastID, id)
+	switch {
+	case !numbered || distance > 1:
+		return nil, fmt.Errorf("%w: it is resumed at event %s after %s", errWrongEvents, id, s.position.lastID)
+	case distance <= 0:
+		s.foundID, s.undecided = id, nil
+		return nil, nil
 	}
+	ready = append(s.undecidedAfter(s.position.unnumbered), event...)
+	s.searching, s.undecided = false, nil
+	s.position = streamPosition{lastID: id}
 	return ready, nil
 }
 
-// skipSentEvents drops the events that the caller has and returns the others. Whether the
-// caller has an event without an ID shows at the next event with one; those at the end are
-// returned as undecided. It returns an error if the events after the dropped ones are
-// missing.
-func (s *eventSplitter) skipSentEvents(events []byte) (ready, undecided []byte, err error) {
-	undecided = events
-	for at := 0; at < len(events); {
-		end := at + firstEventLength(events[at:])
-		id, found := lastEventID(events[at:end])
-		at = end
-		if !found {
+// undecidedAfter returns the undecided events without the first ones, as many as the caller
+// has.
+func (s *eventSplitter) undecidedAfter(received int) (events []byte) {
+	for _, event := range s.undecided {
+		if hasContent(event) && received > 0 {
+			received--
 			continue
 		}
-		gap, numbered := idDistance(s.skipThroughID, id)
-		if !numbered || gap == 1 {
-			s.skipThroughID = ""
-			return undecided, nil, nil
-		}
-		if gap > 1 {
-			return nil, nil, fmt.Errorf("resumed stream goes on at event %s after %s", id, s.skipThroughID)
-		}
-		undecided = events[end:]
+		events = append(events, event...)
 	}
-	return nil, undecided, nil
+	return events
 }
 
 // idDistance returns next minus have. numbered is false if one of the IDs is not
 // a number.
-func idDistance(have, next string) (gap int64, numbered bool) {
+func idDistance(have, next string) (distance int64, numbered bool) {
 	from, err := strconv.ParseInt(have, 10, 64)
 	if err != nil {
 		return 0, false
@@ -106,58 +159,57 @@
 	return to - from, true
 }
 
-// remainder returns the bytes after the last complete event.
+// remainder returns the bytes after the last event that add returned or dropped.
 func (s *eventSplitter) remainder() []byte {
-	return s.pending
+	if len(s.undecided) == 0 {
+		return s.pending
+	}
+	return append(bytes.Join(s.undecided, nil), s.pending...)
 }
 
-// insideEvent reports whether the stream has begun an event that is not complete. Blank lines
-// and comments belong to no event.
-func (s *eventSplitter) insideEvent() bool {
-	for line := range bytes.Lines(s.pending) {
-		line = bytes.TrimRight(line, "\r\n")
-		if len(line) > 0 && line[0] != ':' {
-			return true
-		}
+// checkEnd returns an error if the end of the answer, whose last events have arrived, cannot be
+// that of the stream. explicit is set if the answer says where it ends.
+func (s *eventSplitter) checkEnd(explicit bool) error {
+	switch {
+	case hasLines(s.pending):
+		return errEndsInsideEvent
+	case !s.searching:
+		return nil
+	case slices.ContainsFunc(s.undecided, hasContent):
+		return fmt.Errorf("%w: it ends with events without an ID", errWrongEvents)
+	case s.foundID == "" && !explicit:
+		return errNoEvent
+	case s.foundID == "":
+		return nil
+	}
+	if distance, _ := idDistance(s.position.lastID, s.foundID); distance < 0 {
+		return fmt.Errorf("%w: it ends with event %s before %s", errWrongEvents, s.foundID, s.position.lastID)
 	}
-	return false
+	return nil
 }
 
 // eventTerminators are the blank lines that can end an event.
 var eventTerminators = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")}
 
-// wholeEventsLength returns the length of the complete events at the start of
-// data.
-func wholeEventsLength(data []byte) int {
-	end := 0
-	for _, blank := range eventTerminators {
-		if at := bytes.LastIndex(data, blank); at >= 0 {
-			end = max(end, at+len(blank))
-		}
-	}
-	return end
-}
-
-// firstEventLength returns the length of the first event of data, which must
-// hold complete events only.
-func firstEventLength(data []byte) int {
-	end := len(data)
+// firstEventLength returns the length of the first event of data, 0 if it is not complete.
+func firstEventLength(data []byte) (length int) {
 	for _, blank := range eventTerminators {
-		if at := bytes.Index(data, blank); at >= 0 {
-			end = min(end, at+len(blank))
+		if at := bytes.Index(data, blank); at >= 0 && (length == 0 || at+len(blank) < length) {
+			length = at + len(blank)
 		}
 	}
-	return end
+	return length
 }
 
-// lastEventID returns the last ID in the events.
+// lastEventID returns the last ID in the events. An empty one counts as none.
 func lastEventID(events []byte) (id string, found bool) {
 	at := len(events)
 	for at > 0 {
 		start := bytes.LastIndexByte(events[:at-1], '\n') + 1
 		line := bytes.TrimRight(events[start:at], "\r\n")
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimPrefix(value, []byte(" "))), true
+			id = string(bytes.TrimPrefix(value, []byte(" ")))
+			return id, id != ""
 		}
 		at = start
 	}
--- a/internal/caller/relay/splitter_internal_test.go
+++ b/internal/caller/relay/splitter_internal_test.go
@@ -22,7 +22,7 @@
 		"AfterTheNextEvent":        {[]string{six + note + seven}, six + note + seven},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := newEventSplitter("5")
+			s := newEventSplitter(streamPosition{lastID: "5"})
 			got := ""
 			for _, piece := range test.pieces {
 				ready, err := s.add([]byte(piece))
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/config/document"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
 	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
 )
@@ -18,8 +19,9 @@
 type streamState struct {
 	// headSent is true after the status and header of the answer were written.
 	headSent bool
-	// lastID is the ID of the last complete event that the caller was sent.
-	lastID string
+	// position is that of the caller. Where the caller takes the stream up, it starts at the
+	// caller's last event.
+	position streamPosition
 	// software is the version of the software that wrote the first event. Events of
 	// different versions do not fit together.
 	software balance.SoftwareLimit
@@ -36,10 +38,10 @@
 		x.recordFailure(x.attempts.lastReason, placement, nil)
 		return noAnswer
 	}
-	p := &streamForwarder{exchange: x, placement: placement, answer: answer, events: newEventSplitter(x.stream.lastID)}
+	p := &streamForwarder{exchange: x, placement: placement, answer: answer, events: newEventSplitter(x.stream.position)}
 	x.stream.ending = answer.Ending
 	err := p.run()
-	x.stream.lastID = p.events.lastID
+	x.stream.position = p.events.position
 	switch {
 	case x.r.Context().Err() != nil:
 		s.RecordEnd(placement, balance.Canceled)
@@ -49,7 +51,7 @@
 		s.RecordEnd(placement, balance.Failed)
 		x.attempts.lastReason = "stream broke off: " + err.Error()
 		x.recordFailure("stream broke off", placement, err)
-		if !p.isProved() {
+		if !p.isProved() && !errors.Is(err, errWrongEvents) {
 			x.recordLost(placement, err)
 		}
 		return noAnswer
@@ -95,14 +97,12 @@
 	}
 }
 
-// forwardEvents writes the events that data completes to the caller.
+// forwardEvents writes the events that data completes to the caller. It returns an error if
+// bytes follow them that do not belong to the stream.
 func (p *streamForwarder) forwardEvents(data []byte) error {
 	ready, err := p.events.add(data)
-	if err != nil {
-		return err
-	}
 	if len(ready) == 0 {
-		return nil
+		return err
 	}
 	if !p.firstEventSeen {
 		p.firstEventSeen = true
@@ -113,7 +113,7 @@
 		p.soundRecorded = true
 		p.exchange.recordSound()
 	}
-	return p.write(ready)
+	return errors.Join(p.write(ready), err)
 }
 
 // isProved reports whether the endpoint has lived for proofTime after the first event.
@@ -134,17 +134,15 @@
 	x.trace.recordFirstEvent(x)
 }
 
-// writeRemainder writes the bytes after the last complete event. If the stream
-// has no events, it writes the status and header. It returns an error if the stream has broken
-// off, which the end of its connection does not show.
+// writeRemainder writes the comments after the last complete event. If the stream has no
+// events, it writes the status and header. It returns an error if the stream has broken off,
+// which the end of its connection does not show.
 func (p *streamForwarder) writeRemainder() error {
-	if p.hasEvents() {
-		switch {
-		case p.events.insideEvent():
-			return errEndsInsideEvent
-		case !p.firstEventSeen && !p.exchange.stream.headSent && p.answer.Length != 0:
-			return errNoEvent
-		}
+	if err := p.events.checkEnd(p.answer.Ending.IsExplicit()); err != nil {
+		return err
+	}
+	if !p.events.searching && !p.firstEventSeen && p.answer.Length != 0 {
+		return errNoEvent
 	}
 	rest := p.events.remainder()
 	if len(rest) == 0 && p.exchange.stream.headSent {
@@ -153,10 +151,25 @@
 	return p.write(rest)
 }
 
-// hasEvents reports whether the answer consists of events, as far as it says.
-func (p *streamForwarder) hasEvents() bool {
-	contentType := p.answer.Header.Get("Content-Type")
-	return contentType == "" || strings.HasPrefix(contentType, "text/event-stream")
+// isStream reports whether an answer is a stream of events, or a part of one, as far as its head
+// says. An encoded body cannot be split into events.
+func (x *exchange) isStream(answer *http1.Answer) bool {
+	return x.route.Kind == document.Streaming && answer.Status == http.StatusOK &&
+		answer.Header.Get("Content-Encoding") == "" && hasEventType(answer.Header)
+}
+
+// hasEventType reports whether an answer consists of events, as far as it says.
+func hasEventType(header http.Header) bool {
+	contentType := header.Get("Content-Type")
+	mediaType, _, _ := strings.Cut(contentType, ";")
+	return contentType == "" || strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
+}
+
+// mayTryAgain reports whether the request may be sent to another endpoint though one may have
+// run it. A stream of which the caller has events can only go on after one with a number.
+func (x *exchange) mayTryAgain() bool {
+	position := x.stream.position
+	return x.route.Repeatable() && (position == streamPosition{} || position.isNumbered())
 }
 
 // write writes data to the caller and flushes it. The first call writes the
--- a/internal/caller/relay/trace.go
+++ b/internal/caller/relay/trace.go
@@ -197,7 +197,7 @@
 		fields["Late"] = late
 	}
 	if x.stream.headSent {
-		fields["LastEvent"], fields["Ending"] = x.stream.lastID, x.stream.ending.String()
+		fields["LastEvent"], fields["Ending"] = x.stream.position.lastID, x.stream.ending.String()
 	}
 	eventEnded.Log(logger, fields)
 }
--- a/internal/endpoint/connect/connect.go
+++ b/internal/endpoint/connect/connect.go
@@ -242,7 +242,7 @@
 			return nil, err
 		}
 		body := &countedBody{Answer: answer, done: func() { c.recordForwardEnded(peer) }}
-		return http1.NewAnswer(answer.Status, answer.Header, answer.Length, body), nil
+		return http1.NewAnswer(answer.Status, answer.Header, answer.Length, answer.Ending, body), nil
 	}}
 }
 
--- a/internal/endpoint/http1/ending.go
+++ b/internal/endpoint/http1/ending.go
@@ -13,7 +13,8 @@
 	EndsByLength
 	// EndsByChunks means that the answer is sent in chunks, of which the last one is empty.
 	EndsByChunks
-	// EndsByPeer means that a peer passes the answer on and tells its end.
+	// EndsByPeer means that a peer passes the answer on and tells its end, but not how the
+	// endpoint's answer shows it.
 	EndsByPeer
 )
 
@@ -31,6 +32,11 @@
 	return "Connection"
 }
 
+// IsExplicit reports whether the endpoint tells a complete answer from one that was cut off.
+func (e Ending) IsExplicit() bool {
+	return e == EndsByLength || e == EndsByChunks
+}
+
 // endingOf returns how a response shows its end.
 func endingOf(response *http.Response) Ending {
 	switch {
--- a/internal/endpoint/http1/exchange.go
+++ b/internal/endpoint/http1/exchange.go
@@ -89,8 +89,8 @@
 
 // NewAnswer returns an answer that did not arrive on a connection of a pool. length is
 // -1 if it is not known in advance. Read and Close pass on to the body.
-func NewAnswer(status int, header http.Header, length int64, body io.ReadCloser) *Answer {
-	return &Answer{Status: status, Header: header, Length: length, Ending: EndsByPeer, body: body}
+func NewAnswer(status int, header http.Header, length int64, ending Ending, body io.ReadCloser) *Answer {
+	return &Answer{Status: status, Header: header, Length: length, Ending: ending, body: body}
 }
 
 // Do sends a request to the endpoint with the given key and address and reads
--- a/internal/peer/forward/client.go
+++ b/internal/peer/forward/client.go
@@ -168,7 +168,7 @@
 		}
 		return nil, &http1.RequestError{Sent: true, Cause: fmt.Errorf("through peer %s: %w", c.peer, err)}
 	}
-	return http1.NewAnswer(head.Status, head.Header, head.Length, &answerBody{conn: c, stopCancel: stop}), nil
+	return http1.NewAnswer(head.Status, head.Header, head.Length, head.ending(), &answerBody{conn: c, stopCancel: stop}), nil
 }
 
 // exchange sends the request and reads the head of the answer.
--- a/internal/peer/forward/forward_test.go
+++ b/internal/peer/forward/forward_test.go
@@ -281,3 +281,30 @@
 	}
 	answer.Close()
 }
+
+// TestPeerTellsHowAnAnswerEnds guards against an answer that was cut off and looks explicitly
+// complete because it passed through a peer.
+func TestPeerTellsHowAnAnswerEnds(t *testing.T) {
+	for head, want := range map[string]http1.Ending{
+		"Content-Length: 0\r\n\r\n":                   http1.EndsByLength,
+		"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n": http1.EndsByChunks,
+		"\r\n": http1.EndsByPeer,
+	} {
+		p := startPeer(t, func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				return
+			}
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s", head)
+			_ = conn.Close()
+		})
+		answer, err := p.do(context.Background(), newRequest(nil, clock.Second))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if answer.Ending != want {
+			t.Errorf("%q: got ending %v, want %v", head, answer.Ending, want)
+		}
+		answer.Close()
+	}
+}
--- a/internal/peer/forward/message.go
+++ b/internal/peer/forward/message.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
 )
 
 // Target is the endpoint that a request is to reach.
@@ -69,6 +70,20 @@
 	Header http.Header
 	// Length is the length of the body, -1 if it is not known.
 	Length int64
+	// Explicit is set if the endpoint says where the body ends. A daemon of the last release
+	// does not tell.
+	Explicit bool
+}
+
+// ending returns how the endpoint's answer shows its end, as far as the peer tells.
+func (h answerHead) ending() http1.Ending {
+	switch {
+	case !h.Explicit:
+		return http1.EndsByPeer
+	case h.Length >= 0:
+		return http1.EndsByLength
+	}
+	return http1.EndsByChunks
 }
 
 // end ends an answer. Error is empty if the answer is complete, as far as the endpoint's
--- a/internal/peer/forward/serverconn.go
+++ b/internal/peer/forward/serverconn.go
@@ -192,7 +192,7 @@
 
 // passAnswer passes on an answer as it arrives.
 func (c *serverConn) passAnswer(answer *http1.Answer) error {
-	if err := c.send(message.ForwardAnswer, answerHead{Status: answer.Status, Header: answer.Header, Length: answer.Length}); err != nil {
+	if err := c.send(message.ForwardAnswer, answerHead{Status: answer.Status, Header: answer.Header, Length: answer.Length, Explicit: answer.Ending.IsExplicit()}); err != nil {
 		return err
 	}
 	buf := make([]byte, maxChunkBytes)
