Check where a stream goes on that the caller takes up

Callers that take a stream up after event 3 could get events 1 to 3 again, or a stream that goes on at event 5, as a success, where the endpoint does not go on after the event it is told.

Cause: the events were compared with the last one of the same answer only, not with the one that the caller names.

Change: on resumable routes the stream starts at the caller's position, so the checks of a stream that is resumed within an answer hold for it as well: events that the caller has are dropped, a gap is a failed attempt. An endpoint that has nothing left to send may say so. Routes that are not resumable are left alone.

Evidence: 5 of 7 cases of TestStreamThatIsTakenUpGoesOnAfterTheCallersEvent failed before, none after (go test -race ./internal/caller/relay).

--- a/internal/caller/relay/exchange.go
+++ b/internal/caller/relay/exchange.go
@@ -164,6 +164,9 @@
 		return false
 	}
 	x.stream.software = origin.Software
+	if x.route.Resumable {
+		x.stream.position.lastID = x.call.LastEventID
+	}
 	return true
 }
 
--- a/internal/caller/relay/resume_test.go
+++ b/internal/caller/relay/resume_test.go
@@ -168,6 +168,29 @@
 	}
 }
 
+// TestStreamThatIsTakenUpGoesOnAfterTheCallersEvent guards against events that the caller has
+// or that miss some, where the caller takes the stream up.
+func TestStreamThatIsTakenUpGoesOnAfterTheCallersEvent(t *testing.T) {
+	for name, test := range map[string]struct {
+		answer http.HandlerFunc
+		status int
+		body   string
+	}{
+		"After":        {chunked(eventType, eventText(4, 6)), http.StatusOK, eventText(4, 6)},
+		"FromItsStart": {chunked(eventType, eventText(1, 6)), http.StatusOK, eventText(4, 6)},
+		"Same":         {chunked(eventType, eventText(3, 6)), http.StatusOK, eventText(4, 6)},
+		"Gap":          {chunked(eventType, eventText(5, 6)), http.StatusBadGateway, ""},
+		"OnlyOlder":    {raw(eventType, eventText(1, 2)), http.StatusBadGateway, ""},
+		"NothingLeft":  {chunked(eventType, ""), http.StatusOK, ""},
+		"BrokeOff":     {raw(eventType, ""), http.StatusBadGateway, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, test.answer)
+			f.expect(f.send("/resumable/1", "Last", "3"), test.status, test.body)
+		})
+	}
+}
+
 // TestAnswerOfNoEventsIsNotJoinedWithAnother guards against two bodies in one answer, where an
 // endpoint of a resumable route answers with something else than events and breaks off.
 func TestAnswerOfNoEventsIsNotJoinedWithAnother(t *testing.T) {
