Reset the connection of an HTTP/1.0 caller whose answer breaks off

A caller that speaks HTTP/1.0 saw a stream or a long answer that had broken off end as if it were complete.

Cause: net/http writes no chunks to such a caller, and http.ErrAbortHandler closes the connection properly, which is the end of a complete answer without a length.

Change: breakOff.resets such a connection. A failure to do so is logged as event 1137.

Ruled out: HTTP/1.1 callers, also those that send "Connection: close", get chunks or a length.

--- a/internal/caller/relay/exchange.go
+++ b/internal/caller/relay/exchange.go
@@ -1,10 +1,14 @@
 package relay
 
 import (
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/config/document"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
@@ -58,8 +62,32 @@
 	x.handle()
 	x.logEnd()
 	if !x.whole {
-		panic(http.ErrAbortHandler)
+		x.breakOff()
+	}
+}
+
+// breakOff closes the caller's connection, so that the answer does not look complete. It does
+// not return.
+func (x *exchange) breakOff() {
+	if !x.r.ProtoAtLeast(1, 1) {
+		if err := x.resetConnection(); err != nil {
+			eventNotReset.Log(x.handler.config.Logger, logrus.Fields{"Request": x.call.ID, "Error": err.Error()})
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetConnection resets the caller's connection. Answers of HTTP/1.0 have no chunks, so the
+// proper end of the connection is the end of a complete answer.
+func (x *exchange) resetConnection() (err error) {
+	conn, _, err := http.NewResponseController(x.w).Hijack()
+	if err != nil {
+		return err
+	}
+	if tcpConn, isTCP := conn.(*net.TCPConn); isTCP {
+		err = tcpConn.SetLinger(0)
 	}
+	return errors.Join(err, conn.Close())
 }
 
 // handle runs the request through the filters and forwards it. A filter that
--- a/internal/caller/relay/trace.go
+++ b/internal/caller/relay/trace.go
@@ -27,6 +27,8 @@
 		"This daemon's own path to the endpoint is broken, so a peer forwards the request.")
 	eventSuspected = event.New(1136, logrus.InfoLevel, "request may crash endpoints",
 		"Endpoints have crashed under requests with these digests, see events 1216 and 1217. Tried says whether the request was sent all the same, to find out.")
+	eventNotReset = event.New(1137, logrus.WarnLevel, "connection was not reset",
+		"An answer that cannot be completed may look complete to a caller that speaks HTTP/1.0, since its connection could not be reset.")
 	eventEnded = event.New(1133, logrus.InfoLevel, "request ended",
 		"A request got its final answer. Status 0 means that the connection ended without a complete answer. For a stream, LastEvent is the ID of the last event that was passed on, and Ending is how the endpoint's answer showed its end: by its chunks, its length, the connection or a peer.")
 
