Keep the errors of other engines out of a stream that has begun

Callers of banyanshift serve got the text of an engine's error in the middle of their stream: when an engine broke off and the one that was to go on answered 400 or 422, its message ended the stream as an error event; an error in an event with the request's ID ({"object":"error"}, or an event named error) was forwarded like a part of the answer.

Cause: such a status was always taken for a fault of the caller's request, though an engine had accepted it already; and only an "error" field marked an engine's error.

Change: once a part of the answer has come, a refusal counts as a failure of that engine and the request goes on at another; all three forms of an error in a stream break the attempt off.

--- a/internal/caller/openai/execution.go
+++ b/internal/caller/openai/execution.go
@@ -82,7 +82,7 @@
 	case errors.Is(err, errStalled):
 	case !errors.As(err, &failure):
 		return err
-	case failure.Rejected:
+	case failure.Rejected && !r.hasBegun():
 		return entry.BadRequest("The engine refused the request: " + failure.Message)
 	}
 	r.failures++
@@ -97,6 +97,12 @@
 	return nil
 }
 
+// hasBegun reports whether an engine has accepted the request and sent a part of
+// the response, so that one that refuses to continue it says nothing of the caller.
+func (r *execution) hasBegun() bool {
+	return r.tokens > 0 || r.x.HeaderSent()
+}
+
 func (r *execution) runState() request.RunState {
 	if r.mayHaveRun {
 		return request.RunUnknown
--- a/internal/endpoint/engine/chunk.go
+++ b/internal/endpoint/engine/chunk.go
@@ -44,6 +44,9 @@
 	Done bool
 }
 
+// errEngineError is returned for an event in which the engine reports an error.
+var errEngineError = fmt.Errorf("%w: engine error in stream", ErrTruncated)
+
 var errNotUTF8 = errors.New("not valid UTF-8")
 
 // rawChunk holds the fields that the router reads from a chunk of the chat or
@@ -77,6 +80,8 @@
 		case "error":
 			raw.hasError = true
 			lexer.SkipRecursive()
+		case "object":
+			raw.hasError = raw.hasError || string(lexer.Raw()) == `"error"`
 		default:
 			return false
 		}
@@ -188,7 +193,7 @@
 	case err != nil:
 		return chunk, fmt.Errorf("%w: %w", ErrMalformed, err)
 	case raw.hasError:
-		return chunk, fmt.Errorf("%w: engine error in stream", ErrTruncated)
+		return chunk, errEngineError
 	case raw.id != v.requestID:
 		return chunk, fmt.Errorf("%w: id %q instead of %q", ErrWrongRequest, raw.id, v.requestID)
 	}
--- a/internal/endpoint/engine/stream.go
+++ b/internal/endpoint/engine/stream.go
@@ -211,15 +211,21 @@
 	return &StreamError{Endpoint: s.endpoint, Status: http.StatusOK, Err: err}
 }
 
-var dataPrefix = []byte("data:")
+var (
+	eventPrefix = []byte("event:")
+	dataPrefix  = []byte("data:")
+)
 
-// readEvent returns the data of the next event.
+// readEvent returns the data of the next event, or an error if the event is named as one.
 func (s *Stream) readEvent() ([]byte, error) {
 	for {
 		line, err := s.readLine()
 		if err != nil {
 			return nil, err
 		}
+		if name, found := bytes.CutPrefix(line, eventPrefix); found && string(bytes.TrimSpace(name)) == "error" {
+			return nil, errEngineError
+		}
 		if data, found := bytes.CutPrefix(line, dataPrefix); found {
 			return bytes.TrimSpace(data), nil
 		}
