Believe only answers with the request's ID on connections that were used before

Callers were told that a request had not run (503, 429, 408), and requests that are not repeatable ran at a second endpoint, while the first one ran them: a faulty endpoint had written a refusal without an ID once more after it had read the next request on a kept connection.

Cause: an error without an ID was taken for the answer to whatever request was under way, on any connection. A second way, through a peer only: the connection on which a request was refused was kept, so that the refusal, written again, had the right ID when a caller sent the request once more with the ID that it had. (A daemon's own connections were closed after refusals, but only because their bodies were not read.)

Now an error without an ID counts only as the first answer on its connection, where it can belong to no earlier request. On a connection that has brought an answer, all answers but those with the ID of the request are discarded, and the client reads on, so that the true answer reaches the caller. A connection is not used again after a refusal (408, 421, 429, 503) or an answer without an ID.

Ruled out: answers that arrive before the request is written (the check for unread bytes), refusals with the ID of another request, interim answers, and successes without an ID were handled; so are connections to peers, which are kept only after the end of an answer or a refusal to forward.

Config.MatchesRequest, which decided in the platform's folder, became AnsweredID, which only translates.

--- a/internal/caller/relay/relay_test.go
+++ b/internal/caller/relay/relay_test.go
@@ -113,9 +113,7 @@
 	logger, hook := logtest.NewNullLogger()
 	logger.SetLevel(logrus.DebugLevel)
 	f.log = hook
-	pool := http1.New(http1.Config{Clock: clock.System(), MatchesRequest: func(status int, header http.Header, id string) bool {
-		return header.Get("Id") == id
-	}})
+	pool := http1.New(http1.Config{Clock: clock.System(), AnsweredID: func(header http.Header) string { return header.Get("Id") }})
 	handler := relay.New(relay.Config{
 		Quarantine: relay.Quarantine{
 			Active: func() bool { return true },
--- a/internal/daemon/gateway/forward.go
+++ b/internal/daemon/gateway/forward.go
@@ -14,7 +14,7 @@
 
 // buildConnections builds the ways to endpoints: this daemon's own connections, and peers.
 func (d *Daemon) buildConnections() {
-	d.pool = http1.New(http1.Config{Clock: d.clock, MatchesRequest: d.platform.MatchesRequest, Dial: d.platform.DialEndpoint})
+	d.pool = http1.New(http1.Config{Clock: d.clock, AnsweredID: d.platform.AnsweredID, Dial: d.platform.DialEndpoint})
 	client := forward.NewClient(d.clock, d.forwardPort())
 	d.connector = connect.New(connect.Config{
 		Clock: d.clock, Logger: d.logger, Pool: d.pool, Open: client.Open, Peers: d.forwardingPeers,
--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -75,7 +75,9 @@
 	DecodeEndpoint func(row table.Row) (roster.Endpoint, error)
 	EndpointID     func(key string) string
 	Wire           relay.Wire
-	MatchesRequest func(status int, header http.Header, requestID string) bool
+	// AnsweredID returns the ID of the request that an endpoint's answer names, empty if it
+	// names none.
+	AnsweredID func(header http.Header) string
 	// ReportUsage and SendOrder are called only by the lease holder.
 	ReportUsage func(ctx context.Context, call HolderCall, window billing.Window) error
 	SendOrder   func(ctx context.Context, call HolderCall, order supply.Order) error
--- a/internal/endpoint/connect/connect_test.go
+++ b/internal/endpoint/connect/connect_test.go
@@ -42,7 +42,7 @@
 }
 
 func newPool(dial func(context.Context, string, string) (net.Conn, error)) *http1.Pool {
-	return http1.New(http1.Config{Clock: clock.System(), Dial: dial, MatchesRequest: func(int, http.Header, string) bool { return true }})
+	return http1.New(http1.Config{Clock: clock.System(), Dial: dial, AnsweredID: func(http.Header) string { return "r" }})
 }
 
 func startDaemon(t *testing.T, serve http.HandlerFunc) *daemon {
--- a/internal/endpoint/http1/exchange.go
+++ b/internal/endpoint/http1/exchange.go
@@ -18,13 +18,6 @@
 // since an endpoint may answer before it has read the body.
 const maxInlineBodyBytes = 8 << 10
 
-// maxUnmatchedAnswers is how many answers to earlier requests are discarded
-// before the connection is closed.
-const maxUnmatchedAnswers = 2
-
-// maxUnmatchedBytes bounds the body of an answer that is discarded.
-const maxUnmatchedBytes = 4 << 20
-
 // HopByHopHeaders are the header fields that apply to a single connection. They
 // are not forwarded in either direction.
 var HopByHopHeaders = []string{
@@ -33,7 +26,7 @@
 
 // Request is one request to an endpoint.
 type Request struct {
-	// ID is passed to Config.MatchesRequest.
+	// ID is the one that the endpoint repeats in its answer.
 	ID     string
 	Method string
 	// Head holds the request line and all header fields, each terminated by
@@ -127,43 +120,20 @@
 }
 
 // exchange writes the request and reads the status and header of its answer.
-// It discards answers to earlier requests.
 func (c *Conn) exchange(request Request) (*Answer, error) {
-	p := c.pool
-	if err := c.netConn.SetDeadline(p.config.Clock.Deadline(request.Deadline)); err != nil {
+	if err := c.netConn.SetDeadline(c.pool.config.Clock.Deadline(request.Deadline)); err != nil {
 		return nil, err
 	}
 	write, err := writeRequest(c, request)
 	if err != nil {
 		return nil, err
 	}
-	for range maxUnmatchedAnswers + 1 {
-		answer, err := readHead(c, request.Method)
-		if err != nil {
-			return nil, err
-		}
-		if p.config.MatchesRequest(answer.Status, answer.Header, request.ID) {
-			answer.conn, answer.bodyWrite = c, write
-			return answer, nil
-		}
-		if err := answer.discard(); err != nil {
-			return nil, err
-		}
-	}
-	return nil, errors.New("the endpoint answers other requests")
-}
-
-// discard reads the body of an answer to an earlier request, so that the next
-// answer on the connection can be read.
-func (a *Answer) discard() error {
-	if !a.framed {
-		return errors.New("stray answer without a length")
-	}
-	n, err := io.Copy(io.Discard, io.LimitReader(a.body, maxUnmatchedBytes))
-	if err == nil && n == maxUnmatchedBytes {
-		return errors.New("stray answer is too long")
+	answer, err := c.readAnswer(request)
+	if err != nil {
+		return nil, err
 	}
-	return err
+	answer.conn, answer.bodyWrite = c, write
+	return answer, nil
 }
 
 // bodyWrite writes a long request body while the answer is read.
--- a/internal/endpoint/http1/http1_test.go
+++ b/internal/endpoint/http1/http1_test.go
@@ -61,10 +61,10 @@
 	return e.conns
 }
 
+func answeredID(header http.Header) string { return header.Get("Id") }
+
 func newPool() *http1.Pool {
-	return http1.New(http1.Config{Clock: clock.System(), MatchesRequest: func(_ int, header http.Header, id string) bool {
-		return header.Get("Id") == id
-	}})
+	return http1.New(http1.Config{Clock: clock.System(), AnsweredID: answeredID})
 }
 
 func request(id string) http1.Request {
@@ -74,9 +74,9 @@
 // newPipePool returns a pool whose only connection is given.
 func newPipePool(conn net.Conn) *http1.Pool {
 	return http1.New(http1.Config{
-		Clock:          clock.System(),
-		MatchesRequest: func(_ int, header http.Header, id string) bool { return header.Get("Id") == id },
-		Dial:           func(context.Context, string, string) (net.Conn, error) { return conn, nil },
+		Clock:      clock.System(),
+		AnsweredID: answeredID,
+		Dial:       func(context.Context, string, string) (net.Conn, error) { return conn, nil },
 	})
 }
 
--- a/internal/endpoint/http1/pool.go
+++ b/internal/endpoint/http1/pool.go
@@ -3,12 +3,18 @@
 //
 // Unlike the standard library's transport, it never resends a request by
 // itself, checks that an idle connection is open and has no unread bytes
-// before reusing it, discards late answers to earlier requests, and reports
-// with every error whether bytes of the request may have reached the endpoint.
+// before reusing it, and reports with every error whether bytes of the request
+// may have reached the endpoint.
+//
+// A faulty endpoint may send an earlier answer again when it has read the next request
+// on a connection. So an answer is believed if it repeats the ID of the request, or if it
+// is an error without an ID and the first answer on its connection. All others are
+// discarded, and the client reads on. If no answer with the ID follows, the request
+// may have run. A connection that has brought a refusal is not used again.
 //
 // # Usage
 //
-//	pool := http1.New(http1.Config{Clock: clk, MatchesRequest: matches})
+//	pool := http1.New(http1.Config{Clock: clk, AnsweredID: answeredID})
 //	answer, err := pool.Do(ctx, "i-7f3a91c2", "10.0.0.7:8080", http1.Request{Method: "GET", Head: head, Deadline: deadline})
 //	var requestError *http1.RequestError
 //	if errors.As(err, &requestError) && !requestError.Sent { ... the request cannot have run ... }
@@ -48,13 +54,12 @@
 	readBufferBytes    = 4 << 10
 )
 
-// Config configures a Pool. Clock and MatchesRequest must be set.
+// Config configures a Pool. Clock and AnsweredID must be set.
 type Config struct {
 	Clock clock.Clock
-	// MatchesRequest reports whether an answer belongs to the request with
-	// the given ID. An answer that does not is taken for a late answer to an
-	// earlier request and discarded.
-	MatchesRequest func(status int, header http.Header, requestID string) bool
+	// AnsweredID returns the ID of the request that an answer names, empty if it names
+	// none.
+	AnsweredID func(header http.Header) string
 	// Dial replaces the dialer in tests. It may be nil.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -77,6 +82,8 @@
 	limiter *headReader
 	// key identifies the endpoint.
 	key string
+	// heard is set once an answer has arrived.
+	heard bool
 	// expiresAt is the time from which an idle connection must not be reused.
 	expiresAt clock.Millis
 }
--- a/internal/peer/forward/forward_test.go
+++ b/internal/peer/forward/forward_test.go
@@ -45,7 +45,7 @@
 	t.Cleanup(p.endpoint.Close)
 	ip := fmt.Sprintf("127.%d.%d.7", 10+os.Getpid()%100, lastIP.Add(1))
 	p.address = ip + ":1"
-	pool := http1.New(http1.Config{Clock: clock.System(), MatchesRequest: func(int, http.Header, string) bool { return true }})
+	pool := http1.New(http1.Config{Clock: clock.System(), AnsweredID: func(http.Header) string { return "r" }})
 	p.config = forward.ServerConfig{
 		Clock: clock.System(), Logger: logger, Listen: net.JoinHostPort(ip, port),
 		Connect: func(ctx context.Context, target forward.Target) (*http1.Conn, error) {
