Pass on no 408, 429 or 503 that does not state that the request did not run

Callers of requests that may run once only were told "not run, try again" for requests that their endpoint may have run: its 408, 429 or 503 was forwarded as it was, though only the header field that says so states that a request was not run. Callers take the status itself for that promise. A server that closes an idle connection with an unsolicited 408 or 503, just as the first request on it arrives, gave the same.

For a request that may not be repeated such an answer is now treated like none: the caller gets 502, which promises nothing, and the log names the status. Requests that may be repeated get the endpoint's answer as before: for them the promise changes nothing, and they keep its Retry-After.

Ruled out: 421 names another endpoint and is never forwarded; 500, 504 and other statuses promise nothing and are forwarded unchanged.

Evidence: go test -race ./internal/caller/relay -run IsNoPromise failed in all 12 combinations of status, length and kind of route ("got status 503; want 502"), and passes.

--- a/internal/caller/relay/answer.go
+++ b/internal/caller/relay/answer.go
@@ -46,6 +46,11 @@
 		x.attempts.lastReason = "answer without the endpoint's proof"
 		x.recordFailure(x.attempts.lastReason, placement, nil)
 		return noAnswer
+	case !x.route.Repeatable() && promisesNotRun(answer.Status):
+		s.RecordEnd(placement, balance.Failed)
+		x.attempts.lastReason = "endpoint answered " + strconv.Itoa(answer.Status) + " without the statement that it did not run the request"
+		x.recordFailure(x.attempts.lastReason, placement, nil)
+		return noAnswer
 	case answer.Status >= http.StatusInternalServerError && (!long || x.route.Repeatable()):
 		s.RecordEnd(placement, balance.Failed)
 		x.attempts.lastReason = "endpoint answered " + strconv.Itoa(answer.Status)
@@ -61,6 +66,12 @@
 	return answered
 }
 
+// promisesNotRun reports whether a status tells a caller that the request has not run and will
+// not run. Status 421 never gets to a caller.
+func promisesNotRun(status int) bool {
+	return status == http.StatusRequestTimeout || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
 // handleServerError forwards an endpoint's 5xx answer to the caller, unless the
 // request may be retried. A long answer is not kept for the case that no retry succeeds.
 func (x *exchange) handleServerError(buffered *bufferedAnswer, long bool) result {
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -13,7 +13,8 @@
 //
 // A refusal with status 408, 421, 429 or 503 always means that the request has
 // not run and will not run. A request that may have run is answered with 502 or
-// 504.
+// 504, also if its endpoint answered with one of these statuses without stating that it
+// did not run the request, unless it may be repeated.
 //
 // # Usage
 //
--- a/internal/caller/relay/relay_test.go
+++ b/internal/caller/relay/relay_test.go
@@ -327,6 +327,28 @@
 	f.expectReceived("e0:", "e1:")
 }
 
+// TestRefusalThatDoesNotSayItDidNotRunIsNoPromise guards against callers that repeat a request
+// because its endpoint refused it with a status that promises more than the endpoint said.
+func TestRefusalThatDoesNotSayItDidNotRunIsNoPromise(t *testing.T) {
+	for _, code := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		for name, body := range map[string]http.HandlerFunc{"short": status(code), "long": long(code, true)} {
+			for _, path := range []string{"/pay/1", "/stream/1"} {
+				t.Run(fmt.Sprint(code, name, path), func(t *testing.T) {
+					f := newFixture(t, body, ok)
+					if got := f.send(path); got.err != nil || got.status != http.StatusBadGateway {
+						t.Errorf("got status %d, error %v; want 502", got.status, got.err)
+					}
+					f.expectReceived("e0:")
+				})
+			}
+		}
+	}
+	for _, code := range []int{http.StatusNotFound, http.StatusInternalServerError, http.StatusGatewayTimeout} {
+		f := newFixture(t, status(code))
+		f.expect(f.send("/pay/1"), code, "broken")
+	}
+}
+
 func TestRefusalHasRetryAfter(t *testing.T) {
 	f := newFixture(t, notRun, notRun)
 	got := f.send("/pay/1")
