--- a/internal/caller/relay/relay_test.go
+++ b/internal/caller/relay/relay_test.go
@@ -113,9 +113,7 @@
 	logger, hook := logtest.NewNullLogger()
 	logger.SetLevel(logrus.DebugLevel)
 	f.log = hook
-	pool := http1.New(http1.Config{Clock: clock.System(), MatchesRequest: func(status int, header http.Header, id string) bool {
-		return header.Get("Id") == id
-	}})
+	pool := http1.New(http1.Config{Clock: clock.System(), AnsweredID: func(header http.Header) string { return header.Get("Id") }})
 	handler := relay.New(relay.Config{
 		Quarantine: relay.Quarantine{
 			Active: func() bool { return true },
@@ -329,6 +327,28 @@
 	f.expectReceived("e0:", "e1:")
 }
 
+// TestRefusalThatDoesNotSayItDidNotRunIsNoPromise guards against callers that repeat a request
+// because its endpoint refused it with a status that promises more than the endpoint said.
+func TestRefusalThatDoesNotSayItDidNotRunIsNoPromise(t *testing.T) {
+	for _, code := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		for name, body := range map[string]http.HandlerFunc{"short": status(code), "long": long(code, true)} {
+			for _, path := range []string{"/pay/1", "/stream/1"} {
+				t.Run(fmt.Sprint(code, name, path), func(t *testing.T) {
+					f := newFixture(t, body, ok)
+					if got := f.send(path); got.err != nil || got.status != http.StatusBadGateway {
+						t.Errorf("got status %d, error %v; want 502", got.status, got.err)
+					}
+					f.expectReceived("e0:")
+				})
+			}
+		}
+	}
+	for _, code := range []int{http.StatusNotFound, http.StatusInternalServerError, http.StatusGatewayTimeout} {
+		f := newFixture(t, status(code))
+		f.expect(f.send("/pay/1"), code, "broken")
+	}
+}
+
 func TestRefusalHasRetryAfter(t *testing.T) {
 	f := newFixture(t, notRun, notRun)
 	got := f.send("/pay/1")
--- a/internal/endpoint/http1/http1_test.go
+++ b/internal/endpoint/http1/http1_test.go
@@ -61,10 +61,10 @@
 	return e.conns
 }
 
+func answeredID(header http.Header) string { return header.Get("Id") }
+
 func newPool() *http1.Pool {
-	return http1.New(http1.Config{Clock: clock.System(), MatchesRequest: func(_ int, header http.Header, id string) bool {
-		return header.Get("Id") == id
-	}})
+	return http1.New(http1.Config{Clock: clock.System(), AnsweredID: answeredID})
 }
 
 func request(id string) http1.Request {
@@ -74,9 +74,9 @@
 // newPipePool returns a pool whose only connection is given.
 func newPipePool(conn net.Conn) *http1.Pool {
 	return http1.New(http1.Config{
-		Clock:          clock.System(),
-		MatchesRequest: func(_ int, header http.Header, id string) bool { return header.Get("Id") == id },
-		Dial:           func(context.Context, string, string) (net.Conn, error) { return conn, nil },
+		Clock:      clock.System(),
+		AnsweredID: answeredID,
+		Dial:       func(context.Context, string, string) (net.Conn, error) { return conn, nil },
 	})
 }
 
@@ -329,9 +329,9 @@
 			_ = conn.Close()
 		}()
 		pool := http1.New(http1.Config{
-			Clock:          clock.System(),
-			MatchesRequest: func(int, http.Header, string) bool { return true },
-			IsDown:         func(key, address string) bool { return down && key == "e" && address == listener.Addr().String() },
+			Clock:      clock.System(),
+			AnsweredID: func(header http.Header) string { return header.Get("Id") },
+			IsDown:     func(key, address string) bool { return down && key == "e" && address == listener.Addr().String() },
 		})
 		answer, err := pool.Do(t.Context(), "e", listener.Addr().String(), http1.Request{ID: "r1", Method: "GET", Head: []byte("GET / HTTP/1.1\r\nHost: e\r\n"), Deadline: clock.System().Now() + clock.Second})
 		if err != nil {
