Break off answers of banyanshift serve that cannot be completed

A caller that closed its sending side and read on, as some proxies do, got "200 OK" with an empty body if its answer had not begun, and a stream that ended with the terminating chunk, without its last pieces, if it had. A stream whose last engine failed, or whose key was withdrawn, ended the same way after its error event.

Cause: net/http cancels the context of a request when reading from the caller's connection fails. The exchange then returned normally, as it did for a refusal after the header was sent, and net/http completes the answer of a handler that returns. Now entry decides it in one place: an exchange that failed after its header was sent, or whose caller is gone, aborts the connection. iris lets the panic with http.ErrAbortHandler pass (its recover middleware isn't used), so that net/http closes it.

A caller that has only half-closed gets no answer, as before: net/http can't tell it from one that is gone, and a request that nobody waits for would hold its slot.

Ruled out: ReadTimeout doesn't cut long answers. net/http clears the read deadline once the body is read, and so does ReadBody. TestAnswerMayTakeLongerThanTheReadTimeout passed before; with ReadBody changed to set the deadline anew it failed in both cases (unexpected EOF). An expired write deadline doesn't last either: net/http clears it between requests, and the test of kept connections passed before.

Evidence: go test -race ./internal/caller/entry ./internal/caller/openai -count=3 -run 'HalfClosed|BreaksOff|Midway' failed in all cases in 3 of 3 runs before: status 200 with a complete body "" or "first\n", error nil.

--- a/internal/caller/entry/exchange.go
+++ b/internal/caller/entry/exchange.go
@@ -233,28 +233,43 @@
 	return x.controller.Flush()
 }
 
-// finish counts how the exchange ended and sends the refusal if there is one and
-// the header of the answer has not been sent.
+// finish counts how the exchange ended. It sends the refusal of a request that
+// failed before the header of its answer was sent, and otherwise ends a failed
+// exchange with abort.
 func (x *Exchange) finish(err error) {
 	if err == nil {
 		completed.Add(1)
 		return
 	}
 	var refusal *request.Refusal
-	if !errors.As(err, &refusal) {
-		if x.Context.Err() != nil {
-			callersGone.Add(1)
-			return
-		}
-		eventRequestFailed.Log(x.server.deps.Logger, logrus.Fields{"RequestId": x.Request.ID, "Error": err.Error()})
-		refusal = &request.Refusal{
-			Status: http.StatusInternalServerError, Code: request.CodeEndpointFailed, Run: request.RunUnknown,
-			Message: "The request failed inside the router.",
-		}
+	isRefusal := errors.As(err, &refusal)
+	if !isRefusal && x.Context.Err() != nil {
+		callersGone.Add(1)
+		x.abort()
+	}
+	if !isRefusal {
+		refusal = x.internalFailure(err)
 	}
 	refusals.Add(string(refusal.Code), 1)
 	if x.headerSent {
-		return
+		x.abort()
 	}
 	x.refuse(refusal)
 }
+
+// internalFailure logs an unexpected error and returns the refusal for it.
+func (x *Exchange) internalFailure(err error) *request.Refusal {
+	eventRequestFailed.Log(x.server.deps.Logger, logrus.Fields{"RequestId": x.Request.ID, "Error": err.Error()})
+	return &request.Refusal{
+		Status: http.StatusInternalServerError, Code: request.CodeEndpointFailed, Run: request.RunUnknown,
+		Message: "The request failed inside the router.",
+	}
+}
+
+// abort closes the connection, so that the caller sees that its answer is
+// incomplete. It does not return. If the handler returned instead, net/http would
+// end the answer as if it were complete, also for a caller that counts as gone
+// because it has closed only its sending side.
+func (x *Exchange) abort() {
+	panic(http.ErrAbortHandler)
+}
