Let a slow caller read a long answer in its own time

A caller that read an answer of several megabytes steadily, but for longer than WriteStallTimeout, was cut off in the middle.

Cause: an answer that is not streamed was written under one write deadline, whatever its length. It is now written in pieces of 64 KiB, each with its own deadline, so that only a caller that has stopped reading is cut off, as the setting says.

--- a/internal/caller/entry/exchange.go
+++ b/internal/caller/entry/exchange.go
@@ -18,6 +18,10 @@
 // maxClassHeaderBytes limits the length of the Class header.
 const maxClassHeaderBytes = entity.MaxNameLength
 
+// maxWriteBytes limits how much of an answer is written under one deadline, so
+// that a long answer may take as long as its caller reads.
+const maxWriteBytes = 64 << 10
+
 // Exchange is one caller's request and the answer to it.
 type Exchange struct {
 	// HTTP is the request as the HTTP server received it.
@@ -216,9 +220,20 @@
 	x.writer.WriteHeader(status)
 }
 
-// Write writes a part of the answer. It fails if the caller does not read it
-// within WriteStallTimeout.
+// Write writes a part of the answer. It fails if the caller reads nothing of it
+// for WriteStallTimeout.
 func (x *Exchange) Write(data []byte) error {
+	for len(data) > maxWriteBytes {
+		if err := x.writePiece(data[:maxWriteBytes]); err != nil {
+			return err
+		}
+		data = data[maxWriteBytes:]
+	}
+	return x.writePiece(data)
+}
+
+// writePiece writes at most maxWriteBytes within WriteStallTimeout.
+func (x *Exchange) writePiece(data []byte) error {
 	x.headerSent = true
 	timeout := x.server.deps.Settings.WriteStallTimeout
 	if err := x.controller.SetWriteDeadline(time.Now().Add(timeout.Duration())); err != nil {
--- a/internal/caller/entry/incomplete_test.go
+++ b/internal/caller/entry/incomplete_test.go
@@ -173,3 +173,32 @@
 		})
 	}
 }
+
+func TestLongAnswerReachesACallerThatReadsSlowly(t *testing.T) {
+	const writeTimeout = clock.Second
+	answer := make([]byte, 16<<20)
+	s := startServer(t, ini.Caller{WriteStallTimeout: writeTimeout}, alwaysReady, func(x *Exchange) error {
+		return x.Write(answer)
+	})
+	caller := dial(t, s)
+	_ = caller.conn.SetReadBuffer(64 << 10)
+	caller.send(t, getRequest)
+	resp, err := http.ReadResponse(caller.reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	received := 0
+	part := make([]byte, 256<<10)
+	for {
+		n, err := io.ReadFull(resp.Body, part)
+		received += n
+		if err != nil {
+			break
+		}
+		time.Sleep(40 * time.Millisecond)
+	}
+	if received != len(answer) {
+		t.Errorf("got %d of %d bytes", received, len(answer))
+	}
+}
