Don't continue an answer of a model after its finish reason

If an engine's connection broke after the last token with its finish reason, and before the end marker, the answer was continued on another engine: the caller got a second finish reason and tokens beyond the first one, or, if the other engine refused to continue a whole answer, an error.

Cause: the end marker alone ended an answer. An answer with a finish reason has all its tokens, whose indexes have been checked, so that the failure of its engine (also preemption or a stall) now only counts against the engine. A caller gone or a withdrawn key still ends the request as before. What may be missing is the chunk with the engine's token counts, if the engine sends it apart.

--- a/internal/caller/openai/events.go
+++ b/internal/caller/openai/events.go
@@ -12,7 +12,7 @@
 )
 
 var eventAttemptFailed = event.New(1110, logrus.InfoLevel, "an engine failed a request",
-	"The request resumes on another engine at the token where it stopped, if the retry budget allows it. Check an engine that is named often.")
+	"The request resumes on another engine at the token where it stopped, if the answer is not whole yet and the retry budget allows it. Check an engine that is named often.")
 
 var (
 	resumedStreams    = metric.NewMap("Caller.Resumed", "Streams that resumed on another engine, by reason.")
--- a/internal/caller/openai/execution.go
+++ b/internal/caller/openai/execution.go
@@ -61,7 +61,7 @@
 		if err != nil {
 			return r.fail(err)
 		}
-		err = r.attempt(grant)
+		err = r.ignoreLateFailure(grant, r.attempt(grant))
 		if err == nil {
 			return r.finish()
 		}
@@ -72,6 +72,28 @@
 	}
 }
 
+// ignoreLateFailure returns nil if err is the failure of an engine that had sent
+// its finish reason, because the answer is whole then. Otherwise it returns err.
+func (r *execution) ignoreLateFailure(grant *request.Grant, err error) error {
+	if r.finishReason == "" || !isEngineFailure(err) {
+		return err
+	}
+	r.logFailure(grant, err)
+	return nil
+}
+
+// isEngineFailure reports whether an attempt failed because of its engine or slot.
+func isEngineFailure(err error) bool {
+	var failure *engine.StreamError
+	return errors.Is(err, errPreempted) || errors.Is(err, errStalled) || errors.As(err, &failure)
+}
+
+func (r *execution) logFailure(grant *request.Grant, err error) {
+	eventAttemptFailed.Log(r.handler.deps.Logger, logrus.Fields{
+		"RequestId": r.x.Request.ID, "Endpoint": grant.Endpoint.ID, "Token": r.tokens, "Error": err.Error(),
+	})
+}
+
 // checkRetry returns nil when the request may be dispatched again after err.
 func (r *execution) checkRetry(grant *request.Grant, err error) error {
 	var failure *engine.StreamError
@@ -87,9 +109,7 @@
 	}
 	r.failures++
 	r.excludedEndpoints = append(r.excludedEndpoints, grant.Endpoint.ID)
-	eventAttemptFailed.Log(r.handler.deps.Logger, logrus.Fields{
-		"RequestId": r.x.Request.ID, "Endpoint": grant.Endpoint.ID, "Token": r.tokens, "Error": err.Error(),
-	})
+	r.logFailure(grant, err)
 	if r.failures >= maxAttempts || !r.handler.deps.TakeRetry(r.x.Request) {
 		return r.failureRefusal("The engines did not answer as they should.")
 	}
--- a/internal/caller/openai/incomplete_test.go
+++ b/internal/caller/openai/incomplete_test.go
@@ -56,3 +56,26 @@
 		t.Errorf("got stream %q, error %v; want an error event, then a broken connection", data, err)
 	}
 }
+
+func TestAnswerIsNotContinuedAfterItsFinishReason(t *testing.T) {
+	const total = 8
+	for _, stream := range []bool{false, true} {
+		t.Run(fmt.Sprintf("stream=%v", stream), func(t *testing.T) {
+			second := &fakeEngine{totalTokens: total + 1}
+			r := newTestServer(t, &fakeEngine{fault: cutAfterFinish, totalTokens: total}, second)
+			resp := r.post(t, ChatPath, secret, fmt.Sprintf(chatBody, fmt.Sprintf(`,"stream":%v`, stream)))
+			var text, last string
+			if stream {
+				text, last = readStream(t, resp.Body)
+			} else {
+				text, last = readCompletion(t, resp.Body), "[DONE]"
+			}
+			if text != expectedText(total) || last != "[DONE]" {
+				t.Errorf("got text %q and last event %q, want the text up to the finish reason and [DONE]", text, last)
+			}
+			if second.calls.Load() != 0 {
+				t.Error("the answer was continued on another engine")
+			}
+		})
+	}
+}
--- a/internal/caller/openai/openai_test.go
+++ b/internal/caller/openai/openai_test.go
@@ -45,6 +45,7 @@
 	rejecting      fault = "refusing"
 	invalidJSON    fault = "garbage"
 	hanging        fault = "hanging"
+	cutAfterFinish fault = "cut after the finish reason"
 )
 
 // fakeEngine responds with totalTokens tokens "t0 t1 ...". It fails after
@@ -82,6 +83,9 @@
 		}
 		writeToken(w, id, i, i == f.totalTokens-1)
 	}
+	if f.fault == cutAfterFinish {
+		panic(http.ErrAbortHandler)
+	}
 	if f.fault != truncated {
 		_, _ = io.WriteString(w, "data: [DONE]\n\n")
 	}
