Bill only tokens that were sent to the caller

A caller that doesn't stream was billed for the tokens of an answer that it never got: when the engines failed midway, its key was withdrawn, or it was gone before the answer was sent.

Cause: the tokens were counted as they came from the engine. For a stream that is when they are sent; any other answer is sent at the end, in one piece. Its tokens are now billed once it has been written, as docs/design/usage.md says.

--- a/internal/caller/openai/execution.go
+++ b/internal/caller/openai/execution.go
@@ -45,6 +45,7 @@
 	attempts          int
 	failures          int
 	mayHaveRun        bool
+	answerSent        bool
 	excludedEndpoints []string
 }
 
@@ -311,7 +312,11 @@
 	}
 	r.x.Header().Set("Content-Type", "application/json")
 	r.x.SendHeader(http.StatusOK)
-	return r.x.Write(body)
+	if err := r.x.Write(body); err != nil {
+		return &callerGoneError{err: err}
+	}
+	r.answerSent = true
+	return nil
 }
 
 // fail returns the final error. When the response has started, it also sends
@@ -325,9 +330,11 @@
 	return err
 }
 
-// recordUsage records the tokens of the response for billing.
+// recordUsage records the tokens that were sent to the caller for billing. A
+// caller that does not stream gets all tokens or none.
 func (r *execution) recordUsage() {
-	if r.tokens > 0 {
+	sent := r.parsed.stream || r.answerSent
+	if sent && r.tokens > 0 {
 		r.handler.deps.RecordUsage(r.x.Request, r.promptTokens, r.tokens)
 	}
 }
--- a/internal/caller/openai/incomplete_test.go
+++ b/internal/caller/openai/incomplete_test.go
@@ -79,3 +79,14 @@
 		})
 	}
 }
+
+func TestCallerThatGetsNoAnswerIsNotBilledForItsTokens(t *testing.T) {
+	r := newTestServer(t, &fakeEngine{fault: cut, tokensBeforeFault: 3, totalTokens: 8})
+	resp := r.post(t, ChatPath, secret, fmt.Sprintf(chatBody, ""))
+	if resp.StatusCode == http.StatusOK {
+		t.Fatal("got status 200, want a refusal")
+	}
+	if got := r.metered.Load(); got != 0 {
+		t.Errorf("metered %d tokens, want 0", got)
+	}
+}
