Declare the length of whole answers of banyanshift serve

An HTTP/1.0 caller (also a proxy that speaks HTTP/1.0 to the daemon) that stopped reading for longer than WriteStallTimeout and then read on, got the part of the answer that was already on its way, and then the regular end of the connection: nothing showed that it was cut.

Cause: answers over 2 KiB had no Content-Length unless a service had set one, though their length is known, and HTTP/1.0 has no chunks. SendAnswer now declares it, for answers of models and services, for the list of models and for refusals.

--- a/internal/caller/entry/exchange.go
+++ b/internal/caller/entry/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -220,6 +221,19 @@
 	x.writer.WriteHeader(status)
 }
 
+// SendAnswer sends a whole answer. It declares the length of the body, so that
+// also an HTTP/1.0 caller sees whether the answer arrived whole.
+func (x *Exchange) SendAnswer(status int, body []byte) error {
+	if len(body) > 0 {
+		x.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	x.SendHeader(status)
+	if len(body) == 0 {
+		return nil
+	}
+	return x.Write(body)
+}
+
 // Write writes a part of the answer. It fails if the caller reads nothing of it
 // for WriteStallTimeout.
 func (x *Exchange) Write(data []byte) error {
--- a/internal/caller/entry/incomplete_test.go
+++ b/internal/caller/entry/incomplete_test.go
@@ -202,3 +202,22 @@
 		t.Errorf("got %d of %d bytes", received, len(answer))
 	}
 }
+
+func TestCutAnswerDoesNotLookCompleteToAnHTTP10Caller(t *testing.T) {
+	const writeTimeout = 300 * clock.Millisecond
+	answer := make([]byte, 32<<20)
+	ended := make(chan error, 1)
+	s := startServer(t, ini.Caller{WriteStallTimeout: writeTimeout}, alwaysReady, func(x *Exchange) error {
+		err := x.SendAnswer(http.StatusOK, answer)
+		ended <- err
+		return err
+	})
+	caller := dial(t, s)
+	caller.send(t, "GET /x HTTP/1.0\r\n\r\n")
+	if err := <-ended; err == nil {
+		t.Fatal("SendAnswer returned no error, want a timeout")
+	}
+	if status, body, err := caller.receive(); err == nil {
+		t.Errorf("got status %d and %d of %d bytes as a complete answer", status, len(body), len(answer))
+	}
+}
--- a/internal/caller/entry/refuse.go
+++ b/internal/caller/entry/refuse.go
@@ -60,8 +60,7 @@
 	if refusal.Status == http.StatusUnauthorized {
 		header.Set("Www-Authenticate", "Bearer")
 	}
-	x.SendHeader(refusal.Status)
-	_ = x.Write(EncodeRefusal(refusal))
+	_ = x.SendAnswer(refusal.Status, EncodeRefusal(refusal))
 }
 
 // roundUpToSeconds returns the duration in seconds, rounded up because
--- a/internal/caller/openai/execution.go
+++ b/internal/caller/openai/execution.go
@@ -311,8 +311,7 @@
 		return err
 	}
 	r.x.Header().Set("Content-Type", "application/json")
-	r.x.SendHeader(http.StatusOK)
-	if err := r.x.Write(body); err != nil {
+	if err := r.x.SendAnswer(http.StatusOK, body); err != nil {
 		return &callerGoneError{err: err}
 	}
 	r.answerSent = true
--- a/internal/caller/openai/openai.go
+++ b/internal/caller/openai/openai.go
@@ -140,5 +140,5 @@
 		return err
 	}
 	x.Header().Set("Content-Type", "application/json")
-	return x.Write(body)
+	return x.SendAnswer(http.StatusOK, body)
 }
--- a/internal/caller/plain/call.go
+++ b/internal/caller/plain/call.go
@@ -197,11 +197,7 @@
 		header[name] = values
 	}
 	header.Set("Request-Id", c.x.Request.ID)
-	c.x.SendHeader(answer.Status)
-	if len(answer.Body) == 0 {
-		return nil
-	}
-	return c.x.Write(answer.Body)
+	return c.x.SendAnswer(answer.Status, answer.Body)
 }
 
 func (c *call) recordUsage() {
