Refuse answers of services whose end is unknown

A service that is killed while it sends an answer with neither a length nor chunks (as HTTP/1.0 servers may) closes its connection as if the answer were whole. The caller got the partial answer as a complete one, and a claim with an idempotency key recorded it and replayed it to each retry.

Such an answer now counts as truncated: a repeatable call is sent to other endpoints, and any other ends with 502 and Run: Unknown. A service that always answers this way can't be used any more; it must send a length or chunks, as RFC 9112 asks of servers. Answers without a body (HEAD, 204, 304) are not concerned.

--- a/internal/caller/plain/plain_test.go
+++ b/internal/caller/plain/plain_test.go
@@ -33,7 +33,8 @@
 
 // fakeService counts the calls that it runs. In mode "cut" it runs the call and
 // closes the connection without an answer; in mode "half" it sends a partial
-// body; in mode "refusing" it rejects the call without running it.
+// body; in mode "unframed" it sends a partial body without a length; in mode
+// "refusing" it rejects the call without running it.
 type fakeService struct {
 	mode   atomic.Value
 	runs   atomic.Int64
@@ -58,6 +59,9 @@
 		w.Header().Set("Content-Length", "100")
 		_, _ = io.WriteString(w, "half")
 		return
+	case "unframed":
+		writeUnframed(w, "half")
+		return
 	}
 	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	w.Header().Set("Certificate", "yes")
@@ -65,6 +69,16 @@
 	_, _ = fmt.Fprintf(w, "run %d of %s %s for %s", run, r.Method, r.URL.RequestURI(), r.Header.Get("Team"))
 }
 
+// writeUnframed sends a body that ends where the connection ends.
+func writeUnframed(w http.ResponseWriter, body string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+body)
+	_ = conn.Close()
+}
+
 // daemon is the caller API of one daemon; all daemons share a claim table.
 type daemon struct {
 	address string
@@ -257,7 +271,7 @@
 }
 
 func TestCutCallIsNeverRunAgain(t *testing.T) {
-	for _, mode := range []string{"cut", "half"} {
+	for _, mode := range []string{"cut", "half", "unframed"} {
 		t.Run(mode, func(t *testing.T) {
 			r := newTestCluster(t, 2)
 			r.service.mode.Store(mode)
--- a/internal/endpoint/service/service.go
+++ b/internal/endpoint/service/service.go
@@ -28,8 +28,14 @@
 	"github.com/banyanshift/banyanshift/internal/endpoint/transport"
 )
 
-// ErrWrongRequest is returned for an answer with the ID of another request.
-var ErrWrongRequest = errors.New("answer belongs to another request")
+// Errors in a service's answer, wrapped by *CallError.
+var (
+	// ErrWrongRequest is returned for an answer with the ID of another request.
+	ErrWrongRequest = errors.New("answer belongs to another request")
+	// ErrEndUnknown is returned for an answer with neither a length nor chunks,
+	// because it looks complete if the service is killed while it answers.
+	ErrEndUnknown = errors.New("answer has neither a length nor chunks")
+)
 
 // forwardedHeaders are the caller's headers that are sent to the service.
 var forwardedHeaders = []string{
@@ -122,6 +128,10 @@
 		_ = resp.Body.Close()
 		return Answer{}, &CallError{Endpoint: endpoint.ID, Err: fmt.Errorf("%w: header Request-Id is %q", ErrWrongRequest, got)}
 	}
+	if endUnknown(call.Method, resp) {
+		_ = resp.Body.Close()
+		return Answer{}, &CallError{Endpoint: endpoint.ID, Err: ErrEndUnknown}
+	}
 	for _, name := range removedAnswerHeaders {
 		resp.Header.Del(name)
 	}
@@ -135,6 +145,11 @@
 	return overloaded && resp.Header.Get("Run") == "Not"
 }
 
+// endUnknown reports whether the body of an answer ends where the connection ends.
+func endUnknown(method string, resp *http.Response) bool {
+	return method != http.MethodHead && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 func newRequest(ctx context.Context, endpoint entity.Endpoint, call Call) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+endpoint.Address+call.URI, bytes.NewReader(call.Body))
 	if err != nil {
--- a/internal/endpoint/service/service_test.go
+++ b/internal/endpoint/service/service_test.go
@@ -160,3 +160,41 @@
 		t.Errorf("%d calls resulted in %d requests to the service", calls, got)
 	}
 }
+
+func TestAnswerWhoseEndIsUnknownIsRefused(t *testing.T) {
+	tests := []struct {
+		name, method, answer string
+		refused              bool
+	}{
+		{"no length", http.MethodGet, "HTTP/1.1 200 OK\r\n\r\nhalf", true},
+		{"no length in HTTP/1.0", http.MethodGet, "HTTP/1.0 200 OK\r\n\r\nhalf", true},
+		{"length", http.MethodGet, "HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\nwhole", false},
+		{"chunks", http.MethodGet, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", false},
+		{"no body", http.MethodGet, "HTTP/1.1 204 No Content\r\n\r\n", false},
+		{"not modified", http.MethodGet, "HTTP/1.1 304 Not Modified\r\n\r\n", false},
+		{"HEAD", http.MethodHead, "HTTP/1.1 200 OK\r\n\r\n", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					panic(err)
+				}
+				_, _ = io.WriteString(conn, tt.answer)
+				_ = conn.Close()
+			}))
+			defer server.Close()
+			answer, err := New(transport.New(transport.Config{})).Do(t.Context(), endpointAt(server.Listener.Addr().String()),
+				Call{RequestID: "r", Method: tt.method, URI: "/"})
+			if err == nil {
+				defer func() { _ = answer.Body.Close() }()
+			}
+			var failure *CallError
+			refused := errors.As(err, &failure) && !failure.NotRun
+			if refused != tt.refused || (err != nil) != tt.refused {
+				t.Errorf("got error %v, want refused %v", err, tt.refused)
+			}
+		})
+	}
+}
