Don't join an answer with a run that started anew

When an engine broke off in the middle of an answer, and the engine that was to continue it sent no token indexes and ignored that the call resumes, the caller got the start of the answer twice, in one stream or answer that ended as complete.

Cause: a token without an index was always taken for the next one. In a stream that resumes an answer it is now a failure of the engine: nothing shows where such an engine started. Engines without token indexes still serve answers from the start; their answers can't be continued on one another.

--- a/internal/caller/openai/incomplete_test.go
+++ b/internal/caller/openai/incomplete_test.go
@@ -90,3 +90,30 @@
 		t.Errorf("metered %d tokens, want 0", got)
 	}
 }
+
+func TestAnswerIsNotJoinedFromTwoRuns(t *testing.T) {
+	const total = 8
+	tests := []struct {
+		name          string
+		first, second *fakeEngine
+	}{
+		{
+			"engine that cannot resume",
+			&fakeEngine{fault: cut, tokensBeforeFault: 3, totalTokens: total},
+			&fakeEngine{totalTokens: total, withoutResume: true},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newTestServer(t, tt.first, tt.second)
+			resp := r.post(t, ChatPath, secret, fmt.Sprintf(chatBody, `,"stream":true`))
+			data, err := io.ReadAll(resp.Body)
+			if err == nil || !strings.Contains(string(data), `"error"`) {
+				t.Errorf("got error %v, want an error event, then a broken connection", err)
+			}
+			if got := strings.Count(string(data), `"t0 "`); got != 1 {
+				t.Errorf("got the first part %d times in %q, want once", got, data)
+			}
+		})
+	}
+}
--- a/internal/caller/openai/openai_test.go
+++ b/internal/caller/openai/openai_test.go
@@ -54,10 +54,13 @@
 	fault             fault
 	tokensBeforeFault int
 	totalTokens       int
-	calls             atomic.Int64
-	resumeToken       atomic.Int64
-	headers           sync.Map
-	server            *httptest.Server
+	// withoutResume makes the engine ignore that a call resumes an answer, and
+	// send no token indexes.
+	withoutResume bool
+	calls         atomic.Int64
+	resumeToken   atomic.Int64
+	headers       sync.Map
+	server        *httptest.Server
 }
 
 func (f *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -77,11 +80,15 @@
 	}
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
-	for i := body.ResumeToken; i < f.totalTokens; i++ {
+	first := body.ResumeToken
+	if f.withoutResume {
+		first = 0
+	}
+	for i := first; i < f.totalTokens; i++ {
 		if i == f.tokensBeforeFault && f.injectFault(w, r, id, i) {
 			return
 		}
-		writeToken(w, id, i, i == f.totalTokens-1)
+		f.writePart(w, id, i)
 	}
 	if f.fault == cutAfterFinish {
 		panic(http.ErrAbortHandler)
@@ -115,6 +122,22 @@
 	return false
 }
 
+// writePart writes the i-th part of the answer.
+func (f *fakeEngine) writePart(w http.ResponseWriter, id string, i int) {
+	last := i == f.totalTokens-1
+	if !f.withoutResume {
+		writeToken(w, id, i, last)
+		return
+	}
+	delta := fmt.Sprintf(`{"content":"t%d "}`, i)
+	finish := "null"
+	if last {
+		finish = `"stop"`
+	}
+	_, _ = fmt.Fprintf(w, `data: {"id":%q,"choices":[{"index":0,"delta":%s,"finish_reason":%s}]}`+"\n\n", id, delta, finish)
+	_ = http.NewResponseController(w).Flush()
+}
+
 func writeToken(w http.ResponseWriter, id string, i int, last bool) {
 	finish := "null"
 	if last {
--- a/internal/endpoint/engine/chunk.go
+++ b/internal/endpoint/engine/chunk.go
@@ -16,6 +16,9 @@
 	ErrWrongRequest = errors.New("chunk belongs to another request")
 	// ErrMissingTokens is returned when the token index skips ahead.
 	ErrMissingTokens = errors.New("tokens are missing")
+	// ErrNoTokenIndex is returned for a token without an index in a stream that
+	// resumes an answer, because the engine may have started from the beginning.
+	ErrNoTokenIndex = errors.New("resumed stream has no token index")
 	// ErrTruncated is returned when the stream fails or ends before its end
 	// marker, or has an end marker but no finish reason.
 	ErrTruncated = errors.New("stream ended before its end marker")
@@ -172,6 +175,8 @@
 type validator struct {
 	requestID string
 	nextToken int
+	// resumed reports whether the stream continues an answer.
+	resumed bool
 }
 
 // errDuplicate is returned for a chunk whose token was received before. The
@@ -199,10 +204,12 @@
 	return chunk, v.checkToken(raw)
 }
 
-// checkToken checks the index of a token, if the engine sends one, and counts
-// the token.
+// checkToken checks the index of a token, which only a stream that starts an
+// answer may lack, and counts the token.
 func (v *validator) checkToken(raw rawChunk) error {
 	switch {
+	case !raw.hasToken && v.resumed:
+		return ErrNoTokenIndex
 	case raw.hasToken && raw.token < v.nextToken:
 		return errDuplicate
 	case raw.hasToken && raw.token > v.nextToken:
--- a/internal/endpoint/engine/stream.go
+++ b/internal/endpoint/engine/stream.go
@@ -105,7 +105,7 @@
 		endpoint:  endpoint.ID,
 		body:      resp.Body,
 		reader:    bufio.NewReaderSize(resp.Body, 8<<10),
-		validator: validator{requestID: call.RequestID, nextToken: call.ResumeToken},
+		validator: validator{requestID: call.RequestID, nextToken: call.ResumeToken, resumed: call.ResumeToken > 0},
 	}, nil
 }
 
