Don't start a stream with tool calls anew in mid-stream

When an engine broke off, stalled or was preempted after it had sent tool calls (or reasoning), the caller of a stream got these pieces twice, from two runs, in a stream that ended as complete.

Cause: an answer is continued at a token, and only text counts as tokens. Now a stream that has sent content other than text isn't continued: it ends with an error event and breaks off. Empty values and the role, which engines send with text, don't count as such content.

--- a/internal/caller/openai/execution.go
+++ b/internal/caller/openai/execution.go
@@ -46,6 +46,7 @@
 	failures          int
 	mayHaveRun        bool
 	answerSent        bool
+	sentOtherContent  bool
 	excludedEndpoints []string
 }
 
@@ -99,6 +100,9 @@
 func (r *execution) checkRetry(grant *request.Grant, err error) error {
 	var failure *engine.StreamError
 	switch {
+	case r.sentOtherContent && isEngineFailure(err):
+		r.logFailure(grant, err)
+		return r.failureRefusal("The engine broke off an answer that no other engine can continue.")
 	case errors.Is(err, errPreempted):
 		resumedStreams.Add("Preempted", 1)
 		return nil
@@ -216,6 +220,7 @@
 		r.finishReason = chunk.FinishReason
 	}
 	if r.parsed.stream {
+		r.sentOtherContent = r.sentOtherContent || chunk.HasOtherContent
 		if err := r.sendEvent(chunk.Data); err != nil {
 			return &callerGoneError{err: err}
 		}
--- a/internal/caller/openai/incomplete_test.go
+++ b/internal/caller/openai/incomplete_test.go
@@ -97,6 +97,11 @@
 		name          string
 		first, second *fakeEngine
 	}{
+		{
+			"tool calls",
+			&fakeEngine{fault: cut, tokensBeforeFault: 3, totalTokens: total, toolCalls: true},
+			&fakeEngine{totalTokens: total, toolCalls: true},
+		},
 		{
 			"engine that cannot resume",
 			&fakeEngine{fault: cut, tokensBeforeFault: 3, totalTokens: total},
--- a/internal/caller/openai/openai_test.go
+++ b/internal/caller/openai/openai_test.go
@@ -54,6 +54,9 @@
 	fault             fault
 	tokensBeforeFault int
 	totalTokens       int
+	// toolCalls makes the engine send tool calls, which have no token index, in
+	// place of text.
+	toolCalls bool
 	// withoutResume makes the engine ignore that a call resumes an answer, and
 	// send no token indexes.
 	withoutResume bool
@@ -125,11 +128,14 @@
 // writePart writes the i-th part of the answer.
 func (f *fakeEngine) writePart(w http.ResponseWriter, id string, i int) {
 	last := i == f.totalTokens-1
-	if !f.withoutResume {
+	if !f.toolCalls && !f.withoutResume {
 		writeToken(w, id, i, last)
 		return
 	}
 	delta := fmt.Sprintf(`{"content":"t%d "}`, i)
+	if f.toolCalls {
+		delta = fmt.Sprintf(`{"tool_calls":[{"index":0,"function":{"arguments":"t%d "}}]}`, i)
+	}
 	finish := "null"
 	if last {
 		finish = `"stop"`
--- a/internal/endpoint/engine/chunk.go
+++ b/internal/endpoint/engine/chunk.go
@@ -39,6 +39,10 @@
 	Data []byte
 	// Text is the text of the token, or empty if the event has none.
 	Text string
+	// HasOtherContent reports whether the event has content that is not text,
+	// such as a tool call. Tokens don't count it, so that no other engine can
+	// continue an answer after it.
+	HasOtherContent bool
 	// FinishReason is set in the last event with choices.
 	FinishReason string
 	// Usage is nil in events without token counts.
@@ -52,13 +56,14 @@
 // rawChunk holds the fields that the router reads from a chunk of the chat or
 // the completion API.
 type rawChunk struct {
-	id           string
-	text         string
-	finishReason string
-	token        int
-	hasToken     bool
-	hasError     bool
-	usage        *Usage
+	id              string
+	text            string
+	hasOtherContent bool
+	finishReason    string
+	token           int
+	hasToken        bool
+	hasError        bool
+	usage           *Usage
 }
 
 // decodeChunk decodes the data of an event. The returned id aliases data.
@@ -142,14 +147,27 @@
 
 func (r *rawChunk) decodeDelta(lexer *jlexer.Lexer) {
 	decodeObject(lexer, func(name string) bool {
-		if name != "content" {
+		switch name {
+		case "role":
 			return false
+		case "content":
+			r.text += lexer.String()
+		default:
+			r.hasOtherContent = r.hasOtherContent || !isEmptyValue(lexer.Raw())
 		}
-		r.text += lexer.String()
 		return true
 	})
 }
 
+// isEmptyValue reports whether a JSON value is an empty string, list or object.
+func isEmptyValue(value []byte) bool {
+	switch string(value) {
+	case `""`, "[]", "{}":
+		return true
+	}
+	return false
+}
+
 func decodeUsage(lexer *jlexer.Lexer) *Usage {
 	usage := &Usage{}
 	decodeObject(lexer, func(name string) bool {
@@ -197,7 +215,9 @@
 	case raw.id != v.requestID:
 		return chunk, fmt.Errorf("%w: id %q instead of %q", ErrWrongRequest, raw.id, v.requestID)
 	}
-	chunk = Chunk{Data: data, Text: raw.text, FinishReason: raw.finishReason, Usage: raw.usage}
+	chunk = Chunk{
+		Data: data, Text: raw.text, HasOtherContent: raw.hasOtherContent, FinishReason: raw.finishReason, Usage: raw.usage,
+	}
 	if raw.text == "" {
 		return chunk, nil
 	}
--- a/internal/endpoint/engine/chunk_test.go
+++ b/internal/endpoint/engine/chunk_test.go
@@ -19,6 +19,9 @@
 		{"null choices", `{"id":"r","choices":null}`, rawChunk{id: "r"}},
 		{"null delta", `{"id":"r","choices":[{"delta":null}]}`, rawChunk{id: "r"}},
 		{"two choices", `{"id":"r","choices":[{"text":"a"},{"text":"b"}]}`, rawChunk{id: "r", text: "a"}},
+		{"tool call", `{"id":"r","choices":[{"delta":{"content":null,"tool_calls":[{"index":0}]}}]}`, rawChunk{id: "r", hasOtherContent: true}},
+		{"reasoning", `{"id":"r","choices":[{"delta":{"reasoning_content":"so"}}]}`, rawChunk{id: "r", hasOtherContent: true}},
+		{"empty content", `{"id":"r","choices":[{"delta":{"role":"assistant","content":"","tool_calls":[],"reasoning_content":"","x":null}}]}`, rawChunk{id: "r"}},
 		{"error", `{"id":"r","error":{"message":"x"}}`, rawChunk{id: "r", hasError: true}},
 	}
 	for _, tt := range tests {
