--- a/internal/caller/entry/exchange.go
+++ b/internal/caller/entry/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -18,6 +19,10 @@
 // maxClassHeaderBytes limits the length of the Class header.
 const maxClassHeaderBytes = entity.MaxNameLength
 
+// maxWriteBytes limits how much of an answer is written under one deadline, so
+// that a long answer may take as long as its caller reads.
+const maxWriteBytes = 64 << 10
+
 // Exchange is one caller's request and the answer to it.
 type Exchange struct {
 	// HTTP is the request as the HTTP server received it.
@@ -216,9 +221,33 @@
 	x.writer.WriteHeader(status)
 }
 
-// Write writes a part of the answer. It fails if the caller does not read it
-// within WriteStallTimeout.
+// SendAnswer sends a whole answer. It declares the length of the body, so that
+// also an HTTP/1.0 caller sees whether the answer arrived whole.
+func (x *Exchange) SendAnswer(status int, body []byte) error {
+	if len(body) > 0 {
+		x.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	x.SendHeader(status)
+	if len(body) == 0 {
+		return nil
+	}
+	return x.Write(body)
+}
+
+// Write writes a part of the answer. It fails if the caller reads nothing of it
+// for WriteStallTimeout.
 func (x *Exchange) Write(data []byte) error {
+	for len(data) > maxWriteBytes {
+		if err := x.writePiece(data[:maxWriteBytes]); err != nil {
+			return err
+		}
+		data = data[maxWriteBytes:]
+	}
+	return x.writePiece(data)
+}
+
+// writePiece writes at most maxWriteBytes within WriteStallTimeout.
+func (x *Exchange) writePiece(data []byte) error {
 	x.headerSent = true
 	timeout := x.server.deps.Settings.WriteStallTimeout
 	if err := x.controller.SetWriteDeadline(time.Now().Add(timeout.Duration())); err != nil {
@@ -233,28 +262,43 @@
 	return x.controller.Flush()
 }
 
-// finish counts how the exchange ended and sends the refusal if there is one and
-// the header of the answer has not been sent.
+// finish counts how the exchange ended. It sends the refusal of a request that
+// failed before the header of its answer was sent, and otherwise ends a failed
+// exchange with abort.
 func (x *Exchange) finish(err error) {
 	if err == nil {
 		completed.Add(1)
 		return
 	}
 	var refusal *request.Refusal
-	if !errors.As(err, &refusal) {
-		if x.Context.Err() != nil {
-			callersGone.Add(1)
-			return
-		}
-		eventRequestFailed.Log(x.server.deps.Logger, logrus.Fields{"RequestId": x.Request.ID, "Error": err.Error()})
-		refusal = &request.Refusal{
-			Status: http.StatusInternalServerError, Code: request.CodeEndpointFailed, Run: request.RunUnknown,
-			Message: "The request failed inside the router.",
-		}
+	isRefusal := errors.As(err, &refusal)
+	if !isRefusal && x.Context.Err() != nil {
+		callersGone.Add(1)
+		x.abort()
+	}
+	if !isRefusal {
+		refusal = x.internalFailure(err)
 	}
 	refusals.Add(string(refusal.Code), 1)
 	if x.headerSent {
-		return
+		x.abort()
 	}
 	x.refuse(refusal)
 }
+
+// internalFailure logs an unexpected error and returns the refusal for it.
+func (x *Exchange) internalFailure(err error) *request.Refusal {
+	eventRequestFailed.Log(x.server.deps.Logger, logrus.Fields{"RequestId": x.Request.ID, "Error": err.Error()})
+	return &request.Refusal{
+		Status: http.StatusInternalServerError, Code: request.CodeEndpointFailed, Run: request.RunUnknown,
+		Message: "The request failed inside the router.",
+	}
+}
+
+// abort closes the connection, so that the caller sees that its answer is
+// incomplete. It does not return. If the handler returned instead, net/http would
+// end the answer as if it were complete, also for a caller that counts as gone
+// because it has closed only its sending side.
+func (x *Exchange) abort() {
+	panic(http.ErrAbortHandler)
+}
--- a/internal/caller/openai/execution.go
+++ b/internal/caller/openai/execution.go
@@ -45,6 +45,8 @@
 	attempts          int
 	failures          int
 	mayHaveRun        bool
+	answerSent        bool
+	sentOtherContent  bool
 	excludedEndpoints []string
 }
 
@@ -61,7 +63,7 @@
 		if err != nil {
 			return r.fail(err)
 		}
-		err = r.attempt(grant)
+		err = r.ignoreLateFailure(grant, r.attempt(grant))
 		if err == nil {
 			return r.finish()
 		}
@@ -72,10 +74,35 @@
 	}
 }
 
+// ignoreLateFailure returns nil if err is the failure of an engine that had sent
+// its finish reason, because the answer is whole then. Otherwise it returns err.
+func (r *execution) ignoreLateFailure(grant *request.Grant, err error) error {
+	if r.finishReason == "" || !isEngineFailure(err) {
+		return err
+	}
+	r.logFailure(grant, err)
+	return nil
+}
+
+// isEngineFailure reports whether an attempt failed because of its engine or slot.
+func isEngineFailure(err error) bool {
+	var failure *engine.StreamError
+	return errors.Is(err, errPreempted) || errors.Is(err, errStalled) || errors.As(err, &failure)
+}
+
+func (r *execution) logFailure(grant *request.Grant, err error) {
+	eventAttemptFailed.Log(r.handler.deps.Logger, logrus.Fields{
+		"RequestId": r.x.Request.ID, "Endpoint": grant.Endpoint.ID, "Token": r.tokens, "Error": err.Error(),
+	})
+}
+
 // checkRetry returns nil when the request may be dispatched again after err.
 func (r *execution) checkRetry(grant *request.Grant, err error) error {
 	var failure *engine.StreamError
 	switch {
+	case r.sentOtherContent && isEngineFailure(err):
+		r.logFailure(grant, err)
+		return r.failureRefusal("The engine broke off an answer that no other engine can continue.")
 	case errors.Is(err, errPreempted):
 		resumedStreams.Add("Preempted", 1)
 		return nil
@@ -87,9 +114,7 @@
 	}
 	r.failures++
 	r.excludedEndpoints = append(r.excludedEndpoints, grant.Endpoint.ID)
-	eventAttemptFailed.Log(r.handler.deps.Logger, logrus.Fields{
-		"RequestId": r.x.Request.ID, "Endpoint": grant.Endpoint.ID, "Token": r.tokens, "Error": err.Error(),
-	})
+	r.logFailure(grant, err)
 	if r.failures >= maxAttempts || !r.handler.deps.TakeRetry(r.x.Request) {
 		return r.failureRefusal("The engines did not answer as they should.")
 	}
@@ -201,6 +226,7 @@
 		r.finishReason = chunk.FinishReason
 	}
 	if r.parsed.stream {
+		r.sentOtherContent = r.sentOtherContent || chunk.HasOtherContent
 		if err := r.sendEvent(chunk.Data); err != nil {
 			return &callerGoneError{err: err}
 		}
@@ -296,8 +322,11 @@
 		return err
 	}
 	r.x.Header().Set("Content-Type", "application/json")
-	r.x.SendHeader(http.StatusOK)
-	return r.x.Write(body)
+	if err := r.x.SendAnswer(http.StatusOK, body); err != nil {
+		return &callerGoneError{err: err}
+	}
+	r.answerSent = true
+	return nil
 }
 
 // fail returns the final error. When the response has started, it also sends
@@ -311,9 +340,11 @@
 	return err
 }
 
-// recordUsage records the tokens of the response for billing.
+// recordUsage records the tokens that were sent to the caller for billing. A
+// caller that does not stream gets all tokens or none.
 func (r *execution) recordUsage() {
-	if r.tokens > 0 {
+	sent := r.parsed.stream || r.answerSent
+	if sent && r.tokens > 0 {
 		r.handler.deps.RecordUsage(r.x.Request, r.promptTokens, r.tokens)
 	}
 }
--- a/internal/endpoint/engine/chunk.go
+++ b/internal/endpoint/engine/chunk.go
@@ -16,6 +16,9 @@
 	ErrWrongRequest = errors.New("chunk belongs to another request")
 	// ErrMissingTokens is returned when the token index skips ahead.
 	ErrMissingTokens = errors.New("tokens are missing")
+	// ErrNoTokenIndex is returned for a token without an index in a stream that
+	// resumes an answer, because the engine may have started from the beginning.
+	ErrNoTokenIndex = errors.New("resumed stream has no token index")
 	// ErrTruncated is returned when the stream fails or ends before its end
 	// marker, or has an end marker but no finish reason.
 	ErrTruncated = errors.New("stream ended before its end marker")
@@ -36,6 +39,10 @@
 	Data []byte
 	// Text is the text of the token, or empty if the event has none.
 	Text string
+	// HasOtherContent reports whether the event has content that is not text,
+	// such as a tool call. Tokens don't count it, so that no other engine can
+	// continue an answer after it.
+	HasOtherContent bool
 	// FinishReason is set in the last event with choices.
 	FinishReason string
 	// Usage is nil in events without token counts.
@@ -52,13 +59,14 @@
 // rawChunk holds the fields that the router reads from a chunk of the chat or
 // the completion API.
 type rawChunk struct {
-	id           string
-	text         string
-	finishReason string
-	token        int
-	hasToken     bool
-	hasError     bool
-	usage        *Usage
+	id              string
+	text            string
+	hasOtherContent bool
+	finishReason    string
+	token           int
+	hasToken        bool
+	hasError        bool
+	usage           *Usage
 }
 
 // decodeChunk decodes the data of an event. The returned id aliases data.
@@ -144,14 +152,27 @@
 
 func (r *rawChunk) decodeDelta(lexer *jlexer.Lexer) {
 	decodeObject(lexer, func(name string) bool {
-		if name != "content" {
+		switch name {
+		case "role":
 			return false
+		case "content":
+			r.text += lexer.String()
+		default:
+			r.hasOtherContent = r.hasOtherContent || !isEmptyValue(lexer.Raw())
 		}
-		r.text += lexer.String()
 		return true
 	})
 }
 
+// isEmptyValue reports whether a JSON value is an empty string, list or object.
+func isEmptyValue(value []byte) bool {
+	switch string(value) {
+	case `""`, "[]", "{}":
+		return true
+	}
+	return false
+}
+
 func decodeUsage(lexer *jlexer.Lexer) *Usage {
 	usage := &Usage{}
 	decodeObject(lexer, func(name string) bool {
@@ -177,6 +198,8 @@
 type validator struct {
 	requestID string
 	nextToken int
+	// resumed reports whether the stream continues an answer.
+	resumed bool
 }
 
 // errDuplicate is returned for a chunk whose token was received before. The
@@ -197,17 +220,21 @@
 	case raw.id != v.requestID:
 		return chunk, fmt.Errorf("%w: id %q instead of %q", ErrWrongRequest, raw.id, v.requestID)
 	}
-	chunk = Chunk{Data: data, Text: raw.text, FinishReason: raw.finishReason, Usage: raw.usage}
+	chunk = Chunk{
+		Data: data, Text: raw.text, HasOtherContent: raw.hasOtherContent, FinishReason: raw.finishReason, Usage: raw.usage,
+	}
 	if raw.text == "" {
 		return chunk, nil
 	}
 	return chunk, v.checkToken(raw)
 }
 
-// checkToken checks the index of a token, if the engine sends one, and counts
-// the token.
+// checkToken checks the index of a token, which only a stream that starts an
+// answer may lack, and counts the token.
 func (v *validator) checkToken(raw rawChunk) error {
 	switch {
+	case !raw.hasToken && v.resumed:
+		return ErrNoTokenIndex
 	case raw.hasToken && raw.token < v.nextToken:
 		return errDuplicate
 	case raw.hasToken && raw.token > v.nextToken:
