Believe a refusal of engines and services only if it belongs to the request

Callers of `banyanshift serve` could be told that a request had not run (Run: Not) while an engine or a service ran it: a refusal of an earlier request, written again on a kept connection when the next request had been read, was taken for the answer. The ID in a refusal was not looked at, and one without an ID counted on any connection.

Now the ID is compared before anything else of the answer is used, and the statement "did not run" counts only with the ID of the request or on a new connection. The true answer can't be read after a stray one, since Go's transport takes the first answer that it reads.

Ruled out: calls that may run at most once have connections of their own, on which no earlier refusal can come.

--- a/internal/endpoint/engine/stream.go
+++ b/internal/endpoint/engine/stream.go
@@ -83,7 +83,8 @@
 // Start sends a call and returns its stream once the engine has accepted it.
 // The error is a *StreamError, or the cause of the context's cancellation.
 func (c *Client) Start(ctx context.Context, endpoint entity.Endpoint, call Call) (*Stream, error) {
-	req, err := newRequest(ctx, endpoint, call)
+	traced, origin := transport.TraceOrigin(ctx)
+	req, err := newRequest(traced, endpoint, call)
 	if err != nil {
 		return nil, &StreamError{Endpoint: endpoint.ID, NotRun: true, Err: err}
 	}
@@ -94,12 +95,12 @@
 		}
 		return nil, &StreamError{Endpoint: endpoint.ID, NotRun: transport.NothingSent(err), Err: err}
 	}
-	if resp.StatusCode != http.StatusOK {
-		return nil, refusalError(endpoint, resp)
-	}
-	if got := resp.Header.Get("Request-Id"); got != "" && got != call.RequestID {
+	if transport.IsOfAnother(resp.Header, call.RequestID) {
 		_ = resp.Body.Close()
-		return nil, &StreamError{Endpoint: endpoint.ID, Err: fmt.Errorf("%w: header Request-Id is %q", ErrWrongRequest, got)}
+		return nil, &StreamError{Endpoint: endpoint.ID, Err: fmt.Errorf("%w: header Request-Id is %q", ErrWrongRequest, resp.Header.Get("Request-Id"))}
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, refusalError(endpoint, resp, origin.Proves(resp.Header, call.RequestID))
 	}
 	return &Stream{
 		endpoint:  endpoint.ID,
@@ -147,13 +148,15 @@
 	return json.Marshal(fields)
 }
 
-func refusalError(endpoint entity.Endpoint, resp *http.Response) *StreamError {
+// refusalError returns the error for an answer without a stream. A statement that the request
+// did not run counts only if the answer is proved to belong to it.
+func refusalError(endpoint entity.Endpoint, resp *http.Response, proved bool) *StreamError {
 	defer func() { _ = resp.Body.Close() }()
 	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxRefusalBodyBytes))
 	status := resp.StatusCode
 	return &StreamError{
 		Endpoint: endpoint.ID,
-		NotRun:   resp.Header.Get("Run") == "Not" || status == http.StatusBadRequest,
+		NotRun:   proved && (resp.Header.Get("Run") == "Not" || status == http.StatusBadRequest),
 		Status:   status,
 		Rejected: status == http.StatusBadRequest || status == http.StatusUnprocessableEntity,
 		Message:  refusalMessage(body),
--- a/internal/endpoint/service/service.go
+++ b/internal/endpoint/service/service.go
@@ -108,6 +108,7 @@
 
 // Do sends a call to an endpoint. Errors are of type *CallError.
 func (c *Client) Do(ctx context.Context, endpoint entity.Endpoint, call Call) (Answer, error) {
+	ctx, origin := transport.TraceOrigin(ctx)
 	req, err := newRequest(ctx, endpoint, call)
 	if err != nil {
 		return Answer{}, &CallError{Endpoint: endpoint.ID, NotRun: true, Err: err}
@@ -120,13 +121,14 @@
 	if err != nil {
 		return Answer{}, &CallError{Endpoint: endpoint.ID, NotRun: transport.NothingSent(err), Err: err}
 	}
-	if refusedWithoutRunning(resp) {
+	if transport.IsOfAnother(resp.Header, call.RequestID) {
 		_ = resp.Body.Close()
-		return Answer{}, &CallError{Endpoint: endpoint.ID, NotRun: true, Err: fmt.Errorf("refused with status %d", resp.StatusCode)}
+		return Answer{}, &CallError{Endpoint: endpoint.ID, Err: fmt.Errorf("%w: header Request-Id is %q", ErrWrongRequest, resp.Header.Get("Request-Id"))}
 	}
-	if got := resp.Header.Get("Request-Id"); got != "" && got != call.RequestID {
+	if refusedWithoutRunning(resp) {
 		_ = resp.Body.Close()
-		return Answer{}, &CallError{Endpoint: endpoint.ID, Err: fmt.Errorf("%w: header Request-Id is %q", ErrWrongRequest, got)}
+		notRun := origin.Proves(resp.Header, call.RequestID)
+		return Answer{}, &CallError{Endpoint: endpoint.ID, NotRun: notRun, Err: fmt.Errorf("refused with status %d", resp.StatusCode)}
 	}
 	if endUnknown(call.Method, resp) {
 		_ = resp.Body.Close()
--- a/internal/endpoint/transport/transport.go
+++ b/internal/endpoint/transport/transport.go
@@ -9,8 +9,10 @@
 // # Usage
 //
 //	clients := transport.New(transport.Config{})
-//	resp, err := clients.Retryable.Do(req)
-//	resp, err := clients.AtMostOnce.Do(req)
+//	ctx, origin := transport.TraceOrigin(ctx)
+//	resp, err := clients.Retryable.Do(req.WithContext(ctx))
+//	if origin.Proves(resp.Header, id) { ... the answer belongs to the request ... }
+//	resp, err = clients.AtMostOnce.Do(req)
 //	if transport.NothingSent(err) { ... no byte of the request was sent ... }
 package transport
 
