Test calls of services whose callers half-close

A caller of a repeatable call that half-closes gets no empty success, and one whose call may run only once gets the whole answer, which a retry gets again. Each fails with its guard taken out (abort that returns; a call that ends with its caller's context).

--- a/internal/caller/plain/plain_test.go
+++ b/internal/caller/plain/plain_test.go
@@ -34,13 +34,15 @@
 // fakeService counts the calls that it runs. In mode "cut" it runs the call and
 // closes the connection without an answer; in mode "half" it sends a partial
 // body; in mode "unframed" it sends a partial body without a length; in mode
-// "refusing" it rejects the call without running it.
+// "hanging" it answers once hold is closed; in mode "refusing" it rejects the call
+// without running it.
 type fakeService struct {
 	mode   atomic.Value
 	runs   atomic.Int64
 	server *httptest.Server
 	// refusing is called before the service rejects a call.
 	refusing func()
+	hold     chan struct{}
 }
 
 func (f *fakeService) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -59,6 +61,8 @@
 		w.Header().Set("Content-Length", "100")
 		_, _ = io.WriteString(w, "half")
 		return
+	case "hanging":
+		<-f.hold
 	case "unframed":
 		writeUnframed(w, "half")
 		return
