Let no read of the store that is behind undo what a peer told of an endpoint

Callers got 503, "no endpoint of the back end can take the request", from two gateways for as long as a test watched (15 s), although the entry of the back end's endpoint was in the store and sound. The entry had been made unreadable and sound again within some ten milliseconds; an entry that is removed and written again does the same.

Each gateway that follows the store also takes over the changes of its peers. A peer's news moved the list to position N+1; the gateway's own read, sent before, then brought the removal at position N, which was applied to the list and passed on as of N+1. The peers, at N+1 as well, applied it too, and the echo of it removed the entry again at the gateway that had meanwhile read it. All lists were then equal, so that nothing corrected them until the endpoint wrote its entry again.

The roster now remembers for 10 s at which position a peer told of an entry, and takes over from a read of an earlier position only that the endpoint is leaving. What no peer has told of is applied as before, so that a lost message of a peer costs nothing. Nothing sent between daemons changes.

Ruled out: the endpoint's connections, its place among the ejected ones, and the follower of the store, which had delivered the row (the log shows it added and then removed).

The roster's test fails on the code before: endpoints are "b", want "a".

--- a/internal/endpoint/roster/peer.go
+++ b/internal/endpoint/roster/peer.go
@@ -31,30 +31,33 @@
 		return
 	}
 	if at.Before(r.position) || at.Era != r.position.Era {
-		r.markLeavingEntries(entries)
+		r.publishIf(r.markLeavingEntries(entries))
 		return
 	}
 	changed := false
+	now := r.clock.Now()
 	for _, entry := range entries {
+		r.told.record(now, entry.ID, at)
 		changed = r.putFromPeer(entry) || changed
 	}
 	for _, id := range removed {
+		r.told.record(now, id, at)
 		changed = r.drop(id) || changed
 	}
 	r.position = at
 	r.publishIf(changed)
 }
 
-// markLeavingEntries marks the endpoints as leaving that are so in entries.
-func (r *Roster) markLeavingEntries(entries []Endpoint) {
-	marked := false
+// markLeavingEntries marks the endpoints as leaving that are so in entries, and reports
+// whether that changed the list.
+func (r *Roster) markLeavingEntries(entries []Endpoint) (marked bool) {
 	for _, entry := range entries {
 		held, found := r.endpoints[entry.ID]
 		if found && entry.Leaving && held.Incarnation == entry.Incarnation {
 			marked = r.markLeaving(held) || marked
 		}
 	}
-	r.publishIf(marked)
+	return marked
 }
 
 // putFromPeer applies an entry of another daemon, and reports whether that changed the
--- a/internal/endpoint/roster/roster.go
+++ b/internal/endpoint/roster/roster.go
@@ -72,6 +72,8 @@
 	// restored holds what to know of removed endpoints if the table comes back from
 	// a copy that still has their entries.
 	restored restored
+	// told holds the news of other daemons that a read of the table may be behind.
+	told told
 	// confirmedAt is the latest time at which the list was known to match the
 	// table.
 	confirmedAt clock.Millis
@@ -87,7 +89,7 @@
 // every new list. drainTime is how long endpoints serve after they announce
 // that they are leaving, or 0 if that is not known.
 func New(clk clock.Clock, drainTime clock.Millis, onChange func([]Endpoint)) *Roster {
-	return &Roster{clock: clk, drainTime: drainTime, onChange: onChange, endpoints: make(map[string]Endpoint), restored: newRestored()}
+	return &Roster{clock: clk, drainTime: drainTime, onChange: onChange, endpoints: make(map[string]Endpoint), restored: newRestored(), told: make(told)}
 }
 
 // MarkTableUnavailable records that the table cannot be read. The next call of
@@ -143,7 +145,8 @@
 }
 
 // Update applies changed and removed entries, which were read from the table
-// at asOf. It does nothing if the list is of a later era.
+// at asOf. Of entries of which another daemon has told something later, it only takes over
+// that they are leaving. It does nothing if the list is of a later era.
 func (r *Roster) Update(entries []Endpoint, removed []string, at table.Position, asOf clock.Millis) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -151,12 +154,16 @@
 		return
 	}
 	r.markTableAvailable(asOf)
-	changed := false
-	for _, entry := range entries {
+	fresh, older := r.told.split(entries, at)
+	changed := r.markLeavingEntries(older)
+	for _, entry := range fresh {
 		r.restored.forget(entry.ID)
 		changed = r.put(entry) || changed
 	}
 	for _, id := range removed {
+		if r.told.isNewer(id, at) {
+			continue
+		}
 		r.restored.forget(id)
 		changed = r.remove(id) || changed
 	}
@@ -315,6 +322,7 @@
 			return err
 		}
 		r.mu.Lock()
+		r.told.expire(r.clock.Now())
 		removed := r.removeExpiredMissing()
 		r.publishIf(r.showHidden() || removed)
 		r.mu.Unlock()
--- a/internal/endpoint/roster/roster_test.go
+++ b/internal/endpoint/roster/roster_test.go
@@ -265,6 +265,28 @@
 	f.expect(t, "a")
 }
 
+// TestReadThatIsBehindAPeerDoesNotUndoItsNews guards against an endpoint that is lost, or comes
+// back, since a read of the table was under way while a peer told of a later change.
+func TestReadThatIsBehindAPeerDoesNotUndoItsNews(t *testing.T) {
+	f := newFixture("a", "b")
+	f.UpdateFromPeer([]roster.Endpoint{entry("a", 1)}, []string{"b"}, at(9))
+	f.Update([]roster.Endpoint{entry("b", 1)}, []string{"a"}, at(8), f.clock.Now())
+	f.expect(t, "a")
+	f.Update([]roster.Endpoint{entry("b", 1)}, []string{"a"}, at(9), f.clock.Now())
+	f.expect(t, "b")
+}
+
+// TestReadThatIsBehindAPeerStillTellsOfLeaving guards against requests for an endpoint that
+// leaves, since the peer's own read was behind as well.
+func TestReadThatIsBehindAPeerStillTellsOfLeaving(t *testing.T) {
+	f := newFixture("a")
+	f.UpdateFromPeer([]roster.Endpoint{entry("a", 1)}, nil, at(9))
+	leaving := entry("a", 1)
+	leaving.Leaving = true
+	f.Update([]roster.Endpoint{leaving}, nil, at(8), f.clock.Now())
+	f.expect(t, "a(leaving)")
+}
+
 // TestLeavingAtAPeerCountsInAnyRevision guards against requests for an endpoint that is
 // known to leave: a read that was behind may have brought this list to a later revision
 // without the change.
