--- a/internal/decide/balance/estimate.go
+++ b/internal/decide/balance/estimate.go
@@ -73,7 +73,7 @@
 // estimateService predicts the response time of a plain service in
 // milliseconds.
 func (p *pool) estimateService(now clock.Millis, r *replica) float64 {
-	return p.serviceTime(now, r) * (r.queueFactor(now) + float64(r.load(now))/float64(8*max(r.Slots, 1)))
+	return p.serviceTime(now, r) * (r.queueFactor(now) + float64(r.load(now))/(8*float64(max(r.Slots, 1))))
 }
 
 // load returns the number of requests at the endpoint that are known of, or that it reported
