Do not use an endpoint whose entry became unreadable during an outage

For 2 s after an outage of the store, callers' requests still reached an endpoint in whose place another writer's entry stood. An entry that cannot be decoded counted as removed, and one that is removed right after an outage is kept as missing, since endpoints that could not write are back soon. But an unreadable entry is not missing: it names no endpoint to use.

The roster now drops such endpoints at once, unless a peer has told of their entries at a later position.

--- a/internal/daemon/gateway/follow.go
+++ b/internal/daemon/gateway/follow.go
@@ -128,32 +128,35 @@
 }
 
 func (d *Daemon) replaceEndpoints(rows []table.Row, at table.Position, asOf clock.Millis) {
-	entries, _ := d.decodeEndpoints(rows)
+	entries, _, unreadable := d.decodeEndpoints(rows)
 	d.roster.Replace(entries, at, asOf)
+	d.roster.Drop(unreadable, at)
 }
 
 func (d *Daemon) updateEndpoints(rows []table.Row, at table.Position, asOf clock.Millis) {
-	entries, removed := d.decodeEndpoints(rows)
+	entries, removed, unreadable := d.decodeEndpoints(rows)
 	d.roster.Update(entries, removed, at, asOf)
+	d.roster.Drop(unreadable, at)
 }
 
-// decodeEndpoints decodes the entries in rows. An entry that cannot be decoded
-// counts as removed.
-func (d *Daemon) decodeEndpoints(rows []table.Row) (entries []roster.Endpoint, removed []string) {
+// decodeEndpoints decodes the entries in rows, and returns the IDs of those that were
+// removed or cannot be decoded.
+func (d *Daemon) decodeEndpoints(rows []table.Row) (entries []roster.Endpoint, removed, unreadable []string) {
 	for _, row := range rows {
+		id := d.platform.EndpointID(row.Key)
 		if row.Version == 0 {
-			removed = append(removed, d.platform.EndpointID(row.Key))
+			removed = append(removed, id)
 			continue
 		}
 		entry, err := d.platform.DecodeEndpoint(row)
 		if err != nil {
 			eventEndpointUnreadable.Log(d.logger, logrus.Fields{"Key": row.Key, "Error": err.Error()})
-			removed = append(removed, d.platform.EndpointID(row.Key))
+			unreadable = append(unreadable, id)
 			continue
 		}
 		entries = append(entries, entry)
 	}
-	return entries, removed
+	return entries, removed, unreadable
 }
 
 // handleEndpoints applies a new list of endpoints from the roster.
--- a/internal/endpoint/roster/roster.go
+++ b/internal/endpoint/roster/roster.go
@@ -262,6 +262,24 @@
 	return r.drop(id)
 }
 
+// Drop removes endpoints whose entries cannot be used, as read at a position of the table.
+// Unlike those that Update removes, they are not missing after an outage, since something else
+// stands in their place.
+func (r *Roster) Drop(ids []string, at table.Position) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if at.Era < r.position.Era {
+		return
+	}
+	changed := false
+	for _, id := range ids {
+		if !r.told.isNewer(id, at) {
+			changed = r.drop(id) || changed
+		}
+	}
+	r.publishIf(changed)
+}
+
 // drop deletes an entry and remembers that it was removed.
 func (r *Roster) drop(id string) (changed bool) {
 	entry, found := r.endpoints[id]
--- a/internal/endpoint/roster/roster_test.go
+++ b/internal/endpoint/roster/roster_test.go
@@ -144,6 +144,18 @@
 	f.expect(t, "ab")
 }
 
+// TestUnusableEntryIsNotMissing guards against requests for an endpoint whose entry another
+// writer has replaced during an outage.
+func TestUnusableEntryIsNotMissing(t *testing.T) {
+	f := newFixture("a", "b")
+	f.loseA()
+	f.Drop([]string{"a", "c"}, at(2))
+	f.expect(t, "b")
+	f.UpdateFromPeer([]roster.Endpoint{entry("a", 1)}, nil, at(4))
+	f.Drop([]string{"a"}, at(3))
+	f.expect(t, "ab")
+}
+
 func TestMissingEntryIsRemovedAfterGracePeriod(t *testing.T) {
 	f := newFixture("a", "b")
 	f.loseA()
