Ask others which software version began a stream before trusting one's own list

A caller that took a stream up with 200 got the rest from another software version: a stream of version 2 went on with events of version 1. The gateway it came to had been frozen (SIGSTOP) for less than 3 s while the first endpoint of version 2 registered and began streams elsewhere.

Cause: FindStream took the only version of its own list for the one that began the stream, as long as the list was at most 3 s old, and asked others only if that failed. Within these 3 s a version that others already use may be missing.

Now it asks the daemons that are told of streams first, and takes the only version of its list if none of them knows another. If there are others and none answers, it knows nothing, and the caller gets 503 (not run). Ruled out: the row of the versions, which a daemon with a whole past does not read.

Each taking up of a stream costs a few messages also while there is one version, and up to 300 ms if a daemon that is asked is silent.

--- a/internal/peer/fleet/streams.go
+++ b/internal/peer/fleet/streams.go
@@ -131,11 +131,13 @@
 	s := f.streams
 	id := origin.ID(attempt)
 	version, source := s.find(id), sourceMemory
+	uncontradicted := false
 	if version == nil {
-		version, source = s.sole(ctx, backend), sourceSole
+		version, uncontradicted = s.askContacts(ctx, id)
+		source = sourcePeer
 	}
-	if version == nil {
-		version, source = s.ask(ctx, id, f.contacts(), true), sourcePeer
+	if version == nil && uncontradicted {
+		version, source = s.sole(ctx, backend), sourceSole
 	}
 	if version == nil {
 		source = sourceUnknown
@@ -148,6 +150,15 @@
 	return found
 }
 
+// askContacts asks other daemons, also if the list has a single version: this daemon may have
+// been frozen or slow while a new one appeared. uncontradicted is set if nobody knows another
+// version: a daemon has answered, or there is none to ask.
+func (s *streams) askContacts(ctx context.Context, id uint64) (version *string, uncontradicted bool) {
+	contacts := s.fleet.contacts()
+	version, heard := s.ask(ctx, id, contacts, true)
+	return version, heard || len(contacts) == 0
+}
+
 // describe returns what this daemon knows of the software versions of a back end.
 func (s *streams) describe(backend string) relay.Origin {
 	now := s.fleet.config.Clock.Now()
@@ -186,30 +197,38 @@
 }
 
 // ask asks daemons for the software version that began a stream, and returns the first
-// one that is known.
-func (s *streams) ask(ctx context.Context, id uint64, addresses []string, askRoots bool) *string {
+// one that is known. heard is set if any of them answered.
+func (s *streams) ask(ctx context.Context, id uint64, addresses []string, askRoots bool) (version *string, heard bool) {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout.Duration())
 	defer cancel()
-	answers := make(chan originAnswer, len(addresses))
+	answers := make(chan heardOrigin, len(addresses))
 	for _, address := range addresses {
 		go s.askOne(ctx, address, originRequest{ID: id, AskRoots: askRoots}, answers)
 	}
 	for range addresses {
-		if answer := <-answers; answer.Known {
-			return &answer.SoftwareVersion
+		answer := <-answers
+		heard = heard || answer.heard
+		if answer.Known {
+			return &answer.SoftwareVersion, heard
 		}
 	}
-	return nil
+	return nil, heard
+}
+
+// heardOrigin is the answer of a daemon, if it was heard.
+type heardOrigin struct {
+	originAnswer
+	heard bool
 }
 
 // askOne passes on the answer of a daemon. One that does not answer knows nothing.
-func (s *streams) askOne(ctx context.Context, address string, request originRequest, answers chan<- originAnswer) {
+func (s *streams) askOne(ctx context.Context, address string, request originRequest, answers chan<- heardOrigin) {
 	f := s.fleet
 	answer, err := link.Call[originRequest, originAnswer](ctx, f.config.Link, link.Peer{Address: address}, message.FleetStreamOrigin, request)
 	if err != nil && ctx.Err() == nil {
 		f.config.Logger.WithError(err).WithField("Address", address).Debug("peer could not be asked for the origin of a stream")
 	}
-	answers <- answer
+	answers <- heardOrigin{originAnswer: answer, heard: err == nil}
 }
 
 func (f *Fleet) serveOrigin(ctx context.Context, _ string, request originRequest) (originAnswer, error) {
@@ -219,7 +238,7 @@
 		f.mu.Lock()
 		roots := f.view.RemoteRoots(f.config.Clock.Now())
 		f.mu.Unlock()
-		version = s.ask(ctx, request.ID, roots, false)
+		version, _ = s.ask(ctx, request.ID, roots, false)
 	}
 	if version == nil {
 		return originAnswer{}, nil
--- a/internal/peer/fleet/streams_test.go
+++ b/internal/peer/fleet/streams_test.go
@@ -117,3 +117,21 @@
 	}
 	return rows
 }
+
+// TestSoftwareVersionIsNotGuessedWhileNobodyAnswers guards against a daemon that is cut off and
+// takes the only version of an old list for the one that began a stream.
+func TestSoftwareVersionIsNotGuessedWhileNobodyAnswers(t *testing.T) {
+	t.Parallel()
+	known := table.NewMemory().Client()
+	first := startWith(t, environment{clock: clock.System(), firstStart: true}, "north-1", known)
+	asked := start(t, "south-1", known)
+	eventually(t, "the daemons know each other", func() bool { return first.fleet.DaemonCount() == 2 && asked.fleet.DaemonCount() == 2 })
+	eventually(t, "the only version is believed", func() bool {
+		setSoftware(map[string]*daemon{"north-1": first, "south-1": asked}, "1") // Lists become old.
+		return findStream(asked, "unknown") == "1"
+	})
+	first.stop()
+	if got := findStream(asked, "unknown"); got != "" {
+		t.Errorf("got version %q while nobody answers, want none", got)
+	}
+}
