--- a/internal/peer/fleet/streams.go
+++ b/internal/peer/fleet/streams.go
@@ -143,16 +143,17 @@
 }
 
 // search asks other daemons for the software version that began a stream. If none of them
-// knows, it is the only version of the back end. Meanwhile this daemon finds out whether
-// there is only one as far as it knows: its list may lack one that was added just now.
+// knows, it is the only version of the back end. This daemon may have been frozen or slow while
+// a new one appeared, so that an answer of another one is needed, if there are others.
 func (s *streams) search(ctx context.Context, id uint64, backend string) (version *string, source string) {
-	others := &originSearch{streams: s, id: id, found: make(chan *string, 1)}
+	others := &originSearch{streams: s, id: id, addresses: s.fleet.contacts(), done: make(chan struct{})}
 	go others.run(ctx)
 	sole := s.sole(ctx, backend)
-	if version = <-others.found; version != nil {
-		return version, sourcePeer
-	}
-	if sole != nil {
+	<-others.done
+	switch {
+	case others.version != nil:
+		return others.version, sourcePeer
+	case sole != nil && (others.heard || len(others.addresses) == 0):
 		return sole, sourceSole
 	}
 	return nil, sourceUnknown
@@ -160,14 +161,19 @@
 
 // originSearch asks other daemons for the software version that began a stream.
 type originSearch struct {
-	streams *streams
-	id      uint64
-	// found receives the version, nil if no daemon knows it.
-	found chan *string
+	streams   *streams
+	id        uint64
+	addresses []string
+	// done is closed after version, which is nil if nobody knows it, and heard, whether any
+	// daemon has answered, are set.
+	done    chan struct{}
+	version *string
+	heard   bool
 }
 
 func (o *originSearch) run(ctx context.Context) {
-	o.found <- o.streams.ask(ctx, o.id, o.streams.fleet.contacts(), true)
+	defer close(o.done)
+	o.version, o.heard = o.streams.ask(ctx, o.id, o.addresses, true)
 }
 
 // describe returns what this daemon knows of the software versions of a back end.
@@ -208,30 +214,38 @@
 }
 
 // ask asks daemons for the software version that began a stream, and returns the first
-// one that is known.
-func (s *streams) ask(ctx context.Context, id uint64, addresses []string, askRoots bool) *string {
+// one that is known. heard is set if any of them answered.
+func (s *streams) ask(ctx context.Context, id uint64, addresses []string, askRoots bool) (version *string, heard bool) {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout.Duration())
 	defer cancel()
-	answers := make(chan originAnswer, len(addresses))
+	answers := make(chan heardOrigin, len(addresses))
 	for _, address := range addresses {
 		go s.askOne(ctx, address, originRequest{ID: id, AskRoots: askRoots}, answers)
 	}
 	for range addresses {
-		if answer := <-answers; answer.Known {
-			return &answer.SoftwareVersion
+		answer := <-answers
+		heard = heard || answer.heard
+		if answer.Known {
+			return &answer.SoftwareVersion, heard
 		}
 	}
-	return nil
+	return nil, heard
+}
+
+// heardOrigin is the answer of a daemon, if it was heard.
+type heardOrigin struct {
+	originAnswer
+	heard bool
 }
 
 // askOne passes on the answer of a daemon. One that does not answer knows nothing.
-func (s *streams) askOne(ctx context.Context, address string, request originRequest, answers chan<- originAnswer) {
+func (s *streams) askOne(ctx context.Context, address string, request originRequest, answers chan<- heardOrigin) {
 	f := s.fleet
 	answer, err := link.Call[originRequest, originAnswer](ctx, f.config.Link, link.Peer{Address: address}, message.FleetStreamOrigin, request)
 	if err != nil && ctx.Err() == nil {
 		f.config.Logger.WithError(err).WithField("Address", address).Debug("peer could not be asked for the origin of a stream")
 	}
-	answers <- answer
+	answers <- heardOrigin{originAnswer: answer, heard: err == nil}
 }
 
 func (f *Fleet) serveOrigin(ctx context.Context, _ string, request originRequest) (originAnswer, error) {
@@ -241,7 +255,7 @@
 		f.mu.Lock()
 		roots := f.view.RemoteRoots(f.config.Clock.Now())
 		f.mu.Unlock()
-		version = s.ask(ctx, request.ID, roots, false)
+		version, _ = s.ask(ctx, request.ID, roots, false)
 	}
 	if version == nil {
 		return originAnswer{}, nil
