State the role once in a stream that is continued

Engines state the role of an answer in a first chunk without text. The caller of a stream that was continued on another engine got that chunk again in mid-stream; clients that add up the pieces join the role to itself. A chunk without content from an engine that continues a stream is now dropped.

--- a/internal/caller/openai/execution.go
+++ b/internal/caller/openai/execution.go
@@ -225,7 +225,7 @@
 	if chunk.FinishReason != "" {
 		r.finishReason = chunk.FinishReason
 	}
-	if r.parsed.stream {
+	if r.parsed.stream && !r.repeatsStart(chunk) {
 		r.sentOtherContent = r.sentOtherContent || chunk.HasOtherContent
 		if err := r.sendEvent(chunk.Data); err != nil {
 			return &callerGoneError{err: err}
@@ -243,6 +243,14 @@
 	return nil
 }
 
+// repeatsStart reports whether a chunk has no content and was sent by an engine
+// that continues the stream. Engines send such a chunk, which states the role, at
+// the start.
+func (r *execution) repeatsStart(chunk engine.Chunk) bool {
+	continues := r.attempts > 1 && r.x.HeaderSent()
+	return continues && chunk.Text == "" && !chunk.HasOtherContent && chunk.FinishReason == "" && chunk.Usage == nil
+}
+
 // callerGoneError reports that the response could not be written to the caller.
 type callerGoneError struct {
 	err error
--- a/internal/caller/openai/incomplete_test.go
+++ b/internal/caller/openai/incomplete_test.go
@@ -122,3 +122,22 @@
 		})
 	}
 }
+
+func TestResumedStreamStatesItsRoleOnce(t *testing.T) {
+	const total = 8
+	r := newTestServer(t,
+		&fakeEngine{fault: cut, tokensBeforeFault: 3, totalTokens: total, sendsRole: true},
+		&fakeEngine{totalTokens: total, sendsRole: true})
+	resp := r.post(t, ChatPath, secret, fmt.Sprintf(chatBody, `,"stream":true`))
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, last := readStream(t, strings.NewReader(string(data)))
+	if text != expectedText(total) || last != "[DONE]" {
+		t.Errorf("got text %q and last event %q, want the complete text and [DONE]", text, last)
+	}
+	if got := strings.Count(string(data), `"role"`); got != 1 {
+		t.Errorf("got the role %d times, want once", got)
+	}
+}
--- a/internal/caller/openai/openai_test.go
+++ b/internal/caller/openai/openai_test.go
@@ -57,6 +57,8 @@
 	// toolCalls makes the engine send tool calls, which have no token index, in
 	// place of text.
 	toolCalls bool
+	// sendsRole makes the engine send the role in a chunk of its own.
+	sendsRole bool
 	// withoutResume makes the engine ignore that a call resumes an answer, and
 	// send no token indexes.
 	withoutResume bool
@@ -87,6 +89,9 @@
 	if f.withoutResume {
 		first = 0
 	}
+	if f.sendsRole {
+		_, _ = fmt.Fprintf(w, `data: {"id":%q,"choices":[{"index":0,"delta":{"role":"assistant","content":""},"finish_reason":null}]}`+"\n\n", id)
+	}
 	for i := first; i < f.totalTokens; i++ {
 		if i == f.tokensBeforeFault && f.injectFault(w, r, id, i) {
 			return
