Reset connections of HTTP/1.0 callers of serve whose stream breaks off

A stream of banyanshift serve that broke off looked complete to an HTTP/1.0 caller, such as a proxy with that version for its upstream: HTTP/1.0 has no chunks, so that the regular end of the connection is the end of the answer.

Such a connection is now ended with a TCP reset, as the gateway does, and below TLS, so that no close_notify looks like a regular end either. HTTP/1.1 callers aren't concerned, nor answers with a length. A failed reset is logged as event 1103.

--- a/internal/caller/entry/entry.go
+++ b/internal/caller/entry/entry.go
@@ -31,7 +31,6 @@
 	iriscontext "github.com/kataras/iris/v12/context"
 	"github.com/samber/oops"
 	"github.com/sirupsen/logrus"
-	"golang.org/x/net/netutil"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/config/state"
@@ -134,7 +133,7 @@
 		return err
 	}
 	if limit := s.deps.Settings.MaxConnections; limit > 0 {
-		listener = netutil.LimitListener(listener, limit)
+		listener = newConnLimiter(listener, limit)
 	}
 	s.listener = listener
 	if s.deps.TLS != nil {
--- a/internal/caller/entry/entry_test.go
+++ b/internal/caller/entry/entry_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"crypto/sha256"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -50,6 +51,13 @@
 }
 
 func startServer(t *testing.T, settings ini.Caller, ready func() error, handler Handler) *Server {
+	t.Helper()
+	return startTLSServer(t, settings, nil, ready, handler)
+}
+
+// startTLSServer starts a server. Its connections are not encrypted if tlsConfig
+// is nil.
+func startTLSServer(t *testing.T, settings ini.Caller, tlsConfig *tls.Config, ready func() error, handler Handler) *Server {
 	t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
@@ -66,7 +74,7 @@
 		settings.WriteStallTimeout = 10 * clock.Second
 	}
 	s := New(Dependencies{
-		Settings: settings, Clock: clock.System(), Logger: logger, State: seededState(t),
+		Settings: settings, TLS: tlsConfig, Clock: clock.System(), Logger: logger, State: seededState(t),
 		Ready: ready, NewID: func() string { return "r1" },
 	})
 	s.HandleUnmatched(handler)
--- a/internal/caller/entry/events.go
+++ b/internal/caller/entry/events.go
@@ -12,6 +12,8 @@
 		"The daemon no longer accepts connections of callers. Check the error and replace the VM.")
 	eventRequestFailed = event.New(1102, logrus.WarnLevel, "request failed inside the router",
 		"The caller got status 500 with Run: Unknown, or an incomplete answer if its header had been sent.")
+	eventNotReset = event.New(1103, logrus.WarnLevel, "connection of an HTTP/1.0 caller was not reset",
+		"An incomplete answer may look complete to the caller, because its connection may have ended regularly.")
 )
 
 var (
--- a/internal/caller/entry/exchange.go
+++ b/internal/caller/entry/exchange.go
@@ -300,5 +300,29 @@
 // end the answer as if it were complete, also for a caller that counts as gone
 // because it has closed only its sending side.
 func (x *Exchange) abort() {
+	if x.endsWithConnection() {
+		if err := x.resetConnection(); err != nil {
+			eventNotReset.Log(x.server.deps.Logger, logrus.Fields{"RequestId": x.Request.ID, "Error": err.Error()})
+		}
+	}
 	panic(http.ErrAbortHandler)
 }
+
+// endsWithConnection reports whether the caller takes the end of the connection for
+// the end of the answer, because HTTP/1.0 has no chunks.
+func (x *Exchange) endsWithConnection() bool {
+	return x.headerSent && !x.HTTP.ProtoAtLeast(1, 1) && x.Header().Get("Content-Length") == ""
+}
+
+// resetConnection resets the caller's connection below TLS, so that neither TCP nor
+// TLS shows a regular end.
+func (x *Exchange) resetConnection() error {
+	conn, _, err := x.controller.Hijack()
+	if err != nil {
+		return err
+	}
+	err = resetTCP(conn)
+	// Releases the connection's slot; the connection itself is closed already.
+	_ = conn.Close()
+	return err
+}
--- a/internal/caller/entry/incomplete_test.go
+++ b/internal/caller/entry/incomplete_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -221,3 +224,36 @@
 		t.Errorf("got status %d and %d of %d bytes as a complete answer", status, len(body), len(answer))
 	}
 }
+
+func TestFailedStreamDoesNotLookCompleteToAnHTTP10Caller(t *testing.T) {
+	s := startServer(t, ini.Caller{MaxConnections: 2}, alwaysReady, func(x *Exchange) error {
+		return errors.Join(writeFirstLine(x), errors.New("something failed"))
+	})
+	for range 3 {
+		caller := dial(t, s)
+		caller.send(t, "GET /x HTTP/1.0\r\n\r\n")
+		if status, body, err := caller.receive(); status != http.StatusOK || err == nil {
+			t.Errorf("got status %d, body %q, error %v; want 200 and a broken connection", status, body, err)
+		}
+	}
+}
+
+func TestFailedStreamOverTLSDoesNotLookCompleteToAnHTTP10Caller(t *testing.T) {
+	certified := httptest.NewTLSServer(nil)
+	defer certified.Close()
+	serverConfig := &tls.Config{Certificates: certified.TLS.Certificates, MinVersion: tls.VersionTLS12}
+	s := startTLSServer(t, ini.Caller{MaxConnections: 2}, serverConfig, alwaysReady, func(x *Exchange) error {
+		return errors.Join(writeFirstLine(x), errors.New("something failed"))
+	})
+	roots := x509.NewCertPool()
+	roots.AddCert(certified.Certificate())
+	conn, err := tls.Dial("tcp", s.Address(), &tls.Config{RootCAs: roots, ServerName: "example.com"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = io.WriteString(conn, "GET /x HTTP/1.0\r\n\r\n")
+	if answer, err := io.ReadAll(conn); err == nil {
+		t.Errorf("got the complete answer %q, want a broken connection", answer)
+	}
+}
