Don't take a slow caller for a stalled engine

While a chunk was being written to a caller that read nothing, the time counted as silence of the engine: after 10 s and ten times the target of the class, the attempt was canceled, the engine excluded and counted as failed, and after six of these the caller's stream was cut. It needs a WriteStallTimeout longer than that: the default of 15 s is, for classes with a target under 500 ms.

The monitor now counts only the time for which the router waits for the engine; a caller that doesn't read is the matter of WriteStallTimeout.

Not shown with a real caller.

--- a/internal/caller/openai/execution.go
+++ b/internal/caller/openai/execution.go
@@ -199,6 +199,7 @@
 		}
 	}()
 	for {
+		monitor.awaitEngine()
 		chunk, err := stream.Next()
 		if err != nil {
 			return err
--- a/internal/caller/openai/monitor.go
+++ b/internal/caller/openai/monitor.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// stallTimeout is how long an engine may send nothing, apart from the
-	// allowance of firstTokenTimeoutFactor.
+	// stallTimeout is how long an engine may send nothing while the router waits
+	// for it, apart from the allowance of firstTokenTimeoutFactor.
 	stallTimeout = 10 * clock.Second
 	// stallCheckInterval is the time between two checks for a stall.
 	stallCheckInterval = 1 * clock.Second
@@ -25,24 +25,33 @@
 	deps   Dependencies
 	grant  *request.Grant
 	cancel context.CancelCauseFunc
-	// lastActivity is the time of the last message from the engine, as
-	// clock.Millis.
-	lastActivity atomic.Int64
+	// waitingSince is the time since which the router waits for the engine, as
+	// clock.Millis, or notWaiting.
+	waitingSince atomic.Int64
 	maxSilence   clock.Millis
 }
 
+// notWaiting is the value of waitingSince while a chunk is written to the caller,
+// who may read slowly.
+const notWaiting = -1
+
 func newAttemptMonitor(deps Dependencies, req *request.Request, grant *request.Grant, cancel context.CancelCauseFunc) *attemptMonitor {
 	m := &attemptMonitor{
 		deps: deps, grant: grant, cancel: cancel,
 		maxSilence: stallTimeout + firstTokenTimeoutFactor*req.FirstTokenTarget,
 	}
-	m.lastActivity.Store(int64(deps.Clock.Now()))
+	m.awaitEngine()
 	return m
 }
 
+// awaitEngine records that the router waits for the engine from now on.
+func (m *attemptMonitor) awaitEngine() {
+	m.waitingSince.Store(int64(m.deps.Clock.Now()))
+}
+
 // recordActivity records that the engine sent something.
 func (m *attemptMonitor) recordActivity() {
-	m.lastActivity.Store(int64(m.deps.Clock.Now()))
+	m.waitingSince.Store(notWaiting)
 }
 
 // run monitors the attempt until ctx ends.
@@ -65,6 +74,11 @@
 	}
 }
 
+// silence returns how long the router has been waiting for the engine.
 func (m *attemptMonitor) silence() clock.Millis {
-	return m.deps.Clock.Now() - clock.Millis(m.lastActivity.Load())
+	since := m.waitingSince.Load()
+	if since == notWaiting {
+		return 0
+	}
+	return m.deps.Clock.Now() - clock.Millis(since)
 }
