Count an attempt that a panic ends as failed

Cause: since the result of an attempt has no value of its own while it is under way, and the zero value was "answered". A panic on the way released the endpoint's permit as a success and the trial of a request that may crash endpoints as passed.

Change: the zero value is "broken off". Callers see a panic as before: net/http closes the connection.

--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -26,10 +26,11 @@
 type result int
 
 const (
+	// brokenOff: the answer broke off after a part of it was written to the caller. This is
+	// the zero value, so that it is also the result of an attempt that a panic ends.
+	brokenOff result = iota
 	// answered: the answer was written to the caller in full.
-	answered result = iota
-	// brokenOff: the answer broke off after a part of it was written to the caller.
-	brokenOff
+	answered
 	// notSent: no endpoint that could run the request received any of it.
 	notSent
 	// notRun: the endpoint reported that it did not run the request.
--- a/internal/caller/relay/relay_test.go
+++ b/internal/caller/relay/relay_test.go
@@ -75,6 +75,8 @@
 	refusal relay.Refusal
 	// drained is the endpoint that gets no requests that wait to be sent.
 	drained string
+	// panics makes the scheduler panic when the first event of a stream arrives.
+	panics bool
 }
 
 // newConnector returns a Connector of a daemon without peers.
@@ -173,8 +175,12 @@
 		Acquire: func(context.Context, relay.Placement, int, clock.Millis) relay.Permit {
 			return relay.Permit{Granted: true, Release: f.release}
 		},
-		SetAside:         func(string, clock.Millis) {},
-		RecordFirstToken: func(relay.Placement) {},
+		SetAside: func(string, clock.Millis) {},
+		RecordFirstToken: func(relay.Placement) {
+			if f.panics {
+				panic(http.ErrAbortHandler)
+			}
+		},
 		RecordEnd: func(_ relay.Placement, o balance.Outcome) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
