Ask only the endpoint itself whether it ended with its answer

Callers could still get an answer that has neither a length nor chunks, and that was cut by the end of its endpoint's process, as a complete one.

Cause: at the end of such an answer, the check of the path to the endpoint was used. It counts an endpoint that refuses connections as alive if a peer says that it reaches it, and a peer answers from an idle connection whose end may not have arrived there yet, for example on a slow link. Besides, the check that is under way for another request is shared, and may have begun before the endpoint's end.

Change: a dial of its own decides, whatever peers say. The end of the connection has just arrived from the endpoint, so that a refusal does not come from a broken path. This also saves the messages to peers for each answer that ends so.

Evidence: TestEndpointThatRefusesConnectionsIsBelievedOverAPeer failed in 3 of 3 runs with the check of the path in place of the dial ("an endpoint that refuses connections is not noticed"); go test -race ./internal/endpoint/connect ./internal/endpoint/http1 pass, and ./platform -run KilledEndpoint in 3 of 3.

Not mended: an endpoint that answers the dial after more than dialPatience, or is up again by then, counts as alive.

--- a/internal/daemon/gateway/forward.go
+++ b/internal/daemon/gateway/forward.go
@@ -14,7 +14,7 @@
 
 // buildConnections builds the ways to endpoints: this daemon's own connections, and peers.
 func (d *Daemon) buildConnections() {
-	d.pool = http1.New(http1.Config{Clock: d.clock, AnsweredID: d.platform.AnsweredID, IsDown: d.isAddressDown, Dial: d.platform.DialEndpoint})
+	d.pool = http1.New(http1.Config{Clock: d.clock, AnsweredID: d.platform.AnsweredID, IsDown: d.refusesConnections, Dial: d.platform.DialEndpoint})
 	client := forward.NewClient(d.clock, d.forwardPort())
 	d.connector = connect.New(connect.Config{
 		Clock: d.clock, Logger: d.logger, Pool: d.pool, Open: client.Open, Peers: d.forwardingPeers,
@@ -25,10 +25,9 @@
 	})
 }
 
-// isAddressDown reports whether an endpoint refuses connections at an address.
-func (d *Daemon) isAddressDown(endpoint, address string) bool {
-	domain := d.scheduler.Endpoint(endpoint).FailureDomain
-	return d.connector.IsDown(context.Background(), connect.Target{Endpoint: endpoint, Address: address, FailureDomain: domain})
+// refusesConnections reports whether an endpoint refuses connections at an address.
+func (d *Daemon) refusesConnections(endpoint, address string) bool {
+	return d.connector.Refuses(context.Background(), connect.Target{Endpoint: endpoint, Address: address})
 }
 
 // forwardPort returns the port at which all daemons forward requests, "" if they do not.
--- a/internal/endpoint/connect/connect_test.go
+++ b/internal/endpoint/connect/connect_test.go
@@ -265,3 +265,23 @@
 		}
 	}
 }
+
+// TestEndpointThatRefusesConnectionsIsBelievedOverAPeer guards against an answer that is taken for
+// whole at the end of its endpoint, since a peer still has a connection to it or an earlier dial
+// is under way.
+func TestEndpointThatRefusesConnectionsIsBelievedOverAPeer(t *testing.T) {
+	d := startDaemon(t, answerFirst(0))
+	target := connect.Target{Endpoint: "e", Address: strings.TrimPrefix(d.endpoint.URL, "http://")}
+	if d.connector.Refuses(t.Context(), target) {
+		t.Error("an endpoint that accepts connections counts as one that refuses them")
+	}
+	d.resets.Store(true)
+	if !d.connector.Refuses(t.Context(), target) {
+		t.Error("an endpoint that refuses connections is not noticed")
+	}
+	d.resets.Store(false)
+	d.silent.Store(true)
+	if d.connector.Refuses(t.Context(), target) {
+		t.Error("an endpoint that does not answer counts as one that refuses connections")
+	}
+}
--- a/internal/endpoint/connect/watch.go
+++ b/internal/endpoint/connect/watch.go
@@ -97,6 +97,18 @@
 	return c.check(ctx, target).refused
 }
 
+// Refuses reports whether an endpoint refuses a new connection of this daemon. It starts a dial
+// of its own and asks no peers, since a check that is under way, and the connections of peers,
+// may be older than the end of the endpoint.
+func (c *Connector) Refuses(ctx context.Context, target Target) bool {
+	own, err := c.startDial(target.Endpoint, target.Address).wait(ctx)
+	if err != nil {
+		return isRefused(err)
+	}
+	own.Release()
+	return false
+}
+
 // isSilent reports whether nothing from an endpoint arrives here, though a peer reaches it.
 func (c *Connector) isSilent(ctx context.Context, target Target) bool {
 	if c.heardWithin(target.Endpoint, checkInterval) {
