Notice an endpoint that is down behind a proxy which still accepts connections

What callers saw: a stream without a length or chunks still ended as complete when its endpoint was killed, if something in front of the endpoint accepts connections and closes them when it cannot reach it.

Cause: an accepted connection counted as a living endpoint.

Change: the new connection has to stay open for 50 ms.

Evidence: TestEndpointBehindAProxyThatClosesConnectionsIsDown failed before. What is left: an endpoint that is up again by then.

--- a/internal/endpoint/connect/connect_test.go
+++ b/internal/endpoint/connect/connect_test.go
@@ -285,3 +285,21 @@
 		t.Error("an endpoint that does not answer counts as one that refuses connections")
 	}
 }
+
+func TestEndpointBehindAProxyThatClosesConnectionsIsDown(t *testing.T) {
+	connector := connect.New(connect.Config{Clock: clock.System(), Pool: newPool(nil), Rand: rand.New(rand.NewPCG(1, 1))})
+	proxy, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = proxy.Close() })
+	go func() {
+		for conn, err := proxy.Accept(); err == nil; conn, err = proxy.Accept() {
+			time.Sleep(5 * time.Millisecond) // It dials the endpoint.
+			_ = conn.Close()
+		}
+	}()
+	if !connector.Refuses(t.Context(), connect.Target{Endpoint: "e", Address: proxy.Addr().String()}) {
+		t.Error("an endpoint whose proxy closes connections counts as one that accepts them")
+	}
+}
--- a/internal/endpoint/connect/watch.go
+++ b/internal/endpoint/connect/watch.go
@@ -97,6 +97,10 @@
 	return c.check(ctx, target).refused
 }
 
+// proxyTime is how long a new connection must stay open. A proxy in front of an endpoint accepts
+// it before it finds that the endpoint refuses its own.
+const proxyTime = 50 * clock.Millisecond
+
 // Refuses reports whether an endpoint refuses a new connection of this daemon. It starts a dial
 // of its own and asks no peers, since a check that is under way, and the connections of peers,
 // may be older than the end of the endpoint.
@@ -105,6 +109,10 @@
 	if err != nil {
 		return isRefused(err)
 	}
+	if c.config.Clock.Sleep(ctx, proxyTime) == nil && !own.IsOpen() {
+		own.Close()
+		return true
+	}
 	own.Release()
 	return false
 }
--- a/internal/endpoint/http1/pool.go
+++ b/internal/endpoint/http1/pool.go
@@ -165,6 +165,12 @@
 	}
 }
 
+// IsOpen reports whether the endpoint has neither closed a connection that has not been used nor
+// sent anything on it.
+func (c *Conn) IsOpen() bool {
+	return isOpenAndQuiet(c)
+}
+
 // Release returns a connection that has not been used to the pool.
 func (c *Conn) Release() {
 	c.pool.putIdle(c, defaultIdleTime)
