--- a/internal/daemon/gateway/follow.go
+++ b/internal/daemon/gateway/follow.go
@@ -119,46 +119,6 @@
 	}
 }
 
-// followEndpoints returns a follower of the endpoints' entries in the store.
-func (d *Daemon) followEndpoints() *feed.Follower {
-	return feed.New(feed.Config{
-		Feed: d.feed, Clock: d.clock, Logger: d.logger, Prefix: d.platform.EndpointPrefix, Mode: d.endpointsMode, Wait: feedWait,
-		OnSnapshot: d.replaceEndpoints, OnChanges: d.updateEndpoints, OnUnavailable: d.roster.MarkTableUnavailable, Rand: d.random(4),
-	})
-}
-
-func (d *Daemon) replaceEndpoints(rows []table.Row, at table.Position, asOf clock.Millis) {
-	entries, _, unreadable := d.decodeEndpoints(rows)
-	d.roster.Replace(entries, at, asOf)
-	d.roster.Drop(unreadable, at)
-}
-
-func (d *Daemon) updateEndpoints(rows []table.Row, at table.Position, asOf clock.Millis) {
-	entries, removed, unreadable := d.decodeEndpoints(rows)
-	d.roster.Update(entries, removed, at, asOf)
-	d.roster.Drop(unreadable, at)
-}
-
-// decodeEndpoints decodes the entries in rows, and returns the IDs of those that were
-// removed or cannot be decoded.
-func (d *Daemon) decodeEndpoints(rows []table.Row) (entries []roster.Endpoint, removed, unreadable []string) {
-	for _, row := range rows {
-		id := d.platform.EndpointID(row.Key)
-		if row.Version == 0 {
-			removed = append(removed, id)
-			continue
-		}
-		entry, err := d.platform.DecodeEndpoint(row)
-		if err != nil {
-			eventEndpointUnreadable.Log(d.logger, logrus.Fields{"Key": row.Key, "Error": err.Error()})
-			unreadable = append(unreadable, id)
-			continue
-		}
-		entries = append(entries, entry)
-	}
-	return entries, removed, unreadable
-}
-
 // handleEndpoints applies a new list of endpoints from the roster.
 func (d *Daemon) handleEndpoints(list []roster.Endpoint) {
 	d.logChanges(list)
