End no process for a message or row that claims more than it holds

A gateway ended at its start, and again at each restart, while the row of crashes in the store held 21 bytes of a list that claims four thousand million elements: the msgpack library allocates a list as long as it claims to be, and an allocation of hundreds of GB ends the process. A message of 10 bytes from a peer does the same. An unknown field of a message with some million nested lists ends the process as well, since the library calls itself for each level until the stack exceeds 1 GB.

Values of other processes are now checked before they are decoded: no list, map or text may be longer than the rest of the value, and lists and maps are nested at most 64 levels. The check is in a package of its own, since the parts under coord use it as well as the messages between daemons. Values that were sound are decoded as before; what is sent and stored doesn't change.

Ruled out: JSON, whose decoder has a limit of 10,000 levels and allocates only for what is there.

--- a/coord/changelog/log.go
+++ b/coord/changelog/log.go
@@ -12,6 +12,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/coord/packed"
 	"github.com/banyanshift/banyanshift/coord/table"
 )
 
@@ -364,6 +365,6 @@
 	if row.Version == 0 {
 		return value, nil
 	}
-	err = msgpack.Unmarshal(row.Value, &value)
+	err = packed.Unmarshal(row.Value, &value)
 	return value, oops.Wrapf(err, "decode row %s", row.Key)
 }
--- a/coord/claim/claim.go
+++ b/coord/claim/claim.go
@@ -49,6 +49,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/banyanshift/banyanshift/coord/packed"
 	"github.com/banyanshift/banyanshift/coord/table"
 )
 
@@ -144,7 +145,7 @@
 	if row.Version == 0 {
 		return Record{}, nil
 	}
-	err = msgpack.Unmarshal(row.Value, &record)
+	err = packed.Unmarshal(row.Value, &record)
 	return record, err
 }
 
--- a/coord/lease/read.go
+++ b/coord/lease/read.go
@@ -4,8 +4,8 @@
 	"context"
 
 	"github.com/samber/oops"
-	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/banyanshift/banyanshift/coord/packed"
 	"github.com/banyanshift/banyanshift/coord/table"
 )
 
@@ -22,6 +22,6 @@
 	if err != nil || stored.Version == 0 {
 		return stored, Row{}, err
 	}
-	err = msgpack.Unmarshal(stored.Value, &row)
+	err = packed.Unmarshal(stored.Value, &row)
 	return stored, row, err
 }
--- a/coord/window/state.go
+++ b/coord/window/state.go
@@ -7,6 +7,7 @@
 
 	"github.com/banyanshift/banyanshift/coord/batch"
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/coord/packed"
 	"github.com/banyanshift/banyanshift/coord/table"
 )
 
@@ -86,7 +87,7 @@
 	if value == nil {
 		return State{}, nil
 	}
-	err = msgpack.Unmarshal(value, &state)
+	err = packed.Unmarshal(value, &state)
 	return state, err
 }
 
--- a/internal/caller/claim/claim.go
+++ b/internal/caller/claim/claim.go
@@ -45,6 +45,7 @@
 
 	"github.com/banyanshift/banyanshift/coord/claim"
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/coord/packed"
 	"github.com/banyanshift/banyanshift/internal/caller/request"
 )
 
@@ -222,7 +223,7 @@
 
 func (c *Claims) replay(record claim.Record) Decision {
 	var answer Answer
-	if err := msgpack.Unmarshal(record.Answer, &answer); err != nil {
+	if err := packed.Unmarshal(record.Answer, &answer); err != nil {
 		return refuse(refusalAnswerDropped())
 	}
 	claimsReplayed.Add(1)
--- a/internal/config/state/codec.go
+++ b/internal/config/state/codec.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/banyanshift/banyanshift/coord/changelog"
+	"github.com/banyanshift/banyanshift/coord/packed"
 	"github.com/banyanshift/banyanshift/internal/config/entity"
 )
 
@@ -68,7 +69,7 @@
 
 func decode[E any](value []byte) (any, error) {
 	var decoded E
-	if err := msgpack.Unmarshal(value, &decoded); err != nil {
+	if err := packed.Unmarshal(value, &decoded); err != nil {
 		return nil, err
 	}
 	return decoded, nil
--- a/internal/order/journal/journal.go
+++ b/internal/order/journal/journal.go
@@ -30,6 +30,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/coord/packed"
 	"github.com/banyanshift/banyanshift/coord/table"
 	"github.com/banyanshift/banyanshift/internal/platform/order"
 )
@@ -142,7 +143,7 @@
 		}
 		for _, row := range rows {
 			var entry Entry
-			if err := msgpack.Unmarshal(row.Value, &entry); err != nil {
+			if err := packed.Unmarshal(row.Value, &entry); err != nil {
 				return nil, err
 			}
 			entries = append(entries, entry)
@@ -245,7 +246,7 @@
 	var txn table.Txn
 	for _, row := range rows {
 		var entry Entry
-		if err := msgpack.Unmarshal(row.Value, &entry); err != nil {
+		if err := packed.Unmarshal(row.Value, &entry); err != nil {
 			return err
 		}
 		if entry.State == Open || entry.Number+j.cfg.Keep > j.newest {
--- a/internal/order/leader/leader.go
+++ b/internal/order/leader/leader.go
@@ -27,11 +27,11 @@
 
 	"github.com/samber/oops"
 	"github.com/sirupsen/logrus"
-	"github.com/vmihailenco/msgpack/v5"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/coord/lease"
+	"github.com/banyanshift/banyanshift/coord/packed"
 	"github.com/banyanshift/banyanshift/coord/table"
 )
 
@@ -216,7 +216,7 @@
 		}
 		var held lease.Row
 		if row.Version != 0 {
-			if err := msgpack.Unmarshal(row.Value, &held); err != nil {
+			if err := packed.Unmarshal(row.Value, &held); err != nil {
 				return table.Condition{}, err
 			}
 		}
--- a/internal/peer/crashnews/keep.go
+++ b/internal/peer/crashnews/keep.go
@@ -8,6 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/coord/packed"
 	"github.com/banyanshift/banyanshift/coord/table"
 )
 
@@ -116,7 +117,7 @@
 // decodeKept decodes the row. One that cannot be read holds nothing, and will be replaced.
 func (e *Exchange) decodeKept(value []byte) keptCrashes {
 	var kept keptCrashes
-	err := msgpack.Unmarshal(value, &kept)
+	err := packed.Unmarshal(value, &kept)
 	if err == nil {
 		return kept
 	}
--- a/internal/peer/fleet/register.go
+++ b/internal/peer/fleet/register.go
@@ -8,6 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/coord/packed"
 	"github.com/banyanshift/banyanshift/coord/table"
 	"github.com/banyanshift/banyanshift/internal/peer/topology"
 )
@@ -117,7 +118,7 @@
 		for _, row := range rows {
 			var vm topology.VM
 			after = row.Key
-			if err := msgpack.Unmarshal(row.Value, &vm); err != nil {
+			if err := packed.Unmarshal(row.Value, &vm); err != nil {
 				f.config.Logger.WithError(err).WithField("Key", row.Key).Warn("row of a daemon could not be decoded")
 				continue
 			}
--- a/internal/peer/fleet/versions.go
+++ b/internal/peer/fleet/versions.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/coord/packed"
 	"github.com/banyanshift/banyanshift/coord/table"
 	"github.com/banyanshift/banyanshift/internal/decide/origin"
 )
@@ -157,7 +158,7 @@
 
 // decodeVersions decodes the row. One that cannot be read says nothing, and will be replaced.
 func (s *streams) decodeVersions(value []byte) (record versionsRecord, readable bool) {
-	err := msgpack.Unmarshal(value, &record)
+	err := packed.Unmarshal(value, &record)
 	if err == nil {
 		return record, true
 	}
--- a/internal/peer/frame/frame.go
+++ b/internal/peer/frame/frame.go
@@ -23,6 +23,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/banyanshift/banyanshift/coord/packed"
 	"github.com/banyanshift/banyanshift/internal/peer/message"
 )
 
@@ -151,5 +152,5 @@
 // Decode decodes a message body into the value that body points to. Fields
 // unknown to the value's type are ignored.
 func Decode(data []byte, body any) error {
-	return msgpack.Unmarshal(data, body)
+	return packed.Unmarshal(data, body)
 }
--- a/internal/peer/frame/frame_test.go
+++ b/internal/peer/frame/frame_test.go
@@ -57,6 +57,19 @@
 	}
 }
 
+// TestDecodeRefusesWhatEndsTheProcess guards against daemons that end of a peer's message.
+func TestDecodeRefusesWhatEndsTheProcess(t *testing.T) {
+	var body struct{ Items []Frame }
+	for name, data := range map[string][]byte{
+		"endless list": []byte("\x81\xa5Items\xdd\xff\xff\xff\xff\x80"),
+		"deep lists":   append([]byte("\x81\xa5Other"), bytes.Repeat([]byte{0x91}, MaxBodyBytes-7)...),
+	} {
+		if err := Decode(data, &body); err == nil {
+			t.Errorf("%s: decoded, want an error", name)
+		}
+	}
+}
+
 func FuzzRead(f *testing.F) {
 	seed, _ := Append(nil, Frame{Kind: Hello, Body: []byte{0x81, 0xa1, 'A', 0x01}})
 	f.Add(seed)
--- a/internal/usage/billing/billing.go
+++ b/internal/usage/billing/billing.go
@@ -25,6 +25,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/coord/packed"
 	"github.com/banyanshift/banyanshift/coord/table"
 	"github.com/banyanshift/banyanshift/internal/observe/event"
 	"github.com/banyanshift/banyanshift/internal/observe/metric"
@@ -137,7 +138,7 @@
 	}
 	for _, row := range rows {
 		var snapshot tally.WindowSnapshot
-		err := msgpack.Unmarshal(row.Value, &snapshot)
+		err := packed.Unmarshal(row.Value, &snapshot)
 		if err == nil && snapshot.Window >= t.nextWindow {
 			err = t.config.Tally.MergeSnapshot(snapshot)
 		}
@@ -199,7 +200,7 @@
 		return Window{}, err
 	}
 	if row.Version != 0 {
-		err := msgpack.Unmarshal(row.Value, &window)
+		err := packed.Unmarshal(row.Value, &window)
 		if err == nil {
 			t.config.Tally.AddSeal(tally.Seal{Window: number, Counts: window.Counts})
 		}
--- a/internal/usage/meter/meter.go
+++ b/internal/usage/meter/meter.go
@@ -26,6 +26,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/coord/packed"
 	"github.com/banyanshift/banyanshift/internal/observe/metric"
 	"github.com/banyanshift/banyanshift/internal/platform/usage"
 )
@@ -224,7 +225,7 @@
 func Decode(payload []byte) (lines []usage.Line, err error) {
 	defer func() { err = oops.Wrapf(err, "decode usage") }()
 	var c columns
-	if err := msgpack.Unmarshal(payload, &c); err != nil {
+	if err := packed.Unmarshal(payload, &c); err != nil {
 		return nil, err
 	}
 	n := len(c.Team)
--- a/internal/usage/report/report.go
+++ b/internal/usage/report/report.go
@@ -19,6 +19,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/coord/packed"
 	"github.com/banyanshift/banyanshift/coord/table"
 	"github.com/banyanshift/banyanshift/coord/window"
 	"github.com/banyanshift/banyanshift/internal/platform/usage"
@@ -123,7 +124,7 @@
 func (r *Reporter) sendWindow(ctx context.Context, fence uint64, sealed window.Sealed) (err error) {
 	defer func() { err = oops.Wrapf(err, "send window") }()
 	var decoded usage.Window
-	if err := msgpack.Unmarshal(sealed.Value, &decoded); err != nil {
+	if err := packed.Unmarshal(sealed.Value, &decoded); err != nil {
 		return err
 	}
 	return r.cfg.NewClient(fence).Report(usage.WithSender(ctx, r.cfg.Daemon, fence), decoded)
@@ -165,7 +166,7 @@
 	}
 	for _, row := range rows {
 		var decoded usage.Window
-		if err := msgpack.Unmarshal(row.Value, &decoded); err != nil {
+		if err := packed.Unmarshal(row.Value, &decoded); err != nil {
 			return nil, 0, err
 		}
 		windows = append(windows, decoded)
