Use the other endpoints of a list that has an odd entry

One entry that could not be decoded, such as one with text for a number, a number out of range or deep nesting, made `banyanshift serve` refuse the platform's whole list, at each read. The last list stayed in use, so that callers were never sent to new endpoints and still to those that had left, and a daemon that had just started knew none. Entries without an ID or back end, or with a port out of range, were used.

The list is now decoded entry by entry, and entries are validated like the operator's. Those that name no endpoint to use are left out, and logged once as long as they stay the same.

The two tests that read the list pass the function for entries that are left out, and fail if there are any.

--- a/internal/config/entity/validate.go
+++ b/internal/config/entity/validate.go
@@ -3,8 +3,12 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"regexp"
+	"strconv"
 	"strings"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
 )
 
 // ErrInvalid is wrapped by every error of CheckText and the Validate methods.
@@ -108,3 +112,37 @@
 	}
 	return nil
 }
+
+// idPattern matches the IDs that the platform gives to endpoints.
+var idPattern = regexp.MustCompile(`^[!-~]{1,200}$`)
+
+// maxReclaimIn is the longest time until an endpoint is reclaimed.
+const maxReclaimIn = 24 * clock.Hour
+
+// Validate returns an error for the first invalid field of e. An endpoint that is starting has
+// no address.
+func (e Endpoint) Validate() error {
+	switch {
+	case !idPattern.MatchString(e.ID):
+		return fmt.Errorf("%w: Endpoint %.40q: the ID must hold 1 to 200 printable characters and no space", ErrInvalid, e.ID)
+	case e.Backend == "" || len(e.Backend) > MaxNameLength:
+		return fmt.Errorf("%w: Endpoint %s: Backend is missing or too long", ErrInvalid, e.ID)
+	case e.Address != "" && !isAddress(e.Address):
+		return fmt.Errorf("%w: Endpoint %s: Address %.40q is not host:port", ErrInvalid, e.ID, e.Address)
+	case e.ReclaimIn < 0 || e.ReclaimIn > maxReclaimIn:
+		return fmt.Errorf("%w: Endpoint %s: ReclaimIn is %d, must be from 0 to %d", ErrInvalid, e.ID, e.ReclaimIn, maxReclaimIn)
+	case e.MilliPrice < 0:
+		return fmt.Errorf("%w: Endpoint %s: MilliPrice must not be negative", ErrInvalid, e.ID)
+	}
+	return nil
+}
+
+// isAddress reports whether an address is a host and the number of a port.
+func isAddress(address string) bool {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil || host == "" {
+		return false
+	}
+	number, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && number > 0
+}
--- a/internal/daemon/serve/events.go
+++ b/internal/daemon/serve/events.go
@@ -13,4 +13,6 @@
 		"In-flight requests are completed before the process exits.")
 	eventStopped = event.New(1003, logrus.InfoLevel, "daemon stopped",
 		"Every request was completed and usage was handed over.")
+	eventEntriesUnusable = event.New(1204, logrus.WarnLevel, "entries of the platform's list name no endpoint to use",
+		"The stated entries cannot be read or have fields out of range. They are left out; the others are used. Logged again when other entries are left out.")
 )
--- a/internal/daemon/serve/scheduling.go
+++ b/internal/daemon/serve/scheduling.go
@@ -50,7 +50,7 @@
 		Clock:         d.clock,
 		Logger:        d.logger,
 		Random:        d.random(3),
-		List:          order.New(d.settings.Platform.OrderURL, d.platformHTTP).Endpoints,
+		List:          newEndpointLister(order.New(d.settings.Platform.OrderURL, d.platformHTTP), d.logger).list,
 		Load:          d.engines.Load,
 		CacheEvents:   d.engines.CacheEvents,
 		IsRelay:       d.isListRelay,
--- a/internal/order/plan/succession_test.go
+++ b/internal/order/plan/succession_test.go
@@ -89,7 +89,7 @@
 		HandleClosedOrder: func(entry journal.Entry) { c.planner.HandleClosedOrder(entry) },
 	})
 	list := func() []entity.Endpoint {
-		endpoints, _ := order.New(p.URL(), http.DefaultClient).Endpoints(context.Background())
+		endpoints, _ := order.New(p.URL(), http.DefaultClient).Endpoints(context.Background(), func(err error) { t.Error(err) })
 		return endpoints
 	}
 	c.planner = plan.New(plan.Config{
@@ -194,7 +194,7 @@
 	fault(t, p, platform.Fault{Service: platform.Table})
 	client := platformtable.New(p.URL(), http.DefaultClient)
 	eventually(t, "6 endpoints and no open order", func() bool {
-		listed, err := order.New(p.URL(), http.DefaultClient).Endpoints(context.Background())
+		listed, err := order.New(p.URL(), http.DefaultClient).Endpoints(context.Background(), func(err error) { t.Error(err) })
 		return err == nil && len(listed) >= 6 && holder.planner.Report().MissingTop == 0 && open(t, client) == 0
 	})
 	checkOrders(t, p, client)
--- a/internal/platform/order/client.go
+++ b/internal/platform/order/client.go
@@ -36,8 +36,9 @@
 
 // Client lists endpoints and sends orders. All fields are required.
 type Client struct {
-	// Endpoints lists the endpoints that are running, starting or leaving.
-	Endpoints func(ctx context.Context) ([]entity.Endpoint, error)
+	// Endpoints lists the endpoints that are running, starting or leaving. Entries that
+	// name no endpoint to use are left out and passed to unusable.
+	Endpoints func(ctx context.Context, unusable func(err error)) ([]entity.Endpoint, error)
 	// Send sends one order.
 	Send func(ctx context.Context, order Order) error
 }
@@ -52,12 +53,23 @@
 	return Client{Endpoints: s.endpoints, Send: s.send}
 }
 
-func (s *service) endpoints(ctx context.Context) (endpoints []entity.Endpoint, err error) {
+func (s *service) endpoints(ctx context.Context, unusable func(err error)) (endpoints []entity.Endpoint, err error) {
 	defer func() { err = oops.Wrapf(err, "list endpoints") }()
-	err = s.rest.Call(ctx, http.MethodGet, "/endpoints", nil, &endpoints)
+	data, err := s.rest.CallRaw(ctx, http.MethodGet, "/endpoints", nil, nil)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
+	listed, err := rest.DecodeList[entity.Endpoint](data, unusable)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	for _, endpoint := range listed {
+		if err := endpoint.Validate(); err != nil {
+			unusable(err)
+			continue
+		}
+		endpoints = append(endpoints, endpoint)
+	}
 	return endpoints, nil
 }
 
--- a/internal/platform/order/order.go
+++ b/internal/platform/order/order.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	client := order.New("http://10.0.0.1:8000", httpClient)
-//	endpoints, err := client.Endpoints(ctx)
+//	endpoints, err := client.Endpoints(ctx, func(err error) { ... log an entry that is left out ... })
 //	err = client.Send(ctx, order.Order{ID: "sask-central/17", Kind: order.Start, ...})
 //
 // Each call of Send sends its order at most once. For a connection through a
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -187,7 +187,7 @@
 	}
 	var listed []entity.Endpoint
 	eventually(t, "the start", func() bool {
-		listed, _ = client.Endpoints(ctx)
+		listed, _ = client.Endpoints(ctx, func(err error) { t.Error(err) })
 		return len(listed) == 1 && listed[0].Address != ""
 	})
 	late := given
@@ -201,7 +201,7 @@
 	}
 	control(t, p, "POST", "/control/reclaim", platform.Reclaim{FailureDomain: "r-1", Notice: 50, Unavailable: clock.Minute})
 	eventually(t, "the reclaim", func() bool {
-		listed, _ = client.Endpoints(ctx)
+		listed, _ = client.Endpoints(ctx, func(err error) { t.Error(err) })
 		return len(listed) == 0
 	})
 	given.ID, given.EndpointID = "r/2", "e2"
