Ask an endpoint for its incarnation before it continues a stream

Callers got events of two software versions in one stream, in one answer or when they took it up: an endpoint that had started again under its ID and address at another version was taken for one of the old version until its new entry was known. A request names its endpoint by the ID only.

Before a request continues a stream, the daemon now gets the endpoint's report on the connection that the request uses then, and compares `born` with the entry. A connection belongs to one process. Another `born`, no answer within 500 ms or a broken connection: nothing of the request was sent, another endpoint is chosen, and this one goes on with other requests. An answer without `born`, with another status or not to its end, or an entry without `born`, proves nothing: the request is sent as before, since services that do not know the call could never continue a stream otherwise. The question has no ID, so its answer cannot be taken for that to a request.

--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -224,8 +224,11 @@
 // send sends the request to an endpoint and forwards its answer.
 func (x *exchange) send(placement Placement) result {
 	h := x.handler
-	connection, err := x.connect(placement)
+	connection, err := x.connectChecked(placement)
 	sentWall := h.config.Clock.Wall()
+	if errors.Is(err, errRestarted) || errors.Is(err, errNoReport) {
+		return x.handleUnchecked(placement, err)
+	}
 	if err != nil {
 		return x.handleNoAnswer(placement, err, sentWall)
 	}
@@ -282,19 +285,24 @@
 }
 
 func (x *exchange) newAttempt(placement Placement) Attempt {
-	attempt := Attempt{
-		Endpoint:      placement.Endpoint,
-		Team:          x.teamName(),
-		TimeLeft:      max(x.timeLeft(), 1),
-		Priority:      x.priority(),
-		ToModelEngine: x.call.Prompt != nil,
-		CopyFrom:      placement.CopyFrom,
+	return Attempt{
+		Endpoint:           placement.Endpoint,
+		Team:               x.teamName(),
+		TimeLeft:           max(x.timeLeft(), 1),
+		Priority:           x.priority(),
+		ToModelEngine:      x.call.Prompt != nil,
+		CopyFrom:           placement.CopyFrom,
+		ResumeAfterEventID: x.resumeAfter(),
 	}
-	attempt.ResumeAfterEventID = x.call.LastEventID
+}
+
+// resumeAfter returns the ID of the last event that the caller has received, empty if the
+// stream starts at its beginning.
+func (x *exchange) resumeAfter() string {
 	if x.stream.position.lastID != "" {
-		attempt.ResumeAfterEventID = x.stream.position.lastID
+		return x.stream.position.lastID
 	}
-	return attempt
+	return x.call.LastEventID
 }
 
 // handleNoAnswer records an attempt that got no answer. The result shows
--- /dev/null
+++ b/internal/caller/relay/incarnation.go
@@ -0,0 +1,81 @@
+package relay
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/decide/balance"
+	"github.com/banyanshift/banyanshift/internal/endpoint/connect"
+	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
+)
+
+// reportPatience is how long an endpoint may take to say what it is before it continues a
+// stream. It leaves time for another endpoint before callers give a silent stream up.
+const reportPatience = 500 * clock.Millisecond
+
+var (
+	// errRestarted means that an endpoint has started again since its entry was read, so that
+	// its software version is not known.
+	errRestarted = errors.New("endpoint has started again")
+	// errNoReport means that an endpoint has not said whether it has.
+	errNoReport = errors.New("endpoint does not say whether it has started again")
+)
+
+// connectChecked finds a way to the endpoint. If the request continues a stream, it leads to the
+// incarnation of the endpoint whose software version is known, as far as the endpoint says.
+func (x *exchange) connectChecked(placement Placement) (connect.Connection, error) {
+	connection, err := x.connect(placement)
+	if err != nil || connection.Ask == nil || !x.continuesStream() || placement.Incarnation == 0 {
+		return connection, err
+	}
+	isOpen, err := x.checkIncarnation(placement, connection)
+	if err != nil || isOpen {
+		return connection, err
+	}
+	return x.connect(placement)
+}
+
+// continuesStream reports whether only one software version may run the rest of a stream.
+func (x *exchange) continuesStream() bool {
+	return x.stream.software.Limited && x.resumeAfter() != ""
+}
+
+// checkIncarnation asks the endpoint for its incarnation. It returns an error if it is another
+// one, or if no answer arrives. An answer without an incarnation proves nothing. The connection
+// may be used if it is open then.
+func (x *exchange) checkIncarnation(placement Placement, connection connect.Connection) (isOpen bool, err error) {
+	wire := x.handler.config.Wire
+	reply, err := connection.Ask(x.r.Context(), http1.Request{
+		Method:   http.MethodGet,
+		Head:     wire.EncodeReportCall(placement.Address),
+		Deadline: x.handler.config.Clock.Now() + min(reportPatience, x.timeLeft()),
+	})
+	if err != nil && (reply.Status == 0 || x.r.Context().Err() != nil) {
+		return false, fmt.Errorf("%w: %w", errNoReport, err)
+	}
+	incarnation, known := wire.DecodeReport(reply.Status, reply.Body)
+	if !known || incarnation == placement.Incarnation {
+		return reply.Open, nil
+	}
+	if reply.Open {
+		connection.Cancel()
+	}
+	return false, fmt.Errorf("%w: incarnation %d, known is %d", errRestarted, incarnation, placement.Incarnation)
+}
+
+// handleUnchecked records an attempt to continue a stream at an endpoint whose incarnation is
+// another one or not known. Nothing of the request was sent, and the endpoint may run others.
+func (x *exchange) handleUnchecked(placement Placement, err error) result {
+	x.handler.config.Scheduler.RecordEnd(placement, balance.Canceled)
+	if x.r.Context().Err() != nil {
+		x.trace.setResult(0, "caller left")
+		return callerGone
+	}
+	x.attempts.lastReason = err.Error()
+	reason, _, _ := strings.Cut(x.attempts.lastReason, ":")
+	x.recordFailure(reason, placement, err)
+	return notSent
+}
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -11,6 +11,10 @@
 // up. A request that is not repeatable is sent to another endpoint
 // only if the first one did not run it.
 //
+// An endpoint may start again under its ID at another software version before this daemon
+// knows. So one that is to continue a stream is first asked for its incarnation, on the same
+// connection, which belongs to one process.
+//
 // An answer goes on with a stream only if it is a sealed 200 of server-sent events without an
 // encoding, whose first new event is the next one. Nothing else is written into a stream, and
 // one that cannot go on breaks off, so that it does not look complete.
@@ -136,6 +140,12 @@
 	EncodeAttempt func(call *Call, attempt Attempt) []byte
 	// DecodeAnswer decodes the status and header of an endpoint's answer.
 	DecodeAnswer func(status int, header http.Header) AnswerHead
+	// EncodeReportCall returns the request line and header of the GET call that asks the
+	// endpoint at an address what it says of itself.
+	EncodeReportCall func(address string) []byte
+	// DecodeReport returns the incarnation of the endpoint that answered this call. It is not
+	// known if the answer does not state it.
+	DecodeReport func(status int, body []byte) (incarnation int64, known bool)
 }
 
 // Scheduler decides where requests run. All fields must be set.
--- a/internal/caller/relay/relay_test.go
+++ b/internal/caller/relay/relay_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -48,6 +49,13 @@
 		DecodeAnswer: func(status int, header http.Header) relay.AnswerHead {
 			return relay.AnswerHead{NotRun: header.Get("Not-Run") != "", WrongEndpoint: status == http.StatusMisdirectedRequest, Sealed: header.Get("Seal") != ""}
 		},
+		EncodeReportCall: func(address string) []byte {
+			return fmt.Appendf(nil, "GET /report HTTP/1.1\r\nHost: %s\r\n", address)
+		},
+		DecodeReport: func(status int, body []byte) (int64, bool) {
+			incarnation, err := strconv.ParseInt(string(body), 10, 64)
+			return incarnation, status == http.StatusOK && err == nil
+		},
 	}
 }
 
@@ -73,6 +81,10 @@
 	released []strain.Outcome
 	// refusal makes the scheduler refuse all requests if its reason is set.
 	refusal relay.Refusal
+	// incarnation is the one that the daemon knows of all endpoints, and report answers
+	// the call for it.
+	incarnation int64
+	report      http.HandlerFunc
 	// drained is the endpoint that gets no requests that wait to be sent.
 	drained string
 }
@@ -90,6 +102,10 @@
 	f := &fixture{t: t, retryTokens: 10}
 	for i, handle := range serve {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/report" {
+				f.report(w, r)
+				return
+			}
 			f.mu.Lock()
 			f.received = append(f.received, fmt.Sprintf("e%d:%s", i, r.Header.Get("Last")))
 			f.mu.Unlock()
@@ -164,7 +180,7 @@
 					tried = tried || x == id
 				}
 				if !tried {
-					return relay.Placement{Endpoint: id, Address: strings.TrimPrefix(e.URL, "http://")}, relay.Refusal{}
+					return relay.Placement{Endpoint: id, Address: strings.TrimPrefix(e.URL, "http://"), Incarnation: f.incarnation}, relay.Refusal{}
 				}
 			}
 			return relay.Placement{}, relay.Refusal{Reason: "no endpoint", RetryAfter: 700}
--- a/internal/endpoint/connect/connect.go
+++ b/internal/endpoint/connect/connect.go
@@ -73,6 +73,10 @@
 type Connection struct {
 	// Peer is the address of the peer that forwards the request, "" if none does.
 	Peer string
+	// Ask asks the endpoint a question before the request, on the connection that the request
+	// uses then. It is nil if a peer forwards the request. Unless the reply says that the
+	// connection is open, the way must not be used any more. The error is a *http1.RequestError.
+	Ask func(ctx context.Context, question http1.Request) (http1.Reply, error)
 	// Do sends a request and reads the status and header of its answer. The error is a
 	// *http1.RequestError.
 	Do func(ctx context.Context, request http1.Request) (*http1.Answer, error)
@@ -164,7 +168,7 @@
 
 // direct returns the way over a connection of this daemon's own.
 func (c *Connector) direct(own *http1.Conn, target Target) Connection {
-	return Connection{Cancel: own.Release, Do: func(ctx context.Context, request http1.Request) (*http1.Answer, error) {
+	do := func(ctx context.Context, request http1.Request) (*http1.Answer, error) {
 		w, ctx := c.watch(ctx, target)
 		answer, err := own.Do(ctx, request)
 		w.stop()
@@ -173,7 +177,16 @@
 		}
 		c.recordHeard(target.Endpoint)
 		return answer, nil
-	}}
+	}
+	ask := func(ctx context.Context, question http1.Request) (http1.Reply, error) {
+		reply, err := own.Ask(ctx, question)
+		if reply.Status != 0 {
+			c.recordHeard(target.Endpoint)
+			return reply, err
+		}
+		return reply, c.handleNoAnswer(ctx, target, err)
+	}
+	return Connection{Cancel: own.Release, Ask: ask, Do: do}
 }
 
 // handleNoAnswer returns the error of a request that got no answer on a connection of this
