--- a/internal/caller/relay/eventline.go
+++ b/internal/caller/relay/eventline.go
@@ -62,9 +62,9 @@
 	return countLines(event)[eventLine] > 0
 }
 
-// hasLines reports whether there are lines that belong to an event, complete or not. Blank
+// hasEventLines reports whether there are lines that belong to an event, complete or not. Blank
 // lines and comments belong to none.
-func hasLines(data []byte) bool {
+func hasEventLines(data []byte) bool {
 	counts := countLines(data)
 	return counts[retryLine]+counts[eventLine]+counts[extraLine]+counts[invalidLine] > 0
 }
--- a/internal/caller/relay/splitter.go
+++ b/internal/caller/relay/splitter.go
@@ -171,7 +171,7 @@
 // that of the stream. explicit is set if the answer says where it ends.
 func (s *eventSplitter) checkEnd(explicit bool) error {
 	switch {
-	case hasLines(s.pending):
+	case hasEventLines(s.pending):
 		return errEndsInsideEvent
 	case !s.searching:
 		return nil
