--- a/review/rig/gateway.go
+++ b/review/rig/gateway.go
@@ -21,7 +21,7 @@
 // freePorts returns ports that nothing listens on.
 func freePorts() (p ports, err error) {
 	for _, port := range []*string{&p.front, &p.ready, &p.control, &p.peer, &p.forward} {
-		listener, err := net.Listen("tcp", "0.0.0.0:0")
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return p, err
 		}
