Show that a window of usage is reported twice with different counts

Cause: billing.seal seals a window without a row from what is counted now, unless a living daemon knows its seal, also when the store has come back from a copy since the window ended.

The case: right after a report the store is away for 1 s and comes back from a copy from before the end of the reported window; all gateways are killed at the same moment and start again.

--- a/review/rig/consumer.go
+++ b/review/rig/consumer.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 )
@@ -86,3 +87,14 @@
 }
 
 func (c *consumer) close() { _ = c.conn.Close() }
+
+// softwareOf returns the software versions that wrote the pieces of a stream.
+func softwareOf(body string) (versions []string) {
+	for line := range strings.Lines(body) {
+		_, version, found := strings.Cut(strings.TrimSpace(line), " by software ")
+		if found && !slices.Contains(versions, version) {
+			versions = append(versions, version)
+		}
+	}
+	return versions
+}
--- a/review/rig/gateway.go
+++ b/review/rig/gateway.go
@@ -34,16 +34,18 @@
 // gateway is one process of the project.
 type gateway struct {
 	name, ip, settings, program, log string
-	ports                            ports
-	rec                              *record
-	command                          *exec.Cmd
-	exited                           chan struct{}
+	// later is the text of the settings file after the first start of the whole system.
+	later   string
+	ports   ports
+	rec     *record
+	command *exec.Cmd
+	exited  chan struct{}
 }
 
 // fields are the values of the template, as in the settings of a small deployment.
-func (g *gateway) fields(zone string, seeds []string, p *storePlatform, memoryMB int) map[string]string {
+func (g *gateway) fields(zone string, seeds []string, p *storePlatform, memoryMB int, bootstrap string) map[string]string {
 	return map[string]string{
-		"node": g.name, "zone": zone, "ip": g.ip, "limits.cpu_share": "0.4", "bootstrap": "true",
+		"node": g.name, "zone": zone, "ip": g.ip, "limits.cpu_share": "0.4", "bootstrap": bootstrap,
 		"limits.memory_mb": fmt.Sprint(memoryMB), "bounds.grace_s": fmt.Sprint(graceSeconds),
 		"listen.front": g.front(), "listen.ready": g.ip + ":" + g.ports.ready,
 		"internal_ports.0": g.ports.peer, "internal_ports.1": g.ports.forward, "seeds": strings.Join(seeds, ","),
@@ -105,6 +107,15 @@
 	_ = g.command.Process.Signal(signal)
 }
 
+// restart starts the process again, as the platform does after it has ended.
+func (g *gateway) restart() error {
+	<-g.exited
+	if err := os.WriteFile(g.settings, []byte(g.later), 0o600); err != nil {
+		return err
+	}
+	return g.start()
+}
+
 // end ends the process.
 func (g *gateway) end() {
 	if g.command == nil || g.command.Process == nil {
@@ -134,6 +145,7 @@
 		return nil, err
 	}
 	g := &gateway{name: name, ip: ip, program: c.program, ports: c.ports, rec: c.rec, settings: filepath.Join(c.temporary, name+".ini"), log: filepath.Join(c.temporary, name+".log")}
-	text := fill(string(template), g.fields(zone, seeds, c.platform, memoryMB))
+	text := fill(string(template), g.fields(zone, seeds, c.platform, memoryMB, "true"))
+	g.later = fill(string(template), g.fields(zone, seeds, c.platform, memoryMB, "false"))
 	return g, os.WriteFile(g.settings, []byte(text), 0o600)
 }
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -32,8 +32,9 @@
 
 // cases are the cases by name. Each reports whether its rule was broken.
 var cases = map[string]func(*rig) (broken bool, err error){
-	"stale-weights": staleWeights,
-	"burst-memory":  burstMemory,
+	"stale-weights":     staleWeights,
+	"burst-memory":      burstMemory,
+	"restored-usage":    restoredUsage,
 }
 
 func main() {
--- a/review/rig/platform.go
+++ b/review/rig/platform.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -52,10 +53,23 @@
 	// changed is closed when a row changes.
 	changed chan struct{}
 	calls   []dutyCall
+	// away is set while the store answers nothing but 503.
+	away bool
+	// copies holds copies of the store, the newest last, if keepCopies runs.
+	copies []storeCopy
+	// written holds what the operator has written, which it writes again after a restore.
+	written map[string]row
+}
+
+// storeCopy is a copy of the store.
+type storeCopy struct {
+	at      time.Time
+	rows    map[string]row
+	version uint64
 }
 
 func startPlatform(rec *record, ip string) (*storePlatform, error) {
-	p := &storePlatform{rec: rec, rows: make(map[string]row), era: 1, changed: make(chan struct{})}
+	p := &storePlatform{rec: rec, rows: make(map[string]row), era: 1, changed: make(chan struct{}), written: make(map[string]row)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /rows-tx", p.commit)
 	mux.HandleFunc("GET /rows-get", p.get)
@@ -67,7 +81,7 @@
 	duties.HandleFunc("POST /usage", p.duty)
 	duties.HandleFunc("POST /scale", p.duty)
 	var err error
-	if p.store, p.storeAddress, err = serveHTTP(ip, mux); err != nil {
+	if p.store, p.storeAddress, err = serveHTTP(ip, p.whileHere(mux)); err != nil {
 		return nil, err
 	}
 	p.duties, p.dutiesAddress, err = serveHTTP(ip, duties)
@@ -98,8 +112,15 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	r := row{Table: table, Key: key, Value: encoded}
+	if table == "op" {
+		p.written[r.name()] = r
+	}
+	if p.away {
+		return // The operator writes again after a restore, and replicas with their next heartbeat.
+	}
 	p.version++
-	p.write(row{Table: table, Key: key, Value: encoded})
+	p.write(r)
 }
 
 // write writes a row at the newest version. The lock must be held.
@@ -259,3 +280,65 @@
 	defer r.mu.Unlock()
 	_, _ = fmt.Fprintf(r.w, "%7.3f "+format+"\n", append([]any{time.Since(began).Seconds()}, args...)...)
 }
+
+// whileHere answers 503 while the store is away: nothing was done.
+func (p *storePlatform) whileHere(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.mu.Lock()
+		away := p.away
+		p.mu.Unlock()
+		if away {
+			p.answer(w, http.StatusServiceUnavailable, map[string]any{})
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// copyInterval is the time between two copies of the store, and maxCopies how many are kept.
+const (
+	copyInterval = 200 * time.Millisecond
+	maxCopies    = 50
+)
+
+// keepCopies copies the store now and then, until the rig ends.
+func (p *storePlatform) keepCopies() {
+	for range time.Tick(copyInterval) {
+		p.mu.Lock()
+		p.copies = append(p.copies, storeCopy{at: time.Now(), rows: maps.Clone(p.rows), version: p.version})
+		p.copies = p.copies[max(len(p.copies)-maxCopies, 0):]
+		p.mu.Unlock()
+	}
+}
+
+// leave makes the store unavailable.
+func (p *storePlatform) leave() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.away = true
+	close(p.changed)
+	p.changed = make(chan struct{})
+	p.rec.note("platform: the store is away")
+}
+
+// restore brings the store back from the newest copy that was made before a time. The operator
+// writes again what it has written.
+func (p *storePlatform) restore(before time.Time) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, made := range slices.Backward(p.copies) {
+		if made.at.After(before) {
+			continue
+		}
+		p.rows, p.version = maps.Clone(made.rows), made.version
+		p.era++
+		p.away = false
+		for _, r := range p.written {
+			p.version++
+			p.write(r)
+		}
+		p.rec.note("platform: the store is back from a copy that is %.1f s old, in era %d", time.Since(made.at).Seconds(), p.era)
+		return nil
+	}
+	return errors.New("there is no copy of the store that is old enough")
+}
--- a/review/rig/replica.go
+++ b/review/rig/replica.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -20,7 +21,6 @@
 // before each, in ms; work is the time of a plain request in ms.
 type replica struct {
 	id, service, zone string
-	born              int64
 	platform          *storePlatform
 	server            *http.Server
 	address           string
@@ -29,6 +29,11 @@
 	weights atomic.Int64
 
 	mu sync.Mutex
+	// version is the version of the software, and born when it started, in Unix ms. The entry
+	// is not written before registersAt.
+	version     string
+	born        int64
+	registersAt time.Time
 	// runs holds the number of runs of each request, and ended how the last one ended.
 	runs  map[string]int
 	ended map[string]string
@@ -36,7 +41,7 @@
 
 func startReplica(p *storePlatform, ip, id, service, zone string) (r *replica, err error) {
 	r = &replica{
-		id: id, service: service, zone: zone, born: time.Now().UnixMilli(), platform: p,
+		id: id, service: service, zone: zone, version: "1", born: time.Now().UnixMilli(), platform: p,
 		stop: make(chan struct{}), runs: make(map[string]int), ended: make(map[string]string),
 	}
 	r.weights.Store(1)
@@ -55,22 +60,61 @@
 // beat writes the entry of the replica until it ends.
 func (r *replica) beat() {
 	for sequence := 1; ; sequence++ {
-		r.platform.put("servers", r.id, map[string]any{
-			"service": r.service, "address": r.address, "zone": r.zone, "version": "1", "slots": replicaSlots,
-			"state": "ready", "cold_remaining_ms": 0, "sequence": sequence, "born": r.born,
-		})
+		r.mu.Lock()
+		version, born, wait := r.version, r.born, time.Until(r.registersAt)
+		r.mu.Unlock()
+		if wait <= 0 {
+			wait = heartbeat
+			r.platform.put("servers", r.id, map[string]any{
+				"service": r.service, "address": r.address, "zone": r.zone, "version": version, "slots": replicaSlots,
+				"state": "ready", "cold_remaining_ms": 0, "sequence": sequence, "born": born,
+			})
+		}
 		select {
-		case <-time.After(heartbeat):
+		case <-time.After(wait):
 		case <-r.stop:
 			return
 		}
 	}
 }
 
+// restart ends the replica and starts it again under its ID, at its address, with other software. It
+// writes its entry with its first heartbeat.
+func (r *replica) restart(version string, firstHeartbeat time.Duration) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_ = r.server.Close()
+	listener, err := net.Listen("tcp", r.address)
+	if err != nil {
+		return err
+	}
+	r.version, r.born, r.registersAt = version, time.Now().UnixMilli(), time.Now().Add(firstHeartbeat)
+	r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
+	go func(server *http.Server) { _ = server.Serve(listener) }(r.server)
+	r.platform.rec.note("replica %s: has started again with software %s, born %d", r.id, version, r.born)
+	return nil
+}
+
+// crash ends the replica for good.
+func (r *replica) crash() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.platform.rec.note("replica %s: crashes", r.id)
+	r.registersAt = time.Now().Add(time.Hour)
+	_ = r.server.Close()
+}
+
 // replicaSlots is how many requests a replica runs at a time.
 const replicaSlots = 64
 
 func (r *replica) serve(w http.ResponseWriter, req *http.Request) {
+	if req.URL.Path == "/report" {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = fmt.Fprintf(w, `{"stage":"prefill_decode","models":[],"busy":false,"sequence":0,"waiting":0,"running":0,"born":%d}`, r.born)
+		return
+	}
 	id := req.Header.Get("Banyanshift-Attempt-Id")
 	w.Header().Set("Banyanshift-Attempt-Id", id)
 	if expected := req.Header.Get("Banyanshift-Expected-Replica"); expected != "" && expected != r.id {
@@ -92,16 +136,17 @@
 	r.mu.Lock()
 	r.runs[id]++
 	r.ended[id] = "at work"
+	version := r.version
 	r.mu.Unlock()
-	r.platform.rec.note("replica %s: runs %s (%s)", r.id, id, req.URL.Path)
-	end := r.run(w, req)
+	r.platform.rec.note("replica %s: runs %s (%s) with software %s, after event %q", r.id, id, req.URL.Path, version, req.Header.Get("Last-Event-Id"))
+	end := r.run(w, req, version)
 	r.mu.Lock()
 	r.ended[id] = end
 	r.mu.Unlock()
 	r.platform.rec.note("replica %s: %s ends: %s", r.id, id, end)
 }
 
-func (r *replica) run(w http.ResponseWriter, req *http.Request) (end string) {
+func (r *replica) run(w http.ResponseWriter, req *http.Request, version string) (end string) {
 	query := req.URL.Query()
 	w.Header().Set("Banyanshift-Response-Seal", "seal-"+r.id)
 	events, _ := strconv.Atoi(query.Get("events"))
@@ -119,11 +164,12 @@
 		return "the caller has left before the first event"
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	for n := range events {
+	have, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
+	for n := have; n < events; n++ {
 		if !pause(req, time.Duration(gap)*time.Millisecond) {
 			return fmt.Sprintf("the caller has left after %d of %d events", n, events)
 		}
-		_, err := fmt.Fprintf(w, "id: %d\ndata: piece %d of %d\n\n", n+1, n+1, events)
+		_, err := fmt.Fprintf(w, "id: %d\ndata: piece %d of %d by software %s\n\n", n+1, n+1, events, version)
 		if err == nil {
 			err = http.NewResponseController(w).Flush()
 		}
