Show that a stream is joined from two software versions after a restart in place

Cause: relay.connectChecked asks an endpoint for its incarnation only when a stream is continued there. A stream that begins at an endpoint which has just started again with other software counts as one of the version in the old entry, and goes on at endpoints of that version.

The case: one of nine model replicas starts again under its ID with newer software, writes its entry within one heartbeat, and crashes 2.5 s after its start.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -35,6 +35,7 @@
 	"stale-weights":     staleWeights,
 	"burst-memory":      burstMemory,
 	"restored-usage":    restoredUsage,
+	"restarted-version": restartedVersion,
 }
 
 func main() {
