--- a/review/2/run.sh
+++ b/review/3/run.sh
@@ -3,7 +3,7 @@
 # With TROUBLE=0 in the environment it does the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/banyangateway ] && [ -x target/review-rig ] || exit 2
-timeout 115 target/review-rig -case burst-memory -dir review/2
+timeout 115 target/review-rig -case restored-usage -dir review/3
 code=$?
 [ "$code" -le 2 ] || exit 2
 exit "$code"
