Show that a stream cut off by a restart ends as complete

Cause: an answer that ends with its connection counts as whole unless the endpoint refuses a new connection right then (http1.endedWithEndpoint, connect.Refuses); whether it is the same incarnation is not asked.

The case: the process of one of nine model replicas ends while it answers streams without a length or chunks, and the next one serves the same listening socket.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -36,6 +36,7 @@
 	"burst-memory":      burstMemory,
 	"restored-usage":    restoredUsage,
 	"restarted-version": restartedVersion,
+	"restarted-at-once": restartedAtOnce,
 }
 
 func main() {
--- a/review/rig/replica.go
+++ b/review/rig/replica.go
@@ -34,6 +34,8 @@
 	version     string
 	born        int64
 	registersAt time.Time
+	// open holds the open connections.
+	open map[net.Conn]bool
 	// runs holds the number of runs of each request, and ended how the last one ended.
 	runs  map[string]int
 	ended map[string]string
@@ -42,16 +44,37 @@
 func startReplica(p *storePlatform, ip, id, service, zone string) (r *replica, err error) {
 	r = &replica{
 		id: id, service: service, zone: zone, version: "1", born: time.Now().UnixMilli(), platform: p,
-		stop: make(chan struct{}), runs: make(map[string]int), ended: make(map[string]string),
+		stop: make(chan struct{}), open: make(map[net.Conn]bool), runs: make(map[string]int), ended: make(map[string]string),
 	}
 	r.weights.Store(1)
-	if r.server, r.address, err = serveHTTP(ip, http.HandlerFunc(r.serve)); err != nil {
+	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	if err != nil {
 		return nil, err
 	}
+	r.address = listener.Addr().String()
+	r.serveAt(listener)
 	go r.beat()
 	return r, nil
 }
 
+// serveAt serves the connections of a listener. The lock must be held after the start.
+func (r *replica) serveAt(listener net.Listener) {
+	r.server = &http.Server{Handler: http.HandlerFunc(r.serve), ConnState: r.recordState}
+	go func(server *http.Server) { _ = server.Serve(listener) }(r.server)
+}
+
+// recordState keeps the open connections.
+func (r *replica) recordState(conn net.Conn, state http.ConnState) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		r.open[conn] = true
+	case http.StateClosed:
+		delete(r.open, conn)
+	}
+}
+
 func (r *replica) close() {
 	close(r.stop)
 	_ = r.server.Close()
@@ -89,12 +112,25 @@
 		return err
 	}
 	r.version, r.born, r.registersAt = version, time.Now().UnixMilli(), time.Now().Add(firstHeartbeat)
-	r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
-	go func(server *http.Server) { _ = server.Serve(listener) }(r.server)
+	r.serveAt(listener)
 	r.platform.rec.note("replica %s: has started again with software %s, born %d", r.id, version, r.born)
 	return nil
 }
 
+// restartAtOnce ends the process of the replica, which ends its connections, and starts the next one
+// under its ID. The supervisor of the processes holds the socket on which they listen, so that
+// connections are never refused.
+func (r *replica) restartAtOnce() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.born, r.registersAt = time.Now().UnixMilli(), time.Now()
+	for conn := range r.open {
+		_ = conn.Close()
+	}
+	clear(r.open)
+	r.platform.rec.note("replica %s: its process has ended, and the next one has started, born %d", r.id, r.born)
+}
+
 // crash ends the replica for good.
 func (r *replica) crash() {
 	r.mu.Lock()
@@ -159,6 +195,9 @@
 		return "answered"
 	}
 	gap, _ := strconv.Atoi(query.Get("gap"))
+	if query.Get("unframed") != "" {
+		return r.runUnframed(w, events, time.Duration(gap)*time.Millisecond)
+	}
 	first, _ := strconv.Atoi(query.Get("first"))
 	if !pause(req, time.Duration(first)*time.Millisecond) {
 		return "the caller has left before the first event"
@@ -180,6 +219,36 @@
 	return "answered"
 }
 
+// runUnframed answers with a stream that has neither a length nor chunks and ends with its connection.
+func (r *replica) runUnframed(w http.ResponseWriter, events int, gap time.Duration) (end string) {
+	head := w.Header().Clone()
+	head.Set("Content-Type", "text/event-stream")
+	head.Set("Connection", "close")
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return err.Error()
+	}
+	defer func() {
+		_ = conn.Close()
+		r.recordState(conn, http.StateClosed)
+	}()
+	_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+	if err == nil {
+		err = head.Write(conn)
+	}
+	if err == nil {
+		_, err = io.WriteString(conn, "\r\n")
+	}
+	for n := 0; n < events && err == nil; n++ {
+		time.Sleep(gap)
+		_, err = fmt.Fprintf(conn, "id: %d\ndata: piece %d of %d by software 1\n\n", n+1, n+1, events)
+		if err != nil {
+			return fmt.Sprintf("broke off after %d of %d events", n, events)
+		}
+	}
+	return "answered"
+}
+
 // pause waits, and reports whether the caller is still there.
 func pause(req *http.Request, d time.Duration) bool {
 	select {
