--- a/review/rig/stale_weights.go
+++ b/review/rig/stale_weights.go
@@ -67,6 +67,13 @@
 		}
 	}
 	sessions.Wait()
+	ready := 0
+	for _, g := range c.gateways {
+		if g.ready() {
+			ready++
+		}
+	}
+	c.rec.note("rig: %d of %d gateways say that they are ready", ready, len(c.gateways))
 	var all kindCount
 	for _, count := range counts {
 		all.sent, all.served = all.sent+count.sent, all.served+count.served
