Count callers' connections while a gateway stops, and show that requests are lost

The new package keepalive sees what is read from each connection. Events 1104 and 1105 count connections by state when the daemon stops accepting and at the end, and Caller.Unanswered those closed with a request read and nothing answered. It shuts down as before.

--- /dev/null
+++ b/internal/caller/keepalive/events.go
@@ -0,0 +1,50 @@
+package keepalive
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"github.com/banyanshift/banyanshift/internal/observe/event"
+	"github.com/banyanshift/banyanshift/internal/observe/metric"
+)
+
+var (
+	eventShutdown = event.New(1104, logrus.InfoLevel, "connections of callers are ending",
+		"No new connections are accepted. The fields count the open ones: New ones have had no request yet, and a request has arrived on Busy ones.")
+	eventAbandoned = event.New(1105, logrus.WarnLevel, "connections of callers are left at the end of the grace time",
+		"Their requests were not answered in time and are cut off.")
+
+	unanswered = metric.NewCounter("Caller.Unanswered", "Connections that were closed after a part of a request was read and before anything was answered.")
+)
+
+// connCounts counts open connections by state.
+type connCounts struct {
+	fresh, idle, busy int
+}
+
+// countConnections counts the open connections.
+func (s *Server) countConnections() (counts connCounts) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.countIn(&counts)
+	}
+	return counts
+}
+
+// countIn adds the connection to the count of its state.
+func (c *conn) countIn(counts *connCounts) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !c.idle:
+		counts.busy++
+	case c.used:
+		counts.idle++
+	default:
+		counts.fresh++
+	}
+}
+
+func (c connCounts) fields() logrus.Fields {
+	return logrus.Fields{"New": c.fresh, "Idle": c.idle, "Busy": c.busy, "Unanswered": unanswered.Value()}
+}
--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -34,6 +34,7 @@
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/coord/lease"
 	"github.com/banyanshift/banyanshift/coord/table"
+	"github.com/banyanshift/banyanshift/internal/caller/keepalive"
 	"github.com/banyanshift/banyanshift/internal/caller/relay"
 	"github.com/banyanshift/banyanshift/internal/config/document"
 	"github.com/banyanshift/banyanshift/internal/config/drain"
@@ -124,7 +125,7 @@
 	leader                      *leader.Runner
 	planner                     *supply.Planner
 	handler                     *relay.Handler
-	callers                     *http.Server
+	callers                     *keepalive.Server
 	ready                       *http.Server
 	metrics                     *server.Server
 	stopping                    atomic.Bool
@@ -275,10 +276,10 @@
 		Configuration: d.currentConfiguration, RecordStarted: d.tally.Add, FailureDomain: d.settings.Daemon.FailureDomain,
 	})
 	caller := d.settings.Caller
-	d.callers = &http.Server{
+	d.callers = keepalive.New(&http.Server{
 		Handler: d.handler, MaxHeaderBytes: caller.MaxHeaderBytes, ErrorLog: nil,
 		ReadHeaderTimeout: caller.HeaderTimeout.Duration(), IdleTimeout: caller.IdleTimeout.Duration(),
-	}
+	}, d.logger)
 	mux := http.NewServeMux()
 	mux.HandleFunc(d.settings.Readiness.Path, d.serveReadiness)
 	d.ready = &http.Server{Handler: mux, ReadHeaderTimeout: caller.HeaderTimeout.Duration()}
@@ -316,7 +317,7 @@
 		return err
 	}
 	for _, l := range []struct {
-		server  *http.Server
+		server  listenerServer
 		address string
 	}{{d.callers, d.settings.Caller.Listen}, {d.ready, d.settings.Readiness.Listen}} {
 		listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", l.address)
@@ -340,9 +341,14 @@
 	return nil
 }
 
+// listenerServer serves the connections of a listener.
+type listenerServer interface {
+	Serve(listener net.Listener) error
+}
+
 // httpServer is an HTTP server with its listener.
 type httpServer struct {
-	server   *http.Server
+	server   listenerServer
 	listener net.Listener
 }
 
