End a caller's connection only when nothing waits to be read on it

Cause: http.Server.Shutdown. It closes every connection that net/http counts as idle, which is so until the head of the next request has been parsed, and it drops a request whose head is parsed later. When goroutines wait for the processor, requests that have been read, or wait to be read, are cut. Class: the end of a connection is decided by somebody who does not know what was read from it.

Why it works: the goroutine that reads a connection ends it. Shutdown makes its read return; it then reads once more without waiting, and only if nothing is there does the connection end. A connection that has just been made or answered without 'Connection: close' gets a little more time, since a request is likely on its way. Connections made before the shutdown are accepted first. The same read ends a connection that was idle for too long.

--- a/internal/caller/keepalive/conn.go
+++ b/internal/caller/keepalive/conn.go
@@ -1,8 +1,22 @@
 package keepalive
 
 import (
+	"errors"
+	"io"
 	"net"
+	"os"
 	"sync"
+	"syscall"
+	"time"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+)
+
+// While the Server shuts down, a connection ends if it has been idle for some time. A caller that
+// has just connected, or has just got an answer that did not announce the end, may be sending.
+const (
+	firstRequestTime = clock.Second
+	nextRequestTime  = 500 * clock.Millisecond
 )
 
 // conn is a connection of a caller.
@@ -15,12 +29,18 @@
 	used bool
 	// idle is set while nothing of the next request has been read.
 	idle bool
+	// idleSince is when the connection was accepted or the last answer ended.
+	idleSince time.Time
 	// answering is set once something of the answer to the last request was written.
 	answering bool
+	// ending is set when the connection is to end as soon as nothing waits to be read.
+	ending bool
+	// readDeadline is the one that net/http has set.
+	readDeadline time.Time
 }
 
 func newConn(inner net.Conn, server *Server) *conn {
-	c := &conn{Conn: inner, server: server, idle: true}
+	c := &conn{Conn: inner, server: server, idle: true, idleSince: time.Now()}
 	server.add(c)
 	return c
 }
@@ -28,21 +48,84 @@
 // NetConn returns the connection that c wraps, like the method of tls.Conn.
 func (c *conn) NetConn() net.Conn { return c.Conn }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It returns io.EOF if the connection ends, which it does only if
+// nothing waits to be read.
 func (c *conn) Read(p []byte) (n int, err error) {
 	n, err = c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.endsNow() {
+		n, err = c.readWaiting(p)
+	}
 	if n > 0 {
 		c.recordRead()
 	}
 	return n, err
 }
 
+// endsNow reports whether a read deadline that has passed ends the connection, because it was idle
+// for too long or the Server shuts down. The limit for reading a first request is no such deadline.
+func (c *conn) endsNow() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idle && (c.used || c.ending && !time.Now().Before(c.expiry()))
+}
+
+// readWaiting reads what has arrived, without waiting for more.
+func (c *conn) readWaiting(p []byte) (n int, err error) {
+	raw, err := rawConn(c.Conn)
+	if err != nil {
+		return 0, err
+	}
+	// An expired deadline would fail every read.
+	if err := c.Conn.SetReadDeadline(time.Time{}); err != nil {
+		return 0, err
+	}
+	var readErr error
+	err = raw.Read(func(fd uintptr) bool {
+		n, readErr = readNow(int(fd), p)
+		return true
+	})
+	if err != nil || readErr != nil || n <= 0 {
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+var errNoSystemConn = errors.New("keepalive: not a connection of the system")
+
+// rawConn returns the system's connection below netConn.
+func rawConn(netConn net.Conn) (syscall.RawConn, error) {
+	for {
+		switch c := netConn.(type) {
+		case syscall.Conn:
+			return c.SyscallConn()
+		case interface{ NetConn() net.Conn }:
+			netConn = c.NetConn()
+		default:
+			return nil, errNoSystemConn
+		}
+	}
+}
+
+// readNow reads from a descriptor that does not block, again if a signal interrupts it.
+func readNow(fd int, p []byte) (n int, err error) {
+	for {
+		n, err = syscall.Read(fd, p)
+		if !errors.Is(err, syscall.EINTR) {
+			return n, err
+		}
+	}
+}
+
 // recordRead records that a part of a request has been read.
 func (c *conn) recordRead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idle {
-		c.idle, c.answering = false, false
+	if !c.idle {
+		return
+	}
+	c.idle, c.answering = false, false
+	if c.ending {
+		_ = c.Conn.SetReadDeadline(c.readDeadline)
 	}
 }
 
@@ -65,9 +148,49 @@
 	return c.Conn.Close()
 }
 
+// SetReadDeadline implements net.Conn. The deadline of a connection that is to end stays.
+func (c *conn) SetReadDeadline(at time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = at
+	if c.ending && c.idle {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(at)
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(at time.Time) error {
+	return errors.Join(c.SetReadDeadline(at), c.SetWriteDeadline(at))
+}
+
 // setIdle records that the last request has been answered.
 func (c *conn) setIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.used, c.idle = true, true
+	c.used, c.idle, c.idleSince = true, true, time.Now()
+	c.wakeIfEnding()
+}
+
+// end ends the connection as soon as nothing waits to be read.
+func (c *conn) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ending = true
+	c.wakeIfEnding()
+}
+
+// wakeIfEnding makes an idle connection that is to end return from Read. The lock must be held.
+func (c *conn) wakeIfEnding() {
+	if c.ending && c.idle {
+		_ = c.Conn.SetReadDeadline(c.expiry())
+	}
+}
+
+// expiry returns when the connection ends if it stays idle. The lock must be held.
+func (c *conn) expiry() time.Time {
+	if c.used {
+		return c.idleSince.Add(nextRequestTime.Duration())
+	}
+	return c.idleSince.Add(firstRequestTime.Duration())
 }
--- a/internal/caller/keepalive/events.go
+++ b/internal/caller/keepalive/events.go
@@ -9,7 +9,7 @@
 
 var (
 	eventShutdown = event.New(1104, logrus.InfoLevel, "connections of callers are ending",
-		"No new connections are accepted. The fields count the open ones: New ones have had no request yet, and a request has arrived on Busy ones.")
+		"No new connections are accepted. Idle ones end now, those on which no request has come yet a second after they were made, and the others once their request is answered.")
 	eventAbandoned = event.New(1105, logrus.WarnLevel, "connections of callers are left at the end of the grace time",
 		"Their requests were not answered in time and are cut off.")
 
--- a/internal/caller/keepalive/keepalive.go
+++ b/internal/caller/keepalive/keepalive.go
@@ -1,8 +1,15 @@
-// Package keepalive serves callers over HTTP/1 and counts their connections by state.
+// Package keepalive serves callers over HTTP/1 and shuts down without losing a request.
+//
+// A Server wraps an http.Server and the connections that it accepts. Its Shutdown replaces that
+// of http.Server, which closes a kept connection as idle until the head of the next request has
+// been parsed, and drops requests whose head it parses later. Here the goroutine that reads a
+// connection ends it, and only at a moment at which nothing waits to be read. So whatever has
+// been read is answered; only a request that is still under way to the connection can meet its
+// end, and no byte of that has been read.
 //
 // # Usage
 //
-//	server := keepalive.New(&http.Server{Handler: handler}, logger)
+//	server := keepalive.New(&http.Server{Handler: handler}, nil, logger)
 //	go server.Serve(listener) // nil after Shutdown or Close
 //	...
 //	server.Drain()              // IsDraining reports true from now on
@@ -23,29 +30,44 @@
 	"sync/atomic"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
 )
 
+// acceptTime is how long connections that were made before a Shutdown are still accepted, so
+// that they do not end with the listening socket.
+const acceptTime = 100 * clock.Millisecond
+
 // Server is an HTTP server for callers.
 type Server struct {
 	http     *http.Server
+	tls      *tls.Config
 	logger   logrus.FieldLogger
 	draining atomic.Bool
 
-	mu    sync.Mutex
-	conns map[*conn]struct{}
+	mu       sync.Mutex
+	conns    map[*conn]struct{}
+	listener *listener
+	stopping bool
+	// empty is closed when the Server is stopping and has no connections.
+	empty chan struct{}
 }
 
-// New returns a Server that serves with an http.Server, whose hook ConnState it sets.
-func New(server *http.Server, logger logrus.FieldLogger) *Server {
-	s := &Server{http: server, logger: logger, conns: make(map[*conn]struct{})}
+// New returns a Server that serves with an http.Server, whose hook ConnState it sets. The
+// configuration of TLS is nil for unencrypted connections.
+func New(server *http.Server, config *tls.Config, logger logrus.FieldLogger) *Server {
+	s := &Server{http: server, tls: config, logger: logger, conns: make(map[*conn]struct{}), empty: make(chan struct{})}
 	server.ConnState = s.recordState
 	return s
 }
 
-// Serve accepts connections until Shutdown or Close. They use TLS if the http.Server has a
-// configuration for it.
+// Serve accepts connections until Shutdown or Close.
 func (s *Server) Serve(inner net.Listener) error {
-	err := s.http.Serve(s.withTLS(&listener{Listener: inner, server: s}))
+	l := &listener{Listener: inner, server: s}
+	s.mu.Lock()
+	s.listener = l
+	s.mu.Unlock()
+	err := s.http.Serve(s.withTLS(l))
 	if errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -53,10 +75,10 @@
 }
 
 func (s *Server) withTLS(l net.Listener) net.Listener {
-	if s.http.TLSConfig == nil {
+	if s.tls == nil {
 		return l
 	}
-	return tls.NewListener(l, s.http.TLSConfig)
+	return tls.NewListener(l, s.tls)
 }
 
 // Drain announces that the Server is about to shut down.
@@ -74,15 +96,50 @@
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Drain()
 	eventShutdown.Log(s.logger, s.countConnections().fields())
-	err := s.http.Shutdown(ctx)
-	if err != nil {
+	s.stop()
+	select {
+	case <-s.empty:
+		return nil
+	case <-ctx.Done():
 		eventAbandoned.Log(s.logger, s.countConnections().fields())
+		return ctx.Err()
+	}
+}
+
+// stop ends accepting and every idle connection.
+func (s *Server) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping {
+		return
+	}
+	s.stopping = true
+	if s.listener != nil {
+		s.listener.endAccepting(acceptTime)
+	}
+	for c := range s.conns {
+		c.end()
+	}
+	s.signalIfEmpty()
+}
+
+// signalIfEmpty wakes Shutdown if no connection is left. The lock must be held.
+func (s *Server) signalIfEmpty() {
+	if !s.stopping || len(s.conns) > 0 || s.listener.isAccepting() {
+		return
+	}
+	select {
+	case <-s.empty:
+	default:
+		close(s.empty)
 	}
-	return err
 }
 
 // Close closes the listener and all connections, whatever they are doing.
 func (s *Server) Close() error {
+	s.mu.Lock()
+	s.stopping = true
+	s.mu.Unlock()
 	return s.http.Close()
 }
 
@@ -91,12 +148,23 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
+	if s.stopping {
+		c.end()
+	}
 }
 
 func (s *Server) remove(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	s.signalIfEmpty()
+}
+
+// endedAccepting is called when the listener accepts no more connections.
+func (s *Server) endedAccepting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.signalIfEmpty()
 }
 
 // recordState follows the state of a connection as net/http sees it.
--- a/internal/caller/keepalive/keepalive_test.go
+++ b/internal/caller/keepalive/keepalive_test.go
@@ -87,7 +87,7 @@
 	})}
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	server = keepalive.New(httpServer, logger)
+	server = keepalive.New(httpServer, nil, logger)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	t.Cleanup(func() {
--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -279,7 +279,7 @@
 	d.callers = keepalive.New(&http.Server{
 		Handler: d.handler, MaxHeaderBytes: caller.MaxHeaderBytes, ErrorLog: nil,
 		ReadHeaderTimeout: caller.HeaderTimeout.Duration(), IdleTimeout: caller.IdleTimeout.Duration(),
-	}, d.logger)
+	}, nil, d.logger)
 	mux := http.NewServeMux()
 	mux.HandleFunc(d.settings.Readiness.Path, d.serveReadiness)
 	d.ready = &http.Server{Handler: mux, ReadHeaderTimeout: caller.HeaderTimeout.Duration()}
