End connections of the server for model callers like those of a gateway

What callers see: 'banyanshift serve' closes kept connections while a request is arriving on them, when it shuts down; no answer says that its connection is about to end.

Cause: the same as in the gateway, http.Server.Shutdown, here also below TLS and the limit of connections.

Why it works: the server is a keepalive.Server, and the header of each answer of a draining server announces the end.

--- a/internal/bench/mutate/mutations.go
+++ b/internal/bench/mutate/mutations.go
@@ -92,7 +92,7 @@
 	},
 	{
 		Invariant: "GracefulCuts", What: "waiting for open requests",
-		Edits:   []edit{{File: "internal/caller/entry/entry.go", Old: "err = s.http.Shutdown(ctx)", New: "_ = ctx\n\terr = s.http.Close()"}},
+		Edits:   []edit{{File: "internal/caller/entry/entry.go", Old: "err = errors.Join(s.server.Shutdown(ctx), s.server.Close())", New: "_ = ctx\n\terr = s.server.Close()"}},
 		Package: "./internal/caller/entry", Test: "TestShutdownWaitsForStreams",
 	},
 	{
--- a/internal/caller/entry/connection.go
+++ b/internal/caller/entry/connection.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"time"
 )
 
 var errNoTCP = errors.New("not a TCP connection")
@@ -42,6 +43,15 @@
 	return l.Listener.Close()
 }
 
+// SetDeadline sets the time at which Accept gives up.
+func (l *connLimiter) SetDeadline(at time.Time) error {
+	listener, has := l.Listener.(*net.TCPListener)
+	if !has {
+		return errNoTCP
+	}
+	return listener.SetDeadline(at)
+}
+
 func (l *connLimiter) release() { <-l.slots }
 
 // limitedConn releases its slot in the limiter when it is first closed.
--- a/internal/caller/entry/entry.go
+++ b/internal/caller/entry/entry.go
@@ -33,6 +33,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/caller/keepalive"
 	"github.com/banyanshift/banyanshift/internal/config/state"
 	"github.com/banyanshift/banyanshift/internal/settings/ini"
 )
@@ -60,7 +61,7 @@
 type Server struct {
 	deps       Dependencies
 	app        *iris.Application
-	http       *http.Server
+	server     *keepalive.Server
 	listener   net.Listener
 	inFlight   atomic.Int64
 	draining   atomic.Bool
@@ -136,10 +137,7 @@
 		listener = newConnLimiter(listener, limit)
 	}
 	s.listener = listener
-	if s.deps.TLS != nil {
-		listener = tls.NewListener(listener, s.deps.TLS)
-	}
-	s.http = s.newHTTPServer()
+	s.server = keepalive.New(s.newHTTPServer(), s.deps.TLS, s.deps.Logger)
 	s.serveGroup.Add(1)
 	go s.run(listener)
 	return nil
@@ -159,7 +157,7 @@
 
 func (s *Server) run(listener net.Listener) {
 	defer s.serveGroup.Done()
-	if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.server.Serve(listener); err != nil {
 		eventServeFailed.Log(s.deps.Logger, logrus.Fields{"Error": err.Error()})
 	}
 }
@@ -175,17 +173,18 @@
 }
 
 // Drain makes the readiness check fail, so that the load balancer sends new
-// connections to other daemons. Requests are still served.
+// connections to other daemons. Requests are still served, with answers that announce the end of
+// their connection.
 func (s *Server) Drain() {
 	s.draining.Store(true)
 }
 
-// Shutdown stops listening and waits until all requests have been answered or
-// the context ends.
+// Shutdown stops listening and waits until all requests have been answered. If the context ends
+// before, it closes the connections that are left.
 func (s *Server) Shutdown(ctx context.Context) (err error) {
 	defer func() { err = oops.Wrapf(err, "shut down HTTP server for callers") }()
 	s.draining.Store(true)
-	err = s.http.Shutdown(ctx)
+	err = errors.Join(s.server.Shutdown(ctx), s.server.Close())
 	s.serveGroup.Wait()
 	return err
 }
--- a/internal/caller/entry/exchange.go
+++ b/internal/caller/entry/exchange.go
@@ -215,8 +215,12 @@
 	return x.writer.Header()
 }
 
-// SendHeader sends the answer's status and header.
+// SendHeader sends the answer's status and header. If the server drains, the header announces the
+// end of the connection, so that the caller sends its next request to another daemon.
 func (x *Exchange) SendHeader(status int) {
+	if x.server.draining.Load() {
+		x.writer.Header().Set("Connection", "close")
+	}
 	x.headerSent = true
 	x.writer.WriteHeader(status)
 }
@@ -248,7 +252,9 @@
 
 // writePiece writes at most maxWriteBytes within WriteStallTimeout.
 func (x *Exchange) writePiece(data []byte) error {
-	x.headerSent = true
+	if !x.headerSent {
+		x.SendHeader(http.StatusOK)
+	}
 	timeout := x.server.deps.Settings.WriteStallTimeout
 	if err := x.controller.SetWriteDeadline(time.Now().Add(timeout.Duration())); err != nil {
 		return err
