Reset the TCP connection below the connections of a gateway

What callers of HTTP/1.0 would see: an answer that breaks off ends like a complete one.

Cause: since the connection that a handler takes over is a wrapper, which relay did not take for a TCP connection, so that it closed it in order.

Evidence: TestResetAnswerDoesNotEndAsComplete; relay and entry now share the reset that looks below wrappers, which entry had already, so that the logic stands once.

--- a/internal/caller/entry/connection.go
+++ b/internal/caller/entry/connection.go
@@ -70,17 +70,3 @@
 
 // NetConn returns the connection that c wraps, like the method of tls.Conn.
 func (c *limitedConn) NetConn() net.Conn { return c.Conn }
-
-// resetTCP closes the TCP connection below conn with a reset.
-func resetTCP(conn net.Conn) error {
-	for {
-		switch c := conn.(type) {
-		case *net.TCPConn:
-			return errors.Join(c.SetLinger(0), c.Close())
-		case interface{ NetConn() net.Conn }:
-			conn = c.NetConn()
-		default:
-			return errNoTCP
-		}
-	}
-}
--- a/internal/caller/entry/exchange.go
+++ b/internal/caller/entry/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/caller/keepalive"
 	"github.com/banyanshift/banyanshift/internal/caller/request"
 	"github.com/banyanshift/banyanshift/internal/config/entity"
 )
@@ -327,7 +328,7 @@
 	if err != nil {
 		return err
 	}
-	err = resetTCP(conn)
+	err = keepalive.Reset(conn)
 	// Releases the connection's slot; the connection itself is closed already.
 	_ = conn.Close()
 	return err
--- a/internal/caller/keepalive/conn.go
+++ b/internal/caller/keepalive/conn.go
@@ -194,3 +194,20 @@
 	}
 	return c.idleSince.Add(firstRequestTime.Duration())
 }
+
+var errNoTCP = errors.New("keepalive: not a TCP connection")
+
+// Reset closes the TCP connection below netConn with a reset, so that what was sent on it does
+// not look complete. The connections above are still to be closed.
+func Reset(netConn net.Conn) error {
+	for {
+		switch c := netConn.(type) {
+		case *net.TCPConn:
+			return errors.Join(c.SetLinger(0), c.Close())
+		case interface{ NetConn() net.Conn }:
+			netConn = c.NetConn()
+		default:
+			return errNoTCP
+		}
+	}
+}
--- a/internal/caller/keepalive/keepalive_test.go
+++ b/internal/caller/keepalive/keepalive_test.go
@@ -79,7 +79,11 @@
 	}
 	listener := &ledgers{TCPListener: inner.(*net.TCPListener), beforeRead: beforeRead, afterRead: afterRead}
 	var server *keepalive.Server
-	httpServer := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	httpServer := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == resetPath {
+			resetAnswer(t, w)
+			return
+		}
 		if server.IsDraining() {
 			w.Header().Set("Connection", "close")
 		}
@@ -295,3 +299,33 @@
 		}
 	}
 }
+
+// resetPath is answered with a part of an answer and a reset.
+const resetPath = "/reset"
+
+func resetAnswer(t *testing.T, w http.ResponseWriter) {
+	_, _ = io.WriteString(w, "part")
+	control := http.NewResponseController(w)
+	_ = control.Flush()
+	conn, _, err := control.Hijack()
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	if err := keepalive.Reset(conn); err != nil {
+		t.Error(err)
+	}
+	_ = conn.Close()
+}
+
+// TestResetAnswerDoesNotEndAsComplete guards against a reset that does not reach the TCP
+// connection, where only the end of the connection ends the answer.
+func TestResetAnswerDoesNotEndAsComplete(t *testing.T) {
+	t.Parallel()
+	_, listener := startServer(t, nil, nil)
+	c := dial(t, listener)
+	_, _ = io.WriteString(c.conn, "GET "+resetPath+" HTTP/1.0\r\n\r\n")
+	if text, err := io.ReadAll(c.reader); err == nil {
+		t.Errorf("the answer %q ended as if it were complete", text)
+	}
+}
--- a/internal/caller/relay/exchange.go
+++ b/internal/caller/relay/exchange.go
@@ -1,15 +1,14 @@
 package relay
 
 import (
-	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/caller/keepalive"
 	"github.com/banyanshift/banyanshift/internal/config/document"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
 	"github.com/banyanshift/banyanshift/internal/decide/quarantine"
@@ -84,10 +83,10 @@
 	if err != nil {
 		return err
 	}
-	if tcpConn, isTCP := conn.(*net.TCPConn); isTCP {
-		err = tcpConn.SetLinger(0)
-	}
-	return errors.Join(err, conn.Close())
+	err = keepalive.Reset(conn)
+	// The connection itself is closed already; this releases what wraps it.
+	_ = conn.Close()
+	return err
 }
 
 // handle runs the request through the filters and forwards it. A filter that
