Announce the end of a connection in every answer of a stopping gateway

Cause: the field was set when a request began, and the endpoint's own Connection field replaced it before both were dropped (copyHeader). Requests that had begun before SIGTERM never got it. No stand-in sent that field, real endpoints do.

Evidence: TestAnswersOfAStoppingGatewayAnnounceTheEnd on: two of two answers without it; TestRequestThatArrivesWhileAGatewayStopsIsAnswered there: no answer (the fault that mended, through a whole gateway). Both pass now.

Why it works: the field is set where the head is written, after the endpoint's fields that concern only its own connection are gone.

--- a/internal/caller/relay/answer.go
+++ b/internal/caller/relay/answer.go
@@ -104,7 +104,7 @@
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(buffered.body)))
 	}
 	x.trace.setResult(buffered.status, "")
-	x.w.WriteHeader(buffered.status)
+	x.writeHead(buffered.status)
 	_, err := x.w.Write(buffered.body)
 	x.whole = err == nil
 }
@@ -117,7 +117,7 @@
 	if answer.Length >= 0 {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(answer.Length, 10))
 	}
-	x.w.WriteHeader(answer.Status)
+	x.writeHead(answer.Status)
 	_, err := x.w.Write(start)
 	if err == nil {
 		_, err = io.Copy(x.w, answer)
@@ -137,6 +137,15 @@
 	return answered
 }
 
+// writeHead writes the status and header of the answer. While the daemon shuts down, the header
+// announces the end of the connection, so that the caller sends its next request to another one.
+func (x *exchange) writeHead(status int) {
+	if x.handler.draining.Load() {
+		x.w.Header().Set("Connection", "close")
+	}
+	x.w.WriteHeader(status)
+}
+
 // copyHeader copies the header fields of an answer, except Content-Length and
 // the fields that concern only the connection to the endpoint.
 func copyHeader(to, from http.Header) {
@@ -145,9 +154,6 @@
 	}
 	to.Del("Content-Length")
 	for _, name := range http1.HopByHopHeaders {
-		if name == "Connection" && to.Get(name) == "close" && from.Get(name) == "" {
-			continue
-		}
 		to.Del(name)
 	}
 	if from.Get("Content-Type") == "" {
--- a/internal/caller/relay/exchange.go
+++ b/internal/caller/relay/exchange.go
@@ -252,7 +252,7 @@
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	x.trace.setResult(status, refusal.Reason)
 	x.drainBody()
-	x.w.WriteHeader(status)
+	x.writeHead(status)
 	_, err := io.WriteString(x.w, refusal.Reason+"\n")
 	x.whole = err == nil
 }
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -326,8 +326,8 @@
 	return &Handler{config: config}
 }
 
-// Drain adds "Connection: close" to all later answers, so that callers
-// reconnect to another daemon.
+// Drain adds "Connection: close" to all heads that are written later, so that callers connect to
+// another daemon.
 func (h *Handler) Drain() {
 	h.draining.Store(true)
 }
@@ -342,9 +342,6 @@
 	h.active.Add(1)
 	defer h.active.Add(-1)
 	requestCount.Add(1)
-	if h.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	x := &exchange{handler: h, w: w, r: r, arrived: h.config.Clock.Now()}
 	x.serve()
 }
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -179,7 +179,7 @@
 	if !x.stream.headSent {
 		x.stream.headSent = true
 		copyHeader(x.w.Header(), p.answer.Header)
-		x.w.WriteHeader(p.answer.Status)
+		x.writeHead(p.answer.Status)
 	}
 	x.trace.recordWrite(x.handler.config.Clock.Now())
 	if _, err := x.w.Write(data); err != nil {
