Refuse a late request that may outlast a stopping gateway

Cause: a stopping gateway took every request on its open connections, whatever the time limit.

Why it works: from the moment at which no connections are accepted any more, a request is taken only if its own time limit ends before the daemon does. Others get 503 before they are placed, with a Retry-After of 10 ms, since every other daemon can take them.

--- a/internal/caller/keepalive/keepalive.go
+++ b/internal/caller/keepalive/keepalive.go
@@ -12,12 +12,11 @@
 //	server := keepalive.New(&http.Server{Handler: handler}, nil, logger)
 //	go server.Serve(listener) // nil after Shutdown or Close
 //	...
-//	server.Drain()              // IsDraining reports true from now on
 //	err := server.Shutdown(ctx) // ends idle connections and waits for the others
 //	server.Close()              // closes what is left
 //
-// A handler that answers while the Server drains sets "Connection: close", so that callers do
-// not send the next request on a connection that is about to end.
+// The handler is to set "Connection: close" in its answers from some time before Shutdown on, so
+// that callers do not send the next request on a connection that is about to end.
 package keepalive
 
 import (
@@ -27,7 +26,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 
 	"github.com/sirupsen/logrus"
 
@@ -40,10 +38,9 @@
 
 // Server is an HTTP server for callers.
 type Server struct {
-	http     *http.Server
-	tls      *tls.Config
-	logger   logrus.FieldLogger
-	draining atomic.Bool
+	http   *http.Server
+	tls    *tls.Config
+	logger logrus.FieldLogger
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
@@ -81,20 +78,9 @@
 	return tls.NewListener(l, s.tls)
 }
 
-// Drain announces that the Server is about to shut down.
-func (s *Server) Drain() {
-	s.draining.Store(true)
-}
-
-// IsDraining reports whether answers are to announce the end of their connections.
-func (s *Server) IsDraining() bool {
-	return s.draining.Load()
-}
-
 // Shutdown stops accepting, ends idle connections, and waits until the others have ended or ctx
 // ends.
 func (s *Server) Shutdown(ctx context.Context) error {
-	s.Drain()
 	eventShutdown.Log(s.logger, s.countConnections().fields())
 	s.stop()
 	select {
--- a/internal/caller/keepalive/keepalive_test.go
+++ b/internal/caller/keepalive/keepalive_test.go
@@ -55,10 +55,12 @@
 
 func (c *ledger) NetConn() net.Conn { return c.Conn }
 
-// ledgers is a listener whose connections are ledgers.
+// ledgers is a listener whose connections are ledgers. Its handler announces their end once
+// draining is set.
 type ledgers struct {
 	*net.TCPListener
 	lost                  atomic.Int64
+	draining              atomic.Bool
 	beforeRead, afterRead func(read int64)
 }
 
@@ -78,20 +80,19 @@
 		t.Fatal(err)
 	}
 	listener := &ledgers{TCPListener: inner.(*net.TCPListener), beforeRead: beforeRead, afterRead: afterRead}
-	var server *keepalive.Server
 	httpServer := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == resetPath {
 			resetAnswer(t, w)
 			return
 		}
-		if server.IsDraining() {
+		if listener.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
 		_, _ = io.WriteString(w, "ok")
 	})}
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	server = keepalive.New(httpServer, nil, logger)
+	server := keepalive.New(httpServer, nil, logger)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	t.Cleanup(func() {
@@ -149,7 +150,8 @@
 	}
 }
 
-func shutDown(server *keepalive.Server) chan error {
+func shutDown(server *keepalive.Server, listener *ledgers) chan error {
+	listener.draining.Store(true)
 	done := make(chan error, 1)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
@@ -191,7 +193,7 @@
 				t.Fatal(err)
 			}
 			time.Sleep(shutdownTime)
-			done := shutDown(server)
+			done := shutDown(server, listener)
 			time.Sleep(shutdownTime)
 			close(shuttingDown)
 			if kept, err := c.receive(); err != nil || kept {
@@ -211,7 +213,7 @@
 	server, listener := startServer(t, nil, nil)
 	speaks, silent := dial(t, listener), dial(t, listener)
 	time.Sleep(50 * time.Millisecond)
-	done := shutDown(server)
+	done := shutDown(server, listener)
 	time.Sleep(50 * time.Millisecond)
 	speaks.exchange(t)
 	_ = silent.conn.SetReadDeadline(time.Now().Add(20 * time.Second))
@@ -230,7 +232,7 @@
 	c := dial(t, listener)
 	c.exchange(t)
 	started := time.Now()
-	if err := <-shutDown(server); err != nil {
+	if err := <-shutDown(server, listener); err != nil {
 		t.Errorf("Shutdown: %v", err)
 	}
 	if took := time.Since(started); took > 5*time.Second {
@@ -275,7 +277,7 @@
 		})
 	}
 	time.Sleep(warmUp)
-	if err := <-shutDown(server); err != nil {
+	if err := <-shutDown(server, listener); err != nil {
 		t.Errorf("Shutdown: %v", err)
 	}
 	calling.Wait()
--- a/internal/caller/relay/answer.go
+++ b/internal/caller/relay/answer.go
@@ -140,7 +140,7 @@
 // writeHead writes the status and header of the answer. While the daemon shuts down, the header
 // announces the end of the connection, so that the caller sends its next request to another one.
 func (x *exchange) writeHead(status int) {
-	if x.handler.draining.Load() {
+	if x.handler.shutdown.Load() != nil {
 		x.w.Header().Set("Connection", "close")
 	}
 	x.w.WriteHeader(status)
--- a/internal/caller/relay/exchange.go
+++ b/internal/caller/relay/exchange.go
@@ -22,6 +22,8 @@
 	// answerMargin is how long after the deadline of a request its endpoint
 	// may still answer, so that the caller gets the endpoint's own answer.
 	answerMargin = 60 * clock.Millisecond
+	// elsewhereRetryAfter is the Retry-After of a request that another daemon can take at once.
+	elsewhereRetryAfter = 10 * clock.Millisecond
 )
 
 // exchange is one request of a caller and the answer to it.
@@ -92,7 +94,7 @@
 // handle runs the request through the filters and forwards it. A filter that
 // returns false has answered the request.
 func (x *exchange) handle() {
-	for _, filter := range []func() bool{x.decodeHead, x.findRoute, x.authenticate, x.readBody, x.findOrigin} {
+	for _, filter := range []func() bool{x.decodeHead, x.findRoute, x.authenticate, x.checkShutdown, x.readBody, x.findOrigin} {
 		if !filter() {
 			return
 		}
@@ -178,6 +180,16 @@
 	return true
 }
 
+// checkShutdown refuses a late request that may last longer than this daemon.
+func (x *exchange) checkShutdown() bool {
+	shutdown := x.handler.shutdown.Load()
+	if shutdown == nil || x.arrived < shutdown.TakeAllUntil || x.deadline+answerMargin <= shutdown.End {
+		return true
+	}
+	x.refuse(http.StatusServiceUnavailable, Refusal{Reason: "daemon is shutting down", RetryAfter: elsewhereRetryAfter})
+	return false
+}
+
 // findOrigin looks up the software version that began a stream which the caller takes up.
 // Only endpoints of that version can continue it.
 func (x *exchange) findOrigin() bool {
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -314,10 +314,19 @@
 	FailureDomain string
 }
 
+// Shutdown says when a daemon that shuts down stops serving.
+type Shutdown struct {
+	// TakeAllUntil is the time from which on only requests are taken that end before End.
+	TakeAllUntil clock.Millis
+	// End is when requests that are left are abandoned.
+	End clock.Millis
+}
+
 // Handler is the http.Handler that serves callers.
 type Handler struct {
-	config   Config
-	draining atomic.Bool
+	config Config
+	// shutdown is nil until the daemon shuts down.
+	shutdown atomic.Pointer[Shutdown]
 	active   atomic.Int64
 }
 
@@ -326,10 +335,11 @@
 	return &Handler{config: config}
 }
 
-// Drain adds "Connection: close" to all heads that are written later, so that callers connect to
-// another daemon.
-func (h *Handler) Drain() {
-	h.draining.Store(true)
+// Drain prepares for the end of the daemon. All heads that are written later announce the end of
+// their connections, so that callers connect to another daemon, and a late request is taken only
+// if its time limit ends before the daemon.
+func (h *Handler) Drain(shutdown Shutdown) {
+	h.shutdown.Store(&shutdown)
 }
 
 // InFlight returns how many requests are being served.
--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -360,8 +360,8 @@
 }
 
 const (
-	// balancerDelay is the time after SIGTERM during which new requests are still
-	// accepted, so that the load balancer can remove the daemon.
+	// balancerDelay is the time after SIGTERM during which new connections and all
+	// requests are still accepted, so that the load balancer can remove the daemon.
 	balancerDelay = 2500 * clock.Millisecond
 	// exitMargin is the time before the end of the grace time at which the
 	// remaining requests are abandoned.
@@ -373,16 +373,16 @@
 // the other tasks.
 func (d *Daemon) shutDown() error {
 	started := d.clock.Now()
+	end := started + d.settings.Daemon.Grace - exitMargin
 	eventStopping.Log(d.logger, logrus.Fields{"InFlight": d.handler.InFlight()})
 	d.stopping.Store(true)
 	d.fleet.SetStopping()
-	d.handler.Drain()
+	d.handler.Drain(relay.Shutdown{TakeAllUntil: started + balancerDelay, End: end})
 	d.forwarding.SetStopping()
 	d.holderTasks.Stop()
 	d.leaseTasks.Stop()
 	_ = d.clock.Sleep(context.Background(), balancerDelay)
-	timeout := d.settings.Daemon.Grace - exitMargin - (d.clock.Now() - started)
-	ctx, cancel := context.WithTimeout(context.Background(), timeout.Duration())
+	ctx, cancel := context.WithTimeout(context.Background(), (end - d.clock.Now()).Duration())
 	defer cancel()
 	err := d.callers.Shutdown(ctx)
 	d.forwarding.Drain(ctx)
