Answer the requests that are left at the end of the grace time

Cause: the end of the grace time closed the connections under the handlers.

Evidence: TestRequestLeftAtTheEndOfTheGraceIsAnswered got 'unexpected EOF' and gets 502 now. TestAbandonedRequestIsAnsweredByWhatIsKnown has the other cases: 503 with Retry-After for one that waits for a permit, 502 for one that was sent, and a broken answer for a stream that has begun.

Why it works: 600 ms before the end of the grace time, as before, each request's context ends, and the request gets the final answer that fits what is known of it. Callers are told within 200 ms; only what is left then is cut. The attempt counts as canceled, so that nothing is held against its endpoint or its prompt.

--- a/internal/caller/relay/answer.go
+++ b/internal/caller/relay/answer.go
@@ -26,12 +26,15 @@
 	x.countStart(sentWall)
 	body, err := readBuffered(answer)
 	long := errors.Is(err, errAnswerTooLarge)
-	if x.r.Context().Err() != nil {
+	if x.callerLeft() {
 		s.RecordEnd(placement, balance.Canceled)
 		x.trace.setResult(0, "caller left")
 		return callerGone
 	}
 	if err != nil && !long {
+		if x.isAbandoned() {
+			return x.handleAbandoned(placement)
+		}
 		s.RecordEnd(placement, balance.Failed)
 		x.attempts.lastReason = err.Error()
 		x.recordFailure("answer broke off", placement, err)
--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -42,6 +42,8 @@
 	noAnswer
 	// callerGone: the caller has disconnected.
 	callerGone
+	// abandoned: this daemon ended the attempt, and the request may have run.
+	abandoned
 )
 
 // attemptState holds the results of the attempts so far of one request.
@@ -74,6 +76,10 @@
 func (x *exchange) forward() {
 	x.handler.config.Scheduler.CountRequest(x.backend)
 	for range maxTries {
+		if x.isAbandoned() {
+			x.conclude(shuttingDown)
+			return
+		}
 		placement, outcome, refusal := x.tryOnce()
 		if refusal.Reason != "" {
 			x.conclude(refusal)
@@ -82,6 +88,8 @@
 		switch outcome {
 		case answered, brokenOff, callerGone:
 			return
+		case abandoned:
+			x.attempts.mayHaveRun = true
 		case failed, noAnswer:
 			x.attempts.mayHaveRun = true
 			if !x.mayTryAgain() {
@@ -155,7 +163,7 @@
 // conclude writes the final answer when no further attempt is made.
 func (x *exchange) conclude(refusal Refusal) {
 	switch {
-	case x.r.Context().Err() != nil:
+	case x.callerLeft():
 		x.trace.setResult(0, "caller left")
 	case x.stream.headSent:
 		x.trace.setResult(0, refusal.Reason)
@@ -175,7 +183,7 @@
 // attempt sends the request to an endpoint and forwards its answer, if it gets a permit.
 func (x *exchange) attempt(placement Placement) (outcome result) {
 	x.trace.recordPlacement(x, placement)
-	permit := x.handler.config.Scheduler.Acquire(x.r.Context(), placement, x.priority(), x.timeLeft())
+	permit := x.handler.config.Scheduler.Acquire(x.ctx, placement, x.priority(), x.timeLeft())
 	if !permit.Granted {
 		return x.handleNoPermit(placement, permit)
 	}
@@ -194,7 +202,7 @@
 		return strain.Refused
 	case noAnswer, brokenOff:
 		return strain.Failed
-	case answered, failed, callerGone:
+	case answered, failed, callerGone, abandoned:
 	}
 	return strain.Answered
 }
@@ -203,10 +211,13 @@
 func (x *exchange) handleNoPermit(placement Placement, permit Permit) result {
 	s := x.handler.config.Scheduler
 	s.RecordEnd(placement, balance.Canceled)
-	if x.r.Context().Err() != nil {
+	if x.callerLeft() {
 		x.trace.setResult(0, "caller left")
 		return callerGone
 	}
+	if x.isAbandoned() {
+		return notSent
+	}
 	s.SetAside(placement.Endpoint, permit.AskAgainIn)
 	x.attempts.lastReason = "endpoint takes no more requests now"
 	x.recordFailure(x.attempts.lastReason, placement, nil)
@@ -237,7 +248,7 @@
 		connection.Cancel()
 		return x.handleDrained(placement)
 	}
-	answer, err := connection.Do(x.r.Context(), x.newRequest(placement))
+	answer, err := connection.Do(x.ctx, x.newRequest(placement))
 	if err != nil {
 		return x.handleNoAnswer(placement, err, sentWall)
 	}
@@ -262,7 +273,7 @@
 
 // connect finds a way to the endpoint within the time that is left.
 func (x *exchange) connect(placement Placement) (connection connect.Connection, err error) {
-	ctx, cancel := context.WithTimeout(x.r.Context(), x.timeLeft().Duration())
+	ctx, cancel := context.WithTimeout(x.ctx, x.timeLeft().Duration())
 	defer cancel()
 	connection, err = x.handler.config.Connect(ctx, connect.Target{
 		Endpoint: placement.Endpoint, Address: placement.Address, FailureDomain: placement.FailureDomain,
@@ -316,7 +327,7 @@
 	if sent {
 		x.attempts.sent++
 	}
-	if x.r.Context().Err() != nil {
+	if x.callerLeft() {
 		s.RecordEnd(placement, balance.Canceled)
 		x.trace.setResult(0, "caller left")
 		return callerGone
@@ -326,6 +337,9 @@
 		x.recordFailure("endpoint unreachable", placement, err)
 		return notSent
 	}
+	if x.isAbandoned() {
+		return x.handleAbandoned(placement)
+	}
 	s.RecordEnd(placement, balance.Failed)
 	x.recordFailure("no answer from endpoint", placement, err)
 	x.recordLost(placement, err)
@@ -335,6 +349,15 @@
 	return noAnswer
 }
 
+// handleAbandoned records an attempt that this daemon ended because it shuts down. It says nothing
+// of the endpoint.
+func (x *exchange) handleAbandoned(placement Placement) result {
+	x.handler.config.Scheduler.RecordEnd(placement, balance.Canceled)
+	x.attempts.lastReason = shuttingDown.Reason
+	x.recordFailure(x.attempts.lastReason, placement, nil)
+	return abandoned
+}
+
 // handleWrongEndpoint records an attempt whose address now belongs to another
 // endpoint, which did not run the request.
 func (x *exchange) handleWrongEndpoint(placement Placement) result {
--- a/internal/caller/relay/exchange.go
+++ b/internal/caller/relay/exchange.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -26,11 +27,16 @@
 	elsewhereRetryAfter = 10 * clock.Millisecond
 )
 
+// shuttingDown is the refusal of a request that this daemon cannot answer before it ends.
+var shuttingDown = Refusal{Reason: "daemon is shutting down", RetryAfter: elsewhereRetryAfter}
+
 // exchange is one request of a caller and the answer to it.
 type exchange struct {
 	handler *Handler
 	w       http.ResponseWriter
 	r       *http.Request
+	// ctx ends when the caller leaves, and when the daemon abandons its requests.
+	ctx     context.Context
 	arrived clock.Millis
 
 	call Call
@@ -186,7 +192,7 @@
 	if shutdown == nil || x.arrived < shutdown.TakeAllUntil || x.deadline+answerMargin <= shutdown.End {
 		return true
 	}
-	x.refuse(http.StatusServiceUnavailable, Refusal{Reason: "daemon is shutting down", RetryAfter: elsewhereRetryAfter})
+	x.refuse(http.StatusServiceUnavailable, shuttingDown)
 	return false
 }
 
@@ -196,7 +202,7 @@
 	if !x.takesUpStream() {
 		return true
 	}
-	origin := x.handler.config.Streams.Find(x.r.Context(), x.call.ResumedID, x.backend)
+	origin := x.handler.config.Streams.Find(x.ctx, x.call.ResumedID, x.backend)
 	x.recordOrigin(origin)
 	if !origin.Known {
 		x.refuse(http.StatusServiceUnavailable, Refusal{Reason: "cannot resume: the software version that began the stream is unknown; request it from its start", RetryAfter: defaultRetryAfter})
@@ -269,6 +275,16 @@
 	x.whole = err == nil
 }
 
+// callerLeft reports whether the caller has disconnected.
+func (x *exchange) callerLeft() bool {
+	return x.r.Context().Err() != nil
+}
+
+// isAbandoned reports whether the daemon ends the request, though its caller waits.
+func (x *exchange) isAbandoned() bool {
+	return x.handler.abandoned.Err() != nil && !x.callerLeft()
+}
+
 // timeLeft returns the time until the deadline.
 func (x *exchange) timeLeft() clock.Millis {
 	return x.deadline - x.handler.config.Clock.Now()
--- a/internal/caller/relay/incarnation.go
+++ b/internal/caller/relay/incarnation.go
@@ -48,12 +48,12 @@
 // may be used if it is open then.
 func (x *exchange) checkIncarnation(placement Placement, connection connect.Connection) (isOpen bool, err error) {
 	wire := x.handler.config.Wire
-	reply, err := connection.Ask(x.r.Context(), http1.Request{
+	reply, err := connection.Ask(x.ctx, http1.Request{
 		Method:   http.MethodGet,
 		Head:     wire.EncodeReportCall(placement.Address),
 		Deadline: x.handler.config.Clock.Now() + min(reportPatience, x.timeLeft()),
 	})
-	if err != nil && (reply.Status == 0 || x.r.Context().Err() != nil) {
+	if err != nil && (reply.Status == 0 || x.ctx.Err() != nil) {
 		return false, fmt.Errorf("%w: %w", errNoReport, err)
 	}
 	incarnation, known := wire.DecodeReport(reply.Status, reply.Body)
@@ -70,7 +70,7 @@
 // another one or not known. Nothing of the request was sent, and the endpoint may run others.
 func (x *exchange) handleUnchecked(placement Placement, err error) result {
 	x.handler.config.Scheduler.RecordEnd(placement, balance.Canceled)
-	if x.r.Context().Err() != nil {
+	if x.callerLeft() {
 		x.trace.setResult(0, "caller left")
 		return callerGone
 	}
--- a/internal/caller/relay/quarantine.go
+++ b/internal/caller/relay/quarantine.go
@@ -34,7 +34,7 @@
 	if !q.Active() {
 		return Admission{Granted: true}
 	}
-	admission := q.Admit(x.r.Context(), x.digests(), x.timeLeft())
+	admission := q.Admit(x.ctx, x.digests(), x.timeLeft())
 	if len(admission.Suspects) > 0 {
 		x.recordSuspicion(admission)
 	}
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -328,11 +328,15 @@
 	// shutdown is nil until the daemon shuts down.
 	shutdown atomic.Pointer[Shutdown]
 	active   atomic.Int64
+	// abandoned ends when requests are no longer served.
+	abandoned context.Context
+	abandon   context.CancelFunc
 }
 
 // New returns a Handler.
 func New(config Config) *Handler {
-	return &Handler{config: config}
+	abandoned, abandon := context.WithCancel(context.Background())
+	return &Handler{config: config, abandoned: abandoned, abandon: abandon}
 }
 
 // Drain prepares for the end of the daemon. All heads that are written later announce the end of
@@ -342,6 +346,12 @@
 	h.shutdown.Store(&shutdown)
 }
 
+// Abandon ends all requests that are being served, and later ones. One that has not run gets 503
+// and one that may have run 502; an answer that has begun breaks off.
+func (h *Handler) Abandon() {
+	h.abandon()
+}
+
 // InFlight returns how many requests are being served.
 func (h *Handler) InFlight() int {
 	return int(h.active.Load())
@@ -352,6 +362,9 @@
 	h.active.Add(1)
 	defer h.active.Add(-1)
 	requestCount.Add(1)
-	x := &exchange{handler: h, w: w, r: r, arrived: h.config.Clock.Now()}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	defer context.AfterFunc(h.abandoned, cancel)()
+	x := &exchange{handler: h, w: w, r: r, ctx: ctx, arrived: h.config.Clock.Now()}
 	x.serve()
 }
--- a/internal/caller/relay/relay_test.go
+++ b/internal/caller/relay/relay_test.go
@@ -63,6 +63,7 @@
 type fixture struct {
 	t         testing.TB
 	caller    *httptest.Server
+	handler   *relay.Handler
 	endpoints []*httptest.Server
 	log       *logtest.Hook
 	logger    *logrus.Logger
@@ -87,6 +88,8 @@
 	report      http.HandlerFunc
 	// drained is the endpoint that gets no requests that wait to be sent.
 	drained string
+	// noPermit makes requests wait for a permit as long as they are served.
+	noPermit bool
 	// panics makes the scheduler panic when the first event of a stream arrives.
 	panics bool
 }
@@ -155,6 +158,7 @@
 		},
 	})
 	f.logger = logger
+	f.handler = handler
 	f.caller = httptest.NewServer(handler)
 	t.Cleanup(f.caller.Close)
 	return f
@@ -188,7 +192,11 @@
 			return relay.Placement{}, relay.Refusal{Reason: "no endpoint", RetryAfter: 700}
 		},
 		RecordTerms: func(relay.Placement, strain.Terms) {},
-		Acquire: func(context.Context, relay.Placement, int, clock.Millis) relay.Permit {
+		Acquire: func(ctx context.Context, _ relay.Placement, _ int, _ clock.Millis) relay.Permit {
+			if f.noPermit {
+				<-ctx.Done()
+				return relay.Permit{}
+			}
 			return relay.Permit{Granted: true, Release: f.release}
 		},
 		SetAside: func(string, clock.Millis) {},
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -43,10 +43,12 @@
 	err := p.run()
 	x.stream.position = p.events.position
 	switch {
-	case x.r.Context().Err() != nil:
+	case x.callerLeft():
 		s.RecordEnd(placement, balance.Canceled)
 		x.trace.setResult(0, "caller left")
 		return callerGone
+	case err != nil && x.isAbandoned():
+		return x.handleAbandoned(placement)
 	case err != nil:
 		s.RecordEnd(placement, balance.Failed)
 		x.attempts.lastReason = "stream broke off: " + err.Error()
--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -364,8 +364,10 @@
 	// requests are still accepted, so that the load balancer can remove the daemon.
 	balancerDelay = 2500 * clock.Millisecond
 	// exitMargin is the time before the end of the grace time at which the
-	// remaining requests are abandoned.
-	exitMargin = 600 * clock.Millisecond
+	// remaining requests are abandoned, and finalAnswerTime the part of it in
+	// which their callers are told so.
+	exitMargin      = 600 * clock.Millisecond
+	finalAnswerTime = 200 * clock.Millisecond
 )
 
 // shutDown stops the lease holder's work and releases the lease, completes
@@ -382,7 +384,9 @@
 	d.holderTasks.Stop()
 	d.leaseTasks.Stop()
 	_ = d.clock.Sleep(context.Background(), balancerDelay)
-	ctx, cancel := context.WithTimeout(context.Background(), (end - d.clock.Now()).Duration())
+	abandon := time.AfterFunc((end - d.clock.Now()).Duration(), d.handler.Abandon)
+	defer abandon.Stop()
+	ctx, cancel := context.WithTimeout(context.Background(), (end + finalAnswerTime - d.clock.Now()).Duration())
 	defer cancel()
 	err := d.callers.Shutdown(ctx)
 	d.forwarding.Drain(ctx)
