Take a pipelined request for one that is being served

What callers saw: a caller that sends a request before the answer to the one before it had arrived got no answer to a later request, on a calm gateway as well: its connection was closed. In a shutdown, the pipelined request itself was cut.

Cause: keepalive counted a connection as idle from the end of an answer until bytes were read. The next request had been read together with the one before it, so the connection stayed idle while it was served. When net/http ended its background read with a deadline in the past, Read took that for the end of an idle connection and returned io.EOF, and net/http canceled the context of the connection: the handler saw a caller who had left. The deadline of a shutdown did the same while the handler still ran.

The mend: net/http reports StateActive for each request that it has parsed, whether it had to read for it or not; from then on the connection is not idle.

--- a/internal/caller/keepalive/keepalive.go
+++ b/internal/caller/keepalive/keepalive.go
@@ -160,11 +160,14 @@
 		return
 	}
 	switch state {
+	case http.StateActive:
+		// A request may have been read together with the one before it.
+		c.recordRead()
 	case http.StateIdle:
 		c.setIdle()
 	case http.StateClosed, http.StateHijacked:
 		s.remove(c)
-	case http.StateNew, http.StateActive:
+	case http.StateNew:
 	}
 }
 
--- a/internal/caller/keepalive/keepalive_test.go
+++ b/internal/caller/keepalive/keepalive_test.go
@@ -85,6 +85,7 @@
 			resetAnswer(t, w)
 			return
 		}
+		work(r)
 		if listener.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
@@ -104,6 +105,25 @@
 	return server, listener
 }
 
+const (
+	// slowPath is the path of requests that take slowTime.
+	slowPath = "/slow"
+	slowTime = 1500 * time.Millisecond
+)
+
+// work takes the time of a request, which breaks off when its caller leaves.
+func work(r *http.Request) {
+	if r.URL.Path == slowPath {
+		select {
+		case <-r.Context().Done():
+		case <-time.After(slowTime):
+		}
+	}
+	if r.Context().Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // caller is one kept connection of a caller.
 type caller struct {
 	conn   net.Conn
