Accept the connections that wait when a stopping gateway accepts late

What callers saw: connections that were made before a gateway stopped accepting, some with a request on them, were reset.

Cause: a shutdown gives the listener a deadline in 100 ms. Accept of the net package fails once that has passed, without a look at the queue, so a goroutine that gets no processor for that long drops what waits there.

The mend: after its deadline the listener looks for waiting connections in rounds of 10 ms until a round brings none, at most ten times, so that callers who go on connecting do not hold up the shutdown.

--- a/internal/caller/keepalive/keepalive_test.go
+++ b/internal/caller/keepalive/keepalive_test.go
@@ -62,9 +62,17 @@
 	lost                  atomic.Int64
 	draining              atomic.Bool
 	beforeRead, afterRead func(read int64)
+	// acceptHook runs before each Accept.
+	acceptHook atomic.Pointer[func()]
 }
 
+// beforeAccept sets a function that runs before each later call of Accept.
+func (l *ledgers) beforeAccept(hook func()) { l.acceptHook.Store(&hook) }
+
 func (l *ledgers) Accept() (net.Conn, error) {
+	if hook := l.acceptHook.Load(); hook != nil {
+		(*hook)()
+	}
 	accepted, err := l.TCPListener.Accept()
 	if err != nil {
 		return nil, err
--- a/internal/caller/keepalive/listener.go
+++ b/internal/caller/keepalive/listener.go
@@ -15,12 +15,27 @@
 	net.Listener
 	server *Server
 	ended  atomic.Bool
+	// extensions counts how often the deadline was extended, and accepted is set if a
+	// connection has come since. Only Accept uses them.
+	extensions int
+	accepted   bool
 }
 
+const (
+	// lastAcceptTime is how long Accept looks for waiting connections after its deadline.
+	lastAcceptTime = 10 * clock.Millisecond
+	// maxExtensions bounds how often it does so while connections come.
+	maxExtensions = 10
+)
+
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
 	accepted, err := l.Listener.Accept()
+	for errors.Is(err, os.ErrDeadlineExceeded) && l.extend() {
+		accepted, err = l.Listener.Accept()
+	}
 	if err == nil {
+		l.accepted = true
 		return newConn(accepted, l.server), nil
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -35,11 +50,26 @@
 
 // endAccepting accepts the connections of some more time and no later ones.
 func (l *listener) endAccepting(rest clock.Millis) {
-	deadline, has := l.Listener.(interface{ SetDeadline(at time.Time) error })
-	if has && deadline.SetDeadline(time.Now().Add(rest.Duration())) == nil {
-		return
+	if !l.setDeadline(rest) {
+		_ = l.Close()
+	}
+}
+
+// extend extends a deadline that has passed, unless no connection waited the last time. A late
+// Accept fails without a look at the connections that wait.
+func (l *listener) extend() bool {
+	if l.extensions > 0 && !l.accepted || l.extensions >= maxExtensions {
+		return false
 	}
-	_ = l.Close()
+	l.extensions++
+	l.accepted = false
+	return l.setDeadline(lastAcceptTime)
+}
+
+// setDeadline sets the time at which Accept gives up, if the listener has one.
+func (l *listener) setDeadline(rest clock.Millis) bool {
+	deadline, has := l.Listener.(interface{ SetDeadline(at time.Time) error })
+	return has && deadline.SetDeadline(time.Now().Add(rest.Duration())) == nil
 }
 
 // isAccepting reports whether a connection may still be accepted.
