Tell a caller that its idle connection ends when that is decided

What callers saw: a request that was sent on an idle connection just as a gateway ended it was reset. The window was as long as the goroutine took from the read that found nothing to the close, which net/http does some steps later and which can wait for the processor.

Evidence: TestEndIsSentWhenItIsDecided, where closing takes 3 s, on the code before:

the end was seen after 3.503487051s, when the connection was closed

The mend: the call that reads what waits ends the sending side of the TCP connection at once if nothing does. A window between these two system calls remains. Under TLS the close still comes first, since it sends the alert that tells the end from a cut. The lock is held, so that the deadline of a shutdown that begins meanwhile cannot fail this read; that race was found by reading the code, no test shows it.

--- a/internal/caller/keepalive/conn.go
+++ b/internal/caller/keepalive/conn.go
@@ -69,12 +69,16 @@
 	return c.idle && (c.used || c.ending && !time.Now().Before(c.expiry()))
 }
 
-// readWaiting reads what has arrived, without waiting for more.
+// readWaiting reads what has arrived, without waiting for more. If nothing has, it tells the caller
+// at once that the connection ends, before this goroutine comes to close it.
 func (c *conn) readWaiting(p []byte) (n int, err error) {
 	raw, err := rawConn(c.Conn)
 	if err != nil {
 		return 0, err
 	}
+	// The lock keeps end from setting a deadline meanwhile.
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	// An expired deadline would fail every read.
 	if err := c.Conn.SetReadDeadline(time.Time{}); err != nil {
 		return 0, err
@@ -82,6 +86,9 @@
 	var readErr error
 	err = raw.Read(func(fd uintptr) bool {
 		n, readErr = readNow(int(fd), p)
+		if readErr != nil && c.server.tls == nil {
+			_ = syscall.Shutdown(int(fd), syscall.SHUT_WR)
+		}
 		return true
 	})
 	if err != nil || readErr != nil || n <= 0 {
--- a/internal/caller/keepalive/keepalive_test.go
+++ b/internal/caller/keepalive/keepalive_test.go
@@ -24,6 +24,7 @@
 type ledger struct {
 	net.Conn
 	lost        *atomic.Int64
+	closeDelay  *atomic.Int64
 	read, wrote atomic.Int64
 	// beforeRead and afterRead stand for a goroutine that gets no processor then.
 	beforeRead, afterRead func(read int64)
@@ -47,6 +48,7 @@
 }
 
 func (c *ledger) Close() error {
+	time.Sleep(time.Duration(c.closeDelay.Load()))
 	if requests := c.read.Load() / int64(len(requestText)); requests > c.wrote.Load() {
 		c.lost.Add(requests - c.wrote.Load())
 	}
@@ -62,7 +64,8 @@
 	lost                  atomic.Int64
 	draining              atomic.Bool
 	beforeRead, afterRead func(read int64)
-	// acceptHook runs before each Accept.
+	// closeDelay is how long connections take to close, and acceptHook runs before each Accept.
+	closeDelay atomic.Int64
 	acceptHook atomic.Pointer[func()]
 }
 
@@ -77,7 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &ledger{Conn: accepted, lost: &l.lost, beforeRead: l.beforeRead, afterRead: l.afterRead}, nil
+	return &ledger{Conn: accepted, lost: &l.lost, closeDelay: &l.closeDelay, beforeRead: l.beforeRead, afterRead: l.afterRead}, nil
 }
 
 // startServer serves a handler that answers with "ok", like a server that announces its end.
--- a/internal/caller/keepalive/late_test.go
+++ b/internal/caller/keepalive/late_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"testing"
 	"time"
 )
@@ -31,3 +32,24 @@
 		t.Errorf("Shutdown: %v", err)
 	}
 }
+
+// TestEndIsSentWhenItIsDecided guards against a request that a caller sends after the end of its
+// idle connection is decided and before the goroutine comes to close it.
+func TestEndIsSentWhenItIsDecided(t *testing.T) {
+	t.Parallel()
+	const closeDelay = 3 * time.Second
+	server, listener := startServer(t, nil, nil)
+	listener.closeDelay.Store(int64(closeDelay))
+	c := dial(t, listener)
+	c.exchange(t)
+	started := time.Now()
+	done := shutDown(server, listener)
+	_ = c.conn.SetReadDeadline(started.Add(20 * time.Second))
+	if _, err := c.reader.ReadByte(); err != io.EOF {
+		t.Errorf("got %v, want the end of the connection", err)
+	}
+	if took := time.Since(started); took >= closeDelay {
+		t.Errorf("the end was seen after %s, when the connection was closed", took)
+	}
+	<-done
+}
