End an answer before the reset that follows an unread body

What callers saw: after an answer to a request whose body was not read, such as a refusal of a long one, the connection was reset instead of ended; where a reset overtakes the answer, the caller loses it.

Cause: net/http ends the sending side of such a connection, waits for 500 ms and closes it then, if the connection has CloseWrite.

Evidence: TestAnswerToAnUnreadBodyIsNotCutByAReset on the code before:

got read tcp ...: read: connection reset by peer, want the end of the connection

The mend: the connection has the method and passes the call on.

--- a/internal/caller/keepalive/conn.go
+++ b/internal/caller/keepalive/conn.go
@@ -155,6 +155,22 @@
 	return c.Conn.Close()
 }
 
+// CloseWrite ends the sending side of the TCP connection. net/http calls it some time before it
+// closes a connection with unread bytes, since a reset can destroy an answer.
+func (c *conn) CloseWrite() error {
+	netConn := c.Conn
+	for {
+		switch inner := netConn.(type) {
+		case interface{ CloseWrite() error }:
+			return inner.CloseWrite()
+		case interface{ NetConn() net.Conn }:
+			netConn = inner.NetConn()
+		default:
+			return errNoTCP
+		}
+	}
+}
+
 // SetReadDeadline implements net.Conn. The deadline of a connection that is to end stays.
 func (c *conn) SetReadDeadline(at time.Time) error {
 	c.mu.Lock()
--- a/internal/caller/keepalive/late_test.go
+++ b/internal/caller/keepalive/late_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strings"
 	"testing"
 	"time"
 )
@@ -53,3 +54,18 @@
 	}
 	<-done
 }
+
+// TestAnswerToAnUnreadBodyIsNotCutByAReset guards against an answer that a reset destroys before
+// its caller has read it, because the body of the request was not read.
+func TestAnswerToAnUnreadBodyIsNotCutByAReset(t *testing.T) {
+	t.Parallel()
+	_, listener := startServer(t, nil, nil)
+	c := dial(t, listener)
+	_, _ = io.WriteString(c.conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4000000\r\n\r\n"+strings.Repeat("x", 100_000))
+	if kept, err := c.receive(); err != nil || kept {
+		t.Fatalf("got error %v and kept %t", err, kept)
+	}
+	if _, err := c.reader.ReadByte(); err != io.EOF {
+		t.Errorf("got %v, want the end of the connection", err)
+	}
+}
