Leave out a window of usage whose seal the store may have lost

Cause: the holder of the lease took a missing row for a proof that the window had not been sealed. The store had lost the row, and nobody lived who remembered it; the saved counts of the open window were sealed instead. Class: a missing row is believed without asking whether the store can have lost it.

Why it works: a new row, Usage/Era, names an era of the store and the first window of which no seal can have been lost: it had not ended when the holder first saw that era, or when its term began, and the holder has not sealed it. That stays true as long as the store is of this era, whoever holds the lease, so a loss of power alone leaves nothing out. In another era the next holder writes the row anew. An earlier window without a seal in the store or with a living daemon is left out, with event 1724 and Billing.LeftOut, and so is one of which two different seals are known. A seal is written only in the era in which it was found missing.

A daemon of the last release ignores the row. The first holder of this release leaves out unsealed windows that ended before it saw the store's era, once.

The check of encodings also has the new row; its file is in the package now, as the type is not exported.

--- a/coord/table/memory.go
+++ b/coord/table/memory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sort"
 	"strings"
 	"sync"
@@ -14,6 +15,7 @@
 	mu          sync.Mutex
 	rows        map[string]Row
 	nextVersion uint64
+	era         uint64
 	fault       Fault
 	commits     int
 	reads       int
@@ -47,6 +49,28 @@
 	m.fault = fault
 }
 
+// Copy is what a Memory held at one time.
+type Copy struct {
+	rows        map[string]Row
+	nextVersion uint64
+}
+
+// Copy returns a copy of the table.
+func (m *Memory) Copy() Copy {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Copy{rows: maps.Clone(m.rows), nextVersion: m.nextVersion}
+}
+
+// Restore brings the table back from a copy, in a later era. The first era is 0, in which
+// readers take it for a table that never comes back.
+func (m *Memory) Restore(c Copy) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.rows, m.nextVersion = maps.Clone(c.rows), c.nextVersion
+	m.era++
+}
+
 // Counts returns how many transactions and reads the table has served.
 func (m *Memory) Counts() (commits, reads int) {
 	m.mu.Lock()
@@ -70,7 +94,7 @@
 	}
 	m.reads++
 	row := m.rows[key]
-	row.Key = key
+	row.Key, row.Era = key, m.era
 	return row, nil
 }
 
@@ -123,8 +147,11 @@
 		m.apply(write)
 	}
 	m.commits++
-	if m.fault.LoseAnswers {
+	switch {
+	case m.fault.LoseAnswers:
 		return ErrUnknown
+	case txn.Era != 0 && txn.Era != m.era:
+		return ErrEraChanged
 	}
 	return nil
 }
--- a/coord/table/observe.go
+++ b/coord/table/observe.go
@@ -14,6 +14,8 @@
 	Name     string
 	Duration clock.Millis
 	Err      error
+	// Era is the era in which rows were read, 0 if it is not known.
+	Era uint64
 }
 
 // Outcome returns a name for the result of the call, for metrics.
@@ -39,10 +41,14 @@
 	observe func(Call)
 }
 
-// callFinished reports a call. It is deferred, so err is a pointer that it reads
-// once the call has set the error.
-func (o observer) callFinished(name string, started clock.Millis, err *error) {
-	o.observe(Call{Name: name, Duration: o.clock.Now() - started, Err: *err})
+// callFinished reports a call. It is deferred, so era and err are pointers that it reads
+// once the call has set them. era is nil if the call does not tell the era.
+func (o observer) callFinished(name string, started clock.Millis, era *uint64, err *error) {
+	call := Call{Name: name, Duration: o.clock.Now() - started, Err: *err}
+	if era != nil && *err == nil {
+		call.Era = *era
+	}
+	o.observe(call)
 }
 
 // WithObserver returns a client that passes each call to observe when it ends.
@@ -50,15 +56,15 @@
 	o := observer{clock: clk, observe: observe}
 	return Client{
 		Get: func(ctx context.Context, key string) (row Row, err error) {
-			defer o.callFinished("Get", clk.Now(), &err)
+			defer o.callFinished("Get", clk.Now(), &row.Era, &err)
 			return c.Get(ctx, key)
 		},
 		Scan: func(ctx context.Context, prefix, after string, limit int) (rows []Row, err error) {
-			defer o.callFinished("Scan", clk.Now(), &err)
+			defer o.callFinished("Scan", clk.Now(), nil, &err)
 			return c.Scan(ctx, prefix, after, limit)
 		},
 		Commit: func(ctx context.Context, txn Txn) (err error) {
-			defer o.callFinished("Commit", clk.Now(), &err)
+			defer o.callFinished("Commit", clk.Now(), nil, &err)
 			return c.Commit(ctx, txn)
 		},
 	}
@@ -69,11 +75,11 @@
 	o := observer{clock: clk, observe: observe}
 	return Feed{
 		ReadPage: func(ctx context.Context, prefix, after string) (page Page, err error) {
-			defer o.callFinished("ReadPage", clk.Now(), &err)
+			defer o.callFinished("ReadPage", clk.Now(), &page.At.Era, &err)
 			return f.ReadPage(ctx, prefix, after)
 		},
 		Changes: func(ctx context.Context, prefix string, after Position, wait clock.Millis) (rows []Row, at Position, err error) {
-			defer o.callFinished("Changes", clk.Now(), &err)
+			defer o.callFinished("Changes", clk.Now(), &at.Era, &err)
 			return f.Changes(ctx, prefix, after, wait)
 		},
 	}
--- a/internal/daemon/gateway/calls.go
+++ b/internal/daemon/gateway/calls.go
@@ -17,9 +17,10 @@
 	holderTimes = metric.NewHistograms("Duty.Time", "Duration of calls that only the lease holder makes in ms, by call.")
 )
 
-// recordStoreCall updates the metrics of the store. The duration of "Changes" is
-// not recorded, since that call waits for changes.
-func recordStoreCall(call table.Call) {
+// observeStoreCall notes the store's era and updates its metrics. The duration of "Changes"
+// is not recorded, since that call waits for changes.
+func (d *Daemon) observeStoreCall(call table.Call) {
+	d.eras.Observe(call.Era)
 	storeCalls.Add(call.Name+"."+call.Outcome(), 1)
 	if call.Name != "Changes" {
 		storeTimes.Record(call.Name, call.Duration)
--- a/internal/daemon/gateway/duties.go
+++ b/internal/daemon/gateway/duties.go
@@ -40,7 +40,7 @@
 	})
 	biller := billing.New(billing.Config{
 		Table: d.table, Clock: d.clock, Logger: d.logger, Tally: d.tally, CollectUsage: d.fleet.CollectUsage,
-		Guard: leader.Guard(d.table, leaseKey), Report: d.reportUsage,
+		Guard: leader.Guard(d.table, leaseKey), EraSeenAt: d.eras.SeenAt, FirstStart: d.settings.Daemon.FirstStart, Report: d.reportUsage,
 	})
 	reconciler := reconcile.New(reconcile.Config{Clock: d.clock, Logger: d.logger, Desired: d.desired, Send: d.sendOrder})
 	d.leader = leader.New(leader.Config{
--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -107,6 +107,7 @@
 
 	table    table.Client
 	feed     table.Feed
+	eras     *billing.EraWatch
 	document *document.Holder
 	drains   *drain.Holder
 	// documentFeed and endpointsFeed read the store while this daemon is to.
@@ -195,7 +196,8 @@
 		MaxIdleConnsPerHost: maxIdleStoreConnections, IdleConnTimeout: storeIdleTimeout.Duration(), DisableCompression: true,
 	}}
 	rows, changes := d.platform.NewStoreClients(d.settings.Platform.Store, storeClient)
-	d.table, d.feed = rows.WithObserver(d.clock, recordStoreCall), changes.WithObserver(d.clock, recordStoreCall)
+	d.eras = billing.NewEraWatch(d.clock)
+	d.table, d.feed = rows.WithObserver(d.clock, d.observeStoreCall), changes.WithObserver(d.clock, d.observeStoreCall)
 	d.document, d.drains = document.NewHolder(), drain.NewHolder()
 	d.roster = roster.New(d.clock, d.settings.Bounds.DrainTime, d.handleEndpoints)
 	d.tally = tally.New(d.incarnation, d.settings.Bounds.UsageWindow)
--- a/internal/usage/billing/billing.go
+++ b/internal/usage/billing/billing.go
@@ -4,10 +4,14 @@
 // To seal a window, the holder of the lease writes a table row once, under a
 // condition on the lease, before the first report. Every report of the window,
 // also a retry or one by a later holder, sends the content of that row, so that
-// reports never differ. The other daemons remember the content as well, since the table
-// may lose the row when it comes back from a copy. The counts of windows that are not sealed yet are saved in
+// reports never differ. The counts of windows that are not sealed yet are saved in
 // the table too, so that they survive the loss of all daemons.
 //
+// The table may lose the row of a seal when it comes back from a copy. The other daemons
+// remember the content as well. Where no living daemon does, another row says from which
+// window on the table holds all seals. An earlier window without a row may have been
+// reported, and is left out.
+//
 // # Usage
 //
 //	b := billing.New(billing.Config{Table: client, Clock: clk, Logger: logger, Tally: t, CollectUsage: collect, ...})
@@ -18,6 +22,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"maps"
 	"strconv"
 
 	"github.com/samber/oops"
@@ -43,7 +48,11 @@
 	eventUnreadable = event.New(1723, logrus.ErrorLevel, "saved usage cannot be read",
 		"A row of saved counts cannot be decoded and is ignored. The counts that daemons hold in memory are billed.")
 
+	eventLeftOut = event.New(1724, logrus.WarnLevel, "usage window left out",
+		"The window has no seal, or two different ones, and the table has come back from a copy or was first used by an earlier release. The window may have been reported, and is not reported again.")
+
 	reportedWindows = metric.NewCounter("Billing.Reported", "Usage windows that the platform accepted from this daemon.")
+	leftOutWindows  = metric.NewCounter("Billing.LeftOut", "Usage windows that this daemon did not report, since they may have been reported with other counts.")
 )
 
 const (
@@ -85,6 +94,12 @@
 	// Guard returns a condition that is true until another daemon acquires
 	// the lease, which ends the validity of this fence.
 	Guard func(ctx context.Context, fence uint64) (table.Condition, error)
+	// EraSeenAt returns the time of the steady clock at which this daemon first saw the era
+	// that the table is in.
+	EraSeenAt func(era uint64) (at clock.Millis, seen bool)
+	// FirstStart is set if the whole system starts for the first time, so that nobody held
+	// the lease before its first fence.
+	FirstStart bool
 	// Report sends a window to the platform. Its connection must write only
 	// while the lease is held under the fence.
 	Report func(ctx context.Context, fence uint64, window Window) error
@@ -104,6 +119,11 @@
 type termRun struct {
 	*Biller
 	fence uint64
+	// startedAt is when the term began.
+	startedAt clock.Millis
+	// era is the era of the table as this term last knew it, once eraKnown is set.
+	era      eraRecord
+	eraKnown bool
 	// nextWindow is the oldest window that is not finished.
 	nextWindow int64
 	lastSave   clock.Millis
@@ -116,9 +136,11 @@
 // Work seals and reports windows during one term of the lease. It is a leader.Work.
 func (b *Biller) Work(ctx context.Context, term leader.Term) error {
 	t := &termRun{Biller: b, fence: term.Fence, finished: make(map[int64]bool), savedRows: make(map[string][]byte)}
+	t.startedAt = b.config.Clock.Now()
 	t.nextWindow = b.config.Tally.WindowAt(b.config.Clock.Wall()) - lookbackWindows
 	t.restoreOpenWindows(ctx)
 	for {
+		t.enterEra(ctx)
 		t.finishDue(ctx)
 		t.saveOpenWindows(ctx)
 		if err := b.config.Clock.Sleep(ctx, pollInterval); err != nil {
@@ -190,7 +212,7 @@
 }
 
 // seal returns the sealed window. It seals the window if no daemon has done so
-// yet; a window without counts gets no row.
+// yet; a window without counts gets no row, and one that is left out has no counts.
 func (t *termRun) seal(ctx context.Context, number int64) (window Window, err error) {
 	ctx, cancel := context.WithTimeout(ctx, (2 * callTimeout).Duration())
 	defer cancel()
@@ -200,43 +222,75 @@
 		return Window{}, err
 	}
 	if row.Version != 0 {
-		err := packed.Unmarshal(row.Value, &window)
-		if err == nil {
-			t.config.Tally.AddSeal(tally.Seal{Window: number, Counts: window.Counts})
-		}
-		return window, err
+		return t.readSeal(row, number)
+	}
+	if err := t.learnEra(ctx, row.Era); err != nil {
+		return Window{}, err
+	}
+	window, certain := t.finalCounts(number)
+	if !certain {
+		t.leaveOut(window)
+		return Window{}, nil
 	}
-	window = t.finalCounts(number)
 	if len(window.Counts) == 0 {
 		return window, nil
 	}
+	return window, t.writeSeal(ctx, row, window)
+}
+
+// readSeal returns the window that a row seals. If daemons know it with other counts, either
+// may have been reported.
+func (t *termRun) readSeal(row table.Row, number int64) (window Window, err error) {
+	if err := packed.Unmarshal(row.Value, &window); err != nil {
+		return Window{}, err
+	}
+	if seal, known := t.config.Tally.Sealed(number); known && !maps.Equal(seal.Counts, window.Counts) {
+		t.leaveOut(window)
+		return Window{}, nil
+	}
+	t.config.Tally.AddSeal(tally.Seal{Window: number, Counts: window.Counts})
+	return window, nil
+}
+
+// writeSeal writes the row of a window, which was missing when it was read.
+func (t *termRun) writeSeal(ctx context.Context, missing table.Row, window Window) error {
 	condition, err := t.config.Guard(ctx, t.fence)
 	if err != nil {
-		return Window{}, err
+		return err
 	}
 	value, err := msgpack.Marshal(window)
 	if err != nil {
-		return Window{}, err
+		return err
 	}
 	err = t.config.Table.Commit(ctx, table.Txn{
-		Conditions: []table.Condition{condition, {Key: key}},
-		Writes:     []table.Write{{Key: key, Value: value}},
+		Conditions: []table.Condition{condition, {Key: missing.Key}},
+		Writes:     []table.Write{{Key: missing.Key, Value: value}},
+		Era:        missing.Era,
 	})
 	if err != nil {
-		return Window{}, err
+		return err
 	}
-	t.config.Tally.AddSeal(tally.Seal{Window: number, Counts: window.Counts})
-	eventSealed.Log(t.config.Logger, logrus.Fields{"Window": number, "Fence": t.fence, "Counts": window.Counts})
-	return window, nil
+	t.config.Tally.AddSeal(tally.Seal{Window: window.Number, Counts: window.Counts})
+	eventSealed.Log(t.config.Logger, logrus.Fields{"Window": window.Number, "Fence": t.fence, "Counts": window.Counts})
+	return nil
 }
 
-// finalCounts returns the content to seal a window with. A window that was sealed before
-// the table lost its row gets the same content again.
-func (t *termRun) finalCounts(number int64) Window {
+// finalCounts returns the content to seal a window with that has no row. A window that was
+// sealed before the table lost its row gets the same content again. The content is not certain
+// if the window may have been sealed with another one.
+func (t *termRun) finalCounts(number int64) (window Window, certain bool) {
 	if seal, known := t.config.Tally.Sealed(number); known {
-		return Window{Number: number, Counts: seal.Counts}
+		return Window{Number: number, Counts: seal.Counts}, true
 	}
-	return Window{Number: number, Counts: t.config.Tally.Sum(number)}
+	return Window{Number: number, Counts: t.config.Tally.Sum(number)}, number >= t.era.First
+}
+
+// leaveOut records that a window is not reported.
+func (t *termRun) leaveOut(window Window) {
+	leftOutWindows.Add(1)
+	eventLeftOut.Log(t.config.Logger, logrus.Fields{
+		"Window": window.Number, "Fence": t.fence, "Counts": window.Counts, "Era": t.era.Era, "FirstCertain": t.era.First,
+	})
 }
 
 // saveOpenWindows writes the counts of the unfinished windows that changed since
--- a/internal/usage/billing/billing_test.go
+++ b/internal/usage/billing/billing_test.go
@@ -32,6 +32,11 @@
 	loseAnswers bool
 	// fence is the current fence of the lease.
 	fence uint64
+	// eraSeenAt is when daemons first saw the era of the table, 0 if they did not.
+	eraSeenAt  clock.Millis
+	firstStart bool
+	// log holds what the last biller logged.
+	log *logtest.Hook
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -42,10 +47,13 @@
 
 // biller returns the biller of a daemon that counts in t.
 func (f *fixture) biller(t *tally.Tally, collect func()) *billing.Biller {
-	logger, _ := logtest.NewNullLogger()
+	logger, log := logtest.NewNullLogger()
+	f.log = log
 	return billing.New(billing.Config{
 		Table: f.table.Client(), Clock: f.clock.Clock(), Logger: logger, Tally: t,
 		CollectUsage: func(context.Context, int64) { collect() },
+		EraSeenAt:    func(uint64) (clock.Millis, bool) { return f.eraSeenAt, f.eraSeenAt != 0 },
+		FirstStart:   f.firstStart,
 		Guard: func(_ context.Context, fence uint64) (table.Condition, error) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/internal/usage/billing/golden_test.go
+++ b/internal/usage/billing/golden_internal_test.go
@@ -1,4 +1,4 @@
-package billing_test
+package billing
 
 import (
 	"testing"
@@ -6,12 +6,11 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/banyanshift/banyanshift/internal/standin/golden"
-	"github.com/banyanshift/banyanshift/internal/usage/billing"
 	"github.com/banyanshift/banyanshift/internal/usage/tally"
 )
 
 func TestGoldenRows(t *testing.T) {
 	golden.Check(t, "billing", msgpack.Marshal, msgpack.Unmarshal, map[string]any{
-		"sealedWindow": &billing.Window{}, "openWindow": &tally.WindowSnapshot{},
+		"sealedWindow": &Window{}, "openWindow": &tally.WindowSnapshot{}, "eraRow": &eraRecord{},
 	})
 }
