Seal no window once the lease has expired, whatever its row says

What could be seen: a window reported twice with different counts. A holder is frozen, another gateway takes over the lease, seals and reports, and ends; the store comes back from a copy in which the frozen one holds the lease. When it goes on, its work has up to 250 ms until it is cancelled, and may write a seal of its own, which the next holder reports.

Cause: the condition on the lease compared the fence with that in the row, which the store had lost and given back.

Evidence: TestExpiredHolderSealsNothingInARestoredTable; with the check taken out:

expired holder: got error <nil>, want ErrLeaseLost

Why it works: the gateway's condition also requires that this daemon holds the lease now by its own clock, under the same fence.

--- a/internal/daemon/gateway/duties.go
+++ b/internal/daemon/gateway/duties.go
@@ -9,6 +9,7 @@
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/coord/guard"
 	"github.com/banyanshift/banyanshift/coord/lease"
+	"github.com/banyanshift/banyanshift/coord/table"
 	"github.com/banyanshift/banyanshift/internal/decide/supply"
 	"github.com/banyanshift/banyanshift/internal/order/leader"
 	"github.com/banyanshift/banyanshift/internal/order/reconcile"
@@ -40,7 +41,7 @@
 	})
 	biller := billing.New(billing.Config{
 		Table: d.table, Clock: d.clock, Logger: d.logger, Tally: d.tally, CollectUsage: d.fleet.CollectUsage,
-		Guard: leader.Guard(d.table, leaseKey), EraSeenAt: d.eras.SeenAt, FirstStart: d.settings.Daemon.FirstStart, Report: d.reportUsage,
+		Guard: d.guardLease, EraSeenAt: d.eras.SeenAt, FirstStart: d.settings.Daemon.FirstStart, Report: d.reportUsage,
 	})
 	reconciler := reconcile.New(reconcile.Config{Clock: d.clock, Logger: d.logger, Desired: d.desired, Send: d.sendOrder})
 	d.leader = leader.New(leader.Config{
@@ -49,6 +50,12 @@
 	})
 }
 
+// guardLease returns a condition that is true until another daemon acquires the lease. It
+// fails unless this daemon holds the lease under the fence now.
+func (d *Daemon) guardLease(ctx context.Context, fence uint64) (table.Condition, error) {
+	return d.leader.Guard(d.table, leaseKey)(ctx, fence)
+}
+
 // holderCall returns the address, the identity and the client for a call under a
 // fence. The client refuses to write once the lease is lost.
 func (d *Daemon) holderCall(fence uint64) HolderCall {
--- a/internal/order/leader/leader.go
+++ b/internal/order/leader/leader.go
@@ -23,6 +23,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 
 	"github.com/samber/oops"
@@ -203,6 +204,20 @@
 	}
 }
 
+// Guard is like the function Guard, but the returned function also fails with ErrLeaseLost
+// unless work is allowed under the fence now. A table that came back from a copy may have
+// lost the takeover by another daemon, so its row alone proves nothing.
+func (r *Runner) Guard(client table.Client, key string) func(ctx context.Context, fence uint64) (table.Condition, error) {
+	guard := Guard(client, key)
+	return func(ctx context.Context, fence uint64) (condition table.Condition, err error) {
+		condition, err = guard(ctx, fence)
+		if held, _, ok := r.Lease(); err == nil && (!ok || held != fence) {
+			return table.Condition{}, fmt.Errorf("%w, or it has expired", ErrLeaseLost)
+		}
+		return condition, err
+	}
+}
+
 // Guard returns a function that reads the row of a lease and returns the
 // condition that the row has not changed since, or ErrLeaseLost if the row has
 // another fence. The condition also fails when the holder renews its lease at the
--- a/internal/order/leader/leader_test.go
+++ b/internal/order/leader/leader_test.go
@@ -148,6 +148,31 @@
 	}
 }
 
+// TestExpiredHolderSealsNothingInARestoredTable guards against a holder that was frozen, whose
+// row comes back with a copy although another daemon has held the lease meanwhile.
+func TestExpiredHolderSealsNothingInARestoredTable(t *testing.T) {
+	r := newTestRunner(t, untilDone)
+	client := table.NewMemory().Client()
+	value, err := msgpack.Marshal(lease.Row{Holder: "a", Fence: 3})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx := context.Background()
+	if err := client.Commit(ctx, table.Txn{Writes: []table.Write{{Key: "Lease/r", Value: value}}}); err != nil {
+		t.Fatal(err)
+	}
+	guard := r.Guard(client, "Lease/r")
+	r.fence.Store(3)
+	r.advance(t, 10*clock.Second, func() bool { return r.terms.Load() > 0 })
+	if _, err := guard(ctx, 3); err != nil {
+		t.Errorf("holder: got error %v, want none", err)
+	}
+	r.fence.Store(0)
+	if _, err := guard(ctx, 3); !errors.Is(err, ErrLeaseLost) {
+		t.Errorf("expired holder: got error %v, want ErrLeaseLost", err)
+	}
+}
+
 // timeBetweenTerms lets a daemon with this ReacquireDelay hold the lease, lose it
 // to another holder, and acquire it again. It returns the time between its terms.
 func timeBetweenTerms(t *testing.T, reacquireDelay clock.Millis) clock.Millis {
