Read the saved counts of usage again after a failed read

What callers saw: usage that is not billed. Event 1722 says that the step is retried; it was not.

Cause: the read was made once, before the loop of the term. Class: a failed step that counts as done.

Evidence: TestSavedCountsAreReadAgainAfterAFailure; with the saved counts taken as read after a failure, as before:

window 100: got reports [map[himal:1]], want [map[himal:2]]

Why it works: the read is repeated every 500 ms, and no window is sealed or saved before it has succeeded. Both need the store as well, so nothing waits that could be done.

--- a/internal/usage/billing/billing.go
+++ b/internal/usage/billing/billing.go
@@ -124,6 +124,9 @@
 	// era is the era of the table as this term last knew it, once eraKnown is set.
 	era      eraRecord
 	eraKnown bool
+	// restored is set once the counts that an earlier holder saved have been read. Until then
+	// no window is finished or saved, which would lose them.
+	restored bool
 	// nextWindow is the oldest window that is not finished.
 	nextWindow int64
 	lastSave   clock.Millis
@@ -138,19 +141,24 @@
 	t := &termRun{Biller: b, fence: term.Fence, finished: make(map[int64]bool), savedRows: make(map[string][]byte)}
 	t.startedAt = b.config.Clock.Now()
 	t.nextWindow = b.config.Tally.WindowAt(b.config.Clock.Wall()) - lookbackWindows
-	t.restoreOpenWindows(ctx)
 	for {
 		t.enterEra(ctx)
-		t.finishDue(ctx)
-		t.saveOpenWindows(ctx)
+		t.restoreOpenWindows(ctx)
+		if t.restored {
+			t.finishDue(ctx)
+			t.saveOpenWindows(ctx)
+		}
 		if err := b.config.Clock.Sleep(ctx, pollInterval); err != nil {
 			return err
 		}
 	}
 }
 
-// restoreOpenWindows merges the counts that an earlier holder of the lease saved.
+// restoreOpenWindows merges the counts that an earlier holder of the lease saved, once a term.
 func (t *termRun) restoreOpenWindows(ctx context.Context) {
+	if t.restored {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
 	rows, err := t.config.Table.Scan(ctx, openWindowPrefix, "", openRowCount)
@@ -158,6 +166,7 @@
 		eventFailed.Log(t.config.Logger, logrus.Fields{"Step": "restore", "Error": err.Error()})
 		return
 	}
+	t.restored = true
 	for _, row := range rows {
 		var snapshot tally.WindowSnapshot
 		err := packed.Unmarshal(row.Value, &snapshot)
--- a/internal/usage/billing/billing_test.go
+++ b/internal/usage/billing/billing_test.go
@@ -76,6 +76,11 @@
 
 // run runs a biller for the duration d of the manual clock.
 func (f *fixture) run(b *billing.Biller, fence uint64, d clock.Millis) {
+	f.runWith(b, fence, d, func() {})
+}
+
+// runWith is like run, and calls a function before each step of the clock.
+func (f *fixture) runWith(b *billing.Biller, fence uint64, d clock.Millis, beforeStep func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -87,6 +92,7 @@
 		for f.clock.Sleepers() == 0 {
 			time.Sleep(100 * time.Microsecond)
 		}
+		beforeStep()
 		f.clock.Advance(step)
 	}
 	for f.clock.Sleepers() == 0 {
@@ -211,6 +217,26 @@
 	f.expect(100, "map[himal:2]")
 }
 
+// TestSavedCountsAreReadAgainAfterAFailure guards against saved counts that are never read, and
+// then overwritten, since the table was down when the term began.
+func TestSavedCountsAreReadAgainAfterAFailure(t *testing.T) {
+	f := newFixture(t)
+	first := tally.New("a", windowLength)
+	first.Add("himal", f.clock.Now())
+	f.run(f.biller(first, func() {}), 1, 2*clock.Second)
+	f.fence = 2
+	second := tally.New("b", windowLength)
+	second.Add("himal", f.clock.Now())
+	f.table.SetFault(table.Fault{Down: true})
+	backAt := f.clock.Now() + clock.Second
+	f.runWith(f.biller(second, func() {}), 2, 7*clock.Second, func() {
+		if f.clock.Now() >= backAt {
+			f.table.SetFault(table.Fault{})
+		}
+	})
+	f.expect(100, "map[himal:2]")
+}
+
 func TestFormerHolderSealsNothing(t *testing.T) {
 	f := newFixture(t)
 	counts := tally.New("a", windowLength)
