Believe the end of an unframed answer from the incarnation that began it only

Cause: such an answer ends with its connection, and so does one whose process ends. The end counted as the answer's unless the endpoint refused a new connection, which says that something listens and not what. Class: liveness of an address is taken for that of a process.

Now the daemon that holds the connection, which may be a peer, asks the endpoint on a new connection what it says of itself. Only the incarnation that was listed before the answer's connection was opened confirms its end. Idle connections that were opened under another incarnation than the listed one are not used, since a process that shuts down may still serve them. An endpoint that answers and states no incarnation cannot be asked and is believed as before.

Why it works: a process that was listed before the connection was opened and answers after its end has been there all the while.

It is one call for each such answer and none for others.

--- a/internal/daemon/gateway/forward.go
+++ b/internal/daemon/gateway/forward.go
@@ -14,20 +14,28 @@
 
 // buildConnections builds the ways to endpoints: this daemon's own connections, and peers.
 func (d *Daemon) buildConnections() {
-	d.pool = http1.New(http1.Config{Clock: d.clock, AnsweredID: d.platform.AnsweredID, IsDown: d.refusesConnections, Dial: d.platform.DialEndpoint})
+	d.pool = http1.New(http1.Config{
+		Clock: d.clock, AnsweredID: d.platform.AnsweredID, Listed: d.listedIncarnation, ConfirmEnd: d.confirmEnd, Dial: d.platform.DialEndpoint,
+	})
 	client := forward.NewClient(d.clock, d.forwardPort())
 	d.connector = connect.New(connect.Config{
 		Clock: d.clock, Logger: d.logger, Pool: d.pool, Open: client.Open, Peers: d.forwardingPeers,
 		FailureDomain: d.settings.Daemon.FailureDomain, Rand: d.random(6),
+		EncodeReportCall: d.platform.Wire.EncodeReportCall, DecodeReport: d.platform.Wire.DecodeReport,
 	})
 	d.forwarding = forward.NewServer(forward.ServerConfig{
 		Clock: d.clock, Logger: d.logger, Listen: d.settings.Peer.Forward, Connect: d.connectForPeer, RecordAnswer: d.recordForwardedAnswer,
 	})
 }
 
-// refusesConnections reports whether an endpoint refuses connections at an address.
-func (d *Daemon) refusesConnections(endpoint, address string) bool {
-	return d.connector.Refuses(context.Background(), connect.Target{Endpoint: endpoint, Address: address})
+// listedIncarnation returns the incarnation of an endpoint, 0 if none is known.
+func (d *Daemon) listedIncarnation(endpoint string) int64 {
+	return d.scheduler.Endpoint(endpoint).Incarnation
+}
+
+// confirmEnd returns an error unless the incarnation that began an answer is still there.
+func (d *Daemon) confirmEnd(ctx context.Context, process http1.Process) error {
+	return d.connector.ConfirmEnd(ctx, process)
 }
 
 // forwardPort returns the port at which all daemons forward requests, "" if they do not.
--- a/internal/endpoint/connect/connect_test.go
+++ b/internal/endpoint/connect/connect_test.go
@@ -42,7 +42,12 @@
 }
 
 func newPool(dial func(context.Context, string, string) (net.Conn, error)) *http1.Pool {
-	return http1.New(http1.Config{Clock: clock.System(), Dial: dial, AnsweredID: func(http.Header) string { return "r" }})
+	return http1.New(http1.Config{Clock: clock.System(), Dial: dial, AnsweredID: func(header http.Header) string {
+		if header.Get("Unnamed") != "" {
+			return ""
+		}
+		return "r"
+	}})
 }
 
 func startDaemon(t *testing.T, serve http.HandlerFunc) *daemon {
@@ -69,6 +74,7 @@
 	d.connector = connect.New(connect.Config{
 		Clock: clock.System(), Logger: logger, Pool: newPool(d.dial), Open: forward.NewClient(clock.System(), forwardPort).Open,
 		Peers: func() []path.Peer { return []path.Peer{{Address: ip + ":1"}} }, Rand: rand.New(rand.NewPCG(1, 1)),
+		EncodeReportCall: encodeReportCall, DecodeReport: decodeReport,
 	})
 	return d
 }
@@ -265,41 +271,3 @@
 		}
 	}
 }
-
-// TestEndpointThatRefusesConnectionsIsBelievedOverAPeer guards against an answer that is taken for
-// whole at the end of its endpoint, since a peer still has a connection to it or an earlier dial
-// is under way.
-func TestEndpointThatRefusesConnectionsIsBelievedOverAPeer(t *testing.T) {
-	d := startDaemon(t, answerFirst(0))
-	target := connect.Target{Endpoint: "e", Address: strings.TrimPrefix(d.endpoint.URL, "http://")}
-	if d.connector.Refuses(t.Context(), target) {
-		t.Error("an endpoint that accepts connections counts as one that refuses them")
-	}
-	d.resets.Store(true)
-	if !d.connector.Refuses(t.Context(), target) {
-		t.Error("an endpoint that refuses connections is not noticed")
-	}
-	d.resets.Store(false)
-	d.silent.Store(true)
-	if d.connector.Refuses(t.Context(), target) {
-		t.Error("an endpoint that does not answer counts as one that refuses connections")
-	}
-}
-
-func TestEndpointBehindAProxyThatClosesConnectionsIsDown(t *testing.T) {
-	connector := connect.New(connect.Config{Clock: clock.System(), Pool: newPool(nil), Rand: rand.New(rand.NewPCG(1, 1))})
-	proxy, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = proxy.Close() })
-	go func() {
-		for conn, err := proxy.Accept(); err == nil; conn, err = proxy.Accept() {
-			time.Sleep(5 * time.Millisecond) // It dials the endpoint.
-			_ = conn.Close()
-		}
-	}()
-	if !connector.Refuses(t.Context(), connect.Target{Endpoint: "e", Address: proxy.Addr().String()}) {
-		t.Error("an endpoint whose proxy closes connections counts as one that accepts them")
-	}
-}
--- a/internal/endpoint/connect/watch.go
+++ b/internal/endpoint/connect/watch.go
@@ -97,26 +97,6 @@
 	return c.check(ctx, target).refused
 }
 
-// proxyTime is how long a new connection must stay open. A proxy in front of an endpoint accepts
-// it before it finds that the endpoint refuses its own.
-const proxyTime = 50 * clock.Millisecond
-
-// Refuses reports whether an endpoint refuses a new connection of this daemon. It starts a dial
-// of its own and asks no peers, since a check that is under way, and the connections of peers,
-// may be older than the end of the endpoint.
-func (c *Connector) Refuses(ctx context.Context, target Target) bool {
-	own, err := c.startDial(target.Endpoint, target.Address).wait(ctx)
-	if err != nil {
-		return isRefused(err)
-	}
-	if c.config.Clock.Sleep(ctx, proxyTime) == nil && !own.IsOpen() {
-		own.Close()
-		return true
-	}
-	own.Release()
-	return false
-}
-
 // isSilent reports whether nothing from an endpoint arrives here, though a peer reaches it.
 func (c *Connector) isSilent(ctx context.Context, target Target) bool {
 	if c.heardWithin(target.Endpoint, checkInterval) {
--- a/internal/endpoint/http1/cut_test.go
+++ b/internal/endpoint/http1/cut_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -51,11 +53,14 @@
 	}
 }
 
+// errGone means that the process of an endpoint has ended.
+var errGone = errors.New("gone")
+
 // getCut sends request "a" to an endpoint that ends its connection after an answer.
-func getCut(t *testing.T, answer string, reset, isDown bool) (body string, err error) {
+func getCut(t *testing.T, answer string, reset bool, confirmed error) (body string, err error) {
 	e := newEndpoint(t, cutEndpoint{answer: answer, reset: reset}.serve)
 	defer e.listener.Close()
-	pool := http1.New(http1.Config{Clock: clock.System(), AnsweredID: answeredID, IsDown: func(string, string) bool { return isDown }})
+	pool := http1.New(http1.Config{Clock: clock.System(), AnsweredID: answeredID, ConfirmEnd: func(context.Context, http1.Process) error { return confirmed }})
 	return get(pool, e, request("a"))
 }
 
@@ -67,7 +72,7 @@
 			t.Run(fmt.Sprint(name, "/", reset), func(t *testing.T) {
 				t.Parallel()
 				for cut := range len(whole) {
-					if body, err := getCut(t, whole[:cut], reset, false); err == nil {
+					if body, err := getCut(t, whole[:cut], reset, nil); err == nil {
 						t.Errorf("cut after %q: got a whole answer with body %q", whole[:cut], body)
 					}
 				}
@@ -75,7 +80,7 @@
 				if strings.Contains(whole, "0123456789") {
 					want = "0123456789ab"
 				}
-				if body, err := getCut(t, whole, false, false); err != nil || body != want {
+				if body, err := getCut(t, whole, false, errGone); err != nil || body != want {
 					t.Errorf("whole answer: got body %q and error %v", body, err)
 				}
 			})
@@ -92,13 +97,13 @@
 			t.Parallel()
 			bodyStart := strings.LastIndex(whole, "\r\n\r\n") + len("\r\n\r\n")
 			for cut := range len(whole) + 1 {
-				if body, err := getCut(t, whole[:cut], true, false); err == nil {
+				if body, err := getCut(t, whole[:cut], true, nil); err == nil {
 					t.Errorf("reset after %q: got a whole answer with body %q", whole[:cut], body)
 				}
-				if body, err := getCut(t, whole[:cut], false, true); err == nil {
+				if body, err := getCut(t, whole[:cut], false, errGone); err == nil {
 					t.Errorf("process ends after %q: got a whole answer with body %q", whole[:cut], body)
 				}
-				body, err := getCut(t, whole[:cut], false, false)
+				body, err := getCut(t, whole[:cut], false, nil)
 				if cut < bodyStart && err == nil {
 					t.Errorf("cut after %q: got a whole answer with body %q", whole[:cut], body)
 				}
--- a/internal/endpoint/http1/ending.go
+++ b/internal/endpoint/http1/ending.go
@@ -7,7 +7,7 @@
 
 const (
 	// EndsWithConnection means that the endpoint closes the connection, which does not tell an
-	// answer that was cut off from a complete one.
+	// answer that was cut off from a complete one. The endpoint is asked then; see ConfirmEnd.
 	EndsWithConnection Ending = iota
 	// EndsByLength means that the answer has a content length.
 	EndsByLength
--- a/internal/endpoint/http1/exchange.go
+++ b/internal/endpoint/http1/exchange.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -76,6 +77,8 @@
 	reusable   bool
 	bodyWrite  *bodyWrite
 	stopCancel func() bool
+	// confirmEnd is nil if the answer shows its end by itself.
+	confirmEnd func() error
 	once       sync.Once
 	reachedEOF bool
 }
@@ -115,6 +118,9 @@
 		return nil, &RequestError{Sent: true, Cause: err}
 	}
 	answer.stopCancel = stop
+	if answer.Ending == EndsWithConnection && c.pool.config.ConfirmEnd != nil {
+		answer.confirmEnd = func() error { return c.confirmEnd(ctx, request.Deadline) }
+	}
 	return answer, nil
 }
 
@@ -184,16 +190,34 @@
 	}
 }
 
-// ErrEndpointDown means that an answer ended with its connection and its endpoint accepts no
-// others, so that the answer may have been cut off.
-var ErrEndpointDown = errors.New("the answer ends with its connection, and the endpoint is down")
+// ErrEndUnconfirmed means that an answer ended with its connection and may have been cut off,
+// since the endpoint does not confirm that the incarnation that began it is still there.
+var ErrEndUnconfirmed = errors.New("the answer ends with its connection, and may have been cut off")
+
+// errListedAnew means that an endpoint has been listed with another incarnation.
+var errListedAnew = errors.New("endpoint is listed with another incarnation")
+
+// confirmEnd returns an error unless the process that the connection led to is still there.
+func (c *Conn) confirmEnd(ctx context.Context, deadline clock.Millis) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("%w: %w", ErrEndUnconfirmed, err)
+		}
+	}()
+	if listed := c.pool.listed(c.process.Key); listed != 0 && listed != c.process.Incarnation {
+		return errListedAnew
+	}
+	ctx, cancel := context.WithTimeout(ctx, (deadline - c.pool.config.Clock.Now()).Duration())
+	defer cancel()
+	return c.pool.config.ConfirmEnd(ctx, c.process)
+}
 
 // Read reads the body. It returns io.EOF at the end of the body, and a
 // *RequestError if reading fails before that.
 func (a *Answer) Read(buf []byte) (n int, err error) {
 	n, err = a.body.Read(buf)
-	if errors.Is(err, io.EOF) && !a.reachedEOF && a.endedWithEndpoint() {
-		err = ErrEndpointDown
+	if errors.Is(err, io.EOF) && !a.reachedEOF && a.confirmEnd != nil {
+		err = cmp.Or(a.confirmEnd(), err)
 	}
 	switch {
 	case errors.Is(err, io.EOF):
@@ -205,14 +229,6 @@
 	return n, nil
 }
 
-// endedWithEndpoint reports whether the end of the connection was that of the endpoint.
-func (a *Answer) endedWithEndpoint() bool {
-	if a.Ending != EndsWithConnection || a.conn == nil || a.conn.pool.config.IsDown == nil {
-		return false
-	}
-	return a.conn.pool.config.IsDown(a.conn.key, a.conn.address)
-}
-
 // Close releases the connection. It returns the connection to the pool if the
 // request was written and the answer read completely and the endpoint allows
 // reuse. Otherwise it closes the connection, which makes the endpoint stop
--- a/internal/endpoint/http1/http1_test.go
+++ b/internal/endpoint/http1/http1_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -312,35 +313,67 @@
 	}
 }
 
-func TestAnswerThatEndsWithItsEndpointIsNotComplete(t *testing.T) {
-	for _, down := range []bool{false, true} {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = listener.Close() })
-		go func() {
-			conn, err := listener.Accept()
+func TestAnswerThatEndsWithItsProcessIsNotComplete(t *testing.T) {
+	gone := errors.New("gone")
+	for _, test := range []struct {
+		name string
+		// listed is the incarnation that is listed before, and listedAfter the one at the end.
+		listed, listedAfter int64
+		confirmed           error
+		whole               bool
+	}{
+		{name: "StillThere", listed: 7, listedAfter: 7, whole: true},
+		{name: "Gone", listed: 7, listedAfter: 7, confirmed: gone},
+		{name: "ListedAnew", listed: 7, listedAfter: 8},
+		{name: "NoLongerListed", listed: 7, whole: true},
+		{name: "NeverListed", whole: true},
+		{name: "ListedLate", listedAfter: 7},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			e := newEndpoint(t, cutEndpoint{answer: "HTTP/1.1 200 OK\r\nId: r1\r\n\r\npart"}.serve)
+			var listed atomic.Int64
+			listed.Store(test.listed)
+			pool := http1.New(http1.Config{
+				Clock: clock.System(), AnsweredID: answeredID, Listed: func(string) int64 { return listed.Load() },
+				ConfirmEnd: func(_ context.Context, process http1.Process) error {
+					if want := (http1.Process{Key: "e1", Address: e.listener.Addr().String(), Incarnation: test.listed}); process != want {
+						t.Errorf("asked for %+v, want %+v", process, want)
+					}
+					return test.confirmed
+				},
+			})
+			answer, err := pool.Do(t.Context(), "e1", e.listener.Addr().String(), request("r1"))
 			if err != nil {
-				return
+				t.Fatal(err)
+			}
+			listed.Store(test.listedAfter)
+			body, err := io.ReadAll(answer)
+			answer.Close()
+			if errors.Is(err, http1.ErrEndUnconfirmed) == test.whole || (err == nil) != test.whole || string(body) != "part" {
+				t.Errorf("got %q, %v", body, err)
 			}
-			_, _ = conn.Read(make([]byte, 512))
-			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: r1\r\n\r\npart")
-			_ = conn.Close()
-		}()
-		pool := http1.New(http1.Config{
-			Clock:      clock.System(),
-			AnsweredID: func(header http.Header) string { return header.Get("Id") },
-			IsDown:     func(key, address string) bool { return down && key == "e" && address == listener.Addr().String() },
 		})
-		answer, err := pool.Do(t.Context(), "e", listener.Addr().String(), http1.Request{ID: "r1", Method: "GET", Head: []byte("GET / HTTP/1.1\r\nHost: e\r\n"), Deadline: clock.System().Now() + clock.Second})
-		if err != nil {
+	}
+}
+
+// TestConnectionToAnEarlierIncarnationIsNotUsed guards against an answer of a process whose
+// successor confirms its end.
+func TestConnectionToAnEarlierIncarnationIsNotUsed(t *testing.T) {
+	e := newEndpoint(t, func(conn net.Conn, _ int) {
+		reader := bufio.NewReader(conn)
+		for id := readRequest(reader); id != ""; id = readRequest(reader) {
+			reply(conn, id, "ok")
+		}
+	})
+	var listed atomic.Int64
+	pool := http1.New(http1.Config{Clock: clock.System(), AnsweredID: answeredID, Listed: func(string) int64 { return listed.Load() }})
+	for _, test := range []struct{ listed, connections int }{{7, 1}, {7, 1}, {0, 1}, {8, 2}, {8, 2}} {
+		listed.Store(int64(test.listed))
+		if _, err := get(pool, e, request("a")); err != nil {
 			t.Fatal(err)
 		}
-		body, err := io.ReadAll(answer)
-		answer.Close()
-		if errors.Is(err, http1.ErrEndpointDown) != down || (err == nil) == down || string(body) != "part" {
-			t.Errorf("endpoint down %t: got %q, %v", down, body, err)
+		if got := e.connections(); got != test.connections {
+			t.Errorf("incarnation %d: got %d connections, want %d", test.listed, got, test.connections)
 		}
 	}
 }
--- a/internal/endpoint/http1/pool.go
+++ b/internal/endpoint/http1/pool.go
@@ -12,6 +12,10 @@
 // discarded, and the client reads on. If no answer with the ID follows, the request
 // may have run. A connection that has brought a refusal is not used again.
 //
+// An answer that has neither a length nor chunks ends with its connection, also if the process
+// of the endpoint ends before it has written the rest. Its end is one only if the incarnation
+// that the connection led to is still there afterwards.
+//
 // # Usage
 //
 //	pool := http1.New(http1.Config{Clock: clk, AnsweredID: answeredID})
@@ -60,10 +64,13 @@
 	// AnsweredID returns the ID of the request that an answer names, empty if it names
 	// none.
 	AnsweredID func(header http.Header) string
-	// IsDown reports whether the endpoint with a key and address accepts no connections any
-	// more. It is asked at the end of an answer that ends with its connection, since that of an
-	// endpoint whose process ends looks the same. It may be nil.
-	IsDown func(key, address string) bool
+	// Listed returns the incarnation of the endpoint with a key, as far as is known; 0 if none
+	// is. It may be nil.
+	Listed func(key string) int64
+	// ConfirmEnd returns an error unless the incarnation that began an answer is still there. It
+	// is called when an answer has ended with its connection, since the answer of an endpoint
+	// whose process ends looks the same. It may be nil.
+	ConfirmEnd func(ctx context.Context, process Process) error
 	// Dial replaces the dialer in tests. It may be nil.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -77,6 +84,13 @@
 	idle map[string][]*Conn
 }
 
+// Process is the process of an endpoint to which a connection leads.
+type Process struct {
+	Key, Address string
+	// Incarnation is the one that was listed before the connection was opened, 0 if none was.
+	Incarnation int64
+}
+
 // Conn is one connection to an endpoint. It carries one request at a time.
 type Conn struct {
 	pool    *Pool
@@ -84,8 +98,7 @@
 	// reader reads through limiter.
 	reader  *bufio.Reader
 	limiter *headReader
-	// key identifies the endpoint, and address is its address.
-	key, address string
+	process Process
 	// heard is set once an answer has arrived.
 	heard bool
 	// expiresAt is the time from which an idle connection must not be reused.
@@ -117,15 +130,26 @@
 	}
 }
 
+// listed returns the incarnation of an endpoint, 0 if none is known.
+func (p *Pool) listed(key string) int64 {
+	if p.config.Listed == nil {
+		return 0
+	}
+	return p.config.Listed(key)
+}
+
 // Take removes a usable idle connection to the endpoint with the given key from the
-// pool and returns it, or nil if there is none. It closes unusable ones.
+// pool and returns it, or nil if there is none. It closes unusable ones, and those that
+// may lead to an earlier incarnation of the endpoint.
 func (p *Pool) Take(key string) *Conn {
+	listed := p.listed(key)
 	for {
 		c := p.popIdle(key)
 		if c == nil {
 			return nil
 		}
-		if p.config.Clock.Now() < c.expiresAt && isOpenAndQuiet(c) {
+		isOfListed := listed == 0 || c.process.Incarnation == listed
+		if isOfListed && p.config.Clock.Now() < c.expiresAt && isOpenAndQuiet(c) {
 			return c
 		}
 		_ = c.netConn.Close()
@@ -154,10 +178,10 @@
 	}
 	c.expiresAt = p.config.Clock.Now() + min(idleTime-idleMargin, maxIdleTime)
 	p.mu.Lock()
-	conns := p.idle[c.key]
+	conns := p.idle[c.process.Key]
 	unusable := len(conns) >= maxIdlePerEndpoint || idleTime <= idleMargin || c.reader.Buffered() > 0
 	if !unusable {
-		p.idle[c.key] = append(conns, c)
+		p.idle[c.process.Key] = append(conns, c)
 	}
 	p.mu.Unlock()
 	if unusable {
@@ -165,12 +189,6 @@
 	}
 }
 
-// IsOpen reports whether the endpoint has neither closed a connection that has not been used nor
-// sent anything on it.
-func (c *Conn) IsOpen() bool {
-	return isOpenAndQuiet(c)
-}
-
 // Release returns a connection that has not been used to the pool.
 func (c *Conn) Release() {
 	c.pool.putIdle(c, defaultIdleTime)
@@ -197,12 +215,13 @@
 func (p *Pool) Dial(ctx context.Context, key, address string) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout.Duration())
 	defer cancel()
+	process := Process{Key: key, Address: address, Incarnation: p.listed(key)}
 	netConn, err := p.config.Dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	limiter := &headReader{conn: netConn}
-	return &Conn{pool: p, netConn: netConn, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter, key: key, address: address}, nil
+	return &Conn{pool: p, netConn: netConn, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter, process: process}, nil
 }
 
 // isOpenAndQuiet reports whether an idle connection is open and has no unread
