Ask what is at an address before a refusal takes its endpoint from all callers

One caller's header was enough: an endpoint with other weights answers 421, and each 421 took its endpoint away until its next incarnation.

Cause: every 421 counted as an address that belongs to another endpoint, whoever sent it, and that belief had no end. Class: one answer to one caller's request decides for all callers, unconfirmed and for good.

Why it works: a 421 that names the endpoint that was meant says something of its request only. The request has not run and goes to another endpoint, within the attempts of its route and the retry budget, or gets a refusal of its own. Neither the endpoint's share of failures nor its window of permits changes. A 421 that names no endpoint is believed after the report from the address: if it states the known incarnation, the endpoint is there. Without a report, the refusal of a request with a condition proves nothing, since a caller alone can bring it about. One that names another endpoint is believed at once, and checked as well. An address that was lost gets no requests for 2 s, twice as long each further time, up to 30 s; the report or a new address in the entry ends that at once. An endpoint is asked at most once a second by a gateway, and only after a 421. The tests that pinned 421 to another endpoint now check both forms of it.

--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -35,6 +35,8 @@
 	notSent
 	// notRun: the endpoint reported that it did not run the request.
 	notRun
+	// declined: the endpoint did not run the request since it does not meet its condition.
+	declined
 	// failed: the endpoint ran the request and answered with an error, which
 	// is stored in attemptState.errorAnswer.
 	failed
@@ -98,7 +100,7 @@
 			}
 		case notSent:
 			x.attempts.recordUnreached(placement.FailureDomain)
-		case notRun:
+		case notRun, declined:
 		}
 		x.attempts.exclude = append(x.attempts.exclude, placement.Endpoint)
 	}
@@ -196,7 +198,7 @@
 // asStrain returns what the result says of the endpoint's strain.
 func (r result) asStrain() strain.Outcome {
 	switch r {
-	case notSent:
+	case notSent, declined:
 		return strain.NotSent
 	case notRun:
 		return strain.Refused
@@ -255,8 +257,8 @@
 	defer answer.Close()
 	x.attempts.sent++
 	head := h.config.Wire.DecodeAnswer(answer.Status, answer.Header)
-	if head.WrongEndpoint {
-		return x.handleWrongEndpoint(placement)
+	if head.Misdirected {
+		return x.handleMisdirected(placement, head)
 	}
 	h.config.Scheduler.RecordSignals(placement, head)
 	h.config.Quarantine.RecordAnswer(placement)
@@ -358,18 +360,6 @@
 	return abandoned
 }
 
-// handleWrongEndpoint records an attempt whose address now belongs to another
-// endpoint, which did not run the request.
-func (x *exchange) handleWrongEndpoint(placement Placement) result {
-	s := x.handler.config.Scheduler
-	s.RecordEnd(placement, balance.Unreachable)
-	s.InvalidateAddress(placement.Endpoint)
-	x.attempts.sent--
-	x.attempts.lastReason = "another endpoint has the address"
-	x.recordFailure(x.attempts.lastReason, placement, nil)
-	return notSent
-}
-
 // handleNotRun records an attempt that the endpoint refused to run.
 func (x *exchange) handleNotRun(placement Placement, status int) result {
 	x.handler.config.Scheduler.RecordEnd(placement, balance.Failed)
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -19,6 +19,10 @@
 // encoding, whose first new event is the next one. Nothing else is written into a stream, and
 // one that cannot go on breaks off, so that it does not look complete.
 //
+// An endpoint that refuses a request as misdirected (421) names itself in most cases. If it is
+// the one that was meant, it says something of this request only. Otherwise its address may
+// belong to another endpoint, which the endpoint's own report decides.
+//
 // A refusal with status 408, 421, 429 or 503 always means that the request has
 // not run and will not run. A request that may have run is answered with 502 or
 // 504, also if its endpoint answered with one of these statuses without stating that it
@@ -63,6 +67,9 @@
 	// LastEventID is the ID of the last event that the caller has received of
 	// a stream that it resumes.
 	LastEventID string
+	// Conditional is set if the caller states a condition that not every endpoint meets, so
+	// that one may refuse the request as misdirected.
+	Conditional bool
 	// ResumedID is the ID of the request that brought the first event of that stream,
 	// empty if the caller does not name it.
 	ResumedID string
@@ -107,8 +114,11 @@
 type AnswerHead struct {
 	// NotRun is true if the endpoint reports that it did not run the request.
 	NotRun bool
-	// WrongEndpoint is true if the address now belongs to another endpoint.
-	WrongEndpoint bool
+	// Misdirected is true if the endpoint did not run the request since it is not the one that
+	// was meant, or since it does not meet a condition of the request.
+	Misdirected bool
+	// Endpoint is the ID of the endpoint that answered, empty if the answer does not state it.
+	Endpoint string
 	// Leaving is true if the endpoint reports that it is about to end.
 	Leaving bool
 	// QuietTime is how long the endpoint wants no requests from this daemon, 0 if it
@@ -172,9 +182,10 @@
 	RecordQuiet func(endpoint string, quiet clock.Millis)
 	// MaySend reports whether a placed request may still be sent to its endpoint.
 	MaySend func(placement Placement) bool
-	// InvalidateAddress reports that the endpoint's address now belongs to
-	// another endpoint.
-	InvalidateAddress func(endpoint string)
+	// InvalidateAddress reports that the address of a placement belongs to another endpoint.
+	InvalidateAddress func(placement Placement)
+	// ConfirmAddress reports that it belongs to the endpoint of the placement.
+	ConfirmAddress func(placement Placement)
 	// CountRequest counts a new request to a back end. The retry budget is a
 	// share of these requests.
 	CountRequest func(backend string)
@@ -328,6 +339,7 @@
 	// shutdown is nil until the daemon shuts down.
 	shutdown atomic.Pointer[Shutdown]
 	active   atomic.Int64
+	checks   *addressChecks
 	// abandoned ends when requests are no longer served.
 	abandoned context.Context
 	abandon   context.CancelFunc
@@ -336,7 +348,7 @@
 // New returns a Handler.
 func New(config Config) *Handler {
 	abandoned, abandon := context.WithCancel(context.Background())
-	return &Handler{config: config, abandoned: abandoned, abandon: abandon}
+	return &Handler{config: config, checks: newAddressChecks(), abandoned: abandoned, abandon: abandon}
 }
 
 // Drain prepares for the end of the daemon. All heads that are written later announce the end of
--- a/internal/caller/relay/relay_test.go
+++ b/internal/caller/relay/relay_test.go
@@ -41,13 +41,14 @@
 			return relay.Call{
 				ID: r.Header.Get("Id"), Method: r.Method, Host: "api.example", Path: r.URL.Path, Target: r.RequestURI,
 				Key: r.Header.Get("Key"), LastEventID: r.Header.Get("Last"), TimeLeft: clock.Second, HeaderBytes: len(r.Header.Get("Padding")),
+				Conditional: r.Header.Get("Condition") != "",
 			}, nil
 		},
 		EncodeAttempt: func(call *relay.Call, a relay.Attempt) []byte {
 			return fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: e\r\nId: %s\r\nTeam: %s\r\nLast: %s\r\nFor: %s\r\n", call.Method, call.Target, call.ID, a.Team, a.ResumeAfterEventID, a.Endpoint)
 		},
 		DecodeAnswer: func(status int, header http.Header) relay.AnswerHead {
-			return relay.AnswerHead{NotRun: header.Get("Not-Run") != "", WrongEndpoint: status == http.StatusMisdirectedRequest, Sealed: header.Get("Seal") != ""}
+			return relay.AnswerHead{NotRun: header.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest, Endpoint: header.Get("By"), Sealed: header.Get("Seal") != ""}
 		},
 		EncodeReportCall: func(address string) []byte {
 			return fmt.Appendf(nil, "GET /report HTTP/1.1\r\nHost: %s\r\n", address)
@@ -86,6 +87,8 @@
 	// the call for it.
 	incarnation int64
 	report      http.HandlerFunc
+	// addresses lists what was reported of endpoints' addresses.
+	addresses []string
 	// drained is the endpoint that gets no requests that wait to be sent.
 	drained string
 	// noPermit makes requests wait for a permit as long as they are served.
@@ -104,7 +107,7 @@
 
 // newFixture starts one endpoint for each function.
 func newFixture(t testing.TB, serve ...http.HandlerFunc) *fixture {
-	f := &fixture{t: t, retryTokens: 10}
+	f := &fixture{t: t, retryTokens: 10, report: http.NotFound}
 	for i, handle := range serve {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/report" {
@@ -214,7 +217,8 @@
 		RecordLeaving:     func(relay.Placement) {},
 		RecordQuiet:       func(string, clock.Millis) {},
 		MaySend:           func(p relay.Placement) bool { return p.Endpoint != f.drained },
-		InvalidateAddress: func(string) {},
+		InvalidateAddress: func(p relay.Placement) { f.recordAddress(p.Endpoint + " lost") },
+		ConfirmAddress:    func(p relay.Placement) { f.recordAddress(p.Endpoint + " confirmed") },
 		CountRequest:      func(string) {},
 		TakeRetry: func(string) bool {
 			f.retryTokens--
--- a/internal/daemon/gateway/forward.go
+++ b/internal/daemon/gateway/forward.go
@@ -73,7 +73,7 @@
 // request.
 func (d *Daemon) recordForwardedAnswer(target forward.Target, status int, header http.Header) {
 	head := d.platform.Wire.DecodeAnswer(status, header)
-	if head.WrongEndpoint {
+	if head.Misdirected && head.Endpoint != target.Endpoint {
 		return
 	}
 	d.relayScheduler.RecordSignals(relay.Placement{Endpoint: target.Endpoint, Incarnation: d.scheduler.Endpoint(target.Endpoint).Incarnation}, head)
--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -180,15 +180,6 @@
 	}
 }
 
-// InvalidateAddress marks an endpoint whose address now belongs to another
-// endpoint. It is not chosen again, not even by ChooseLeaving.
-func (b *Balancer) InvalidateAddress(id string) {
-	if r := b.replicas[id]; r != nil {
-		r.Leaving = true
-		r.addressReassigned = true
-	}
-}
-
 // Choose returns the endpoint with the lowest cost for the request, and falls
 // back to ejected endpoints, to those whose quiet time has just ended and to those of domains
 // to avoid, if there are no others. It does not record the request; see RecordLocalJob.
@@ -339,7 +330,7 @@
 
 // PromptLoad returns the sum of the recent prompt shares of a back end's
 // endpoints (1 is the whole time of one endpoint), and the number of its
-// endpoints that are neither leaving nor drained.
+// endpoints that are neither leaving nor drained nor have lost their address.
 func (b *Balancer) PromptLoad(now clock.Millis, backend string) (load float64, serving int) {
 	p := b.backends[backend]
 	if p == nil {
@@ -356,7 +347,7 @@
 			continue
 		}
 		load += min(r.promptShare(now), maxShare)
-		if !r.Leaving {
+		if !r.Leaving && !r.isReassigned(now) {
 			serving++
 		}
 	}
--- a/internal/decide/balance/leaving_test.go
+++ b/internal/decide/balance/leaving_test.go
@@ -38,7 +38,7 @@
 
 func TestEndpointWithReassignedAddressIsNotChosen(t *testing.T) {
 	b := leavingAt(2000)
-	b.InvalidateAddress("a")
+	b.InvalidateAddress(0, "a")
 	b.SetEndpoints(10, []balance.Endpoint{{ID: "a", Backend: "b", Slots: 64, CacheTokens: 100000, Leaving: true, LeavesAt: 2000}})
 	if _, found := b.ChooseLeaving(20, balance.Request{Backend: "b"}); found {
 		t.Error("chose an endpoint whose address belongs to another endpoint")
--- a/internal/decide/balance/quiet.go
+++ b/internal/decide/balance/quiet.go
@@ -47,19 +47,19 @@
 	return max(r.quietUntil, r.asideUntil, r.coldOpenAt(now))
 }
 
-// Accepts reports whether an endpoint is known, is neither leaving nor drained and has not
-// asked for a quiet time. One that was set aside by this daemon accepts requests of others,
+// Accepts reports whether an endpoint is known, is neither leaving nor drained, has its address
+// and has not asked for a quiet time. One that was set aside by this daemon accepts requests of others,
 // which have their own permits.
 func (b *Balancer) Accepts(now clock.Millis, id string) bool {
 	r := b.replicas[id]
-	return r != nil && !r.Leaving && !b.IsDrained(r.FailureDomain) && now >= r.quietUntil
+	return r != nil && !r.Leaving && !r.isReassigned(now) && !b.IsDrained(r.FailureDomain) && now >= r.quietUntil
 }
 
 // isRampedUp reports whether the endpoint may get one more request, shortly after a quiet
-// time or after it was cold. Others are preferred until then, so that daemons do not return
+// time, after it was cold or after it had lost its address. Others are preferred until then, so that daemons do not return
 // all at once.
 func (r *replica) isRampedUp(now clock.Millis) bool {
-	from := r.quietUntil
+	from := max(r.quietUntil, r.reassignedUntil)
 	if r.ColdRate > 0 {
 		from = max(from, r.ColdUntil)
 	}
@@ -78,7 +78,7 @@
 		return 0, false
 	}
 	for _, r := range p.members {
-		if r.Leaving || b.IsDrained(r.FailureDomain) || !request.Software.allows(&r.Endpoint) {
+		if r.Leaving || r.isReassigned(now) || b.IsDrained(r.FailureDomain) || !request.Software.allows(&r.Endpoint) {
 			continue
 		}
 		left := r.openAt(now) - now
--- a/internal/decide/balance/replica.go
+++ b/internal/decide/balance/replica.go
@@ -61,8 +61,10 @@
 	cache        *cache
 	// copiesUntil is when the copies from and to the endpoint that this daemon knows of end.
 	copiesUntil clock.Millis
-	// addressReassigned is set when the address belongs to another endpoint.
-	addressReassigned bool
+	// reassignedUntil is the time until which the address counts as that of another endpoint,
+	// and reassignments how often in a row it was found to be so.
+	reassignedUntil clock.Millis
+	reassignments   int
 }
 
 // rankCount is the number of ranks.
@@ -147,6 +149,8 @@
 	failed := 0.0
 	if outcome != Succeeded {
 		failed = 1
+	} else {
+		r.reassignments = 0
 	}
 	r.failureShare += (failed - r.failureShare) * 2 * sampleWeight
 	p.failureShare += (failed - p.failureShare) * sampleWeight / float64(max(len(p.members), 1))
--- a/internal/decide/balance/standing.go
+++ b/internal/decide/balance/standing.go
@@ -28,7 +28,8 @@
 	Quiet
 	// Drained endpoints are in a failure domain that the operator has drained.
 	Drained
-	// Reassigned endpoints have lost their address to another endpoint.
+	// Reassigned endpoints have lost their address to another endpoint, as an answer from there
+	// says.
 	Reassigned
 )
 
@@ -53,7 +54,7 @@
 // that excludes the endpoint most.
 func (b *Balancer) standing(now clock.Millis, r *replica) Standing {
 	switch {
-	case r.addressReassigned:
+	case r.isReassigned(now):
 		return Reassigned
 	case b.IsDrained(r.FailureDomain):
 		return Drained
--- a/internal/peer/fleet/events.go
+++ b/internal/peer/fleet/events.go
@@ -19,6 +19,10 @@
 		"An endpoint said in an answer, to this daemon or to a peer, that it is about to end. It gets no new requests until its next incarnation, whatever its entry says.")
 	eventEndpointQuiet = event.New(1213, logrus.InfoLevel, "endpoint wants no requests",
 		"An endpoint refused a request and asked for no others from this daemon for the stated time.")
+	eventAddressReassigned = event.New(1224, logrus.WarnLevel, "address belongs to another endpoint",
+		"An answer from the address of an endpoint shows that another endpoint is there. It gets no requests for the stated time, unless its entry or the report from the address says otherwise; then requests find out whether it is still so. Each further time is twice as long.")
+	eventAddressConfirmed = event.New(1225, logrus.InfoLevel, "endpoint has its address",
+		"The report from the address of an endpoint, or its entry, shows that no other endpoint is there. It gets requests again.")
 	eventPeerJoined = event.New(1410, logrus.InfoLevel, "peer joined",
 		"Another daemon, to which this one is to stay in contact, has answered for the first time.")
 	eventPeerLost = event.New(1411, logrus.WarnLevel, "peer does not answer",
--- a/internal/peer/fleet/fleet.go
+++ b/internal/peer/fleet/fleet.go
@@ -192,6 +192,7 @@
 		RecordQuiet:       s.recordQuiet,
 		MaySend:           s.maySend,
 		InvalidateAddress: s.invalidateAddress,
+		ConfirmAddress:    s.confirmAddress,
 		CountRequest:      s.countRequest,
 		TakeRetry:         s.takeRetry,
 	}
--- a/internal/peer/fleet/scheduler.go
+++ b/internal/peer/fleet/scheduler.go
@@ -83,6 +83,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known := make([]balance.Endpoint, 0, len(endpoints))
+	s.confirmMoved(endpoints)
 	clear(s.endpoints)
 	for _, endpoint := range endpoints {
 		known = append(known, endpoint.Endpoint)
@@ -234,14 +235,6 @@
 	}
 }
 
-// invalidateAddress stops sending requests to an endpoint whose address now
-// belongs to another endpoint.
-func (s *Scheduler) invalidateAddress(endpoint string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.balancer.InvalidateAddress(endpoint)
-}
-
 // Accepts reports whether a peer's request may be sent to an endpoint at an address: the
 // endpoint is known there, is not leaving and has not asked for a quiet time.
 func (s *Scheduler) Accepts(endpoint, address string) bool {
