Say when no endpoint may get requests though the table lists ready ones

Neither log nor metrics showed that the table listed sound endpoints, nor what the gateway held against them.

Endpoint.Unplaced counts the requests.

Evidence: TestReadyEndpointsThatGetNothingAreLogged; with the call taken out it reports "0 entries, metric 0, want 1 and 101".

--- a/internal/decide/balance/standing.go
+++ b/internal/decide/balance/standing.go
@@ -50,6 +50,17 @@
 	return counts
 }
 
+// BackendStandings counts the endpoints of a back end by their standing.
+func (b *Balancer) BackendStandings(now clock.Millis, backend string) map[Standing]int {
+	counts := make(map[Standing]int)
+	if p := b.backends[backend]; p != nil {
+		for _, r := range p.members {
+			counts[b.standing(now, r)]++
+		}
+	}
+	return counts
+}
+
 // standing returns the standing of an endpoint. If several reasons apply, it is the one
 // that excludes the endpoint most.
 func (b *Balancer) standing(now clock.Millis, r *replica) Standing {
--- a/internal/peer/fleet/events.go
+++ b/internal/peer/fleet/events.go
@@ -11,6 +11,7 @@
 	retries = metric.NewMap("Budget.Retries", "Retries granted or refused by the retry budget, by back end.")
 
 	endpointStandings = metric.NewMap("Endpoint.Standings", "Endpoints by whether they may get requests: available, or why not.")
+	unplacedRequests  = metric.NewMap("Endpoint.Unplaced", "Requests that no endpoint of a back end could get though the table lists ready ones, by back end.")
 	slowEndpoints     = metric.NewMap("Endpoint.Slow", "Endpoints on which work takes at least one and a half times as long as on the mean of their back end, with the ratio in percent.")
 )
 
@@ -23,6 +24,8 @@
 		"An answer from the address of an endpoint shows that another endpoint is there. It gets no requests for the stated time, unless its entry or the report from the address says otherwise; then requests find out whether it is still so. Each further time is twice as long.")
 	eventAddressConfirmed = event.New(1225, logrus.InfoLevel, "endpoint has its address",
 		"The report from the address of an endpoint, or its entry, shows that no other endpoint is there. It gets requests again.")
+	eventUnplaced = event.New(1226, logrus.WarnLevel, "no endpoint may get requests though some are ready",
+		"The table lists ready endpoints of a back end, and this daemon takes none of them for usable, for the reasons that Standings counts. Requests are refused. The entry is repeated while that lasts.")
 	eventPeerJoined = event.New(1410, logrus.InfoLevel, "peer joined",
 		"Another daemon, to which this one is to stay in contact, has answered for the first time.")
 	eventPeerLost = event.New(1411, logrus.WarnLevel, "peer does not answer",
--- a/internal/peer/fleet/scheduler.go
+++ b/internal/peer/fleet/scheduler.go
@@ -54,6 +54,8 @@
 	dispatchedAt []clock.Millis
 	// recentEnds holds the ends that were reported within the last endMemory.
 	recentEnds []reportedEnd
+	// unplaced holds the back ends of which no endpoint could get a request.
+	unplaced map[string]*unplaced
 }
 
 // reportedEnd is a job whose end was reported.
@@ -74,6 +76,7 @@
 		rng:          rng,
 		endpoints:    make(map[string]roster.Endpoint),
 		modelEngines: make(map[string]bool),
+		unplaced:     make(map[string]*unplaced),
 		nextJob:      uint64(rng.Uint32()) << 32,
 	}
 }
@@ -164,6 +167,9 @@
 			return leaving, relay.Refusal{}
 		}
 	}
+	if !found {
+		s.recordUnplaced(now, request)
+	}
 	if quiet, allQuiet := s.balancer.QuietTime(now, request); !found && allQuiet {
 		return choice, relay.Refusal{Reason: "all endpoints of the back end are to get no requests now", RetryAfter: s.spread(quiet)}
 	}
