Draw no conclusion on an endpoint from a time limit that was too short

What callers could see: one caller with time limits of a few ms took endpoints from all others. Each dial that its limit ended made the endpoint count as unreachable, which ejects it for 0.4 to 4 s, and each answer that it ended counted as a failure: it raised the endpoint's share of failures and set the window of a brittle endpoint, which holds for all gateways, to one request.

Cause: the end of the caller's time counted as the endpoint's silence.

Why it works: an attempt that its time limit ends counts against the endpoint only if the endpoint had 200 ms to accept the connection, or twice the expected time and 350 ms to answer, from when on an answer is overdue. A refused dial, a reset and a silence of that length count as before, so that a request still leaves an endpoint that is down.

--- a/internal/caller/relay/answer.go
+++ b/internal/caller/relay/answer.go
@@ -35,11 +35,12 @@
 		if x.isAbandoned() {
 			return x.handleAbandoned(placement)
 		}
-		s.RecordEnd(placement, balance.Failed)
+		outcome, result := x.unansweredOutcome(placement, err)
+		s.RecordEnd(placement, outcome)
 		x.attempts.lastReason = err.Error()
 		x.recordFailure("answer broke off", placement, err)
 		x.recordLost(placement, err)
-		return noAnswer
+		return result
 	}
 	x.recordSound()
 	buffered := &bufferedAnswer{status: answer.Status, header: answer.Header, body: body}
--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -42,6 +42,8 @@
 	failed
 	// noAnswer: the request may have run, and no usable answer arrived.
 	noAnswer
+	// expired: as noAnswer, but the time limit ended the attempt before its answer was overdue.
+	expired
 	// callerGone: the caller has disconnected.
 	callerGone
 	// abandoned: this daemon ended the attempt, and the request may have run.
@@ -55,6 +57,8 @@
 	exclude []string
 	// unreached counts the endpoints that the request could not be sent to, by failure domain.
 	unreached map[string]int
+	// begunAt is when the latest attempt began, or began to be sent.
+	begunAt clock.Millis
 	// sent counts the endpoints that may have received the request.
 	sent int
 	// mayHaveRun is true if one of these endpoints may have run the request.
@@ -92,7 +96,7 @@
 			return
 		case abandoned:
 			x.attempts.mayHaveRun = true
-		case failed, noAnswer:
+		case failed, noAnswer, expired:
 			x.attempts.mayHaveRun = true
 			if !x.mayTryAgain() {
 				x.conclude(Refusal{Reason: x.attempts.lastReason})
@@ -136,7 +140,7 @@
 		return Placement{}, notSent, admission.Refusal
 	}
 	if admission.Release != nil {
-		defer func() { admission.Release(outcome != noAnswer && outcome != brokenOff) }()
+		defer func() { admission.Release(outcome != noAnswer && outcome != expired && outcome != brokenOff) }()
 	}
 	placement, refusal = x.place()
 	if refusal.Reason != "" {
@@ -198,7 +202,7 @@
 // asStrain returns what the result says of the endpoint's strain.
 func (r result) asStrain() strain.Outcome {
 	switch r {
-	case notSent, declined:
+	case notSent, declined, expired:
 		return strain.NotSent
 	case notRun:
 		return strain.Refused
@@ -238,6 +242,7 @@
 // send sends the request to an endpoint and forwards its answer.
 func (x *exchange) send(placement Placement) result {
 	h := x.handler
+	x.attempts.begunAt = h.config.Clock.Now()
 	connection, err := x.connectChecked(placement)
 	sentWall := h.config.Clock.Wall()
 	if errors.Is(err, errRestarted) || errors.Is(err, errNoReport) {
@@ -250,6 +255,7 @@
 		connection.Cancel()
 		return x.handleDrained(placement)
 	}
+	x.attempts.begunAt = h.config.Clock.Now()
 	answer, err := connection.Do(x.ctx, x.newRequest(placement))
 	if err != nil {
 		return x.handleNoAnswer(placement, err, sentWall)
@@ -335,20 +341,21 @@
 		return callerGone
 	}
 	if !sent {
-		s.RecordEnd(placement, balance.Unreachable)
+		s.RecordEnd(placement, x.unreachedOutcome())
 		x.recordFailure("endpoint unreachable", placement, err)
 		return notSent
 	}
 	if x.isAbandoned() {
 		return x.handleAbandoned(placement)
 	}
-	s.RecordEnd(placement, balance.Failed)
+	outcome, result := x.unansweredOutcome(placement, err)
+	s.RecordEnd(placement, outcome)
 	x.recordFailure("no answer from endpoint", placement, err)
 	x.recordLost(placement, err)
 	if x.route.Kind != document.Streaming {
 		x.countStart(sentWall)
 	}
-	return noAnswer
+	return result
 }
 
 // handleAbandoned records an attempt that this daemon ended because it shuts down. It says nothing
--- /dev/null
+++ b/internal/caller/relay/expired.go
@@ -0,0 +1,43 @@
+package relay
+
+import (
+	"errors"
+	"os"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/decide/balance"
+)
+
+const (
+	// minConnectTime is how long an endpoint must have been given to accept a connection.
+	minConnectTime = 200 * clock.Millisecond
+	// overdueGrace is added to twice the expected time of an answer before it counts as overdue.
+	overdueGrace = 350 * clock.Millisecond
+)
+
+// A request whose time limit ends it before the endpoint could be expected to answer says nothing
+// of the endpoint. Otherwise a caller with short time limits would take endpoints from all others.
+
+// unreachedOutcome returns what an attempt that was not sent says of its endpoint.
+func (x *exchange) unreachedOutcome() balance.Outcome {
+	if x.expiredWithin(minConnectTime) {
+		return balance.Canceled
+	}
+	return balance.Unreachable
+}
+
+// unansweredOutcome returns what an attempt without a whole answer says of its endpoint, and the
+// result.
+func (x *exchange) unansweredOutcome(placement Placement, err error) (balance.Outcome, result) {
+	if errors.Is(err, os.ErrDeadlineExceeded) && x.expiredWithin(2*placement.ExpectedFirstToken+overdueGrace) {
+		return balance.Canceled, expired
+	}
+	return balance.Failed, noAnswer
+}
+
+// expiredWithin reports whether the time limit of the request has passed within a time after the
+// attempt, or its connection, was begun.
+func (x *exchange) expiredWithin(time clock.Millis) bool {
+	now := x.handler.config.Clock.Now()
+	return now >= x.deadline && now-x.attempts.begunAt < time
+}
--- a/internal/caller/relay/relay_test.go
+++ b/internal/caller/relay/relay_test.go
@@ -40,7 +40,7 @@
 			}
 			return relay.Call{
 				ID: r.Header.Get("Id"), Method: r.Method, Host: "api.example", Path: r.URL.Path, Target: r.RequestURI,
-				Key: r.Header.Get("Key"), LastEventID: r.Header.Get("Last"), TimeLeft: clock.Second, HeaderBytes: len(r.Header.Get("Padding")),
+				Key: r.Header.Get("Key"), LastEventID: r.Header.Get("Last"), TimeLeft: limitOf(r), HeaderBytes: len(r.Header.Get("Padding")),
 				Conditional: r.Header.Get("Condition") != "",
 			}, nil
 		},
@@ -60,6 +60,14 @@
 	}
 }
 
+// limitOf returns the time limit of a caller's request.
+func limitOf(r *http.Request) clock.Millis {
+	if limit, err := strconv.Atoi(r.Header.Get("Limit")); err == nil {
+		return clock.Millis(limit)
+	}
+	return clock.Second
+}
+
 // fixture is a handler with test endpoints behind it.
 type fixture struct {
 	t         testing.TB
@@ -87,6 +95,10 @@
 	// the call for it.
 	incarnation int64
 	report      http.HandlerFunc
+	// expected is the time in which all answers are expected to begin.
+	expected clock.Millis
+	// isSilent lets no connection to an endpoint be made.
+	isSilent bool
 	// addresses lists what was reported of endpoints' addresses.
 	addresses []string
 	// drained is the endpoint that gets no requests that wait to be sent.
@@ -138,6 +150,7 @@
 	logger.SetLevel(logrus.DebugLevel)
 	f.log = hook
 	pool := http1.New(http1.Config{Clock: clock.System(), AnsweredID: func(header http.Header) string { return header.Get("Id") }})
+	connector := newConnector(logger, pool)
 	handler := relay.New(relay.Config{
 		Quarantine: relay.Quarantine{
 			Active: func() bool { return true },
@@ -152,7 +165,7 @@
 			Record: func(string, string, string) {},
 			Find:   func(context.Context, string, string) relay.Origin { return relay.Origin{Known: true} },
 		},
-		Clock: clock.System(), Logger: logger, Wire: wire(), Connect: newConnector(logger, pool).Connect, Scheduler: f.scheduler(),
+		Clock: clock.System(), Logger: logger, Wire: wire(), Connect: f.connectOver(connector), Scheduler: f.scheduler(),
 		Configuration: func() relay.Configuration { return f.config },
 		RecordStarted: func(string, clock.Millis) {
 			f.mu.Lock()
@@ -189,7 +202,7 @@
 					tried = tried || x == id
 				}
 				if !tried {
-					return relay.Placement{Endpoint: id, Address: strings.TrimPrefix(e.URL, "http://"), Incarnation: f.incarnation}, relay.Refusal{}
+					return relay.Placement{Endpoint: id, Address: strings.TrimPrefix(e.URL, "http://"), Incarnation: f.incarnation, ExpectedFirstToken: f.expected}, relay.Refusal{}
 				}
 			}
 			return relay.Placement{}, relay.Refusal{Reason: "no endpoint", RetryAfter: 700}
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -50,13 +50,14 @@
 	case err != nil && x.isAbandoned():
 		return x.handleAbandoned(placement)
 	case err != nil:
-		s.RecordEnd(placement, balance.Failed)
+		outcome, result := x.unansweredOutcome(placement, err)
+		s.RecordEnd(placement, outcome)
 		x.attempts.lastReason = "stream broke off: " + err.Error()
 		x.recordFailure("stream broke off", placement, err)
 		if !p.isProved() && !errors.Is(err, errWrongEvents) {
 			x.recordLost(placement, err)
 		}
-		return noAnswer
+		return result
 	}
 	s.RecordEnd(placement, balance.Succeeded)
 	x.recordSound()
