Leave half of the retries to requests that no endpoint declined

What callers could see: the requests of one caller that expect weights which no endpoint has are declined by each, and each retry is taken from the budget of the whole back end. Requests of others that failed then got 502 or 503 instead of a second attempt.

Cause: a retry whose need a caller alone brings about counts like one for a fault.

Evidence: TestDeclinedRequestsLeaveRetriesToOthers; with the check taken out it reports "40 retries of declined requests and 0 others, want 20 and 20".

Why it works: declined requests may take at most half of the retries that the budget allows in a window. The bound for all retries together stays as it was.

--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/config/document"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
+	"github.com/banyanshift/banyanshift/internal/decide/budget"
 	"github.com/banyanshift/banyanshift/internal/decide/strain"
 	"github.com/banyanshift/banyanshift/internal/endpoint/connect"
 	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
@@ -66,6 +67,8 @@
 	// errorAnswer is the last 5xx answer of an endpoint. The caller gets it
 	// if no later attempt succeeds.
 	errorAnswer *bufferedAnswer
+	// lastDeclined is set if the endpoint of the most recent attempt declined the request.
+	lastDeclined bool
 	// lastReason is why the most recent attempt failed.
 	lastReason string
 }
@@ -106,6 +109,7 @@
 			x.attempts.recordUnreached(placement.FailureDomain)
 		case notRun, declined:
 		}
+		x.attempts.lastDeclined = outcome == declined
 		x.attempts.exclude = append(x.attempts.exclude, placement.Endpoint)
 	}
 	x.conclude(Refusal{Reason: x.attempts.lastReason, RetryAfter: defaultRetryAfter})
@@ -160,7 +164,7 @@
 	if x.attempts.sent >= max(x.route.MaxAttempts, 1) {
 		return Placement{}, Refusal{Reason: "no attempts left: " + x.attempts.lastReason, RetryAfter: defaultRetryAfter}
 	}
-	if x.attempts.sent > 0 && !s.TakeRetry(x.backend) {
+	if x.attempts.sent > 0 && !s.TakeRetry(budget.Retry{Backend: x.backend, Declined: x.attempts.lastDeclined}) {
 		return Placement{}, Refusal{Reason: "retry budget exhausted: " + x.attempts.lastReason, RetryAfter: defaultRetryAfter}
 	}
 	return s.Place(x.placeRequest(), x.timeLeft())
--- a/internal/caller/relay/misdirected_test.go
+++ b/internal/caller/relay/misdirected_test.go
@@ -57,8 +57,13 @@
 	if len(f.released) != 2 || f.released[0] != strain.NotSent {
 		t.Errorf("got permits %v; the first one is to say nothing of the endpoint's room", f.released)
 	}
-	if f.retryTokens != 9 {
-		t.Errorf("%d tokens of 10 are left, want 9", f.retryTokens)
+	if f.retryTokens != 9 || !slices.Equal(f.declinedRetries, []bool{true}) {
+		t.Errorf("%d tokens of 10 are left, want 9; declined requests: %v", f.retryTokens, f.declinedRetries)
+	}
+	f = newFixture(t, notRun, ok)
+	f.expect(f.send("/pay/1"), 200, "fine")
+	if !slices.Equal(f.declinedRetries, []bool{false}) {
+		t.Errorf("a request that was not run for want of room: declined requests: %v", f.declinedRetries)
 	}
 }
 
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -44,6 +44,7 @@
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/config/document"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
+	"github.com/banyanshift/banyanshift/internal/decide/budget"
 	"github.com/banyanshift/banyanshift/internal/decide/quarantine"
 	"github.com/banyanshift/banyanshift/internal/decide/strain"
 	"github.com/banyanshift/banyanshift/internal/endpoint/connect"
@@ -191,7 +192,7 @@
 	CountRequest func(backend string)
 	// TakeRetry takes one retry from the back end's budget, which all daemons
 	// share. It returns false if the budget is used up.
-	TakeRetry func(backend string) bool
+	TakeRetry func(retry budget.Retry) bool
 }
 
 // Permit allows a request to be sent to an endpoint, or says when to ask again.
--- a/internal/caller/relay/relay_test.go
+++ b/internal/caller/relay/relay_test.go
@@ -24,6 +24,7 @@
 	"github.com/banyanshift/banyanshift/internal/caller/relay"
 	"github.com/banyanshift/banyanshift/internal/config/document"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
+	"github.com/banyanshift/banyanshift/internal/decide/budget"
 	"github.com/banyanshift/banyanshift/internal/decide/path"
 	"github.com/banyanshift/banyanshift/internal/decide/quarantine"
 	"github.com/banyanshift/banyanshift/internal/decide/strain"
@@ -81,7 +82,9 @@
 	config relay.Configuration
 	// retryTokens is the retry budget that is left.
 	retryTokens int
-	outcomes    []balance.Outcome
+	// declinedRetries lists which of the retries were of declined requests.
+	declinedRetries []bool
+	outcomes        []balance.Outcome
 	// started counts the calls of Config.RecordStarted.
 	started int
 	// received lists the requests that reached an endpoint, each as the
@@ -233,8 +236,9 @@
 		InvalidateAddress: func(p relay.Placement) { f.recordAddress(p.Endpoint + " lost") },
 		ConfirmAddress:    func(p relay.Placement) { f.recordAddress(p.Endpoint + " confirmed") },
 		CountRequest:      func(string) {},
-		TakeRetry: func(string) bool {
+		TakeRetry: func(retry budget.Retry) bool {
 			f.retryTokens--
+			f.declinedRetries = append(f.declinedRetries, retry.Declined)
 			return f.retryTokens >= 0
 		},
 	}
--- a/internal/decide/budget/budget.go
+++ b/internal/decide/budget/budget.go
@@ -13,7 +13,7 @@
 //
 //	b := budget.New(budget.Rules{Ratio: 0.2, FixedRetries: 56, Window: 10 * clock.Second})
 //	b.RecordRequest(now, "summaries")
-//	if b.TakeRetry(now, "summaries", daemons) { ... }
+//	if b.TakeRetry(now, budget.Retry{Backend: "summaries"}, daemons) { ... }
 package budget
 
 import "github.com/banyanshift/banyanshift/coord/clock"
@@ -21,6 +21,10 @@
 // windowSteps is the number of steps that the window is divided into.
 const windowSteps = 10
 
+// declinedShare is the part of the budget that retries of declined requests may take. Whether
+// they are declined depends on their callers, who are not to use up the retries of others.
+const declinedShare = 0.5
+
 // safetyFactor is the part of the budget that is spent. The rest allows for
 // daemons that temporarily disagree about the number of daemons.
 const safetyFactor = 0.8
@@ -47,6 +51,8 @@
 	step     int64
 	requests [windowSteps + 1]int
 	retries  [windowSteps + 1]int
+	// declined counts those of the retries that are of declined requests.
+	declined [windowSteps + 1]int
 }
 
 // New returns a Budget without recorded requests or retries.
@@ -60,14 +66,27 @@
 	c.requests[c.index()]++
 }
 
+// Retry is a request that is to be sent again. It is Declined if the endpoint before refused it for
+// what its caller asks.
+type Retry struct {
+	Backend  string
+	Declined bool
+}
+
 // TakeRetry reports whether the budget, which is shared by the given number of
 // daemons, allows one more retry to a back end, and counts the retry if so.
-func (b *Budget) TakeRetry(now clock.Millis, backend string, daemons int) bool {
-	c := b.countersAt(now, backend)
+func (b *Budget) TakeRetry(now clock.Millis, retry Retry, daemons int) bool {
+	c := b.countersAt(now, retry.Backend)
 	allowed := safetyFactor * (b.rules.Ratio*float64(sum(c.requests)) + b.rules.FixedRetries/float64(max(daemons, 1)))
 	if float64(sum(c.retries)+1) > allowed {
 		return false
 	}
+	if retry.Declined {
+		if float64(sum(c.declined)+1) > declinedShare*allowed {
+			return false
+		}
+		c.declined[c.index()]++
+	}
 	c.retries[c.index()]++
 	return true
 }
@@ -93,6 +112,7 @@
 		c.step++
 		c.requests[c.index()] = 0
 		c.retries[c.index()] = 0
+		c.declined[c.index()] = 0
 	}
 	c.step = max(c.step, step)
 	return c
--- a/internal/decide/budget/budget_test.go
+++ b/internal/decide/budget/budget_test.go
@@ -36,7 +36,7 @@
 		b := budgets[n%daemons]
 		b.RecordRequest(now, "books")
 		requests = append(requests, now)
-		for b.TakeRetry(now, "books", daemons) {
+		for b.TakeRetry(now, budget.Retry{Backend: "books"}, daemons) {
 			retries = append(retries, now)
 		}
 	}
@@ -65,13 +65,35 @@
 
 func TestBackendsHaveSeparateBudgets(t *testing.T) {
 	b := budget.New(rules)
-	for b.TakeRetry(0, "books", 1) {
+	for b.TakeRetry(0, budget.Retry{Backend: "books"}, 1) {
 		continue
 	}
-	if !b.TakeRetry(0, "receipts", 1) {
+	if !b.TakeRetry(0, budget.Retry{Backend: "receipts"}, 1) {
 		t.Error("retry refused because the budget of another back end is spent, want it allowed")
 	}
-	if !b.TakeRetry(rules.Window+2*clock.Second, "books", 1) {
+	if !b.TakeRetry(rules.Window+2*clock.Second, budget.Retry{Backend: "books"}, 1) {
 		t.Error("retry refused after the window has passed, want it allowed")
 	}
 }
+
+// TestDeclinedRequestsLeaveRetriesToOthers guards against a caller whose requests are declined for
+// what they ask, and who uses up the retries of all others.
+func TestDeclinedRequestsLeaveRetriesToOthers(t *testing.T) {
+	b := budget.New(budget.Rules{Ratio: 0.2, FixedRetries: 10, Window: 10 * clock.Second})
+	for range 200 {
+		b.RecordRequest(0, "books")
+	}
+	declined, others := 0, 0
+	for b.TakeRetry(0, budget.Retry{Backend: "books", Declined: true}, 1) {
+		declined++
+	}
+	for b.TakeRetry(0, budget.Retry{Backend: "books"}, 1) {
+		others++
+	}
+	if declined != 20 || others != 20 {
+		t.Errorf("%d retries of declined requests and %d others, want 20 and 20", declined, others)
+	}
+	if !b.TakeRetry(12*clock.Second, budget.Retry{Backend: "books", Declined: true}, 1) {
+		t.Error("no retry of a declined request in the next window")
+	}
+}
--- a/internal/peer/fleet/scheduler.go
+++ b/internal/peer/fleet/scheduler.go
@@ -293,14 +293,14 @@
 	s.budget.RecordRequest(s.clock.Now(), backend)
 }
 
-func (s *Scheduler) takeRetry(backend string) bool {
+func (s *Scheduler) takeRetry(retry budget.Retry) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	granted := s.budget.TakeRetry(s.clock.Now(), backend, s.daemonCount())
+	granted := s.budget.TakeRetry(s.clock.Now(), retry, s.daemonCount())
 	if granted {
-		retries.Add(backend+".Granted", 1)
+		retries.Add(retry.Backend+".Granted", 1)
 	} else {
-		retries.Add(backend+".Refused", 1)
+		retries.Add(retry.Backend+".Refused", 1)
 	}
 	return granted
 }
