Send prompts that no endpoint can hold to none

What callers could see: an endpoint refuses a prompt that is larger than its memory as if it were full, and a refusal may ask for a quiet time, which the gateway has to keep for all callers. So one caller with prompts that never fit could take one endpoint after the other from all callers of a gateway.

Cause: the gateway knew the size of the memory and used it only as a cost. The endpoint's quiet time itself is its own word and is kept.

It was not seen with processes: no stand-in has a memory of limited size.

Why it works: an endpoint is chosen only for prompts that its memory can hold. Only the prompt counts, since the number of tokens to generate is an estimate. The caller gets 503 with a reason of its own, and the refusal does not count as one of a back end without usable endpoints.

--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -221,8 +221,9 @@
 	share := load / float64(max(serving, 1))
 	unreportedWork, price := b.unreportedWork(share), workPrice(share)
 	cached := b.findCached(now, p, request)
+	promptTokens := request.PromptTokens()
 	for i, r := range p.members {
-		if slices.Contains(request.Exclude, r.ID) || !request.Software.allows(&r.Endpoint) {
+		if slices.Contains(request.Exclude, r.ID) || !request.Software.allows(&r.Endpoint) || !r.holds(promptTokens) {
 			continue
 		}
 		standing := b.standing(now, r)
--- a/internal/peer/fleet/scheduler.go
+++ b/internal/peer/fleet/scheduler.go
@@ -175,6 +175,9 @@
 	}
 	if !found {
 		reason := "no endpoint of the back end can take the request"
+		if !s.balancer.HasMemory(request) {
+			reason = "prompt is larger than the memory of any endpoint"
+		}
 		if request.Software.Limited {
 			reason = "no endpoint of the software version that began the stream: " + request.Software.Version
 		}
--- a/internal/peer/fleet/unplaced.go
+++ b/internal/peer/fleet/unplaced.go
@@ -25,10 +25,10 @@
 }
 
 // recordUnplaced notes that no endpoint may get a request, if the table lists ready ones. A
-// request that has been tried or that only some endpoints can run says nothing of the back end.
-// The caller holds mu.
+// request that has been tried, that only some endpoints can run or that none can says nothing of
+// the back end. The caller holds mu.
 func (s *Scheduler) recordUnplaced(now clock.Millis, request balance.Request) {
-	if len(request.Exclude) > 0 || request.Software.Limited {
+	if len(request.Exclude) > 0 || request.Software.Limited || !s.balancer.HasMemory(request) {
 		return
 	}
 	u := s.unplaced[request.Backend]
--- a/internal/peer/fleet/unplaced_internal_test.go
+++ b/internal/peer/fleet/unplaced_internal_test.go
@@ -33,7 +33,7 @@
 	backend := "unplaced"
 	var list []roster.Endpoint
 	for n := range 3 {
-		list = append(list, roster.Endpoint{Address: "x", Endpoint: balance.Endpoint{ID: fmt.Sprint("i-", n), Backend: backend, Slots: 4, Leaving: n == 2}})
+		list = append(list, roster.Endpoint{Address: "x", Endpoint: balance.Endpoint{ID: fmt.Sprint("i-", n), Backend: backend, Slots: 4, CacheTokens: 100, Leaving: n == 2}})
 	}
 	s.SetEndpoints(list)
 	for n := range 2 {
@@ -55,6 +55,7 @@
 	}
 	refuse(balance.Request{Exclude: []string{"i-0"}})
 	refuse(balance.Request{Software: balance.SoftwareLimit{Limited: true, Version: "1"}})
+	refuse(balance.Request{Parts: []balance.PromptPart{{Tokens: 101}}})
 	if len(entries()) > 0 || unplacedOf(backend) != "0" {
 		t.Errorf("%d entries, metric %s, for requests that say nothing of the back end", len(entries()), unplacedOf(backend))
 	}
