Draw no conclusion from a refusal after the time limit of its request

What callers could see: an endpoint answers 503 when the time limit of a request has passed in its queue. Each such answer shrank the window of a brittle endpoint and paused it, for all gateways, and raised its share of failures, though the endpoint had room. One caller with time limits below the usual wait was enough.

Cause: a refusal counted as lack of room whatever had caused it.

Evidence: TestTimeLimitThatPassesInAQueueIsNoRefusal; with the check taken out: "got outcome 1, permit 1, want Canceled and NotSent" (Failed and Refused).

Why it works: if the time limit has passed when the refusal arrives, the refusal says nothing of the endpoint. A refusal in time counts as before.

--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -36,7 +36,8 @@
 	notSent
 	// notRun: the endpoint reported that it did not run the request.
 	notRun
-	// declined: the endpoint did not run the request since it does not meet its condition.
+	// declined: as notRun, for a reason that lies in the request: a condition that the endpoint
+	// does not meet, or its time limit.
 	declined
 	// failed: the endpoint ran the request and answered with an error, which
 	// is stored in attemptState.errorAnswer.
@@ -373,10 +374,11 @@
 
 // handleNotRun records an attempt that the endpoint refused to run.
 func (x *exchange) handleNotRun(placement Placement, status int) result {
-	x.handler.config.Scheduler.RecordEnd(placement, balance.Failed)
+	outcome, result := x.refusedOutcome()
+	x.handler.config.Scheduler.RecordEnd(placement, outcome)
 	x.attempts.lastReason = "endpoint did not run the request: " + http.StatusText(status)
 	x.recordFailure(x.attempts.lastReason, placement, nil)
-	return notRun
+	return result
 }
 
 // handleNotResumed records an attempt to continue a stream to which the endpoint gave
--- a/internal/caller/relay/expired.go
+++ b/internal/caller/relay/expired.go
@@ -26,6 +26,15 @@
 	return balance.Unreachable
 }
 
+// refusedOutcome returns what an attempt that the endpoint did not run says of it, and the result.
+// An endpoint also refuses a request whose time limit has passed in its queue.
+func (x *exchange) refusedOutcome() (balance.Outcome, result) {
+	if x.timeLeft() <= 0 {
+		return balance.Canceled, declined
+	}
+	return balance.Failed, notRun
+}
+
 // unansweredOutcome returns what an attempt without a whole answer says of its endpoint, and the
 // result.
 func (x *exchange) unansweredOutcome(placement Placement, err error) (balance.Outcome, result) {
--- a/internal/caller/relay/expired_test.go
+++ b/internal/caller/relay/expired_test.go
@@ -72,6 +72,24 @@
 	}
 }
 
+// TestTimeLimitThatPassesInAQueueIsNoRefusal guards against an endpoint that gets fewer requests of
+// all callers, since it has refused those of one whose time limits were too short.
+func TestTimeLimitThatPassesInAQueueIsNoRefusal(t *testing.T) {
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(70 * time.Millisecond)
+		notRun(w, r)
+	})
+	f.expected = 10 * clock.Second
+	f.send("/pay/1", "Limit", "50")
+	if outcome, permit := f.nextOutcome(); outcome != balance.Canceled || permit != strain.NotSent {
+		t.Errorf("got outcome %v, permit %v, want Canceled and NotSent", outcome, permit)
+	}
+	f.expect(f.send("/pay/1"), 503, "")
+	if outcome, permit := f.nextOutcome(); outcome != balance.Failed || permit != strain.Refused {
+		t.Errorf("got outcome %v, permit %v for a refusal in time, want Failed and Refused", outcome, permit)
+	}
+}
+
 // stalledStream sends one event of a stream and no more.
 func stalledStream(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Seal", "s")
