Ask an endpoint with extreme terms again each 30 s

What callers could see: one answer of an endpoint that states a rate of almost nothing, or that it survives almost no refusal, kept all requests of all gateways from it until it started again. Only a further answer could state other terms, and there was none.

Cause: the time until the next request had no upper bound.

Evidence: TestExtremeTermsAreAskedForAgain; on the code before: "rate: 2 requests in 5 minutes, want about one each 30 s", "refusals: 1 requests in 5 minutes", and "got a wait of 292h23m51.078s".

Why it works: the time between two requests and the pause after a refusal are at most 30 s.

--- a/internal/decide/strain/limiter.go
+++ b/internal/decide/strain/limiter.go
@@ -21,6 +21,9 @@
 	refusalShare = 0.25
 	// retryInterval is the shortest time after which to ask again.
 	retryInterval = 40 * clock.Millisecond
+	// maxInterval limits the time between two requests that an endpoint's terms lead to. Without a
+	// request, no answer could state others.
+	maxInterval = 30 * clock.Second
 	// defaultSlots is the window of an endpoint whose slots are not known.
 	defaultSlots = 4
 	// forgetAfter is how long the state of an endpoint without requests is kept.
@@ -175,7 +178,7 @@
 
 // interval returns the time between two requests at the stated rate, in ms.
 func interval(terms Terms) float64 {
-	return float64(clock.Second) / (terms.RequestsPerSecond * rateShare)
+	return min(float64(clock.Second)/(terms.RequestsPerSecond*rateShare), float64(maxInterval))
 }
 
 // waitForRate returns the time until a request may be sent at the stated rate.
@@ -212,7 +215,7 @@
 // pause spaces the refusals that are drawn from a brittle endpoint.
 func (s *limiterState) pause(now clock.Millis, terms Terms) {
 	if terms.RefusalsPerSecond > 0 {
-		s.pausedUntil = now + clock.Millis(float64(clock.Second)/(terms.RefusalsPerSecond*refusalShare))
+		s.pausedUntil = now + clock.Millis(min(float64(clock.Second)/(terms.RefusalsPerSecond*refusalShare), float64(maxInterval)))
 	}
 }
 
--- a/internal/decide/strain/strain_test.go
+++ b/internal/decide/strain/strain_test.go
@@ -332,3 +332,26 @@
 		}
 	}
 }
+
+// TestExtremeTermsAreAskedForAgain guards against an endpoint that gets no requests any more after
+// one answer, since only a further answer could state other terms.
+func TestExtremeTermsAreAskedForAgain(t *testing.T) {
+	for name, terms := range map[string]strain.Terms{"rate": {RequestsPerSecond: 1e-6}, "refusals": {RefusalsPerSecond: 1e-6}} {
+		l := strain.NewLimiter()
+		granted := 0
+		for now := clock.Millis(0); now < 5*clock.Minute; now += 100 {
+			permit := uint64(now)
+			ask := strain.Ask{Endpoint: "e", Permit: permit, Terms: terms, Slots: 4, MaxWait: 300, Lifetime: 5000}
+			decision := l.Decide(now, ask)
+			if decision.Granted {
+				granted++
+				l.Finish(now, "e", permit, terms, strain.Refused)
+			} else if decision.Wait > 30*clock.Second {
+				t.Errorf("%s: got a wait of %v", name, decision.Wait)
+			}
+		}
+		if granted < 9 || granted > 12 {
+			t.Errorf("%s: %d requests in 5 minutes, want about one each 30 s", name, granted)
+		}
+	}
+}
