End silent TLS connections when a server for callers shuts down

What operators saw: a shutdown of banyanshift serve waited for up to ReadTimeout, 30 s by default, for the first request of a caller who had connected over TLS and sent none.

Cause: keepalive lies below TLS and took the bytes of the handshake for a part of a request, so that such a connection counted as busy. net/http's own Shutdown, which was used before, ends a connection without a request after 5 s.

The mend: under TLS a connection is idle until the head of its first request has been parsed, and each part that arrives before renews the second that it has. A read deadline of net/http that comes earlier stays in force, so that sending slowly holds up nothing.

--- /dev/null
+++ b/internal/caller/entry/silent_test.go
@@ -0,0 +1,41 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/settings/ini"
+)
+
+// TestSilentTLSConnectionDoesNotHoldUpAShutdown guards against a shutdown that waits for the first
+// request of a caller who has connected over TLS and sends none.
+func TestSilentTLSConnectionDoesNotHoldUpAShutdown(t *testing.T) {
+	t.Parallel()
+	certified := httptest.NewTLSServer(nil)
+	defer certified.Close()
+	roots := x509.NewCertPool()
+	roots.AddCert(certified.Certificate())
+	serverTLS := &tls.Config{Certificates: certified.TLS.Certificates, MinVersion: tls.VersionTLS12}
+	s := startTLSServer(t, ini.Caller{ReadTimeout: 20 * clock.Second}, serverTLS, alwaysReady, func(x *Exchange) error { return x.Write([]byte("ok")) })
+	conn, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if err := tls.Client(conn, &tls.Config{RootCAs: roots, ServerName: "example.com"}).Handshake(); err != nil {
+		t.Fatal(err)
+	}
+	started := time.Now()
+	if err := s.Shutdown(context.Background()); err != nil {
+		t.Error(err)
+	}
+	if took := time.Since(started); took > 10*time.Second {
+		t.Errorf("the shutdown took %s", took)
+	}
+}
--- a/internal/caller/keepalive/conn.go
+++ b/internal/caller/keepalive/conn.go
@@ -25,11 +25,13 @@
 	server *Server
 
 	mu sync.Mutex
-	// used is set once a request has been answered.
-	used bool
-	// idle is set while nothing of the next request has been read.
+	// requested is set once the head of a request has been read, and used once one has been
+	// answered.
+	requested, used bool
+	// idle is set while nothing of the next request has been read, as far as that is known.
 	idle bool
-	// idleSince is when the connection was accepted or the last answer ended.
+	// idleSince is when the connection was accepted or the last answer ended, or when the last
+	// bytes came of which nobody knows yet whether they belong to a request.
 	idleSince time.Time
 	// answering is set once something of the answer to the last request was written.
 	answering bool
@@ -123,10 +125,30 @@
 	}
 }
 
-// recordRead records that a part of a request has been read.
+// recordRead records that bytes have been read. Under TLS the first ones are those of the handshake,
+// so that the connection stays idle until the head of a request has been read.
 func (c *conn) recordRead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.server.tls != nil && !c.requested {
+		c.idleSince = time.Now()
+		c.wakeIfEnding()
+		return
+	}
+	c.setBusy()
+}
+
+// recordRequest records that the head of a request has been read, which may have come together with
+// the request before it.
+func (c *conn) recordRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requested = true
+	c.setBusy()
+}
+
+// setBusy ends the time without a request. The lock must be held.
+func (c *conn) setBusy() {
 	if !c.idle {
 		return
 	}
@@ -205,9 +227,14 @@
 
 // wakeIfEnding makes an idle connection that is to end return from Read. The lock must be held.
 func (c *conn) wakeIfEnding() {
-	if c.ending && c.idle {
-		_ = c.Conn.SetReadDeadline(c.expiry())
+	if !c.ending || !c.idle {
+		return
+	}
+	at := c.expiry()
+	if !c.used && !c.readDeadline.IsZero() && c.readDeadline.Before(at) {
+		at = c.readDeadline
 	}
+	_ = c.Conn.SetReadDeadline(at)
 }
 
 // expiry returns when the connection ends if it stays idle. The lock must be held.
--- a/internal/caller/keepalive/keepalive.go
+++ b/internal/caller/keepalive/keepalive.go
@@ -161,8 +161,7 @@
 	}
 	switch state {
 	case http.StateActive:
-		// A request may have been read together with the one before it.
-		c.recordRead()
+		c.recordRequest()
 	case http.StateIdle:
 		c.setIdle()
 	case http.StateClosed, http.StateHijacked:
