Wait in a shutdown until net/http has let the listener go

What operators saw: banyanshift serve ended a planned stop now and then with an error, "close tcp ...: use of closed network connection", and so with a failure's exit code.

Cause: the goroutine that accepts closed the listener and said so before net/http had forgotten it. If the last connection ended in that moment, Shutdown returned, and Close, which entry calls after it, closed the listener a second time.

--- a/internal/caller/keepalive/keepalive.go
+++ b/internal/caller/keepalive/keepalive.go
@@ -65,6 +65,7 @@
 	s.listener = l
 	s.mu.Unlock()
 	err := s.http.Serve(s.withTLS(l))
+	s.endedAccepting(l)
 	if errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -146,10 +147,11 @@
 	s.signalIfEmpty()
 }
 
-// endedAccepting is called when the listener accepts no more connections.
-func (s *Server) endedAccepting() {
+// endedAccepting is called when net/http accepts no more connections of a listener and has let it go.
+func (s *Server) endedAccepting(l *listener) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	l.ended.Store(true)
 	s.signalIfEmpty()
 }
 
--- a/internal/caller/keepalive/listener.go
+++ b/internal/caller/keepalive/listener.go
@@ -41,10 +41,6 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		err = errors.Join(net.ErrClosed, l.Close())
 	}
-	if errors.Is(err, net.ErrClosed) {
-		l.ended.Store(true)
-		l.server.endedAccepting()
-	}
 	return nil, err
 }
 
