Refuse connections to a full server for callers that shuts down

What callers saw: a banyanshift serve with as many connections as it may have went on listening while it shut down. Callers connected, were not served, and were reset when the last request had ended.

Cause: the deadline that ends accepting reaches only Accept of the TCP listener, and the limiter waits for a slot before it calls that. net/http's own Shutdown closed the listener at once.

The mend: the deadline of the limiter ends its wait for a slot as well.

--- a/internal/caller/entry/connection.go
+++ b/internal/caller/entry/connection.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"net"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -16,18 +18,20 @@
 	slots     chan struct{}
 	closed    chan struct{}
 	closeOnce sync.Once
+	// deadline is the time at which Accept gives up, and deadlineSet wakes one that waits for a
+	// slot when it is set.
+	deadline    atomic.Pointer[time.Time]
+	deadlineSet chan struct{}
 }
 
 func newConnLimiter(listener net.Listener, limit int) *connLimiter {
-	return &connLimiter{Listener: listener, slots: make(chan struct{}, limit), closed: make(chan struct{})}
+	return &connLimiter{Listener: listener, slots: make(chan struct{}, limit), closed: make(chan struct{}), deadlineSet: make(chan struct{}, 1)}
 }
 
 // Accept implements net.Listener.
 func (l *connLimiter) Accept() (net.Conn, error) {
-	select {
-	case l.slots <- struct{}{}:
-	case <-l.closed:
-		return nil, net.ErrClosed
+	if err := l.acquire(); err != nil {
+		return nil, err
 	}
 	conn, err := l.Listener.Accept()
 	if err != nil {
@@ -37,6 +41,35 @@
 	return &limitedConn{Conn: conn, limiter: l}, nil
 }
 
+// acquire waits for a slot, as Accept does for a connection.
+func (l *connLimiter) acquire() error {
+	for {
+		expired, stop := l.expiry()
+		select {
+		case l.slots <- struct{}{}:
+			stop()
+			return nil
+		case <-l.closed:
+			stop()
+			return net.ErrClosed
+		case <-expired:
+			return os.ErrDeadlineExceeded
+		case <-l.deadlineSet:
+			stop()
+		}
+	}
+}
+
+// expiry returns a channel that sends at the deadline, nil if there is none.
+func (l *connLimiter) expiry() (expired <-chan time.Time, stop func() bool) {
+	at := l.deadline.Load()
+	if at == nil || at.IsZero() {
+		return nil, func() bool { return true }
+	}
+	timer := time.NewTimer(time.Until(*at))
+	return timer.C, timer.Stop
+}
+
 // Close implements net.Listener.
 func (l *connLimiter) Close() error {
 	l.closeOnce.Do(func() { close(l.closed) })
@@ -49,6 +82,11 @@
 	if !has {
 		return errNoTCP
 	}
+	l.deadline.Store(&at)
+	select {
+	case l.deadlineSet <- struct{}{}:
+	default:
+	}
 	return listener.SetDeadline(at)
 }
 
