Bill requests that run when their gateway abandons them

What teams saw: usage that was too low by the requests that endpoints worked on when a stopping gateway gave up waiting. A request without an answer counts as begun otherwise.

Cause: an abandoned attempt returned before its start was counted.

Evidence: TestAbandonedRequestThatRunsIsBilled on the code before:

0 requests were billed, want 1

The mend: the start is counted first.

--- a/internal/caller/relay/abandon_test.go
+++ b/internal/caller/relay/abandon_test.go
@@ -56,3 +56,24 @@
 		})
 	}
 }
+
+// TestAbandonedRequestThatRunsIsBilled guards against usage that is too low by the requests that
+// endpoints work on when their daemon ends.
+func TestAbandonedRequestThatRunsIsBilled(t *testing.T) {
+	t.Parallel()
+	begun := make(chan struct{})
+	f := newFixture(t, func(_ http.ResponseWriter, r *http.Request) {
+		close(begun)
+		<-r.Context().Done()
+	}, ok)
+	replies := make(chan reply, 1)
+	go func() { replies <- f.send("/pay/1") }()
+	<-begun
+	f.handler.Abandon()
+	<-replies
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.started != 1 {
+		t.Errorf("%d requests were billed, want 1", f.started)
+	}
+}
--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -350,6 +350,9 @@
 		x.recordFailure("endpoint unreachable", placement, err)
 		return notSent
 	}
+	if x.route.Kind != document.Streaming {
+		x.countStart(sentWall)
+	}
 	if x.isAbandoned() {
 		return x.handleAbandoned(placement)
 	}
@@ -357,9 +360,6 @@
 	s.RecordEnd(placement, outcome)
 	x.recordFailure("no answer from endpoint", placement, err)
 	x.recordLost(placement, err)
-	if x.route.Kind != document.Streaming {
-		x.countStart(sentWall)
-	}
 	return result
 }
 
