Keep a connection that was given back unused no longer than its endpoint allows

What callers saw: 502 for a request that may not be repeated, though its endpoint was sound: the gateway wrote it to a kept connection just as the endpoint closed it as idle.

Cause: an endpoint's "Keep-Alive: timeout" bounds how long a connection is kept after an answer. One that was taken for a request and given back unused, since the request was not to be sent there after all, was kept for 3.3 s more, whatever had been announced and however long it had been idle.

The mend: giving it back does not renew its time.

--- a/internal/endpoint/http1/pool.go
+++ b/internal/endpoint/http1/pool.go
@@ -189,9 +189,13 @@
 	}
 }
 
-// Release returns a connection that has not been used to the pool.
+// Release returns a connection to the pool that has not been used since it was opened or taken.
 func (c *Conn) Release() {
-	c.pool.putIdle(c, defaultIdleTime)
+	idleTime := defaultIdleTime
+	if c.expiresAt > 0 {
+		idleTime = min(idleTime, c.expiresAt+idleMargin-c.pool.config.Clock.Now())
+	}
+	c.pool.putIdle(c, idleTime)
 }
 
 // Close closes a connection that is not to be used.
