Conclude a stream's software version only from a list that is read anew

What callers saw (reported by operators of a similar system, shown here by tests): a gateway was out of step for a few seconds, cut off or standing still, while endpoints of a new version joined. Streams that had begun there through other gateways were taken up at that gateway and went on at the old version.

Cause: a gateway that does not know a stream asks others. If any of them answered and none knew, it took the only version in its own list, up to 3 s old, for the one that began the stream. The one that answered may have been cut off together with it, or may simply not have been told; and a version may join and begin streams within those 3 s. A gap of less than 5 s in the list did not count either, though a version may come and go in it.

Fix: the only version is concluded by a daemon that follows the store, that knows all versions of the last 30 s, and that has read from the store, since it was asked, what has changed in its list. A daemon that does not follow the store gets this answer from those that it asks anyway. The store's answers are linearizable and a version is listed before it begins streams, so such a read shows every version at which the stream can have begun. A gap of 2.5 s in the list counts as one; the versions of that time are read from the row.

--- a/internal/daemon/gateway/entries.go
+++ b/internal/daemon/gateway/entries.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+
 	"github.com/sirupsen/logrus"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
@@ -18,6 +20,21 @@
 	})
 }
 
+// readChangedEndpoints reads the entries that have changed in the store since those that the
+// roster was given.
+func (d *Daemon) readChangedEndpoints(ctx context.Context) (changed []roster.Endpoint, err error) {
+	rows, err := d.endpointsFeed.ReadNewer(ctx)
+	for _, row := range rows {
+		if row.Version == 0 {
+			continue
+		}
+		if entry, err := d.platform.DecodeEndpoint(row); err == nil {
+			changed = append(changed, entry)
+		}
+	}
+	return changed, err
+}
+
 // entryReader passes on the endpoints' entries in the store as this daemon reads them.
 type entryReader struct {
 	daemon *Daemon
--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -217,6 +217,7 @@
 		Incarnation: d.incarnation, Seeds: seedAddresses(d.settings.Peer), Table: d.table, Scheduler: d.scheduler, Roster: d.roster,
 		Document: d.document, Drains: d.drains, Decode: d.platform.DecodeDocument, Tally: d.tally, WallTime: d.wallTime,
 		FollowsStore:     func() bool { return d.endpointsMode() == feed.Follow },
+		ReadChanges:      d.readChangedEndpoints,
 		StoreUnavailable: func() bool { return d.documentFeed.Failing() || d.endpointsFeed.Failing() }, Rand: d.random(2),
 		HighestFence: func() uint64 { return d.lease.HighestFence() }, FirstStart: d.settings.Daemon.FirstStart,
 		Crashes: fleet.Crashes{
--- a/internal/decide/origin/origin.go
+++ b/internal/decide/origin/origin.go
@@ -41,8 +41,8 @@
 	// maxStreams limits the streams that are remembered.
 	maxStreams = 1 << 17
 	// maxWatchGap is the time without a confirmed list after which versions may have come
-	// and gone unseen.
-	maxWatchGap = 5 * clock.Second
+	// and gone unseen. An endpoint that ends stays listed for longer.
+	maxWatchGap = 2500 * clock.Millisecond
 )
 
 // Versions lists the software versions at which streams that may still be taken up may have
--- a/internal/decide/origin/origin_test.go
+++ b/internal/decide/origin/origin_test.go
@@ -103,16 +103,20 @@
 	for _, test := range []struct {
 		name    string
 		arrange func(b *origin.Book)
-		// cutOff is set if no list is confirmed after the first one until at.
-		cutOff bool
-		at     clock.Millis
-		want   string
+		// cutOff is set if no list is confirmed after the first one until at, and stoodStill is
+		// how long none is confirmed before that.
+		cutOff     bool
+		stoodStill clock.Millis
+		at         clock.Millis
+		want       string
 	}{
 		{name: "just started", at: start, want: ""},
 		{name: "watched for as long as a stream lasts", at: start + 31*clock.Second, want: "2"},
 		{name: "nothing ran before", at: start, arrange: func(b *origin.Book) { b.Merge(start, nil, true) }, want: "2"},
 		{name: "gap", cutOff: true, at: start + 31*clock.Second, want: ""},
 		{name: "gap after nothing ran before", cutOff: true, at: start + 12*clock.Second, arrange: func(b *origin.Book) { b.Merge(start, nil, true) }, want: ""},
+		{name: "stood still for a few seconds", stoodStill: 4 * clock.Second, at: start + 35*clock.Second, want: ""},
+		{name: "usual time between two confirmations", stoodStill: 2 * clock.Second, at: start + 35*clock.Second, want: "2"},
 		{name: "recorded alone", at: start, arrange: func(b *origin.Book) { b.Merge(start, origin.Versions{"books": {"2"}}, true) }, want: "2"},
 		{name: "recorded with another", at: start, arrange: func(b *origin.Book) { b.Merge(start, origin.Versions{"books": {"1", "2"}}, true) }, want: ""},
 		{name: "record of an earlier era", at: start, arrange: func(b *origin.Book) { b.Merge(start, origin.Versions{"books": {"2"}}, false) }, want: ""},
@@ -125,7 +129,7 @@
 			if test.arrange != nil {
 				test.arrange(b)
 			}
-			for now := start; now < test.at && !test.cutOff; now += clock.Second {
+			for now := start; now <= test.at-test.stoodStill && !test.cutOff; now += clock.Second {
 				b.Watch(now, now)
 			}
 			b.Watch(test.at, test.at)
--- a/internal/peer/fleet/fleet.go
+++ b/internal/peer/fleet/fleet.go
@@ -73,6 +73,9 @@
 	// FollowsStore reports whether this daemon follows the endpoints in the store. It
 	// may call the Fleet.
 	FollowsStore func() bool
+	// ReadChanges reads the endpoints whose entries have changed in the store since the list
+	// that this daemon holds. It returns an error unless this daemon follows them.
+	ReadChanges func(ctx context.Context) ([]roster.Endpoint, error)
 	// StoreUnavailable reports whether this daemon failed to read the store when it
 	// last tried.
 	StoreUnavailable func() bool
--- a/internal/peer/fleet/fleet_test.go
+++ b/internal/peer/fleet/fleet_test.go
@@ -96,6 +96,9 @@
 	firstStart bool
 	// dial opens the connections to other daemons, unless it is nil.
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// readChanges replaces a store in which no entries of endpoints have changed, unless it is
+	// nil.
+	readChanges func(ctx context.Context) ([]roster.Endpoint, error)
 }
 
 // startWith starts a daemon in an environment.
@@ -110,11 +113,20 @@
 		d.scheduler.SetEndpoints(list)
 		d.fleet.NotifyEndpoints()
 	})
+	readChanges := env.readChanges
+	if readChanges == nil {
+		readChanges = func(context.Context) ([]roster.Endpoint, error) {
+			if d.storeDown.Load() {
+				return nil, table.ErrUnavailable
+			}
+			return nil, nil
+		}
+	}
 	noCrashes := fleet.Crashes{Fingerprint: func() uint64 { return 0 }, Sync: func(context.Context, string, uint64) {}}
 	d.fleet = fleet.New(fleet.Config{
 		Link: d.link, Clock: clk, Logger: logger, Self: topology.VM{ID: id, Address: d.address, FailureDomain: domainOf(id)},
 		Incarnation: id, Seeds: seeds, FirstStart: env.firstStart,
-		Table: rows, Scheduler: d.scheduler, Roster: d.roster, Document: d.document, Drains: d.drains, Decode: decode, Tally: d.tally, WallTime: walltime.New(clk), Crashes: noCrashes, StoreUnavailable: func() bool { return d.storeDown.Load() }, HighestFence: func() uint64 { return d.fence.Load() }, FollowsStore: func() bool { return d.fleet.LeaderRank() < 3 }, Rand: rng,
+		Table: rows, Scheduler: d.scheduler, Roster: d.roster, Document: d.document, Drains: d.drains, Decode: decode, Tally: d.tally, WallTime: walltime.New(clk), Crashes: noCrashes, StoreUnavailable: func() bool { return d.storeDown.Load() }, HighestFence: func() uint64 { return d.fence.Load() }, FollowsStore: func() bool { return d.fleet.LeaderRank() < 3 }, ReadChanges: readChanges, Rand: rng,
 	})
 	if err := d.link.Start(); err != nil {
 		t.Fatal(err)
--- a/internal/peer/fleet/message.go
+++ b/internal/peer/fleet/message.go
@@ -264,10 +264,15 @@
 type originRequest struct {
 	ID       uint64
 	AskRoots bool
+	// Backend is that of the stream. A daemon of an older release does not name it.
+	Backend string
 }
 
 // originAnswer holds the software version, if it is known.
 type originAnswer struct {
 	Known           bool
 	SoftwareVersion string
+	// Sole is the only version that the back end has had, as a daemon that follows the store
+	// knows since it was asked. It is nil if there were several, or may have been.
+	Sole *string
 }
--- a/internal/peer/fleet/streams.go
+++ b/internal/peer/fleet/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
@@ -26,8 +27,9 @@
 // of a back end are mixed, each stream is told to a few other daemons, so that it can be
 // taken up when the daemon that passed it on has ended.
 type streams struct {
-	fleet  *Fleet
-	keeper *versionKeeper
+	fleet     *Fleet
+	keeper    *versionKeeper
+	confirmer *listConfirmer
 
 	mu   sync.Mutex
 	book *origin.Book
@@ -40,7 +42,7 @@
 
 func newStreams(f *Fleet) *streams {
 	s := &streams{fleet: f, book: origin.New()}
-	s.keeper = newVersionKeeper(s)
+	s.keeper, s.confirmer = newVersionKeeper(s), &listConfirmer{streams: s}
 	return s
 }
 
@@ -143,14 +145,15 @@
 }
 
 // search asks other daemons for the software version that began a stream. If none of them
-// knows, it is the only version of the back end. This daemon may have been frozen or slow while
-// a new one appeared, so that an answer of another one is needed, if there are others.
+// knows, it is the only version of the back end, if a daemon that follows the store says so. An
+// answer of another daemon is needed, if there are others.
 func (s *streams) search(ctx context.Context, id uint64, backend string) (version *string, source string) {
-	others := &originSearch{streams: s, id: id, addresses: s.fleet.contacts(), done: make(chan struct{})}
+	request := originRequest{ID: id, Backend: backend, AskRoots: true}
+	others := &originSearch{streams: s, request: request, addresses: s.fleet.contacts(), done: make(chan struct{})}
 	go others.run(ctx)
 	sole := s.sole(ctx, backend)
 	<-others.done
-	switch {
+	switch sole = s.agreed(backend, sole, others.sole); {
 	case others.version != nil:
 		return others.version, sourcePeer
 	case sole != nil && (others.heard || len(others.addresses) == 0):
@@ -162,18 +165,44 @@
 // originSearch asks other daemons for the software version that began a stream.
 type originSearch struct {
 	streams   *streams
-	id        uint64
+	request   originRequest
 	addresses []string
-	// done is closed after version, which is nil if nobody knows it, and heard, whether any
-	// daemon has answered, are set.
-	done    chan struct{}
+	// done is closed after the result is set.
+	done chan struct{}
+	searchResult
+}
+
+// searchResult is what other daemons know of a stream.
+type searchResult struct {
+	// version is the one that began it, nil if nobody knows.
 	version *string
-	heard   bool
+	// sole is the only version of the back end, nil if nobody says that there is one only.
+	sole *string
+	// heard is set if any daemon has answered.
+	heard bool
 }
 
 func (o *originSearch) run(ctx context.Context) {
 	defer close(o.done)
-	o.version, o.heard = o.streams.ask(ctx, o.id, o.addresses, true)
+	o.searchResult = o.streams.ask(ctx, o.request, o.addresses)
+}
+
+// agreed returns the only software version of a back end if one was found, by this daemon or
+// others, and neither they nor the list of this daemon name another one.
+func (s *streams) agreed(backend string, found ...*string) (sole *string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	recent := s.book.Recent(s.fleet.config.Clock.Now(), backend)
+	for _, version := range found {
+		switch {
+		case version == nil:
+			continue
+		case sole != nil && *sole != *version, slices.ContainsFunc(recent, func(known string) bool { return known != *version }):
+			return nil
+		}
+		sole = version
+	}
+	return sole
 }
 
 // describe returns what this daemon knows of the software versions of a back end.
@@ -194,12 +223,12 @@
 	return nil
 }
 
-// sole returns the only software version that the back end has had for some time. It
-// returns nil if the list of endpoints may be out of date, or if versions from before this
-// daemon watched are not known.
+// sole returns the only software version that the back end has had for as long as a stream may
+// be taken up, until after this call began: it reads from the store what has changed in the list
+// that this daemon holds. It returns nil unless it knows all versions of that time.
 func (s *streams) sole(ctx context.Context, backend string) *string {
 	clk := s.fleet.config.Clock
-	if clk.Now()-s.fleet.config.Roster.State().AsOf > maxSoleAge {
+	if clk.Now()-s.fleet.config.Roster.State().AsOf > maxSoleAge || s.confirmer.confirm(ctx) != nil {
 		return nil
 	}
 	if _, complete := s.watch(clk.Now()); !complete {
@@ -213,23 +242,26 @@
 	return nil
 }
 
-// ask asks daemons for the software version that began a stream, and returns the first
-// one that is known. heard is set if any of them answered.
-func (s *streams) ask(ctx context.Context, id uint64, addresses []string, askRoots bool) (version *string, heard bool) {
+// ask asks daemons for the software version that began a stream, until one of them knows.
+func (s *streams) ask(ctx context.Context, request originRequest, addresses []string) (result searchResult) {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout.Duration())
 	defer cancel()
 	answers := make(chan heardOrigin, len(addresses))
 	for _, address := range addresses {
-		go s.askOne(ctx, address, originRequest{ID: id, AskRoots: askRoots}, answers)
+		go s.askOne(ctx, address, request, answers)
 	}
 	for range addresses {
 		answer := <-answers
-		heard = heard || answer.heard
+		result.heard = result.heard || answer.heard
+		if answer.Sole != nil {
+			result.sole = answer.Sole
+		}
 		if answer.Known {
-			return &answer.SoftwareVersion, heard
+			result.version = &answer.SoftwareVersion
+			return result
 		}
 	}
-	return nil, heard
+	return result
 }
 
 // heardOrigin is the answer of a daemon, if it was heard.
@@ -250,15 +282,24 @@
 
 func (f *Fleet) serveOrigin(ctx context.Context, _ string, request originRequest) (originAnswer, error) {
 	s := f.streams
-	version := s.find(request.ID)
-	if version == nil && request.AskRoots {
+	if version := s.find(request.ID); version != nil {
+		return originAnswer{Known: true, SoftwareVersion: *version}, nil
+	}
+	roots := &originSearch{streams: s, request: request, done: make(chan struct{})}
+	if request.AskRoots {
 		f.mu.Lock()
-		roots := f.view.RemoteRoots(f.config.Clock.Now())
+		roots.addresses = f.view.RemoteRoots(f.config.Clock.Now())
 		f.mu.Unlock()
-		version, _ = s.ask(ctx, request.ID, roots, false)
 	}
-	if version == nil {
-		return originAnswer{}, nil
+	roots.request.AskRoots = false
+	go roots.run(ctx)
+	var sole *string
+	if request.Backend != "" {
+		sole = s.sole(ctx, request.Backend)
+	}
+	<-roots.done
+	if roots.version != nil {
+		return originAnswer{Known: true, SoftwareVersion: *roots.version}, nil
 	}
-	return originAnswer{Known: true, SoftwareVersion: *version}, nil
+	return originAnswer{Sole: s.agreed(request.Backend, sole, roots.sole)}, nil
 }
--- a/internal/platform/feed/feed.go
+++ b/internal/platform/feed/feed.go
@@ -117,6 +117,9 @@
 	unavailable  bool
 	failing      atomic.Bool
 	readFailures int
+	// passedOn is the position up to which all rows were passed on, nil unless the Follower
+	// follows them.
+	passedOn atomic.Pointer[table.Position]
 }
 
 // New returns a Follower.
@@ -145,12 +148,43 @@
 		} else {
 			f.failing.Store(false)
 		}
+		f.recordPassedOn(mode)
 		if err := f.config.Clock.Sleep(ctx, delay); err != nil {
 			return err
 		}
 	}
 }
 
+// recordPassedOn records which rows were passed on.
+func (f *Follower) recordPassedOn(mode Mode) {
+	if mode != Follow || !f.hasSnapshot {
+		f.passedOn.Store(nil)
+		return
+	}
+	at := f.position
+	f.passedOn.Store(&at)
+}
+
+// ErrNotFollowing means that a Follower has no rows, or does not follow them now.
+var ErrNotFollowing = errors.New("feed: the rows are not being followed")
+
+// shortestWait is the wait of a call that is to return at once.
+const shortestWait = clock.Millisecond
+
+// ReadNewer reads the rows that have changed since those that were passed on. They are passed on
+// later, as usual.
+func (f *Follower) ReadNewer(ctx context.Context) (rows []table.Row, err error) {
+	after := f.passedOn.Load()
+	if after == nil {
+		return nil, ErrNotFollowing
+	}
+	rows, at, err := f.config.Feed.Changes(ctx, f.config.Prefix, *after, shortestWait)
+	if err == nil && at.Era != after.Era {
+		err = table.ErrHistoryGone
+	}
+	return rows, err
+}
+
 // delayAfter returns the time until the next call after one that returned err.
 func (f *Follower) delayAfter(mode Mode, err error) clock.Millis {
 	if err == nil {
