Ask an endpoint through a peer whether it started again before a stream goes on there

What callers saw: a stream went on, in one answer, with events of another software version, if the gateway reached the endpoint through a peer only and the endpoint had started again under its ID.

Cause: before a request continues a stream, the endpoint is asked for its incarnation on the connection that carries the request. A way through a peer carried one request and no question, so nothing was asked there.

Evidence, on the code before:

--- FAIL: TestStreamIsNotResumedThroughAPeerAtAnEndpointThatRestarted (6.17s) rejoined_test.go:114: the events are of versions "1 1 2 2 2 2", want the first two of 1

Fix: a question may come before the request on a connection between gateways. The peer asks it on the connection to the endpoint that it has reserved, and says whether the request may follow there, so that both reach the same process. A peer of the last release passes the question on like a request, and the request then takes another connection, as if the endpoint had closed the first.

--- a/internal/caller/relay/incarnation.go
+++ b/internal/caller/relay/incarnation.go
@@ -28,7 +28,7 @@
 // incarnation of the endpoint whose software version is known, as far as the endpoint says.
 func (x *exchange) connectChecked(placement Placement) (connect.Connection, error) {
 	connection, err := x.connect(placement)
-	if err != nil || connection.Ask == nil || !x.continuesStream() || placement.Incarnation == 0 {
+	if err != nil || !x.continuesStream() || placement.Incarnation == 0 {
 		return connection, err
 	}
 	isOpen, err := x.checkIncarnation(placement, connection)
--- a/internal/endpoint/connect/connect.go
+++ b/internal/endpoint/connect/connect.go
@@ -78,9 +78,11 @@
 type Connection struct {
 	// Peer is the address of the peer that forwards the request, "" if none does.
 	Peer string
+	// OpenedAt is when the connection was opened. It may be older if a peer forwards the request.
+	OpenedAt clock.Millis
 	// Ask asks the endpoint a question before the request, on the connection that the request
-	// uses then. It is nil if a peer forwards the request. Unless the reply says that the
-	// connection is open, the way must not be used any more. The error is a *http1.RequestError.
+	// uses then. Unless the reply says that the connection is open, the way must not be used any
+	// more. The error is a *http1.RequestError.
 	Ask func(ctx context.Context, question http1.Request) (http1.Reply, error)
 	// Do sends a request and reads the status and header of its answer. The error is a
 	// *http1.RequestError.
@@ -191,7 +193,7 @@
 		}
 		return reply, c.handleNoAnswer(ctx, target, err)
 	}
-	return Connection{Cancel: own.Release, Ask: ask, Do: do}
+	return Connection{OpenedAt: own.OpenedAt(), Cancel: own.Release, Ask: ask, Do: do}
 }
 
 // handleNoAnswer returns the error of a request that got no answer on a connection of this
@@ -253,7 +255,14 @@
 		conn.Cancel()
 		c.recordForwardEnded(peer)
 	}
-	return Connection{Peer: peer, Cancel: cancel, Do: func(ctx context.Context, request http1.Request) (*http1.Answer, error) {
+	ask := func(ctx context.Context, question http1.Request) (http1.Reply, error) {
+		reply, err := conn.Ask(ctx, question)
+		if !reply.Open {
+			c.recordForwardEnded(peer)
+		}
+		return reply, err
+	}
+	return Connection{Peer: peer, OpenedAt: c.config.Clock.Now(), Cancel: cancel, Ask: ask, Do: func(ctx context.Context, request http1.Request) (*http1.Answer, error) {
 		answer, err := conn.Do(ctx, request)
 		if err != nil {
 			c.recordForwardEnded(peer)
--- a/internal/endpoint/http1/exchange.go
+++ b/internal/endpoint/http1/exchange.go
@@ -89,6 +89,12 @@
 	return &Answer{Status: status, Header: header, Length: length, Ending: ending, body: body}
 }
 
+// IsOpen reports whether the endpoint keeps the connection of the answer open and everything that
+// it has sent has been read. It is false if that is not known.
+func (a *Answer) IsOpen() bool {
+	return a.conn != nil && isOpenAndQuiet(a.conn)
+}
+
 // Do sends a request to the endpoint with the given key and address and reads
 // the status and header of its answer. It uses an idle connection of that key
 // if there is one. The connection is closed when ctx is canceled, also while
--- a/internal/endpoint/http1/pool.go
+++ b/internal/endpoint/http1/pool.go
@@ -101,6 +101,8 @@
 	process Process
 	// heard is set once an answer has arrived.
 	heard bool
+	// openedAt is when the connection was opened.
+	openedAt clock.Millis
 	// expiresAt is the time from which an idle connection must not be reused.
 	expiresAt clock.Millis
 }
@@ -189,6 +191,11 @@
 	}
 }
 
+// OpenedAt returns when the connection was opened.
+func (c *Conn) OpenedAt() clock.Millis {
+	return c.openedAt
+}
+
 // Release returns a connection to the pool that has not been used since it was opened or taken.
 func (c *Conn) Release() {
 	idleTime := defaultIdleTime
@@ -225,7 +232,7 @@
 		return nil, err
 	}
 	limiter := &headReader{conn: netConn}
-	return &Conn{pool: p, netConn: netConn, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter, process: process}, nil
+	return &Conn{pool: p, netConn: netConn, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter, process: process, openedAt: p.config.Clock.Now()}, nil
 }
 
 // isOpenAndQuiet reports whether an idle connection is open and has no unread
--- a/internal/peer/forward/client.go
+++ b/internal/peer/forward/client.go
@@ -21,6 +21,8 @@
 	maxIdleTime = 20 * clock.Second
 	// maxIdlePerPeer bounds the idle connections to one peer.
 	maxIdlePerPeer = 8
+	// maxReplyBytes bounds the body of the answer to a question.
+	maxReplyBytes = 256 << 10
 )
 
 // Client sends requests through peers. It is safe for concurrent use.
@@ -159,7 +161,7 @@
 // canceled, also while the body is being read.
 func (c *Conn) Do(ctx context.Context, request http1.Request) (answer *http1.Answer, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.framed.net.Close() })
-	head, err := c.exchange(request)
+	head, err := c.exchange(request, false)
 	if err != nil {
 		stop()
 		_ = c.framed.net.Close()
@@ -171,14 +173,33 @@
 	return http1.NewAnswer(head.Status, head.Header, head.Length, head.ending(), &answerBody{conn: c, stopCancel: stop}), nil
 }
 
-// exchange sends the request and reads the head of the answer.
-func (c *Conn) exchange(request http1.Request) (head answerHead, err error) {
+// Ask sends a question to the endpoint, like http1.Conn.Ask. Afterwards the connection may carry a
+// request if the reply says that it is open, and is given up otherwise.
+func (c *Conn) Ask(ctx context.Context, question http1.Request) (reply http1.Reply, err error) {
+	stop := context.AfterFunc(ctx, func() { _ = c.framed.net.Close() })
+	head, err := c.exchange(question, true)
+	if err == nil {
+		reply = http1.Reply{Status: head.Status, Header: head.Header, Open: head.Open}
+		reply.Body, err = io.ReadAll(io.LimitReader(&answerBody{conn: c}, maxReplyBytes))
+	}
+	reply.Open = stop() && err == nil && reply.Open
+	if !reply.Open {
+		_ = c.framed.net.Close()
+	}
+	if err != nil {
+		err = &http1.RequestError{Cause: fmt.Errorf("ask through peer %s: %w", c.peer, errors.Join(ctx.Err(), err))}
+	}
+	return reply, err
+}
+
+// exchange sends the request or question and reads the head of the answer.
+func (c *Conn) exchange(request http1.Request, isQuestion bool) (head answerHead, err error) {
 	now := c.client.clock.Now()
 	if err := c.framed.net.SetDeadline(c.client.clock.Deadline(request.Deadline)); err != nil {
 		return head, err
 	}
 	err = c.framed.write(message.ForwardRequest, requestHead{
-		ID: request.ID, Method: request.Method, Head: request.Head, BodyBytes: len(request.Body), TimeLeft: request.Deadline - now,
+		ID: request.ID, Method: request.Method, Head: request.Head, BodyBytes: len(request.Body), TimeLeft: request.Deadline - now, Question: isQuestion,
 	})
 	if err != nil {
 		return head, err
--- a/internal/peer/forward/forward_test.go
+++ b/internal/peer/forward/forward_test.go
@@ -32,6 +32,8 @@
 	// refusal is the error of the peer's connection to the endpoint.
 	refusal atomic.Pointer[forward.Refusal]
 	heads   atomic.Int64
+	// ids is set if answers name their requests.
+	ids atomic.Bool
 }
 
 var lastIP atomic.Int64
@@ -45,7 +47,12 @@
 	t.Cleanup(p.endpoint.Close)
 	ip := fmt.Sprintf("127.%d.%d.7", 10+os.Getpid()%100, lastIP.Add(1))
 	p.address = ip + ":1"
-	pool := http1.New(http1.Config{Clock: clock.System(), AnsweredID: func(http.Header) string { return "r" }})
+	pool := http1.New(http1.Config{Clock: clock.System(), AnsweredID: func(header http.Header) string {
+		if p.ids.Load() {
+			return header.Get("Id")
+		}
+		return "r"
+	}})
 	p.config = forward.ServerConfig{
 		Clock: clock.System(), Logger: logger, Listen: net.JoinHostPort(ip, port),
 		Connect: func(ctx context.Context, target forward.Target) (*http1.Conn, error) {
--- a/internal/peer/forward/message.go
+++ b/internal/peer/forward/message.go
@@ -61,6 +61,10 @@
 	BodyBytes int
 	// TimeLeft is how long the sender waits for the whole answer.
 	TimeLeft clock.Millis
+	// Question is set if this is no request but a question that runs none. A request may follow
+	// on the same connection to the endpoint if the answer says so. A daemon of the last
+	// release passes the question on like a request.
+	Question bool
 }
 
 // answerHead begins the endpoint's answer. Its body follows in messages of ForwardBody, and
@@ -73,6 +77,8 @@
 	// Explicit is set if the endpoint says where the body ends. A daemon of the last release
 	// does not tell.
 	Explicit bool
+	// Open is set in the answer to a question if a request may follow.
+	Open bool
 }
 
 // ending returns how the endpoint's answer shows its end, as far as the peer tells.
--- a/internal/peer/forward/serverconn.go
+++ b/internal/peer/forward/serverconn.go
@@ -136,9 +136,16 @@
 	writeTimeout = 10 * clock.Second
 )
 
-// serveRequest reads a request, sends it to the endpoint and passes on the answer.
+// serveRequest reads a request, sends it to the endpoint and passes on the answer. Questions may
+// come before it.
 func (c *serverConn) serveRequest(target Target, endpoint *http1.Conn) error {
-	request, err := c.readRequest()
+	request, isQuestion, err := c.readRequest()
+	for ; err == nil && isQuestion; request, isQuestion, err = c.readRequest() {
+		c.server.release(len(request.Body))
+		if isOpen, err := c.serveQuestion(endpoint, request); err != nil || !isOpen {
+			return err
+		}
+	}
 	if err != nil {
 		endpoint.Release()
 		return err
@@ -154,25 +161,45 @@
 	return c.passAnswer(answer)
 }
 
-// readRequest reads a request with its body, for which it reserves memory.
-func (c *serverConn) readRequest() (request http1.Request, err error) {
+// serveQuestion asks the endpoint and passes on its answer. isOpen is set if a request may follow.
+func (c *serverConn) serveQuestion(endpoint *http1.Conn, question http1.Request) (isOpen bool, err error) {
+	reply, err := endpoint.Ask(c.ctx, question)
+	if reply.Status == 0 {
+		return false, c.send(message.ForwardEnd, end{Error: err.Error()})
+	}
+	ended := end{}
+	if err != nil {
+		ended.Error = err.Error()
+	}
+	if err := c.send(message.ForwardAnswer, answerHead{Status: reply.Status, Header: reply.Header, Length: int64(len(reply.Body)), Explicit: true, Open: reply.Open}); err != nil {
+		return false, err
+	}
+	if err := c.sendBody(reply.Body); err != nil {
+		return false, err
+	}
+	return reply.Open, c.send(message.ForwardEnd, ended)
+}
+
+// readRequest reads a request or question with its body, for which it reserves memory.
+func (c *serverConn) readRequest() (request http1.Request, isQuestion bool, err error) {
 	f, err := c.next(requestTimeout)
 	if err != nil {
-		return request, err
+		return request, false, err
 	}
 	head, err := decode[requestHead](f, message.ForwardRequest)
 	if err != nil {
-		return request, err
+		return request, false, err
 	}
 	if !c.server.reserve(head.BodyBytes) {
-		return request, errors.New("forward: no memory for the body of a request")
+		return request, false, errors.New("forward: no memory for the body of a request")
 	}
 	body, err := c.readBody(head.BodyBytes)
 	if err != nil {
 		c.server.release(head.BodyBytes)
-		return request, err
+		return request, false, err
 	}
-	return http1.Request{ID: head.ID, Method: head.Method, Head: head.Head, Body: body, Deadline: c.server.config.Clock.Now() + head.TimeLeft}, nil
+	request = http1.Request{ID: head.ID, Method: head.Method, Head: head.Head, Body: body, Deadline: c.server.config.Clock.Now() + head.TimeLeft}
+	return request, head.Question, nil
 }
 
 func (c *serverConn) readBody(length int) ([]byte, error) {
