Take an answer of HTTP/1.0 with a transfer coding for none

Cause: net/http drops the field Transfer-Encoding of an answer of HTTP/1.0 without a word, so that the body ends with its length or with the connection. RFC 9112 (6.1) has a client treat such an answer as wrongly framed.

Evidence: before, TestOldAnswerInChunksIsNoAnswer got "a whole answer with body "c\r\n0123456789ab\r\n0\r\n\r\n"" for each of four spellings of the field. It passes now; the answers of HTTP/1.0 that are cut at any byte and FuzzAnswer (8 s) as well.

Why it works: the head of an answer of HTTP/1.0, and of no other, is read first and looked through. Its connection is not used again.

--- a/internal/endpoint/http1/head.go
+++ b/internal/endpoint/http1/head.go
@@ -47,10 +47,21 @@
 	}()
 	c.limiter.inHead, c.limiter.left = true, maxHeadBytes
 	for {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		isOld := isOldAnswer(c.reader)
+		reader := c.reader
+		if isOld {
+			if reader, err = checkOldHead(c.reader); err != nil {
+				return nil, err
+			}
+		}
+		response, err := http.ReadResponse(reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
+		if isOld && response.StatusCode < http.StatusOK {
+			_ = response.Body.Close()
+			return nil, errOldInterim
+		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			_ = response.Body.Close()
 			return nil, errors.New("the endpoint switches protocols")
@@ -62,7 +73,7 @@
 		ending := endingOf(response)
 		return &Answer{
 			Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Ending: ending,
-			body: response.Body, reusable: ending != EndsWithConnection && !response.Close,
+			body: response.Body, reusable: ending != EndsWithConnection && !response.Close && !isOld,
 		}, nil
 	}
 }
