Draw no conclusion on a peer from a request that ended first

What callers could see: a gateway that reaches an endpoint through peers only asked the nearest ones last for 2 s, whenever a caller had left or its time limit had ended before their answer.

Cause: the end of the request counted as the peer's silence.

Why it works: a peer's failure is recorded only if the request still waited for it. A peer that was silent for its 200 ms is asked last as before.

--- a/internal/endpoint/connect/connect.go
+++ b/internal/endpoint/connect/connect.go
@@ -240,12 +240,15 @@
 	return after
 }
 
-// open asks a peer for a way to the endpoint.
+// open asks a peer for a way to the endpoint. If the request ends first, that says nothing of the
+// peer.
 func (c *Connector) open(ctx context.Context, peer string, target Target) (*forward.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, peerPatience.Duration())
+	patient, cancel := context.WithTimeout(ctx, peerPatience.Duration())
 	defer cancel()
-	conn, err := c.config.Open(ctx, peer, target.forward())
-	c.recordPeer(peer, err)
+	conn, err := c.config.Open(patient, peer, target.forward())
+	if err == nil || ctx.Err() == nil {
+		c.recordPeer(peer, err)
+	}
 	return conn, err
 }
 
