Take a stream's software version from the endpoint that ran it, not from an old entry

What callers saw: an endpoint started again under its ID with newer software, and streams began there before its new entry was known.

Cause: the version of a stream was that of the entry by which it was placed. Only an endpoint that continues a stream was asked for its incarnation.

Fix: no question is asked when a stream begins. Its version becomes certain if its connection is still open 1.5 s after it was opened and the list, as of that time, has the same incarnation: another process would have written its entry. The state of the connection comes from the kernel, so that a gateway which stood still or a slow caller does not make it look open; a peek would consume a reset. If a stream breaks before, the endpoint that began it is asked, and one that does not confirm its entry ends the stream. If the list names another incarnation and version, streams that are not certain are doubted, also at the gateways that were told of them.

Price: when an endpoint crashes, streams that began there in the last 1.5 to 3 s break off and are refused to callers that take them up.

Questions are counted in Relay.IncarnationQuestions.

--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -65,6 +65,8 @@
 	sent int
 	// mayHaveRun is true if one of these endpoints may have run the request.
 	mayHaveRun bool
+	// openedAt is when the connection of the last attempt was opened.
+	openedAt clock.Millis
 	// errorAnswer is the last 5xx answer of an endpoint. The caller gets it
 	// if no later attempt succeeds.
 	errorAnswer *bufferedAnswer
@@ -102,7 +104,7 @@
 			x.attempts.mayHaveRun = true
 		case failed, noAnswer, expired:
 			x.attempts.mayHaveRun = true
-			if !x.mayTryAgain() {
+			if !x.mayTryAgain() || !x.proveStart() {
 				x.conclude(Refusal{Reason: x.attempts.lastReason})
 				return
 			}
@@ -249,6 +251,7 @@
 	h := x.handler
 	x.attempts.begunAt = h.config.Clock.Now()
 	connection, err := x.connectChecked(placement)
+	x.attempts.openedAt = connection.OpenedAt
 	sentWall := h.config.Clock.Wall()
 	if errors.Is(err, errRestarted) || errors.Is(err, errNoReport) {
 		return x.handleUnchecked(placement, err)
--- a/internal/caller/relay/incarnation.go
+++ b/internal/caller/relay/incarnation.go
@@ -47,6 +47,7 @@
 // one, or if no answer arrives. An answer without an incarnation proves nothing. The connection
 // may be used if it is open then.
 func (x *exchange) checkIncarnation(placement Placement, connection connect.Connection) (isOpen bool, err error) {
+	incarnationQuestions.Add(1)
 	wire := x.handler.config.Wire
 	reply, err := connection.Ask(x.ctx, http1.Request{
 		Method:   http.MethodGet,
@@ -66,6 +67,51 @@
 	return false, fmt.Errorf("%w: incarnation %d, known is %d", errRestarted, incarnation, placement.Incarnation)
 }
 
+// recordStart records which endpoint has begun the stream.
+func (x *exchange) recordStart(placement Placement) {
+	x.stream.software = balance.SoftwareLimit{Limited: true, Version: placement.SoftwareVersion}
+	x.stream.start = StreamStart{
+		RequestID: x.call.ID, Backend: x.backend, Endpoint: placement.Endpoint, Incarnation: placement.Incarnation,
+		SoftwareVersion: placement.SoftwareVersion, OpenedAt: x.attempts.openedAt,
+	}
+	x.stream.startAt = placement
+	x.handler.config.Streams.Record(x.stream.start)
+}
+
+// proveStart reports whether the software version that began the stream is certain, so that an
+// endpoint of that version may go on. Unless it is known by now, it asks the endpoint: one
+// that is still of the known incarnation was so when the stream began.
+func (x *exchange) proveStart() bool {
+	if x.stream.start.Endpoint == "" || x.stream.startProved {
+		return true
+	}
+	streams := x.handler.config.Streams
+	check := streams.Check(x.stream.start, x.stream.openUntil)
+	if check == StartUnproved && x.askStart() {
+		check = StartProved
+		streams.Prove(x.stream.start)
+	}
+	x.stream.startProved = check == StartProved
+	if !x.stream.startProved {
+		streams.Doubt(x.stream.start)
+		x.attempts.lastReason = "cannot resume: the endpoint may have been of another software version: " + x.attempts.lastReason
+	}
+	return x.stream.startProved
+}
+
+// askStart asks the endpoint that began the stream whether it is still of the known incarnation.
+func (x *exchange) askStart() bool {
+	connection, err := x.connect(x.stream.startAt)
+	if err != nil {
+		return false
+	}
+	isOpen, err := x.checkIncarnation(x.stream.startAt, connection)
+	if isOpen {
+		connection.Cancel()
+	}
+	return err == nil
+}
+
 // handleUnchecked records an attempt to continue a stream at an endpoint whose incarnation is
 // another one or not known. Nothing of the request was sent, and the endpoint may run others.
 func (x *exchange) handleUnchecked(placement Placement, err error) result {
--- a/internal/caller/relay/incarnation_test.go
+++ b/internal/caller/relay/incarnation_test.go
@@ -4,9 +4,12 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/banyanshift/banyanshift/internal/caller/relay"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
 )
 
@@ -93,6 +96,65 @@
 	f.incarnation, f.report = 7, func(http.ResponseWriter, *http.Request) { t.Error("asked for a report") }
 	f.expect(f.send("/look/1"), 200, "fine")
 	f = newFixture(t, reset, events(1, 3, true))
+	f.startCheck = relay.StartUnproved
 	f.incarnation, f.report = 7, func(http.ResponseWriter, *http.Request) { t.Error("asked for a report") }
 	f.expect(f.send("/resumable/1"), 200, eventText(1, 3))
 }
+
+// TestStreamGoesOnOnlyIfItsStartIsCertain guards against a stream that was begun by an endpoint which
+// had started again at another software version, and goes on at one of the version that was known.
+func TestStreamGoesOnOnlyIfItsStartIsCertain(t *testing.T) {
+	for name, test := range map[string]struct {
+		check   relay.StartCheck
+		report  http.HandlerFunc
+		ends    bool
+		goesOn  bool
+		unasked bool
+	}{
+		"Proved":              {check: relay.StartProved, report: reporting(200, nil, "8"), goesOn: true, unasked: true},
+		"Refuted":             {check: relay.StartRefuted, report: reporting(200, nil, "7"), unasked: true},
+		"SaysItIsTheSame":     {check: relay.StartUnproved, report: reporting(200, nil, "7"), goesOn: true},
+		"SaysItIsAnother":     {check: relay.StartUnproved, report: reporting(200, nil, "8")},
+		"SaysNothing":         {check: relay.StartUnproved, report: reset},
+		"DoesNotKnowTheCall":  {check: relay.StartUnproved, report: reporting(404, nil, ""), goesOn: true},
+		"HasEnded":            {check: relay.StartUnproved, report: reporting(200, nil, "7"), ends: true},
+		"HasEndedProved":      {check: relay.StartProved, report: reporting(200, nil, "7"), ends: true, goesOn: true, unasked: true},
+		"HasEndedAndRefuted":  {check: relay.StartRefuted, report: reporting(200, nil, "7"), ends: true, unasked: true},
+		"AnotherAndItsClosed": {check: relay.StartUnproved, report: reporting(200, map[string]string{"Connection": "close"}, "8")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var first *httptest.Server
+			var asked atomic.Int64
+			begin := func(w http.ResponseWriter, r *http.Request) {
+				if test.ends {
+					_ = first.Listener.Close()
+				}
+				events(1, 3, false)(w, r)
+			}
+			f := newFixture(t, begin, events(4, 6, true))
+			first, f.startCheck, f.incarnation = f.endpoints[0], test.check, 7
+			f.report = func(w http.ResponseWriter, r *http.Request) {
+				if r.Host == f.endpoints[1].Listener.Addr().String() {
+					_, _ = io.WriteString(w, "7") // The one that is to go on.
+					return
+				}
+				asked.Add(1)
+				test.report(w, r)
+			}
+			got := f.send("/resumable/1")
+			if wantAsked := !test.unasked && !test.ends; (asked.Load() == 1) != wantAsked {
+				t.Errorf("asked %d times, want a question: %t", asked.Load(), wantAsked)
+			}
+			if doubted := f.doubted.Load() > 0; doubted == test.goesOn {
+				t.Errorf("doubted: %t", doubted)
+			}
+			if test.goesOn {
+				f.expect(got, 200, eventText(1, 6))
+				return
+			}
+			f.expectBrokenStream(got, eventText(1, 3))
+			f.expectReceived("e0:")
+		})
+	}
+}
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -13,7 +13,8 @@
 //
 // An endpoint may start again under its ID at another software version before this daemon
 // knows. So one that is to continue a stream is first asked for its incarnation, on the same
-// connection, which belongs to one process.
+// connection, which belongs to one process, and one that began a stream is asked if the stream has
+// to go on elsewhere before its start is certain.
 //
 // An answer goes on with a stream only if it is a sealed 200 of server-sent events without an
 // encoding, whose first new event is the next one. Nothing else is written into a stream, and
@@ -220,11 +221,42 @@
 // Streams remembers which software versions began streams. All fields must be set.
 type Streams struct {
 	// Record is called when the first event of a request's stream arrives.
-	Record func(requestID, backend, softwareVersion string)
+	Record func(start StreamStart)
+	// Check reports what is known of a start whose connection was still open at a time.
+	Check func(start StreamStart, openUntil clock.Millis) StartCheck
+	// Prove records that the endpoint has said that the start is right.
+	Prove func(start StreamStart)
+	// Doubt records that the software version of a start is not known after all.
+	Doubt func(start StreamStart)
 	// Find looks up which software version began the stream of a request.
 	Find func(ctx context.Context, requestID, backend string) Origin
 }
 
+// StreamStart is the start of a request's stream at an endpoint.
+type StreamStart struct {
+	RequestID string
+	Backend   string
+	Endpoint  string
+	// Incarnation and SoftwareVersion are those of the endpoint as far as was known.
+	Incarnation     int64
+	SoftwareVersion string
+	// OpenedAt is when the connection that carries the stream was opened.
+	OpenedAt clock.Millis
+}
+
+// StartCheck is what is known of the incarnation of the endpoint that began a stream.
+type StartCheck int
+
+// The results of a check.
+const (
+	// StartUnproved: the endpoint may have started again shortly before, unknown to this daemon.
+	StartUnproved StartCheck = iota
+	// StartProved: it was the known one.
+	StartProved
+	// StartRefuted: it may have been another one.
+	StartRefuted
+)
+
 // Origin is what is known of the software version that began a stream.
 type Origin struct {
 	// Known is set if Software is the version. Otherwise it may have been any of several.
--- a/internal/caller/relay/relay_test.go
+++ b/internal/caller/relay/relay_test.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -104,6 +105,10 @@
 	isSilent bool
 	// addresses lists what was reported of endpoints' addresses.
 	addresses []string
+	// startCheck is what is known of the starts of streams, and doubted counts those that are
+	// doubted.
+	startCheck relay.StartCheck
+	doubted    atomic.Int64
 	// drained is the endpoint that gets no requests that wait to be sent.
 	drained string
 	// noPermit makes requests wait for a permit as long as they are served.
@@ -122,7 +127,7 @@
 
 // newFixture starts one endpoint for each function.
 func newFixture(t testing.TB, serve ...http.HandlerFunc) *fixture {
-	f := &fixture{t: t, retryTokens: 10, report: http.NotFound}
+	f := &fixture{t: t, retryTokens: 10, report: http.NotFound, startCheck: relay.StartProved}
 	for i, handle := range serve {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/report" {
@@ -165,7 +170,10 @@
 			RecordAnswer: func(relay.Placement) {},
 		},
 		Streams: relay.Streams{
-			Record: func(string, string, string) {},
+			Record: func(relay.StreamStart) {},
+			Check:  func(relay.StreamStart, clock.Millis) relay.StartCheck { return f.startCheck },
+			Prove:  func(relay.StreamStart) {},
+			Doubt:  func(relay.StreamStart) { f.doubted.Add(1) },
 			Find:   func(context.Context, string, string) relay.Origin { return relay.Origin{Known: true} },
 		},
 		Clock: clock.System(), Logger: logger, Wire: wire(), Connect: f.connectOver(connector), Scheduler: f.scheduler(),
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -25,6 +25,14 @@
 	// software is the version of the software that wrote the first event. Events of
 	// different versions do not fit together.
 	software balance.SoftwareLimit
+	// start is where the stream began, unless the caller took it up, and startAt the placement
+	// there. startProved is set once the software version is certain.
+	start       StreamStart
+	startAt     Placement
+	startProved bool
+	// openUntil is when the connection on which it began was last found open, and checkAt when
+	// to look next.
+	openUntil, checkAt clock.Millis
 	// ending is how the last answer shows its end.
 	ending http1.Ending
 }
@@ -116,9 +124,27 @@
 		p.soundRecorded = true
 		p.exchange.recordSound()
 	}
+	p.checkStart()
 	return errors.Join(p.write(ready), err)
 }
 
+// startCheckInterval is the time between two checks of the start of a stream.
+const startCheckInterval = 200 * clock.Millisecond
+
+// checkStart checks whether the software version of the start of this stream has become certain.
+func (p *streamForwarder) checkStart() {
+	x := p.exchange
+	now := x.handler.config.Clock.Now()
+	if x.stream.startProved || x.stream.startAt.Job != p.placement.Job || now < x.stream.checkAt {
+		return
+	}
+	x.stream.checkAt = now + startCheckInterval
+	if p.answer.IsOpen() {
+		x.stream.openUntil = now
+	}
+	x.stream.startProved = x.handler.config.Streams.Check(x.stream.start, x.stream.openUntil) == StartProved
+}
+
 // isProved reports whether the endpoint has lived for proofTime after the first event.
 func (p *streamForwarder) isProved() bool {
 	return p.firstEventSeen && p.exchange.handler.config.Clock.Now()-p.firstEventAt >= proofTime
@@ -129,8 +155,7 @@
 func (p *streamForwarder) recordFirstEvent() {
 	x := p.exchange
 	if !x.stream.software.Limited {
-		x.stream.software = balance.SoftwareLimit{Limited: true, Version: p.placement.SoftwareVersion}
-		x.handler.config.Streams.Record(x.call.ID, x.backend, p.placement.SoftwareVersion)
+		x.recordStart(p.placement)
 	}
 	x.handler.config.Scheduler.RecordFirstToken(p.placement)
 	x.countStart(x.handler.config.Clock.Wall())
--- a/internal/caller/relay/trace.go
+++ b/internal/caller/relay/trace.go
@@ -32,11 +32,12 @@
 	eventEnded = event.New(1133, logrus.InfoLevel, "request ended",
 		"A request got its final answer. Status 0 means that the connection ended without a complete answer. For a stream, LastEvent is the ID of the last event that was passed on, and Ending is how the endpoint's answer showed its end: by its chunks, its length, the connection or a peer.")
 
-	requestCount    = metric.NewCounter("Relay.Requests", "Requests whose header was read.")
-	firstEventTimes = metric.NewHistograms("Relay.FirstEvent", "Time from a request to the first event of its stream in ms, by priority.")
-	servedTimes     = metric.NewHistograms("Relay.Served", "Time from a request to the end of its answer in ms, by priority and status.")
-	outcomeCounts   = metric.NewMap("Relay.Outcomes", "Requests by route, priority, status, and the kind of reason where there is one.")
-	endedByStatus   = metric.NewMap("Relay.Ended", "Requests by the status of their final answer; 0 for those that were broken off or abandoned.")
+	requestCount         = metric.NewCounter("Relay.Requests", "Requests whose header was read.")
+	incarnationQuestions = metric.NewCounter("Relay.IncarnationQuestions", "Questions to endpoints whether they have started again, before or after a part of a stream.")
+	firstEventTimes      = metric.NewHistograms("Relay.FirstEvent", "Time from a request to the first event of its stream in ms, by priority.")
+	servedTimes          = metric.NewHistograms("Relay.Served", "Time from a request to the end of its answer in ms, by priority and status.")
+	outcomeCounts        = metric.NewMap("Relay.Outcomes", "Requests by route, priority, status, and the kind of reason where there is one.")
+	endedByStatus        = metric.NewMap("Relay.Ended", "Requests by the status of their final answer; 0 for those that were broken off or abandoned.")
 )
 
 // sampleEvery is the sampling rate of the log: one of sampleEvery requests that
--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -271,7 +271,7 @@
 func (d *Daemon) buildCallers() {
 	d.relayScheduler = d.fleet.RelayScheduler()
 	d.handler = relay.New(relay.Config{
-		Streams: relay.Streams{Record: d.fleet.RecordStream, Find: d.fleet.FindStream},
+		Streams: relay.Streams{Record: d.fleet.RecordStream, Check: d.fleet.CheckStart, Prove: d.fleet.ProveStart, Doubt: d.fleet.DoubtStart, Find: d.fleet.FindStream},
 		Quarantine: relay.Quarantine{
 			Active: d.crashes.Active, Admit: d.crashes.Admit, RecordLost: d.crashes.RecordLost, RecordSound: d.crashes.RecordSound, RecordAnswer: d.crashes.RecordAnswer,
 		},
--- a/internal/decide/origin/origin.go
+++ b/internal/decide/origin/origin.go
@@ -59,11 +59,21 @@
 	return xxhash.Sum64String(attempt)
 }
 
+// UnknownVersion stands for the software version of a stream that may have been begun by an
+// endpoint which had started again, unknown to the daemon. No endpoint has it.
+const UnknownVersion = "?unknown"
+
 // Stream is a stream that an endpoint has begun.
 type Stream struct {
 	ID              uint64
 	Backend         string
 	SoftwareVersion string
+	// Endpoint began the stream, on a connection that was opened at OpenedAt. Only the daemon
+	// that passed the stream on knows.
+	Endpoint string
+	OpenedAt clock.Millis
+	// Proved is set once the endpoint is known not to have started again before.
+	Proved bool
 }
 
 // record is a Stream that is remembered.
@@ -239,12 +249,49 @@
 }
 
 // RecordOther remembers a stream that another daemon has begun, age ago.
+// One that others name another software version for is of an unknown one.
 func (b *Book) RecordOther(now clock.Millis, stream Stream, age clock.Millis) {
-	if _, known := b.streams[stream.ID]; !known && age <= maxStreamTime {
+	held, known := b.streams[stream.ID]
+	if known && !held.own && held.SoftwareVersion != stream.SoftwareVersion {
+		held.SoftwareVersion = UnknownVersion
+		b.streams[stream.ID] = held
+	}
+	if !known && age <= maxStreamTime {
 		b.record(record{Stream: stream, at: now - age})
 	}
 }
 
+// Doubt records that the software version of a stream that this daemon has begun is not known.
+func (b *Book) Doubt(id uint64) {
+	if r, known := b.streams[id]; known && r.own {
+		r.SoftwareVersion = UnknownVersion
+		b.streams[id] = r
+	}
+}
+
+// Prove records that the software version of a stream that this daemon has begun is certain.
+func (b *Book) Prove(id uint64) {
+	if r, known := b.streams[id]; known && r.own && r.SoftwareVersion != UnknownVersion {
+		r.Proved = true
+		b.streams[id] = r
+	}
+}
+
+// DoubtStartsAt doubts the streams of this daemon, unless they are proved, that an endpoint has begun
+// on connections that were opened since a time. It returns them, with their ages.
+func (b *Book) DoubtStartsAt(now clock.Millis, endpoint string, since clock.Millis) (doubted []Stream, ages []clock.Millis) {
+	for _, id := range b.order {
+		r := b.streams[id]
+		if !r.own || r.Proved || r.Endpoint != endpoint || r.OpenedAt < since || now-r.at > maxStreamTime {
+			continue
+		}
+		b.Doubt(id)
+		doubted = append(doubted, b.streams[id].Stream)
+		ages = append(ages, now-r.at)
+	}
+	return doubted, ages
+}
+
 func (b *Book) record(r record) {
 	if _, known := b.streams[r.ID]; !known {
 		b.order = append(b.order, r.ID)
--- a/internal/endpoint/http1/exchange.go
+++ b/internal/endpoint/http1/exchange.go
@@ -12,6 +12,7 @@
 	"sync"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/endpoint/tcp"
 )
 
 // maxInlineBodyBytes is the size of the largest request body that is written
@@ -89,10 +90,10 @@
 	return &Answer{Status: status, Header: header, Length: length, Ending: ending, body: body}
 }
 
-// IsOpen reports whether the endpoint keeps the connection of the answer open and everything that
-// it has sent has been read. It is false if that is not known.
+// IsOpen reports whether the endpoint keeps the connection of the answer open. It is false if that
+// is not known.
 func (a *Answer) IsOpen() bool {
-	return a.conn != nil && isOpenAndQuiet(a.conn)
+	return a.conn != nil && tcp.IsEstablished(a.conn.netConn)
 }
 
 // Do sends a request to the endpoint with the given key and address and reads
--- a/internal/endpoint/tcp/tcp.go
+++ b/internal/endpoint/tcp/tcp.go
@@ -57,3 +57,26 @@
 	}
 	return setErr
 }
+
+// established is the state of a connection that neither side has closed, as in tcpi_state.
+const established = 1
+
+// IsEstablished reports whether neither side has closed or reset a connection, as far as the kernel
+// knows, whatever has not been read yet. Unlike a read, it does not consume an error that is
+// pending.
+func IsEstablished(conn net.Conn) bool {
+	tcpConn, ok := conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcpConn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	isEstablished := false
+	err = raw.Control(func(fd uintptr) {
+		info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		isEstablished = infoErr == nil && info.State == established
+	})
+	return err == nil && isEstablished
+}
--- a/internal/peer/fleet/confirm.go
+++ b/internal/peer/fleet/confirm.go
@@ -35,6 +35,8 @@
 // confirm returns nil once all software versions that the store listed when it was called are
 // recorded.
 func (c *listConfirmer) confirm(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, originTimeout.Duration())
+	defer cancel()
 	read := c.join()
 	select {
 	case <-read.done:
--- a/internal/peer/fleet/instep_test.go
+++ b/internal/peer/fleet/instep_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/coord/table"
+	"github.com/banyanshift/banyanshift/internal/caller/relay"
 	"github.com/banyanshift/banyanshift/internal/endpoint/roster"
 )
 
@@ -148,7 +149,7 @@
 					setSoftware(map[string]*daemon{id: d}, "1", "2")
 				}
 			}
-			fleet["north-2"].fleet.RecordStream("late", "books", "2")
+			fleet["north-2"].fleet.RecordStream(relay.StreamStart{RequestID: "late", Backend: "books", SoftwareVersion: "2"})
 			time.Sleep(200 * time.Millisecond) // The daemons tell each other.
 			n.cutOff(true, test.later...)
 			if got := findStream(asked, "late"); got == "1" {
--- a/internal/peer/fleet/streams.go
+++ b/internal/peer/fleet/streams.go
@@ -33,6 +33,8 @@
 
 	mu   sync.Mutex
 	book *origin.Book
+	// listed holds what the list said last of endpoints.
+	listed map[string]listedStart
 
 	// reading is held while the recorded versions are read for callers. It guards
 	// readAgainAt, until when they are not read again.
@@ -41,7 +43,7 @@
 }
 
 func newStreams(f *Fleet) *streams {
-	s := &streams{fleet: f, book: origin.New()}
+	s := &streams{fleet: f, book: origin.New(), listed: make(map[string]listedStart)}
 	s.keeper, s.confirmer = newVersionKeeper(s), &listConfirmer{streams: s}
 	return s
 }
@@ -55,7 +57,8 @@
 	f.permits.SetEndpoints(list)
 	s, now := f.streams, f.config.Clock.Now()
 	s.mu.Lock()
-	started := s.ownStreams(now, s.book.SetEndpoints(now, endpoints))
+	started := s.doubtRestarted(now, endpoints)
+	started = append(started, s.ownStreams(now, s.book.SetEndpoints(now, endpoints))...)
 	s.mu.Unlock()
 	s.tell(started)
 	s.keeper.notify()
@@ -74,15 +77,21 @@
 }
 
 // RecordStream records that an endpoint has begun the stream of a caller's attempt.
-func (f *Fleet) RecordStream(attempt, backend, softwareVersion string) {
+func (f *Fleet) RecordStream(start relay.StreamStart) {
 	s, now := f.streams, f.config.Clock.Now()
-	stream := origin.Stream{ID: origin.ID(attempt), Backend: backend, SoftwareVersion: softwareVersion}
+	stream := origin.Stream{
+		ID: origin.ID(start.RequestID), Backend: start.Backend, SoftwareVersion: start.SoftwareVersion,
+		Endpoint: start.Endpoint, OpenedAt: start.OpenedAt,
+	}
 	s.mu.Lock()
+	if s.isOutdated(start) {
+		stream.SoftwareVersion = origin.UnknownVersion
+	}
 	s.book.RecordOwn(now, stream)
-	mixed := s.book.Mixed(now, backend)
+	mixed := s.book.Mixed(now, start.Backend)
 	s.mu.Unlock()
 	if mixed {
-		s.tell([]startedStream{{ID: stream.ID, SoftwareVersion: softwareVersion}})
+		s.tell([]startedStream{{ID: stream.ID, SoftwareVersion: stream.SoftwareVersion}})
 	}
 }
 
@@ -124,6 +133,7 @@
 	sourceMemory  = "this daemon passed the stream on, or was told of it"
 	sourceSole    = "the back end has had one software version only"
 	sourcePeer    = "another daemon"
+	sourceDoubted = "the endpoint that began the stream may have started again"
 	sourceUnknown = "unknown"
 )
 
@@ -138,7 +148,9 @@
 	}
 	found := s.describe(backend)
 	found.Source = source
-	if version != nil {
+	if version != nil && *version == origin.UnknownVersion {
+		found.Source = sourceDoubted
+	} else if version != nil {
 		found.Known, found.Software = true, balance.SoftwareLimit{Limited: true, Version: *version}
 	}
 	return found
--- a/internal/peer/fleet/streams_test.go
+++ b/internal/peer/fleet/streams_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/coord/table"
+	"github.com/banyanshift/banyanshift/internal/caller/relay"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
 	"github.com/banyanshift/banyanshift/internal/endpoint/roster"
 )
@@ -50,9 +51,9 @@
 			t.Parallel()
 			fleet := startTree(t)
 			setSoftware(fleet, "1")
-			fleet[test.begins].fleet.RecordStream("early", "books", "1")
+			fleet[test.begins].fleet.RecordStream(relay.StreamStart{RequestID: "early", Backend: "books", SoftwareVersion: "1"})
 			setSoftware(fleet, "1", "2")
-			fleet[test.begins].fleet.RecordStream("late", "books", "2")
+			fleet[test.begins].fleet.RecordStream(relay.StreamStart{RequestID: "late", Backend: "books", SoftwareVersion: "2"})
 			time.Sleep(200 * time.Millisecond) // The daemons tell each other.
 			for _, id := range test.lost {
 				fleet[id].stop()
@@ -128,7 +129,7 @@
 				t.Fatalf("got version %q while there is one only, want 1", got)
 			}
 			setSoftware(map[string]*daemon{"north-3": fleet["north-3"]}, "1", "2")
-			fleet["north-3"].fleet.RecordStream("late", "books", "2")
+			fleet["north-3"].fleet.RecordStream(relay.StreamStart{RequestID: "late", Backend: "books", SoftwareVersion: "2"})
 			time.Sleep(200 * time.Millisecond) // The daemons tell each other.
 			if got := findStream(fleet[asked], "late"); got != "2" {
 				t.Errorf("got version %q, want 2", got)
