Keep the bodies and answers that a gateway holds within a budget of memory

Cause: each body was read whole, with no bound on all of them, before the request was placed, and kept to the end of the answer; buffered answers (1 MiB each) had no bound either, and a caller that reads nothing kept its answer for good. The soft limit of the garbage collector does not help: what is in use cannot be collected.

Change: package decide/memory holds one budget, derived from MemoryLimit, for bodies of callers and of peers and for buffered answers. Memory is reserved before it is filled, in steps as a body arrives. What does not fit waits unread for at most 500 ms and gets 503 with Retry-After before it is placed. Up to 16 KiB, a body or answer may use the part that long ones leave free. Answers that do not fit are forwarded while they are read. A long body is let go once no further attempt can use it, and a caller that does not read its answer is cut off 5 s after its time limit. A peer that has no memory for a body says so before it is sent; the length travels in a new optional field. It replaces the bound of 32 MiB of package forward.

Why it works: what is held is counted before it exists, so the live heap stays below the soft limit, and the collector has room for what was released.

--- a/internal/caller/relay/answer.go
+++ b/internal/caller/relay/answer.go
@@ -5,9 +5,11 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
+	"github.com/banyanshift/banyanshift/internal/decide/memory"
 	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
 )
 
@@ -16,7 +18,11 @@
 // answers are forwarded while they are read.
 const maxBufferedBytes = 1 << 20
 
-// errAnswerTooLarge means that an answer reaches maxBufferedBytes.
+// unreadAnswerTime is how long after the time limit of a request its caller may take to read an
+// answer that has arrived.
+const unreadAnswerTime = 5 * clock.Second
+
+// errAnswerTooLarge means that an answer reaches maxBufferedBytes or that there is no memory for it.
 var errAnswerTooLarge = errors.New("answer is too large to be buffered")
 
 // forwardBuffered reads an answer in full and then writes it to the caller.
@@ -24,7 +30,7 @@
 func (x *exchange) forwardBuffered(placement Placement, answer *http1.Answer, head AnswerHead, sentWall clock.Millis) result {
 	s := x.handler.config.Scheduler
 	x.countStart(sentWall)
-	body, err := readBuffered(answer)
+	body, err := x.readBuffered(answer)
 	long := errors.Is(err, errAnswerTooLarge)
 	if x.callerLeft() {
 		s.RecordEnd(placement, balance.Canceled)
@@ -62,6 +68,7 @@
 		return x.handleServerError(buffered, long)
 	}
 	s.RecordFirstToken(placement)
+	x.letBodyGo(answer)
 	if long {
 		return x.forwardLong(placement, answer, body)
 	}
@@ -89,14 +96,19 @@
 	return answered
 }
 
-// readBuffered reads an answer shorter than maxBufferedBytes. If the answer is
-// longer, it returns errAnswerTooLarge with the bytes that it has read.
-func readBuffered(answer *http1.Answer) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes))
-	if err == nil && len(body) == maxBufferedBytes {
-		return body, errAnswerTooLarge
-	}
-	return body, err
+// readBuffered reads an answer shorter than maxBufferedBytes. If the answer is longer, or there
+// is no memory for it, it returns errAnswerTooLarge with the bytes that it has read.
+func (x *exchange) readBuffered(answer *http1.Answer) ([]byte, error) {
+	if x.attempts.errorAnswer == nil {
+		x.answerMemory.Release()
+		x.answerMemory = x.handler.config.Memory.Reserve(memory.Answer)
+	}
+	b := buffer{ctx: x.ctx, memory: &x.answerMemory}
+	err := b.read(io.LimitReader(answer, maxBufferedBytes), min(answer.Length, maxBufferedBytes))
+	if errors.Is(err, errNoMemory) || err == nil && len(b.data) == maxBufferedBytes {
+		return b.data, errAnswerTooLarge
+	}
+	return b.data, err
 }
 
 // writeAnswer writes a buffered answer to the caller.
@@ -108,11 +120,22 @@
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(buffered.body)))
 	}
 	x.trace.setResult(buffered.status, "")
+	if len(buffered.body) > memory.ShortBytes {
+		defer x.limitWriting()()
+	}
 	x.writeHead(buffered.status)
 	_, err := x.w.Write(buffered.body)
 	x.whole = err == nil
 }
 
+// limitWriting sets the time after which an answer is cut off whose caller does not read it, since
+// it holds memory and a connection to the endpoint. The function that it returns ends that.
+func (x *exchange) limitWriting() (end func()) {
+	control := http.NewResponseController(x.w)
+	_ = control.SetWriteDeadline(x.handler.config.Clock.Deadline(x.deadline + unreadAnswerTime))
+	return func() { _ = control.SetWriteDeadline(time.Time{}) }
+}
+
 // forwardLong writes an answer to the caller while it is read. start holds the
 // bytes that have been read already.
 func (x *exchange) forwardLong(placement Placement, answer *http1.Answer, start []byte) result {
@@ -121,8 +144,10 @@
 	if answer.Length >= 0 {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(answer.Length, 10))
 	}
+	defer x.limitWriting()()
 	x.writeHead(answer.Status)
 	_, err := x.w.Write(start)
+	x.answerMemory.Release()
 	if err == nil {
 		_, err = io.Copy(x.w, answer)
 	}
--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -164,7 +164,7 @@
 	if x.timeLeft() < minRetryTime && len(x.attempts.exclude) > 0 {
 		return Placement{}, Refusal{Reason: "no time left for another attempt: " + x.attempts.lastReason}
 	}
-	if x.attempts.sent >= max(x.route.MaxAttempts, 1) {
+	if x.bodyGone || x.attempts.sent >= max(x.route.MaxAttempts, 1) {
 		return Placement{}, Refusal{Reason: "no attempts left: " + x.attempts.lastReason, RetryAfter: defaultRetryAfter}
 	}
 	if x.attempts.sent > 0 && !s.TakeRetry(budget.Retry{Backend: x.backend, Declined: x.attempts.lastDeclined}) {
@@ -276,6 +276,9 @@
 	}
 	h.config.Scheduler.RecordSignals(placement, head)
 	h.config.Quarantine.RecordAnswer(placement)
+	if !head.NotRun && x.isLastAttempt() {
+		x.letBodyGo(answer)
+	}
 	switch {
 	case head.NotRun:
 		return x.handleNotRun(placement, answer.Status)
@@ -293,7 +296,7 @@
 	defer cancel()
 	connection, err = x.handler.config.Connect(ctx, connect.Target{
 		Endpoint: placement.Endpoint, Address: placement.Address, FailureDomain: placement.FailureDomain,
-		ExpectedAnswer: placement.ExpectedFirstToken, Repeatable: x.route.Repeatable(),
+		ExpectedAnswer: placement.ExpectedFirstToken, Repeatable: x.route.Repeatable(), BodyBytes: x.bodyBytes,
 	})
 	if err == nil && connection.Peer != "" {
 		x.trace.recordPeer(x, placement, connection.Peer)
--- a/internal/caller/relay/body.go
+++ b/internal/caller/relay/body.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/decide/memory"
+	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
 )
 
 const (
@@ -16,6 +18,14 @@
 	unreadBodyTimeout = 20 * clock.Millisecond
 	// maxUnreadBodyBytes limits how much of that body is read.
 	maxUnreadBodyBytes = 256 << 10
+	// memoryWait limits how long a body waits unread for memory. It is shorter than the second
+	// in which callers expect their requests to be read.
+	memoryWait = 500 * clock.Millisecond
+	// fullBodyTimeout limits how long the body of a request is discarded that is refused for
+	// lack of memory, since many callers read no answer before they have sent the whole body.
+	fullBodyTimeout = 300 * clock.Millisecond
+	// memoryRetryAfter is the Retry-After of these requests.
+	memoryRetryAfter = clock.Second
 )
 
 // readBody reads the whole body into memory, so that the request can be
@@ -28,13 +38,14 @@
 	}
 	control := http.NewResponseController(x.w)
 	_ = control.SetReadDeadline(x.handler.config.Clock.Deadline(x.deadline))
-	body, err := readAll(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength)
+	x.bodyMemory = x.handler.config.Memory.Reserve(memory.Body)
+	body, err := x.readAll(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength)
 	if err != nil {
 		x.refuseBody(err)
 		return false
 	}
 	_ = control.SetReadDeadline(time.Time{})
-	x.body, x.bodyConsumed = body, true
+	x.body, x.bodyBytes, x.bodyConsumed = body, len(body), true
 	return true
 }
 
@@ -42,6 +53,10 @@
 func (x *exchange) refuseBody(err error) {
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errNoMemory):
+		x.bodyMemory.Release()
+		x.discardBody(fullBodyTimeout, x.configuration.Index.Limits().MaxBodyBytes)
+		x.refuse(http.StatusServiceUnavailable, Refusal{Reason: err.Error(), RetryAfter: memoryRetryAfter})
 	case errors.As(err, &tooLarge):
 		x.refuse(http.StatusRequestEntityTooLarge, Refusal{Reason: "body too large"})
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -59,35 +74,55 @@
 	if x.bodyConsumed || x.r.ContentLength == 0 {
 		return
 	}
+	if !x.discardBody(unreadBodyTimeout, maxUnreadBodyBytes) {
+		x.w.Header().Set("Connection", "close")
+	}
+}
+
+// discardBody reads the rest of the body and discards it. It returns false if the body has not
+// ended after a time, or is longer than maxBytes.
+func (x *exchange) discardBody(timeout clock.Millis, maxBytes int64) bool {
 	control := http.NewResponseController(x.w)
-	_ = control.SetReadDeadline(time.Now().Add(unreadBodyTimeout.Duration()))
-	_, err := io.Copy(io.Discard, http.MaxBytesReader(x.w, x.r.Body, maxUnreadBodyBytes))
+	_ = control.SetReadDeadline(time.Now().Add(timeout.Duration()))
+	_, err := io.Copy(io.Discard, http.MaxBytesReader(x.w, x.r.Body, maxBytes))
 	if err != nil {
-		x.w.Header().Set("Connection", "close")
-		return
+		return false
 	}
 	_ = control.SetReadDeadline(time.Time{})
 	x.bodyConsumed = true
+	return true
 }
 
 // readAll reads a body of the given length; a negative length means unknown.
-func readAll(body io.Reader, length int64) ([]byte, error) {
+func (x *exchange) readAll(body io.Reader, length int64) ([]byte, error) {
 	if length == 0 {
 		return nil, nil
 	}
-	if length < 0 {
-		return io.ReadAll(body)
-	}
-	data := make([]byte, length)
-	_, err := io.ReadFull(body, data)
-	if err != nil {
+	b := buffer{ctx: x.ctx, memory: &x.bodyMemory, wait: min(memoryWait, x.timeLeft()/3)}
+	if err := b.read(body, length); err != nil {
 		return nil, err
 	}
-	// net/http detects that the caller disconnects only after the end of the
-	// body has been read.
-	_, err = body.Read(make([]byte, 1))
-	if err != nil && err != io.EOF {
-		return nil, err
+	return b.data, nil
+}
+
+// letBodyGo gives a long body up as soon as no further attempt can use it. answer is the answer
+// to the last attempt.
+func (x *exchange) letBodyGo(answer *http1.Answer) {
+	if len(x.body) <= memory.ShortBytes || !answer.BodyWritten() {
+		return
 	}
-	return data, nil
+	x.digests() // They are computed from the body.
+	x.body, x.bodyGone = nil, true
+	x.bodyMemory.Release()
+}
+
+// isLastAttempt reports whether no further attempt can follow one that ran the request.
+func (x *exchange) isLastAttempt() bool {
+	return !x.route.Repeatable() || x.attempts.sent >= max(x.route.MaxAttempts, 1)
+}
+
+// releaseMemory gives up what the request still holds.
+func (x *exchange) releaseMemory() {
+	x.bodyMemory.Release()
+	x.answerMemory.Release()
 }
--- a/internal/caller/relay/exchange.go
+++ b/internal/caller/relay/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/banyanshift/banyanshift/internal/caller/keepalive"
 	"github.com/banyanshift/banyanshift/internal/config/document"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
+	"github.com/banyanshift/banyanshift/internal/decide/memory"
 	"github.com/banyanshift/banyanshift/internal/decide/quarantine"
 )
 
@@ -46,6 +47,12 @@
 	route *document.Route
 	team  *document.Team
 	body  []byte
+	// bodyBytes is the length of the body, also after it was let go.
+	bodyBytes int
+	// bodyGone is set once the body was let go, so that the request cannot be sent again.
+	bodyGone bool
+	// bodyMemory and answerMemory are what the body and the buffered parts of answers take.
+	bodyMemory, answerMemory memory.Reservation
 	// bodyConsumed is true if the body was read to its end, whether it was
 	// stored or discarded.
 	bodyConsumed bool
@@ -66,6 +73,7 @@
 // serve answers the request. Unless the answer is whole, it closes the connection, since
 // net/http would end the answer as if it were complete.
 func (x *exchange) serve() {
+	defer x.releaseMemory()
 	x.handle()
 	x.logEnd()
 	if !x.whole {
@@ -242,7 +250,7 @@
 	request := balance.Request{
 		Backend:       x.backend,
 		FailureDomain: x.handler.config.FailureDomain,
-		BodyBytes:     len(x.body) + x.call.HeaderBytes,
+		BodyBytes:     x.bodyBytes + x.call.HeaderBytes,
 		Priority:      x.priority(),
 		RoutePriority: x.route.Priority,
 		EventGap:      x.route.EventGapTarget,
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -46,6 +46,7 @@
 	"github.com/banyanshift/banyanshift/internal/config/document"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
 	"github.com/banyanshift/banyanshift/internal/decide/budget"
+	"github.com/banyanshift/banyanshift/internal/decide/memory"
 	"github.com/banyanshift/banyanshift/internal/decide/quarantine"
 	"github.com/banyanshift/banyanshift/internal/decide/strain"
 	"github.com/banyanshift/banyanshift/internal/endpoint/connect"
@@ -354,6 +355,8 @@
 	// RecordStarted counts a team's request for billing, at the wall-clock time
 	// at which it started to run.
 	RecordStarted func(team string, wall clock.Millis)
+	// Memory bounds the bodies and answers that are held.
+	Memory *memory.Budget
 	// FailureDomain is the failure domain of this daemon.
 	FailureDomain string
 }
--- a/internal/caller/relay/relay_test.go
+++ b/internal/caller/relay/relay_test.go
@@ -26,6 +26,7 @@
 	"github.com/banyanshift/banyanshift/internal/config/document"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
 	"github.com/banyanshift/banyanshift/internal/decide/budget"
+	"github.com/banyanshift/banyanshift/internal/decide/memory"
 	"github.com/banyanshift/banyanshift/internal/decide/path"
 	"github.com/banyanshift/banyanshift/internal/decide/quarantine"
 	"github.com/banyanshift/banyanshift/internal/decide/strain"
@@ -115,6 +116,8 @@
 	noPermit bool
 	// panics makes the scheduler panic when the first event of a stream arrives.
 	panics bool
+	// memory is the memory of the daemon.
+	memory *memory.Budget
 }
 
 // newConnector returns a Connector of a daemon without peers.
@@ -127,7 +130,12 @@
 
 // newFixture starts one endpoint for each function.
 func newFixture(t testing.TB, serve ...http.HandlerFunc) *fixture {
-	f := &fixture{t: t, retryTokens: 10, report: http.NotFound, startCheck: relay.StartProved}
+	return newFixtureWithMemory(t, memory.New(64<<20), serve...)
+}
+
+// newFixtureWithMemory is like newFixture, for a daemon with other memory.
+func newFixtureWithMemory(t testing.TB, memoryBudget *memory.Budget, serve ...http.HandlerFunc) *fixture {
+	f := &fixture{t: t, retryTokens: 10, report: http.NotFound, startCheck: relay.StartProved, memory: memoryBudget}
 	for i, handle := range serve {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/report" {
@@ -176,7 +184,8 @@
 			Doubt:  func(relay.StreamStart) { f.doubted.Add(1) },
 			Find:   func(context.Context, string, string) relay.Origin { return relay.Origin{Known: true} },
 		},
-		Clock: clock.System(), Logger: logger, Wire: wire(), Connect: f.connectOver(connector), Scheduler: f.scheduler(),
+		Memory: f.memory,
+		Clock:  clock.System(), Logger: logger, Wire: wire(), Connect: f.connectOver(connector), Scheduler: f.scheduler(),
 		Configuration: func() relay.Configuration { return f.config },
 		RecordStarted: func(string, clock.Millis) {
 			f.mu.Lock()
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -48,6 +48,7 @@
 	}
 	p := &streamForwarder{exchange: x, placement: placement, answer: answer, events: newEventSplitter(x.stream.position)}
 	x.stream.ending = answer.Ending
+	defer x.limitWriting()()
 	err := p.run()
 	x.stream.position = p.events.position
 	switch {
@@ -120,6 +121,9 @@
 		p.firstEventAt = p.exchange.handler.config.Clock.Now()
 		p.recordFirstEvent()
 	}
+	if p.exchange.isLastAttempt() {
+		p.exchange.letBodyGo(p.answer)
+	}
 	if !p.soundRecorded && p.isProved() {
 		p.soundRecorded = true
 		p.exchange.recordSound()
--- a/internal/daemon/gateway/events.go
+++ b/internal/daemon/gateway/events.go
@@ -40,6 +40,10 @@
 	gaugeEndpointsAge = metric.NewCounter("Gateway.EndpointsAge", "Milliseconds since the list of endpoints was last confirmed to be up to date.")
 	gaugeDaemons      = metric.NewCounter("Gateway.Daemons", "Known daemons of the fleet, this one included.")
 	gaugeInFlight     = metric.NewCounter("Gateway.InFlight", "In-flight requests.")
+	gaugeMemoryHeld   = metric.NewCounter("Gateway.MemoryHeld", "Bytes that are reserved for the bodies of requests and for answers.")
+	gaugeMemoryLimit  = metric.NewCounter("Gateway.MemoryLimit", "Bytes that may be reserved for them.")
+	gaugeMemoryWaits  = metric.NewCounter("Gateway.MemoryWaiting", "Requests that wait for memory.")
+	gaugeMemoryDenied = metric.NewCounter("Gateway.MemoryDenied", "Reservations of memory that were refused: requests get 503, and answers are forwarded without being buffered.")
 	gaugeFence        = metric.NewCounter("Gateway.Fence", "Fence of the lease that this daemon holds; 0 if it does not hold the lease.")
 )
 
@@ -60,6 +64,7 @@
 		d.scheduler.UpdateMetrics()
 		gaugeDaemons.Set(int64(d.fleet.DaemonCount()))
 		gaugeInFlight.Set(int64(d.handler.InFlight()))
+		d.updateMemoryGauges()
 		fence, _, _ := d.lease.Valid()
 		gaugeFence.Set(int64(fence))
 		if err := d.clock.Sleep(ctx, gaugeInterval); err != nil {
@@ -67,3 +72,12 @@
 		}
 	}
 }
+
+// updateMemoryGauges updates the gauges of the memory for bodies and answers.
+func (d *Daemon) updateMemoryGauges() {
+	state := d.memory.State()
+	gaugeMemoryHeld.Set(state.Held)
+	gaugeMemoryLimit.Set(state.Limit)
+	gaugeMemoryWaits.Set(int64(state.Waiting))
+	gaugeMemoryDenied.Set(state.Refused)
+}
--- a/internal/daemon/gateway/forward.go
+++ b/internal/daemon/gateway/forward.go
@@ -24,7 +24,7 @@
 		EncodeReportCall: d.platform.Wire.EncodeReportCall, DecodeReport: d.platform.Wire.DecodeReport,
 	})
 	d.forwarding = forward.NewServer(forward.ServerConfig{
-		Clock: d.clock, Logger: d.logger, Listen: d.settings.Peer.Forward, Connect: d.connectForPeer, RecordAnswer: d.recordForwardedAnswer,
+		Clock: d.clock, Logger: d.logger, Listen: d.settings.Peer.Forward, Connect: d.connectForPeer, RecordAnswer: d.recordForwardedAnswer, Memory: d.memory,
 	})
 }
 
--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -40,6 +40,7 @@
 	"github.com/banyanshift/banyanshift/internal/config/drain"
 	"github.com/banyanshift/banyanshift/internal/daemon/background"
 	"github.com/banyanshift/banyanshift/internal/decide/budget"
+	"github.com/banyanshift/banyanshift/internal/decide/memory"
 	"github.com/banyanshift/banyanshift/internal/decide/supply"
 	"github.com/banyanshift/banyanshift/internal/endpoint/connect"
 	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
@@ -114,6 +115,7 @@
 	documentFeed, endpointsFeed *feed.Follower
 	roster                      *roster.Roster
 	scheduler                   *fleet.Scheduler
+	memory                      *memory.Budget
 	fleet                       *fleet.Fleet
 	crashes                     *crashnews.Exchange
 	link                        *link.Link
@@ -162,7 +164,9 @@
 	d.incarnation = settings.Daemon.ID + "." + hex.EncodeToString(random[:6])
 	d.seed = binary.BigEndian.Uint64(random[8:])
 	d.baseTasks, d.holderTasks, d.leaseTasks = background.New(d.logger), background.New(d.logger), background.New(d.logger)
-	debug.SetMemoryLimit(settings.Daemon.MemoryLimit * memoryLimitPercent / 100)
+	softLimit := settings.Daemon.MemoryLimit * memoryLimitPercent / 100
+	debug.SetMemoryLimit(softLimit)
+	d.memory = memory.New(memory.LimitOf(softLimit))
 	d.buildState()
 	d.buildPeers()
 	d.buildLease()
@@ -276,7 +280,7 @@
 			Active: d.crashes.Active, Admit: d.crashes.Admit, RecordLost: d.crashes.RecordLost, RecordSound: d.crashes.RecordSound, RecordAnswer: d.crashes.RecordAnswer,
 		},
 		Clock: d.clock, Logger: d.logger, Wire: d.platform.Wire, Connect: d.connector.Connect, Scheduler: d.relayScheduler,
-		Configuration: d.currentConfiguration, RecordStarted: d.tally.Add, FailureDomain: d.settings.Daemon.FailureDomain,
+		Configuration: d.currentConfiguration, RecordStarted: d.tally.Add, Memory: d.memory, FailureDomain: d.settings.Daemon.FailureDomain,
 	})
 	caller := d.settings.Caller
 	d.callers = keepalive.New(&http.Server{
--- a/internal/endpoint/connect/connect.go
+++ b/internal/endpoint/connect/connect.go
@@ -68,10 +68,12 @@
 	ExpectedAnswer clock.Millis
 	// Repeatable is set if the request may run more than once.
 	Repeatable bool
+	// BodyBytes is the length of the request's body.
+	BodyBytes int
 }
 
 func (t Target) forward() forward.Target {
-	return forward.Target{Endpoint: t.Endpoint, Address: t.Address}
+	return forward.Target{Endpoint: t.Endpoint, Address: t.Address, BodyBytes: t.BodyBytes}
 }
 
 // Connection is a way to an endpoint that is ready for one request.
--- a/internal/endpoint/connect/connect_test.go
+++ b/internal/endpoint/connect/connect_test.go
@@ -20,6 +20,7 @@
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/decide/memory"
 	"github.com/banyanshift/banyanshift/internal/decide/path"
 	"github.com/banyanshift/banyanshift/internal/endpoint/connect"
 	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
@@ -65,7 +66,7 @@
 			}
 			return peerPool.Dial(ctx, target.Endpoint, target.Address)
 		},
-		RecordAnswer: func(forward.Target, int, http.Header) {},
+		RecordAnswer: func(forward.Target, int, http.Header) {}, Memory: memory.New(64 << 20),
 	})
 	if err := server.Start(); err != nil {
 		t.Fatal(err)
--- a/internal/endpoint/http1/exchange.go
+++ b/internal/endpoint/http1/exchange.go
@@ -182,6 +182,7 @@
 func (w *bodyWrite) run() {
 	defer close(w.done)
 	_, w.err = w.conn.netConn.Write(w.body)
+	w.body = nil
 }
 
 // succeeded reports whether the whole body has been written.
@@ -197,6 +198,20 @@
 	}
 }
 
+// BodyWritten reports whether the body of the request is no longer used: it was written, or
+// writing it failed.
+func (a *Answer) BodyWritten() bool {
+	if a.bodyWrite == nil {
+		return true
+	}
+	select {
+	case <-a.bodyWrite.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // ErrEndUnconfirmed means that an answer ended with its connection and may have been cut off,
 // since the endpoint does not confirm that the incarnation that began it is still there.
 var ErrEndUnconfirmed = errors.New("the answer ends with its connection, and may have been cut off")
--- a/internal/observe/explain/explain.go
+++ b/internal/observe/explain/explain.go
@@ -167,6 +167,7 @@
 // match counts.
 var causes = []struct{ text, meaning string }{
 	{"overloaded", "overload: the request could not have begun in time, and was refused before it ran"},
+	{"no memory left", "memory: long requests of others held what may be held, and the body was refused before the request ran"},
 	{"retry budget exhausted", "exhausted retry budget: an attempt failed, and the fleet may not retry more"},
 	{"neither the store nor other daemons", "store away: this daemon was cut off from the store and from its peers"},
 	{"no configuration is known", "store away: the daemon had started, but could not read any configuration"},
--- a/internal/peer/forward/forward_test.go
+++ b/internal/peer/forward/forward_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -18,6 +19,7 @@
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/decide/memory"
 	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
 	"github.com/banyanshift/banyanshift/internal/peer/forward"
 )
@@ -61,7 +63,7 @@
 			}
 			return pool.Dial(ctx, target.Endpoint, target.Address)
 		},
-		RecordAnswer: func(forward.Target, int, http.Header) { p.heads.Add(1) },
+		RecordAnswer: func(forward.Target, int, http.Header) { p.heads.Add(1) }, Memory: memory.New(64 << 20),
 	}
 	p.start(t)
 	return p
@@ -315,3 +317,49 @@
 		answer.Close()
 	}
 }
+
+// TestRequestThatDoesNotFitIsRefusedBeforeItIsSent guards against requests of peers that are read
+// though there is no memory for them, and against peers that do not know that none was sent.
+func TestRequestThatDoesNotFitIsRefusedBeforeItIsSent(t *testing.T) {
+	const length = 1 << 20
+	arrived, release := make(chan struct{}), make(chan struct{})
+	end := sync.OnceFunc(func() { close(release) })
+	p := startPeer(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(arrived)
+		<-release
+	})
+	t.Cleanup(end)
+	p.config.Memory = memory.New(length * 3 / 2)
+	p.restart(t)
+	target := p.target()
+	target.BodyBytes = length
+	conn, err := p.client.Open(context.Background(), p.address, target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error)
+	go func() {
+		answer, err := conn.Do(context.Background(), newRequest(make([]byte, length), 10*clock.Second))
+		if err == nil {
+			answer.Close()
+		}
+		ended <- err
+	}()
+	<-arrived
+	var refusal *forward.Refusal
+	if _, err := p.client.Open(context.Background(), p.address, target); !errors.As(err, &refusal) || refusal.Code != forward.Unavailable {
+		t.Errorf("got error %v, want that the peer is unavailable", err)
+	}
+	end()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	for range 200 {
+		if p.config.Memory.State().Held == 0 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Errorf("got %+v, want nothing held", p.config.Memory.State())
+}
--- a/internal/peer/forward/message.go
+++ b/internal/peer/forward/message.go
@@ -13,6 +13,9 @@
 	// Endpoint is its ID.
 	Endpoint string
 	Address  string
+	// BodyBytes is the length of the request's body. A daemon of the last release does not
+	// tell.
+	BodyBytes int
 }
 
 // RefusalCode is why a daemon does not forward a request. None of the request has been
--- a/internal/peer/forward/server.go
+++ b/internal/peer/forward/server.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/decide/memory"
 	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
 	"github.com/banyanshift/banyanshift/internal/observe/event"
 	"github.com/banyanshift/banyanshift/internal/observe/metric"
@@ -22,10 +23,11 @@
 	maxConcurrent = 256
 	// maxConnections limits the connections of Clients.
 	maxConnections = 1024
-	// maxRequestBytes limits the body of a request, and maxQueuedBytes the bodies of all
-	// requests that a Server holds.
+	// maxRequestBytes limits the body of a request.
 	maxRequestBytes = 16 << 20
-	maxQueuedBytes  = 32 << 20
+	// memoryWait limits how long a request waits for memory before it is refused, so that its
+	// Client can ask another peer.
+	memoryWait = 50 * clock.Millisecond
 	// connectionIdleTime is how long a Server keeps a connection without messages. It is
 	// longer than a Client keeps one.
 	connectionIdleTime = 2 * maxIdleTime
@@ -49,6 +51,8 @@
 	Connect func(ctx context.Context, target Target) (*http1.Conn, error)
 	// RecordAnswer is called with the head of each answer.
 	RecordAnswer func(target Target, status int, header http.Header)
+	// Memory bounds the bodies that are held.
+	Memory *memory.Budget
 }
 
 // Server forwards requests to endpoints for peers.
@@ -60,12 +64,10 @@
 
 	mu    sync.Mutex
 	conns map[*serverConn]struct{}
-	// active counts the requests that are forwarded or about to be, and queuedBytes the
-	// bytes of their bodies.
-	active      int
-	queuedBytes int
-	stopping    bool
-	goroutines  sync.WaitGroup
+	// active counts the requests that are forwarded or about to be.
+	active     int
+	stopping   bool
+	goroutines sync.WaitGroup
 }
 
 // NewServer returns a Server that does not listen yet.
@@ -183,20 +185,3 @@
 	defer s.mu.Unlock()
 	s.active--
 }
-
-// reserve reserves memory for the body of a request.
-func (s *Server) reserve(bytes int) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if bytes < 0 || bytes > maxRequestBytes || s.queuedBytes+bytes > maxQueuedBytes {
-		return false
-	}
-	s.queuedBytes += bytes
-	return true
-}
-
-func (s *Server) release(bytes int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.queuedBytes -= bytes
-}
--- a/internal/peer/forward/serverconn.go
+++ b/internal/peer/forward/serverconn.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/decide/memory"
 	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
 	"github.com/banyanshift/banyanshift/internal/peer/frame"
 	"github.com/banyanshift/banyanshift/internal/peer/message"
@@ -21,6 +22,9 @@
 	frames chan frame.Frame
 	ctx    context.Context
 	cancel context.CancelFunc
+	// memory is what the body of the request takes that is being forwarded, bodyBytes in all.
+	memory    memory.Reservation
+	bodyBytes int
 }
 
 func (c *serverConn) run() {
@@ -92,6 +96,10 @@
 		return c.refuse(refusal)
 	}
 	defer c.server.end()
+	if refusal := c.reserve(asked.Target.BodyBytes); refusal != nil {
+		return c.refuse(refusal)
+	}
+	defer c.memory.Release()
 	endpoint, err := c.server.config.Connect(c.ctx, asked.Target)
 	if err != nil {
 		return c.refuse(asRefusal(err))
@@ -103,6 +111,33 @@
 	return c.serveRequest(asked.Target, endpoint)
 }
 
+// reserve reserves memory for the body of a request, before anything of it is read.
+func (c *serverConn) reserve(bodyBytes int) *Refusal {
+	c.memory, c.bodyBytes = c.server.config.Memory.Reserve(memory.Body), 0
+	if !c.reserveBody(bodyBytes) {
+		return &Refusal{Code: Unavailable, Reason: errNoMemory.Error()}
+	}
+	return nil
+}
+
+// errNoMemory means that a request does not fit into the memory that is left.
+var errNoMemory = errors.New("no memory left for the request")
+
+// reserveBody reserves memory for a body of a length, as far as it is not reserved yet.
+func (c *serverConn) reserveBody(length int) bool {
+	if length < 0 || length > maxRequestBytes {
+		return false
+	}
+	if length <= c.bodyBytes {
+		return true
+	}
+	if !c.memory.Grow(c.ctx, length-c.bodyBytes, memoryWait) {
+		return false
+	}
+	c.bodyBytes = length
+	return true
+}
+
 // asRefusal returns the refusal that tells of an error.
 func asRefusal(err error) *Refusal {
 	var refusal *Refusal
@@ -141,7 +176,6 @@
 func (c *serverConn) serveRequest(target Target, endpoint *http1.Conn) error {
 	request, isQuestion, err := c.readRequest()
 	for ; err == nil && isQuestion; request, isQuestion, err = c.readRequest() {
-		c.server.release(len(request.Body))
 		if isOpen, err := c.serveQuestion(endpoint, request); err != nil || !isOpen {
 			return err
 		}
@@ -150,13 +184,15 @@
 		endpoint.Release()
 		return err
 	}
-	defer c.server.release(len(request.Body))
 	answer, err := endpoint.Do(c.ctx, request)
 	if err != nil {
 		forwarded.Add("NoAnswer", 1)
 		return c.send(message.ForwardEnd, end{Error: err.Error()})
 	}
 	defer answer.Close()
+	if answer.BodyWritten() {
+		c.memory.Release()
+	}
 	c.server.config.RecordAnswer(target, answer.Status, answer.Header)
 	return c.passAnswer(answer)
 }
@@ -180,7 +216,8 @@
 	return reply.Open, c.send(message.ForwardEnd, ended)
 }
 
-// readRequest reads a request or question with its body, for which it reserves memory.
+// readRequest reads a request or question with its body, for which it reserves memory if
+// the Client did not tell its length.
 func (c *serverConn) readRequest() (request http1.Request, isQuestion bool, err error) {
 	f, err := c.next(requestTimeout)
 	if err != nil {
@@ -190,12 +227,11 @@
 	if err != nil {
 		return request, false, err
 	}
-	if !c.server.reserve(head.BodyBytes) {
-		return request, false, errors.New("forward: no memory for the body of a request")
+	if !c.reserveBody(head.BodyBytes) {
+		return request, false, errNoMemory
 	}
 	body, err := c.readBody(head.BodyBytes)
 	if err != nil {
-		c.server.release(head.BodyBytes)
 		return request, false, err
 	}
 	request = http1.Request{ID: head.ID, Method: head.Method, Head: head.Head, Body: body, Deadline: c.server.config.Clock.Now() + head.TimeLeft}
