Let the system hold little of what a gateway has not read

Bytes that have arrived and were not read count as memory of the process. Linux lets the buffer of a connection grow while much is read from it, and fills it once the gateway reads no more, which it does for bodies that wait and answers that nobody reads.

Change: package endpoint/tcp sets the buffer of connections to endpoints and peers, and of those that the gateway accepts, to 128 KiB, which Linux doubles and no longer changes.

Price: a connection brings at most so much a round trip. Not measured on links with delay.

--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -45,6 +45,7 @@
 	"github.com/banyanshift/banyanshift/internal/endpoint/connect"
 	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
 	"github.com/banyanshift/banyanshift/internal/endpoint/roster"
+	"github.com/banyanshift/banyanshift/internal/endpoint/tcp"
 	"github.com/banyanshift/banyanshift/internal/observe/build"
 	"github.com/banyanshift/banyanshift/internal/observe/server"
 	"github.com/banyanshift/banyanshift/internal/order/leader"
@@ -327,7 +328,7 @@
 		server  listenerServer
 		address string
 	}{{d.callers, d.settings.Caller.Listen}, {d.ready, d.settings.Readiness.Listen}} {
-		listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", l.address)
+		listener, err := tcp.Listen(context.Background(), l.address)
 		if err != nil {
 			return err
 		}
--- a/internal/endpoint/tcp/tcp.go
+++ b/internal/endpoint/tcp/tcp.go
@@ -1,14 +1,20 @@
 // Package tcp opens TCP connections on which a peer that falls silent is noticed within
 // seconds: unanswered keep-alive probes and unacknowledged data both close them.
 //
+// The system buffers little of what has arrived and was not read yet. It would let the buffer of
+// a connection that brought much grow to many MB otherwise, which count as memory of the process.
+//
 // # Usage
 //
 //	conn, err := tcp.Dial(ctx, "tcp", "10.0.0.7:8080")
+//	listener, err := tcp.Listen(ctx, "10.0.0.8:8080")
 package tcp
 
 import (
 	"context"
+	"errors"
 	"net"
+	"syscall"
 
 	"golang.org/x/sys/unix"
 
@@ -23,11 +29,14 @@
 	// keepAlivePeriod is the time between TCP keep-alive probes on a connection without
 	// traffic.
 	keepAlivePeriod = clock.Second
+	// readBufferBytes is the size of the system's buffer for what was not read yet. Linux
+	// doubles it.
+	readBufferBytes = 128 << 10
 )
 
 // Dial opens a connection. ctx bounds opening it.
 func Dial(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlivePeriod.Duration(), Interval: keepAlivePeriod.Duration()}}
+	dialer := net.Dialer{Control: boundReadBuffer, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlivePeriod.Duration(), Interval: keepAlivePeriod.Duration()}}
 	conn, err := dialer.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
@@ -39,6 +48,21 @@
 	return conn, nil
 }
 
+// Listen listens at an address.
+func Listen(ctx context.Context, address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: boundReadBuffer}
+	return config.Listen(ctx, "tcp", address)
+}
+
+// boundReadBuffer sets the size of the buffer of a socket that is not connected yet, and of those
+// that it accepts. The size of the window follows from it.
+func boundReadBuffer(_, _ string, raw syscall.RawConn) (err error) {
+	controlErr := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, readBufferBytes)
+	})
+	return errors.Join(controlErr, err)
+}
+
 func setUserTimeout(conn net.Conn) error {
 	tcpConn, ok := conn.(*net.TCPConn)
 	if !ok {
--- a/internal/peer/forward/server.go
+++ b/internal/peer/forward/server.go
@@ -13,6 +13,7 @@
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/decide/memory"
 	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
+	"github.com/banyanshift/banyanshift/internal/endpoint/tcp"
 	"github.com/banyanshift/banyanshift/internal/observe/event"
 	"github.com/banyanshift/banyanshift/internal/observe/metric"
 	"github.com/banyanshift/banyanshift/internal/peer/frame"
@@ -79,7 +80,7 @@
 // Start starts to listen.
 func (s *Server) Start() (err error) {
 	defer func() { err = oops.Wrapf(err, "start the server for forwarded requests") }()
-	s.listener, err = (&net.ListenConfig{}).Listen(context.Background(), "tcp", s.config.Listen)
+	s.listener, err = tcp.Listen(context.Background(), s.config.Listen)
 	if err != nil {
 		return err
 	}
