--- a/internal/caller/keepalive/conn.go
+++ b/internal/caller/keepalive/conn.go
@@ -99,32 +99,6 @@
 	return n, nil
 }
 
-var errNoSystemConn = errors.New("keepalive: not a connection of the system")
-
-// rawConn returns the system's connection below netConn.
-func rawConn(netConn net.Conn) (syscall.RawConn, error) {
-	for {
-		switch c := netConn.(type) {
-		case syscall.Conn:
-			return c.SyscallConn()
-		case interface{ NetConn() net.Conn }:
-			netConn = c.NetConn()
-		default:
-			return nil, errNoSystemConn
-		}
-	}
-}
-
-// readNow reads from a descriptor that does not block, again if a signal interrupts it.
-func readNow(fd int, p []byte) (n int, err error) {
-	for {
-		n, err = syscall.Read(fd, p)
-		if !errors.Is(err, syscall.EINTR) {
-			return n, err
-		}
-	}
-}
-
 // recordRead records that bytes have been read. Under TLS the first ones are those of the handshake,
 // so that the connection stays idle until the head of a request has been read.
 func (c *conn) recordRead() {
@@ -244,20 +218,3 @@
 	}
 	return c.idleSince.Add(firstRequestTime.Duration())
 }
-
-var errNoTCP = errors.New("keepalive: not a TCP connection")
-
-// Reset closes the TCP connection below netConn with a reset, so that what was sent on it does
-// not look complete. The connections above are still to be closed.
-func Reset(netConn net.Conn) error {
-	for {
-		switch c := netConn.(type) {
-		case *net.TCPConn:
-			return errors.Join(c.SetLinger(0), c.Close())
-		case interface{ NetConn() net.Conn }:
-			netConn = c.NetConn()
-		default:
-			return errNoTCP
-		}
-	}
-}
