Ask an endpoint of which incarnation it is in one place

Three callers built the same call, decoded its answer and had the same two errors: relay before and after a part of a stream, relay after a 421, and connect at the end of an answer without a length. connect.ReportCall sends it for all of them; what the answer means stays with each. A check for connections that cannot ask is gone, as all can; an address whose endpoint has no known incarnation is not asked in vain any more. The release of a body is named for what it does.

No other behavior changes: the tests of relay, connect and platform for restarts, ends of answers and 421 pass under the race detector, unchanged but for names.

--- a/internal/caller/relay/answer.go
+++ b/internal/caller/relay/answer.go
@@ -68,7 +68,7 @@
 		return x.handleServerError(buffered, long)
 	}
 	s.RecordFirstToken(placement)
-	x.letBodyGo(answer)
+	x.releaseBody(answer)
 	if long {
 		return x.forwardLong(placement, answer, body)
 	}
--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -164,7 +164,7 @@
 	if x.timeLeft() < minRetryTime && len(x.attempts.exclude) > 0 {
 		return Placement{}, Refusal{Reason: "no time left for another attempt: " + x.attempts.lastReason}
 	}
-	if x.bodyGone || x.attempts.sent >= max(x.route.MaxAttempts, 1) {
+	if x.bodyReleased || x.attempts.sent >= max(x.route.MaxAttempts, 1) {
 		return Placement{}, Refusal{Reason: "no attempts left: " + x.attempts.lastReason, RetryAfter: defaultRetryAfter}
 	}
 	if x.attempts.sent > 0 && !s.TakeRetry(budget.Retry{Backend: x.backend, Declined: x.attempts.lastDeclined}) {
@@ -253,7 +253,7 @@
 	connection, err := x.connectChecked(placement)
 	x.attempts.openedAt = connection.OpenedAt
 	sentWall := h.config.Clock.Wall()
-	if errors.Is(err, errRestarted) || errors.Is(err, errNoReport) {
+	if errors.Is(err, connect.ErrRestarted) || errors.Is(err, connect.ErrNoReport) {
 		return x.handleUnchecked(placement, err)
 	}
 	if err != nil {
@@ -277,7 +277,7 @@
 	h.config.Scheduler.RecordSignals(placement, head)
 	h.config.Quarantine.RecordAnswer(placement)
 	if !head.NotRun && x.isLastAttempt() {
-		x.letBodyGo(answer)
+		x.releaseBody(answer)
 	}
 	switch {
 	case head.NotRun:
--- a/internal/caller/relay/body.go
+++ b/internal/caller/relay/body.go
@@ -105,14 +105,14 @@
 	return b.data, nil
 }
 
-// letBodyGo gives a long body up as soon as no further attempt can use it. answer is the answer
+// releaseBody releases a long body as soon as no further attempt can use it. answer is the answer
 // to the last attempt.
-func (x *exchange) letBodyGo(answer *http1.Answer) {
+func (x *exchange) releaseBody(answer *http1.Answer) {
 	if len(x.body) <= memory.ShortBytes || !answer.BodyWritten() {
 		return
 	}
 	x.digests() // They are computed from the body.
-	x.body, x.bodyGone = nil, true
+	x.body, x.bodyReleased = nil, true
 	x.bodyMemory.Release()
 }
 
--- a/internal/caller/relay/exchange.go
+++ b/internal/caller/relay/exchange.go
@@ -47,10 +47,10 @@
 	route *document.Route
 	team  *document.Team
 	body  []byte
-	// bodyBytes is the length of the body, also after it was let go.
+	// bodyBytes is the length of the body, also after it was released.
 	bodyBytes int
-	// bodyGone is set once the body was let go, so that the request cannot be sent again.
-	bodyGone bool
+	// bodyReleased is set once the body was released, so that the request cannot be sent again.
+	bodyReleased bool
 	// bodyMemory and answerMemory are what the body and the buffered parts of answers take.
 	bodyMemory, answerMemory memory.Reservation
 	// bodyConsumed is true if the body was read to its end, whether it was
--- a/internal/caller/relay/incarnation.go
+++ b/internal/caller/relay/incarnation.go
@@ -1,29 +1,18 @@
 package relay
 
 import (
-	"errors"
 	"fmt"
-	"net/http"
 	"strings"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
 	"github.com/banyanshift/banyanshift/internal/endpoint/connect"
-	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
 )
 
 // reportPatience is how long an endpoint may take to say what it is before it continues a
 // stream. It leaves time for another endpoint before callers give a silent stream up.
 const reportPatience = 500 * clock.Millisecond
 
-var (
-	// errRestarted means that an endpoint has started again since its entry was read, so that
-	// its software version is not known.
-	errRestarted = errors.New("endpoint has started again")
-	// errNoReport means that an endpoint has not said whether it has.
-	errNoReport = errors.New("endpoint does not say whether it has started again")
-)
-
 // connectChecked finds a way to the endpoint. If the request continues a stream, it leads to the
 // incarnation of the endpoint whose software version is known, as far as the endpoint says.
 func (x *exchange) connectChecked(placement Placement) (connect.Connection, error) {
@@ -48,23 +37,19 @@
 // may be used if it is open then.
 func (x *exchange) checkIncarnation(placement Placement, connection connect.Connection) (isOpen bool, err error) {
 	incarnationQuestions.Add(1)
-	wire := x.handler.config.Wire
-	reply, err := connection.Ask(x.ctx, http1.Request{
-		Method:   http.MethodGet,
-		Head:     wire.EncodeReportCall(placement.Address),
-		Deadline: x.handler.config.Clock.Now() + min(reportPatience, x.timeLeft()),
-	})
-	if err != nil && (reply.Status == 0 || x.ctx.Err() != nil) {
-		return false, fmt.Errorf("%w: %w", errNoReport, err)
+	config := &x.handler.config
+	deadline := config.Clock.Now() + min(reportPatience, x.timeLeft())
+	report, err := config.Wire.Report.Send(x.ctx, connection.Ask, placement.Address, deadline)
+	if err != nil && (report.Status == 0 || x.ctx.Err() != nil) {
+		return false, fmt.Errorf("%w: %w", connect.ErrNoReport, err)
 	}
-	incarnation, known := wire.DecodeReport(reply.Status, reply.Body)
-	if !known || incarnation == placement.Incarnation {
-		return reply.Open, nil
+	if !report.Known || report.Incarnation == placement.Incarnation {
+		return report.Open, nil
 	}
-	if reply.Open {
+	if report.Open {
 		connection.Cancel()
 	}
-	return false, fmt.Errorf("%w: incarnation %d, known is %d", errRestarted, incarnation, placement.Incarnation)
+	return false, fmt.Errorf("%w: incarnation %d, known is %d", connect.ErrRestarted, report.Incarnation, placement.Incarnation)
 }
 
 // recordStart records which endpoint has begun the stream.
--- a/internal/caller/relay/memory_test.go
+++ b/internal/caller/relay/memory_test.go
@@ -101,9 +101,9 @@
 	f.expect(f.sendBody("/pay/1", strings.Repeat("b", longBytes), "Limit", "20000"), http.StatusOK, "fine")
 }
 
-// TestBodyIsLetGoOnceNoAttemptCanUseIt guards against bodies that are held to the end of a long
+// TestBodyIsReleasedOnceNoAttemptCanUseIt guards against bodies that are held to the end of a long
 // answer, though the request is not sent again.
-func TestBodyIsLetGoOnceNoAttemptCanUseIt(t *testing.T) {
+func TestBodyIsReleasedOnceNoAttemptCanUseIt(t *testing.T) {
 	for _, path := range []string{"/stream/1", "/pay/1", "/look/1"} {
 		t.Run(path, func(t *testing.T) {
 			begin, release := make(chan struct{}), make(chan struct{})
@@ -123,7 +123,7 @@
 			go func() { end <- f.sendBody(path, strings.Repeat("b", longBytes), "Limit", "20000") }()
 			f.waitForMemory("the body is held", func(s memory.State) bool { return s.Held >= longBytes })
 			close(begin)
-			f.waitForMemory("the body is let go", func(s memory.State) bool { return s.Held < longBytes })
+			f.waitForMemory("the body is released", func(s memory.State) bool { return s.Held < longBytes })
 			endFirst()
 			if got := <-end; got.err != nil || got.status != http.StatusOK || !strings.HasSuffix(got.body, "end\n\n") {
 				t.Errorf("got status %d, error %v", got.status, got.err)
--- a/internal/caller/relay/misdirected.go
+++ b/internal/caller/relay/misdirected.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"maps"
-	"net/http"
 	"sync"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
 	"github.com/banyanshift/banyanshift/internal/endpoint/connect"
-	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
 )
 
 // addressCheckInterval is the shortest time between two checks of the address of an endpoint.
@@ -77,28 +75,21 @@
 
 // ask returns the incarnation of the endpoint at the address, if it states one.
 func (c *addressCheck) ask() (incarnation int64, known bool) {
-	config := &c.handler.config
+	config, p := &c.handler.config, c.placement
+	if p.Incarnation == 0 {
+		return 0, false // There is nothing to compare it with.
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), reportPatience.Duration())
 	defer cancel()
-	p := c.placement
 	connection, err := config.Connect(ctx, connect.Target{Endpoint: p.Endpoint, Address: p.Address, FailureDomain: p.FailureDomain, Repeatable: true})
 	if err != nil {
 		return 0, false
 	}
-	if connection.Ask == nil {
-		connection.Cancel()
-		return 0, false
-	}
-	reply, err := connection.Ask(ctx, http1.Request{
-		Method: http.MethodGet, Head: config.Wire.EncodeReportCall(p.Address), Deadline: config.Clock.Now() + reportPatience,
-	})
-	if reply.Open {
+	report, err := config.Wire.Report.Send(ctx, connection.Ask, p.Address, config.Clock.Now()+reportPatience)
+	if report.Open {
 		connection.Cancel()
 	}
-	if err != nil || p.Incarnation == 0 {
-		return 0, false
-	}
-	return config.Wire.DecodeReport(reply.Status, reply.Body)
+	return report.Incarnation, report.Known && err == nil
 }
 
 // addressChecks holds when the address of each endpoint was checked a short time ago. It is safe
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -153,12 +153,8 @@
 	EncodeAttempt func(call *Call, attempt Attempt) []byte
 	// DecodeAnswer decodes the status and header of an endpoint's answer.
 	DecodeAnswer func(status int, header http.Header) AnswerHead
-	// EncodeReportCall returns the request line and header of the GET call that asks the
-	// endpoint at an address what it says of itself.
-	EncodeReportCall func(address string) []byte
-	// DecodeReport returns the incarnation of the endpoint that answered this call. It is not
-	// known if the answer does not state it.
-	DecodeReport func(status int, body []byte) (incarnation int64, known bool)
+	// Report translates the call that asks an endpoint what it says of itself.
+	Report connect.ReportCall
 }
 
 // Scheduler decides where requests run. All fields must be set.
--- a/internal/caller/relay/relay_test.go
+++ b/internal/caller/relay/relay_test.go
@@ -53,12 +53,14 @@
 		DecodeAnswer: func(status int, header http.Header) relay.AnswerHead {
 			return relay.AnswerHead{NotRun: header.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest, Endpoint: header.Get("By"), Sealed: header.Get("Seal") != ""}
 		},
-		EncodeReportCall: func(address string) []byte {
-			return fmt.Appendf(nil, "GET /report HTTP/1.1\r\nHost: %s\r\n", address)
-		},
-		DecodeReport: func(status int, body []byte) (int64, bool) {
-			incarnation, err := strconv.ParseInt(string(body), 10, 64)
-			return incarnation, status == http.StatusOK && err == nil
+		Report: connect.ReportCall{
+			Encode: func(address string) []byte {
+				return fmt.Appendf(nil, "GET /report HTTP/1.1\r\nHost: %s\r\n", address)
+			},
+			Decode: func(status int, body []byte) (int64, bool) {
+				incarnation, err := strconv.ParseInt(string(body), 10, 64)
+				return incarnation, status == http.StatusOK && err == nil
+			},
 		},
 	}
 }
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -122,7 +122,7 @@
 		p.recordFirstEvent()
 	}
 	if p.exchange.isLastAttempt() {
-		p.exchange.letBodyGo(p.answer)
+		p.exchange.releaseBody(p.answer)
 	}
 	if !p.soundRecorded && p.isProved() {
 		p.soundRecorded = true
--- a/internal/daemon/gateway/forward.go
+++ b/internal/daemon/gateway/forward.go
@@ -21,7 +21,7 @@
 	d.connector = connect.New(connect.Config{
 		Clock: d.clock, Logger: d.logger, Pool: d.pool, Open: client.Open, Peers: d.forwardingPeers,
 		FailureDomain: d.settings.Daemon.FailureDomain, Rand: d.random(6),
-		EncodeReportCall: d.platform.Wire.EncodeReportCall, DecodeReport: d.platform.Wire.DecodeReport,
+		Report: d.platform.Wire.Report,
 	})
 	d.forwarding = forward.NewServer(forward.ServerConfig{
 		Clock: d.clock, Logger: d.logger, Listen: d.settings.Peer.Forward, Connect: d.connectForPeer, RecordAnswer: d.recordForwardedAnswer, Memory: d.memory,
--- a/internal/endpoint/connect/connect.go
+++ b/internal/endpoint/connect/connect.go
@@ -52,11 +52,7 @@
 	// FailureDomain is the failure domain of this daemon.
 	FailureDomain string
 	Rand          *rand.Rand
-	// EncodeReportCall returns the request line and header of the GET call that asks the
-	// endpoint at an address what it says of itself, and DecodeReport the incarnation that its
-	// answer states.
-	EncodeReportCall func(address string) []byte
-	DecodeReport     func(status int, body []byte) (incarnation int64, known bool)
+	Report        ReportCall
 }
 
 // Target is the endpoint that a request is to reach.
--- a/internal/endpoint/connect/connect_test.go
+++ b/internal/endpoint/connect/connect_test.go
@@ -75,7 +75,7 @@
 	d.connector = connect.New(connect.Config{
 		Clock: clock.System(), Logger: logger, Pool: newPool(d.dial), Open: forward.NewClient(clock.System(), forwardPort).Open,
 		Peers: func() []path.Peer { return []path.Peer{{Address: ip + ":1"}} }, Rand: rand.New(rand.NewPCG(1, 1)),
-		EncodeReportCall: encodeReportCall, DecodeReport: decodeReport,
+		Report: connect.ReportCall{Encode: encodeReportCall, Decode: decodeReport},
 	})
 	return d
 }
--- a/internal/endpoint/connect/ending.go
+++ b/internal/endpoint/connect/ending.go
@@ -19,11 +19,7 @@
 	confirmPause = 100 * clock.Millisecond
 )
 
-var (
-	errEndpointDown = errors.New("endpoint refuses connections")
-	errRestarted    = errors.New("endpoint has started again")
-	errNoReport     = errors.New("endpoint does not say whether it has started again")
-)
+var errEndpointDown = errors.New("endpoint refuses connections")
 
 var unframedAnswers = metric.NewMap("Endpoint.UnframedAnswers", "Answers of endpoints that ended with their connection, by what the endpoint said of itself then. Only those that are confirmed, and those of endpoints that state no incarnation, count as whole.")
 
@@ -36,16 +32,16 @@
 	ctx, cancel := context.WithTimeout(ctx, confirmPatience.Duration())
 	defer cancel()
 	for {
-		reply, err := c.askReport(ctx, process)
+		report, err := c.askReport(ctx, process)
 		switch {
-		case err == nil && !isUnavailable(reply.Status):
-			return c.judgeReport(process, reply)
+		case err == nil && !isUnavailable(report.Status):
+			return c.judgeReport(process, report)
 		case isRefused(err):
 			unframedAnswers.Add("Down", 1)
 			return errEndpointDown
 		case c.config.Clock.Sleep(ctx, confirmPause) != nil:
 			unframedAnswers.Add("Silent", 1)
-			return errors.Join(errNoReport, err)
+			return errors.Join(ErrNoReport, err)
 		}
 	}
 }
@@ -57,30 +53,27 @@
 }
 
 // askReport asks an endpoint on a new connection what it says of itself.
-func (c *Connector) askReport(ctx context.Context, process http1.Process) (reply http1.Reply, err error) {
+func (c *Connector) askReport(ctx context.Context, process http1.Process) (report Report, err error) {
 	own, err := c.startDial(process.Key, process.Address).waitToEnd(ctx)
 	if err != nil {
-		return reply, err
+		return report, err
 	}
-	reply, err = own.Ask(ctx, http1.Request{
-		Method: http.MethodGet, Head: c.config.EncodeReportCall(process.Address), Deadline: c.config.Clock.Now() + confirmPatience,
-	})
-	if reply.Open {
+	report, err = c.config.Report.Send(ctx, own.Ask, process.Address, c.config.Clock.Now()+confirmPatience)
+	if report.Open {
 		own.Release()
 	}
-	return reply, err
+	return report, err
 }
 
 // judgeReport returns an error if the report is that of another incarnation.
-func (c *Connector) judgeReport(process http1.Process, reply http1.Reply) error {
-	incarnation, known := c.config.DecodeReport(reply.Status, reply.Body)
+func (c *Connector) judgeReport(process http1.Process, report Report) error {
 	switch {
-	case !known:
+	case !report.Known:
 		unframedAnswers.Add("NotStated", 1)
 		return nil
-	case incarnation != process.Incarnation:
+	case report.Incarnation != process.Incarnation:
 		unframedAnswers.Add("Restarted", 1)
-		return fmt.Errorf("%w: incarnation %d, began as %d", errRestarted, incarnation, process.Incarnation)
+		return fmt.Errorf("%w: incarnation %d, began as %d", ErrRestarted, report.Incarnation, process.Incarnation)
 	}
 	unframedAnswers.Add("Confirmed", 1)
 	return nil
--- a/internal/endpoint/connect/ending_test.go
+++ b/internal/endpoint/connect/ending_test.go
@@ -114,7 +114,7 @@
 
 func TestEndpointBehindAProxyThatClosesConnectionsConfirmsNoEnd(t *testing.T) {
 	connector := connect.New(connect.Config{
-		Clock: clock.System(), Pool: newPool(nil), Rand: rand.New(rand.NewPCG(1, 1)), EncodeReportCall: encodeReportCall, DecodeReport: decodeReport,
+		Clock: clock.System(), Pool: newPool(nil), Rand: rand.New(rand.NewPCG(1, 1)), Report: connect.ReportCall{Encode: encodeReportCall, Decode: decodeReport},
 	})
 	proxy, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
