Let a reload during the start of a gateway end nothing

Cause: the signal was handled only after the settings had been read; until then its default ends the process.

Why it works: the signal is ignored from the first line of the program on, and handled once the settings have been read. A reload before has nothing to do, since they are read anyway.

--- a/cmd/banyangateway/main.go
+++ b/cmd/banyangateway/main.go
@@ -26,6 +26,8 @@
 }
 
 func run() int {
+	// A reload has nothing to do until the settings have been read, after which it is handled.
+	signal.Ignore(syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	cmd := gatewayserve.NewCmdGateway(gatewayserve.Dependencies{IO: streams.System(), Getenv: os.Getenv, Serve: serve}, nil)
