Let the test of a request that arrives in a shutdown see the last read

TestRequestIsNotLostInAShutdown passed with the last read of a connection taken out: since a kept connection may stay idle for 500 ms in a shutdown, the goroutine that was held up for 100 ms read in time. It is held up for 1.5 s now, and 'arrived, not read' fails with that read taken out: 'connection reset by peer'.

--- a/internal/caller/keepalive/keepalive_test.go
+++ b/internal/caller/keepalive/keepalive_test.go
@@ -200,7 +200,11 @@
 // a request on it has been read, or has arrived and waits to be read.
 func TestRequestIsNotLostInAShutdown(t *testing.T) {
 	t.Parallel()
-	const shutdownTime = 100 * time.Millisecond
+	const (
+		idleTime = 100 * time.Millisecond
+		// lateTime is longer than a kept connection may stay idle in a shutdown.
+		lateTime = 1500 * time.Millisecond
+	)
 	for name, late := range map[string]func(shuttingDown <-chan struct{}) (before, after func(read int64)){
 		"read, not parsed": func(shuttingDown <-chan struct{}) (before, after func(read int64)) {
 			return nil, func(read int64) {
@@ -227,9 +231,9 @@
 			if err := c.send(); err != nil {
 				t.Fatal(err)
 			}
-			time.Sleep(shutdownTime)
+			time.Sleep(idleTime)
 			done := shutDown(server, listener)
-			time.Sleep(shutdownTime)
+			time.Sleep(lateTime)
 			close(shuttingDown)
 			if kept, err := c.receive(); err != nil || kept {
 				t.Errorf("got error %v and kept %t, want an answer that ends the connection", err, kept)
