State once how many attempts are left and how long a reply may be

place and isLastAttempt decided separately whether the attempts of a route are used up, and the limit of a reply to a question stood in http1 and in forward. No change of behavior.

--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -161,7 +161,7 @@
 	if x.timeLeft() < minRetryTime && len(x.attempts.exclude) > 0 {
 		return Placement{}, Refusal{Reason: "no time left for another attempt: " + x.attempts.lastReason}
 	}
-	if x.bodyReleased || x.attempts.sent >= max(x.route.MaxAttempts, 1) {
+	if x.bodyReleased || x.hasUsedAttempts() {
 		return Placement{}, Refusal{Reason: "no attempts left: " + x.attempts.lastReason, RetryAfter: defaultRetryAfter}
 	}
 	if x.attempts.sent > 0 && !s.TakeRetry(budget.Retry{Backend: x.backend, Declined: x.attempts.lastDeclined}) {
--- a/internal/caller/relay/body.go
+++ b/internal/caller/relay/body.go
@@ -118,7 +118,12 @@
 
 // isLastAttempt reports whether no further attempt can follow one that ran the request.
 func (x *exchange) isLastAttempt() bool {
-	return !x.route.Repeatable() || x.attempts.sent >= max(x.route.MaxAttempts, 1)
+	return !x.route.Repeatable() || x.hasUsedAttempts()
+}
+
+// hasUsedAttempts reports whether the request has been sent as often as its route allows.
+func (x *exchange) hasUsedAttempts() bool {
+	return x.attempts.sent >= max(x.route.MaxAttempts, 1)
 }
 
 // releaseMemory gives up what the request still holds.
--- a/internal/endpoint/http1/ask.go
+++ b/internal/endpoint/http1/ask.go
@@ -8,8 +8,8 @@
 	"net/http"
 )
 
-// maxReplyBytes bounds the body of the answer to a question.
-const maxReplyBytes = 256 << 10
+// MaxReplyBytes bounds the body of the answer to a question.
+const MaxReplyBytes = 256 << 10
 
 var errReplyTooLong = errors.New("the answer to a question is too long")
 
@@ -78,8 +78,8 @@
 
 // readWhole reads the body of the answer to a question.
 func (a *Answer) readWhole() ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a.body, maxReplyBytes+1))
-	if err == nil && len(body) > maxReplyBytes {
+	body, err := io.ReadAll(io.LimitReader(a.body, MaxReplyBytes+1))
+	if err == nil && len(body) > MaxReplyBytes {
 		return nil, errReplyTooLong
 	}
 	return body, err
--- a/internal/peer/forward/client.go
+++ b/internal/peer/forward/client.go
@@ -21,8 +21,6 @@
 	maxIdleTime = 20 * clock.Second
 	// maxIdlePerPeer bounds the idle connections to one peer.
 	maxIdlePerPeer = 8
-	// maxReplyBytes bounds the body of the answer to a question.
-	maxReplyBytes = 256 << 10
 )
 
 // Client sends requests through peers. It is safe for concurrent use.
@@ -180,7 +178,7 @@
 	head, err := c.exchange(question, true)
 	if err == nil {
 		reply = http1.Reply{Status: head.Status, Header: head.Header, Open: head.Open}
-		reply.Body, err = io.ReadAll(io.LimitReader(&answerBody{conn: c}, maxReplyBytes))
+		reply.Body, err = io.ReadAll(io.LimitReader(&answerBody{conn: c}, http1.MaxReplyBytes))
 	}
 	reply.Open = stop() && err == nil && reply.Open
 	if !reply.Open {
