Give each era of the table fences of its own

What callers saw: the platform could get calls of two holders of a duty under one fence (ONE), after a drill of the store.

Cause: the fence of a takeover was one above the highest that a living daemon had heard of. If the store comes back from a copy of before a takeover, and its holder and all that have heard of it have ended or stood still, the next holder got the same fence.

Why it works: the number of the era rises with each restore and is in every answer. The fences of an era start above era x 65,536, so they are above all of an earlier era, whoever has heard of those. Within an era the row is linearizable, as before. A store without eras gives the fences that it gave before. The first fence of a store with eras is no longer 1, so the first holder of a system waits for the settle time and the reacquire delay like others.

--- a/coord/lease/lease.go
+++ b/coord/lease/lease.go
@@ -10,9 +10,10 @@
 // that a machine is suspended. If the answer to a write is lost, the row is read
 // back; the validity then starts when the write was sent.
 //
-// A table that comes back from a copy may lose a takeover and give its fence out again.
-// Processes therefore tell each other the highest fence that they have seen: the next one
-// is above it, and a row with a lower one is taken over only after the whole TTL.
+// A table that comes back from a copy may lose a takeover and forget its fence. Each era of
+// the table therefore has fences of its own, above those of earlier ones. Processes also
+// tell each other the highest fence that they have seen: a row with a lower one is taken
+// over only after the whole TTL.
 //
 // At any instant at most one process holds a valid lease, regardless of paused
 // processes and delayed messages, as long as the rates of the clocks differ by
@@ -61,8 +62,8 @@
 	// keeps a lease that it holds. nil means always.
 	Candidate func() bool
 	// KnownFence returns the highest fence that other processes have seen. Without
-	// it, a table that comes back from a copy may let a fence be used twice. nil
-	// means that no other process tells.
+	// it, a table that comes back from a copy may let two processes hold the lease.
+	// nil means that no other process tells.
 	KnownFence func() uint64
 }
 
--- a/coord/lease/machine.go
+++ b/coord/lease/machine.go
@@ -12,7 +12,7 @@
 	// Holder identifies the process that holds the lease; empty after a
 	// release.
 	Holder string
-	// Fence increases by one each time a candidate takes over the lease.
+	// Fence increases each time a candidate takes over the lease.
 	Fence uint64
 	// Beat increases with every write of the row.
 	Beat uint64
@@ -78,6 +78,9 @@
 	marginDivisor = 20
 )
 
+// fencesPerEra is the number of fences that each era of the table has for itself.
+const fencesPerEra = 1 << 16
+
 // Machine is the state machine of one process that competes for a lease. It
 // does no I/O and reads no clock: the caller passes instants of the process's
 // own clock and performs the actions. The result of each Read or Write must be
@@ -196,11 +199,17 @@
 	case m.held:
 		return m.write(now, m.self, m.seen.Fence)
 	case m.seen.Holder == "" && !m.behind(), now-m.unchangedSince >= m.ttl:
-		return m.write(now, m.self, m.highestFence+1)
+		return m.write(now, m.self, m.nextFence())
 	}
 	return Action{Kind: Read}
 }
 
+// nextFence returns the fence of a takeover. It is above all fences that can have been given
+// out in an earlier era, whether any living process has heard of them or not.
+func (m *Machine) nextFence() uint64 {
+	return max(m.highestFence, m.stored.Era*fencesPerEra) + 1
+}
+
 // nextRelease returns the actions that release a held lease by writing an empty
 // holder.
 func (m *Machine) nextRelease(now clock.Millis) Action {
