End the lease of a holder that expired before the table came back from a copy

Another daemon takes over, seals and reports the window; the store then comes back from a copy of before that takeover, and the old holder goes on.

Cause: coord/lease.OnRead kept "held" when the row, read in a later era, names this process again. The next step renewed the row under the old fence. Within an era that is sound, as an unchanged version proves that nobody took over; in a restored table it proves nothing. The renewal came some milliseconds after the process went on, before the poll of the leader noticed that the lease had expired, so the term went on with the time at which it began, and billing held every later window for one that nobody else can have sealed.

Why it works: on the first read in a later era, a lease that is not valid at that moment is given up; the process waits for the TTL and takes over under a new fence and a new term. One that is still valid goes on, since nobody can have taken over before it expires (TestHolderGoesOnInALaterEraWhileItsLeaseIsValid).

Ruled out: a check in billing alone; order/reconcile would have sent orders under the old fence all the same.

--- a/coord/lease/machine.go
+++ b/coord/lease/machine.go
@@ -238,8 +238,7 @@
 func (m *Machine) OnRead(now clock.Millis, row Row, stored Stored) {
 	m.mustRead = false
 	if stored.Era != m.stored.Era {
-		// The beats of this process may belong to writes that the table has lost.
-		m.sentAt = make(map[uint64]clock.Millis)
+		m.enterEra(now)
 	}
 	if !m.versionKnown || stored != m.stored {
 		m.versionKnown = true
@@ -252,6 +251,16 @@
 	m.schedule(now)
 }
 
+// enterEra handles that the table has come back from a copy. The beats of this process may
+// belong to writes that the table has lost, and so may the takeover by another process
+// since the lease expired.
+func (m *Machine) enterEra(now clock.Millis) {
+	m.sentAt = make(map[uint64]clock.Millis)
+	if _, _, valid := m.Valid(now); !valid {
+		m.held = false
+	}
+}
+
 // updateHeld derives from the row that was read whether this process holds the
 // lease.
 func (m *Machine) updateHeld() {
--- a/coord/lease/machine_test.go
+++ b/coord/lease/machine_test.go
@@ -370,6 +370,34 @@
 	}
 }
 
+// TestExpiredHolderDoesNotGoOnInALaterEra guards against a holder that stood still, whose row
+// comes back with a copy although another process has held the lease meanwhile.
+func TestExpiredHolderDoesNotGoOnInALaterEra(t *testing.T) {
+	m := newMachine()
+	m.OnWrite(0, take(t, m, 0), Written)
+	m.OnRead(10, Row{Holder: "a", Fence: 5, Beat: 10}, Stored{Version: 8, Era: 1})
+	resumed := 2 * testTTL
+	m.OnRead(resumed, Row{Holder: "a", Fence: 5, Beat: 10}, Stored{Version: 8, Era: 2})
+	if action := m.Next(resumed); action.Kind == Write {
+		t.Errorf("got %+v, want no write before the TTL has passed", action)
+	}
+	if action := m.Next(resumed + 2*testTTL); action.Kind != Write || action.Row.Fence == 5 {
+		t.Errorf("got %+v, want a takeover under another fence", action)
+	}
+}
+
+// TestHolderGoesOnInALaterEraWhileItsLeaseIsValid guards against duties that rest for a TTL
+// whenever the table comes back from a copy.
+func TestHolderGoesOnInALaterEraWhileItsLeaseIsValid(t *testing.T) {
+	m := newMachine()
+	m.OnWrite(0, take(t, m, 0), Written)
+	m.OnRead(10, Row{Holder: "a", Fence: 5, Beat: 10}, Stored{Version: 8, Era: 1})
+	m.OnRead(testTTL/2, Row{Holder: "a", Fence: 5, Beat: 10}, Stored{Version: 8, Era: 2})
+	if action := m.Next(testTTL / 2); action.Kind != Write || action.Row.Fence != 5 {
+		t.Errorf("got %+v, want a renewal", action)
+	}
+}
+
 func TestCandidateWaitsForTheTTL(t *testing.T) {
 	m := newMachine()
 	m.OnRead(0, Row{Holder: "b", Fence: 3, Beat: 3}, Stored{Version: 5})
--- a/internal/usage/billing/orders_test.go
+++ b/internal/usage/billing/orders_test.go
@@ -33,3 +33,16 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// TestHolderThatStoodStillOverARestoreReportsNothingElse guards against a second report by a
+// holder that goes on in a later era, which has lost the takeover and the seal of another one.
+func TestHolderThatStoodStillOverARestoreReportsNothingElse(t *testing.T) {
+	playFleet(t, func(_ *testing.T, f *simFleet) {
+		time.Sleep(2 * time.Second)
+		f.holder().freeze(6500 * time.Millisecond)
+		time.Sleep(6 * time.Second)
+		f.holder().freeze(5 * time.Second)
+		f.restore(100*time.Millisecond, 5500*time.Millisecond)
+		time.Sleep(10 * time.Second)
+	})
+}
