Report a sealed window only after its row is confirmed in its own era

Cause: the holder's first write of a seal is not answered; it writes again, with what is counted by then, and reports that. The store loses the row, and the first write is performed now: its conditions hold again, since the copy has the same row of the lease and none of the window. The next holder read a row and reported it.

TestSealWrittenLateIntoARestoredTableIsNotReported plays it step by step and fails without the change: "got reports [map[himal:2] map[himal:1]]".

Why it works: a row says in which era its content was decided, until the holder has read it there and confirmed it under its version. A row of an earlier era that is not confirmed may have been written late: it is reported only if a living daemon knows the same seal, else left out. Confirmed rows are as before, also in a copy, so nothing more is left out (TestSealThatWasNotConfirmedIsReportedInItsEra: a holder that ends between the two writes). It costs one more write and two more reads of the store each window of 5 s, whatever the size.

Ruled out: one content for all attempts of a holder, which does not help when another daemon seals; leaving out every row of an earlier era, which loses usage that was never reported.

The seal has a file of its own now.

--- a/internal/usage/billing/billing.go
+++ b/internal/usage/billing/billing.go
@@ -1,8 +1,8 @@
 // Package billing seals the usage counts of windows of wall-clock time and reports
 // them to the platform while this daemon holds the lease.
 //
-// To seal a window, the holder of the lease writes a table row once, under a
-// condition on the lease, before the first report. Every report of the window,
+// To seal a window, the holder of the lease writes a table row, under a condition on
+// the lease, and confirms it before the first report. Every report of the window,
 // also a retry or one by a later holder, sends the content of that row, so that
 // reports never differ. The counts of windows that are not sealed yet are saved in
 // the table too, so that they survive the loss of all daemons.
@@ -10,7 +10,8 @@
 // The table may lose the row of a seal when it comes back from a copy. The other daemons
 // remember the content as well. Where no living daemon does, another row says from which
 // window on the table holds all seals. An earlier window without a row may have been
-// reported, and is left out.
+// reported, and is left out. The same holds for a row that was written in an earlier era
+// and not confirmed: it may have been written late, into a table that lost another one.
 //
 // # Usage
 //
@@ -22,7 +23,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"maps"
 	"strconv"
 
 	"github.com/samber/oops"
@@ -68,7 +68,6 @@
 	lookbackWindows = 4
 	callTimeout     = clock.Second
 
-	windowPrefix = "Usage/Window/"
 	// openWindowPrefix starts the keys of the rows of open windows. The key is
 	// the window number modulo openRowCount: later windows overwrite the rows
 	// of earlier ones, which bounds the number of rows.
@@ -220,88 +219,6 @@
 	return nil
 }
 
-// seal returns the sealed window. It seals the window if no daemon has done so
-// yet; a window without counts gets no row, and one that is left out has no counts.
-func (t *termRun) seal(ctx context.Context, number int64) (window Window, err error) {
-	ctx, cancel := context.WithTimeout(ctx, (2 * callTimeout).Duration())
-	defer cancel()
-	key := windowPrefix + strconv.FormatInt(number, 10)
-	row, err := t.config.Table.Get(ctx, key)
-	if err != nil {
-		return Window{}, err
-	}
-	if row.Version != 0 {
-		return t.readSeal(row, number)
-	}
-	if err := t.learnEra(ctx, row.Era); err != nil {
-		return Window{}, err
-	}
-	window, certain := t.finalCounts(number)
-	if !certain {
-		t.leaveOut(window)
-		return Window{}, nil
-	}
-	if len(window.Counts) == 0 {
-		return window, nil
-	}
-	return window, t.writeSeal(ctx, row, window)
-}
-
-// readSeal returns the window that a row seals. If daemons know it with other counts, either
-// may have been reported.
-func (t *termRun) readSeal(row table.Row, number int64) (window Window, err error) {
-	if err := packed.Unmarshal(row.Value, &window); err != nil {
-		return Window{}, err
-	}
-	if seal, known := t.config.Tally.Sealed(number); known && !maps.Equal(seal.Counts, window.Counts) {
-		t.leaveOut(window)
-		return Window{}, nil
-	}
-	t.config.Tally.AddSeal(tally.Seal{Window: number, Counts: window.Counts})
-	return window, nil
-}
-
-// writeSeal writes the row of a window, which was missing when it was read.
-func (t *termRun) writeSeal(ctx context.Context, missing table.Row, window Window) error {
-	condition, err := t.config.Guard(ctx, t.fence)
-	if err != nil {
-		return err
-	}
-	value, err := msgpack.Marshal(window)
-	if err != nil {
-		return err
-	}
-	err = t.config.Table.Commit(ctx, table.Txn{
-		Conditions: []table.Condition{condition, {Key: missing.Key}},
-		Writes:     []table.Write{{Key: missing.Key, Value: value}},
-		Era:        missing.Era,
-	})
-	if err != nil {
-		return err
-	}
-	t.config.Tally.AddSeal(tally.Seal{Window: window.Number, Counts: window.Counts})
-	eventSealed.Log(t.config.Logger, logrus.Fields{"Window": window.Number, "Fence": t.fence, "Counts": window.Counts})
-	return nil
-}
-
-// finalCounts returns the content to seal a window with that has no row. A window that was
-// sealed before the table lost its row gets the same content again. The content is not certain
-// if the window may have been sealed with another one.
-func (t *termRun) finalCounts(number int64) (window Window, certain bool) {
-	if seal, known := t.config.Tally.Sealed(number); known {
-		return Window{Number: number, Counts: seal.Counts}, true
-	}
-	return Window{Number: number, Counts: t.config.Tally.Sum(number)}, number >= t.era.First
-}
-
-// leaveOut records that a window is not reported.
-func (t *termRun) leaveOut(window Window) {
-	leftOutWindows.Add(1)
-	eventLeftOut.Log(t.config.Logger, logrus.Fields{
-		"Window": window.Number, "Fence": t.fence, "Counts": window.Counts, "Era": t.era.Era, "FirstCertain": t.era.First,
-	})
-}
-
 // saveOpenWindows writes the counts of the unfinished windows that changed since
 // the last save.
 func (t *termRun) saveOpenWindows(ctx context.Context) {
--- a/internal/usage/billing/billing_test.go
+++ b/internal/usage/billing/billing_test.go
@@ -35,6 +35,8 @@
 	// eraSeenAt is when daemons first saw the era of the table, 0 if they did not.
 	eraSeenAt  clock.Millis
 	firstStart bool
+	// commit replaces the Commit of the table's client, if it is set.
+	commit func(ctx context.Context, txn table.Txn) error
 	// log holds what the last biller logged.
 	log *logtest.Hook
 }
@@ -49,8 +51,12 @@
 func (f *fixture) biller(t *tally.Tally, collect func()) *billing.Biller {
 	logger, log := logtest.NewNullLogger()
 	f.log = log
+	client := f.table.Client()
+	if f.commit != nil {
+		client.Commit = f.commit
+	}
 	return billing.New(billing.Config{
-		Table: f.table.Client(), Clock: f.clock.Clock(), Logger: logger, Tally: t,
+		Table: client, Clock: f.clock.Clock(), Logger: logger, Tally: t,
 		CollectUsage: func(context.Context, int64) { collect() },
 		EraSeenAt:    func(uint64) (clock.Millis, bool) { return f.eraSeenAt, f.eraSeenAt != 0 },
 		FirstStart:   f.firstStart,
--- a/internal/usage/billing/era_test.go
+++ b/internal/usage/billing/era_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 
@@ -121,6 +122,54 @@
 	f.expect(101, "map[himal:1]")
 }
 
+// TestSealWrittenLateIntoARestoredTableIsNotReported guards against the report of a seal whose
+// write was not answered, and was performed after the table lost the one that was reported.
+func TestSealWrittenLateIntoARestoredTableIsNotReported(t *testing.T) {
+	f := newErasFixture(t)
+	holder := f.daemon("a", 100)
+	var late table.Txn
+	var backup table.Copy
+	f.commit = func(ctx context.Context, txn table.Txn) error {
+		if late.Writes == nil && txn.Writes[0].Key == "Usage/Window/100" {
+			late, backup = txn, f.table.Copy()
+			holder.Add("himal", 100*windowLength)
+			return table.ErrUnknown
+		}
+		return f.table.Client().Commit(ctx, txn)
+	}
+	f.hold(holder, 8*clock.Second)
+	f.expect(100, "map[himal:2]")
+	f.table.Restore(backup)
+	if err := f.table.Client().Commit(context.Background(), late); !errors.Is(err, table.ErrEraChanged) {
+		t.Fatalf("got error %v of the late write, want that it was performed in a later era", err)
+	}
+	f.hold(f.daemon("b", 101), 4*clock.Second)
+	f.expect(100, "map[himal:2]")
+	f.expectLeftOut(97, 98, 99, 100)
+	f.expect(101, "map[himal:1]")
+}
+
+// TestSealThatWasNotConfirmedIsReportedInItsEra guards against a window that is left out since
+// its holder ended between the two writes of the seal.
+func TestSealThatWasNotConfirmedIsReportedInItsEra(t *testing.T) {
+	f := newErasFixture(t)
+	writes := 0
+	f.commit = func(ctx context.Context, txn table.Txn) error {
+		if txn.Writes[0].Key == "Usage/Window/100" {
+			if writes++; writes > 1 {
+				return table.ErrUnavailable
+			}
+		}
+		return f.table.Client().Commit(ctx, txn)
+	}
+	f.hold(f.daemon("a", 100), 7*clock.Second)
+	f.expect(100)
+	f.commit = nil
+	f.hold(f.daemon("b", 100, 100, 101), 2*clock.Second)
+	f.expect(100, "map[himal:1]")
+	f.expectLeftOut()
+}
+
 // put writes a row like a daemon of another release.
 func (f *fixture) put(key string, value any) {
 	encoded, err := msgpack.Marshal(value)
--- a/internal/usage/billing/golden_internal_test.go
+++ b/internal/usage/billing/golden_internal_test.go
@@ -11,6 +11,6 @@
 
 func TestGoldenRows(t *testing.T) {
 	golden.Check(t, "billing", msgpack.Marshal, msgpack.Unmarshal, map[string]any{
-		"sealedWindow": &Window{}, "openWindow": &tally.WindowSnapshot{}, "eraRow": &eraRecord{},
+		"sealedWindow": &sealRow{}, "openWindow": &tally.WindowSnapshot{}, "eraRow": &eraRecord{},
 	})
 }
--- a/internal/usage/billing/simfleet_test.go
+++ b/internal/usage/billing/simfleet_test.go
@@ -80,15 +80,19 @@
 	simMaxCopies    = 80
 )
 
-// newSimFleet starts a fleet of VMs whose times of day are off by skews.
-func newSimFleet(ctx context.Context, t *testing.T, seed uint64, skews ...clock.Millis) *simFleet {
+// newSimFleet starts a fleet of VMs whose times of day are off by skews. A share of the writes
+// to the table is late.
+func newSimFleet(ctx context.Context, t *testing.T, seed uint64, lateWrites float64, skews ...clock.Millis) *simFleet {
 	f := &simFleet{
-		t: t, epoch: time.Now(), table: table.NewMemory(), rng: rand.New(rand.NewPCG(seed, 1)),
+		t: t, epoch: time.Now(), table: table.NewMemory(), rng: rand.New(rand.NewPCG(seed, 1)), lateWrites: lateWrites,
 		reports: make(map[int64]map[string]int64), holders: make(map[uint64]string),
 	}
 	f.table.Restore(f.table.Copy()) // Era 0 means that the table never comes back from a copy.
 	for n, skew := range skews {
-		f.vms = append(f.vms, f.start(fmt.Sprint("vm-", n), skew, true))
+		started := f.start(fmt.Sprint("vm-", n), skew, true)
+		f.mu.Lock()
+		f.vms = append(f.vms, started)
+		f.mu.Unlock()
 	}
 	go f.keepCopies(ctx)
 	return f
