Take only the era of the first start for one in which no window was sealed

Cause: a holder under fence 1 whose FirstStart is set took every window for one that nobody has sealed. Neither says so after a restore: the table has lost the lease, and FirstStart stays set as long as the process lives. Since each era has fences of its own, fence 1 is not even given out in a store with eras, so that the rule would never have held there.

Why it works: what matters is the era. A daemon with FirstStart that sees the store's first era within sealDelay of its start knows that nothing was sealed before that era, as the first seal comes sealDelay after the end of a window; for any later era it knows nothing of the kind. The biller asks its EraWatch, so FirstStart is no longer a setting of its own there.

--- a/internal/daemon/gateway/duties.go
+++ b/internal/daemon/gateway/duties.go
@@ -41,7 +41,7 @@
 	})
 	biller := billing.New(billing.Config{
 		Table: d.table, Clock: d.clock, Logger: d.logger, Tally: d.tally, CollectUsage: d.fleet.CollectUsage,
-		Guard: d.guardLease, EraSeenAt: d.eras.SeenAt, FirstStart: d.settings.Daemon.FirstStart, Report: d.reportUsage,
+		Guard: d.guardLease, Eras: d.eras, Report: d.reportUsage,
 	})
 	reconciler := reconcile.New(reconcile.Config{Clock: d.clock, Logger: d.logger, Desired: d.desired, Send: d.sendOrder})
 	d.leader = leader.New(leader.Config{
--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -201,7 +201,7 @@
 		MaxIdleConnsPerHost: maxIdleStoreConnections, IdleConnTimeout: storeIdleTimeout.Duration(), DisableCompression: true,
 	}}
 	rows, changes := d.platform.NewStoreClients(d.settings.Platform.Store, storeClient)
-	d.eras = billing.NewEraWatch(d.clock)
+	d.eras = billing.NewEraWatch(d.clock, d.settings.Daemon.FirstStart)
 	d.table, d.feed = rows.WithObserver(d.clock, d.observeStoreCall), changes.WithObserver(d.clock, d.observeStoreCall)
 	d.document, d.drains = document.NewHolder(), drain.NewHolder()
 	d.roster = roster.New(d.clock, d.settings.Bounds.DrainTime, d.handleEndpoints)
--- a/internal/usage/billing/billing.go
+++ b/internal/usage/billing/billing.go
@@ -93,12 +93,8 @@
 	// Guard returns a condition that is true until another daemon acquires
 	// the lease, which ends the validity of this fence.
 	Guard func(ctx context.Context, fence uint64) (table.Condition, error)
-	// EraSeenAt returns the time of the steady clock at which this daemon first saw the era
-	// that the table is in.
-	EraSeenAt func(era uint64) (at clock.Millis, seen bool)
-	// FirstStart is set if the whole system starts for the first time, so that nobody held
-	// the lease before its first fence.
-	FirstStart bool
+	// Eras has seen the eras of all answers of the table.
+	Eras *EraWatch
 	// Report sends a window to the platform. Its connection must write only
 	// while the lease is held under the fence.
 	Report func(ctx context.Context, fence uint64, window Window) error
--- a/internal/usage/billing/billing_test.go
+++ b/internal/usage/billing/billing_test.go
@@ -32,9 +32,8 @@
 	loseAnswers bool
 	// fence is the current fence of the lease.
 	fence uint64
-	// eraSeenAt is when daemons first saw the era of the table, 0 if they did not.
-	eraSeenAt  clock.Millis
-	firstStart bool
+	// eras is what a daemon has seen of the eras of the table.
+	eras *billing.EraWatch
 	// commit replaces the Commit of the table's client, if it is set.
 	commit func(ctx context.Context, txn table.Txn) error
 	// log holds what the last biller logged.
@@ -42,7 +41,11 @@
 }
 
 func newFixture(t *testing.T) *fixture {
-	return &fixture{t: t, clock: clock.NewManual(100 * windowLength), table: table.NewMemory(), reports: make(map[int64][]string), fence: 1}
+	manual := clock.NewManual(100 * windowLength)
+	return &fixture{
+		t: t, clock: manual, table: table.NewMemory(), reports: make(map[int64][]string), fence: 1,
+		eras: billing.NewEraWatch(manual.Clock(), false),
+	}
 }
 
 var errLeaseLost = errors.New("lease is held by another daemon")
@@ -58,8 +61,7 @@
 	return billing.New(billing.Config{
 		Table: client, Clock: f.clock.Clock(), Logger: logger, Tally: t,
 		CollectUsage: func(context.Context, int64) { collect() },
-		EraSeenAt:    func(uint64) (clock.Millis, bool) { return f.eraSeenAt, f.eraSeenAt != 0 },
-		FirstStart:   f.firstStart,
+		Eras:         f.eras,
 		Guard: func(_ context.Context, fence uint64) (table.Condition, error) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/internal/usage/billing/era.go
+++ b/internal/usage/billing/era.go
@@ -82,13 +82,13 @@
 
 // firstUnsealed returns the window from which on none was sealed before an era: it had not
 // ended when this daemon saw the era, or when its term began, and this daemon has not sealed
-// it. Nobody sealed any before the first term of the system.
+// it. Nobody sealed any before the first start of the system.
 func (t *termRun) firstUnsealed(era uint64) (first int64) {
 	since := t.startedAt
-	if at, seen := t.config.EraSeenAt(era); seen {
+	if at, seen := t.config.Eras.SeenAt(era); seen {
 		since = min(since, at)
 	}
-	if t.fence > 1 || !t.config.FirstStart {
+	if !t.config.Eras.SinceStart(era) {
 		first = t.windowAt(since)
 	}
 	for _, seal := range t.config.Tally.Seals(first) {
--- a/internal/usage/billing/era_test.go
+++ b/internal/usage/billing/era_test.go
@@ -18,8 +18,10 @@
 // nobody has held the lease yet.
 func newErasFixture(t *testing.T) *fixture {
 	f := newFixture(t)
-	f.fence, f.firstStart = 0, true
+	f.fence = 0
 	f.table.Restore(f.table.Copy())
+	f.eras = billing.NewEraWatch(f.clock.Clock(), true)
+	f.eras.Observe(1)
 	return f
 }
 
@@ -223,7 +225,7 @@
 	f := newErasFixture(t)
 	f.hold(f.daemon("a", 100), 3*clock.Second)
 	f.table.Restore(f.table.Copy())
-	f.eraSeenAt = f.clock.Now()
+	f.eras.Observe(2)
 	f.clock.Advance(3 * clock.Second)
 	f.hold(f.daemon("b", 101), 2*clock.Second)
 	f.expect(100, "map[himal:1]")
@@ -241,6 +243,38 @@
 	f.expectLeftOut()
 }
 
+// TestRestoreSoonAfterTheFirstStartBringsNoSecondReport guards against daemons that started with
+// the whole system and take a table that has lost the lease for one that nobody has used yet.
+func TestRestoreSoonAfterTheFirstStartBringsNoSecondReport(t *testing.T) {
+	f := newErasFixture(t)
+	backup := f.table.Copy()
+	f.hold(f.daemon("a", 100), 8*clock.Second)
+	f.expect(100, "map[himal:1]")
+	f.table.Restore(backup)
+	f.eras.Observe(2)
+	f.fence = 0
+	f.hold(f.daemon("b", 100, 100, 101), 5*clock.Second)
+	f.expect(100, "map[himal:1]")
+	f.expectLeftOut(97, 98, 99, 100)
+	f.expect(101, "map[himal:1]")
+}
+
+func TestEraCountsAsTheFirstOnlyIfItIsSeenAtTheFirstStart(t *testing.T) {
+	manual := clock.NewManual(0)
+	first, late, restarted := billing.NewEraWatch(manual.Clock(), true), billing.NewEraWatch(manual.Clock(), true), billing.NewEraWatch(manual.Clock(), false)
+	first.Observe(3)
+	restarted.Observe(3)
+	if !first.SinceStart(3) || restarted.SinceStart(3) {
+		t.Errorf("got %t at the first start and %t at a later one, want true and false", first.SinceStart(3), restarted.SinceStart(3))
+	}
+	manual.Advance(2 * clock.Second)
+	first.Observe(4)
+	late.Observe(4)
+	if first.SinceStart(4) || late.SinceStart(4) {
+		t.Errorf("got %t in the second era and %t for a daemon that was late, want false", first.SinceStart(4), late.SinceStart(4))
+	}
+}
+
 // TestRecordOfAClockThatWasAheadLosesNoLaterWindow guards against a record that makes all later
 // holders leave out windows.
 func TestRecordOfAClockThatWasAheadLosesNoLaterWindow(t *testing.T) {
--- a/internal/usage/billing/simfleet_test.go
+++ b/internal/usage/billing/simfleet_test.go
@@ -107,7 +107,7 @@
 	log.Reset()
 	incarnation := fmt.Sprintf("%s.%d", vm, f.now())
 	d.tally = tally.New(incarnation, windowLength)
-	d.eras = billing.NewEraWatch(d.clock)
+	d.eras = billing.NewEraWatch(d.clock, firstStart)
 	client := table.Client{Get: d.get, Scan: d.scan, Commit: d.commit}.WithObserver(d.clock, func(c table.Call) { d.eras.Observe(c.Era) })
 	d.lease = lease.New(lease.Config{
 		Table: client, Clock: d.clock, Key: simLeaseKey, Holder: incarnation, TTL: simLeaseTTL,
@@ -118,7 +118,7 @@
 		Guard: func(ctx context.Context, fence uint64) (table.Condition, error) {
 			return d.runner.Guard(client, simLeaseKey)(ctx, fence)
 		},
-		EraSeenAt: d.eras.SeenAt, FirstStart: firstStart, Report: d.report,
+		Eras: d.eras, Report: d.report,
 	})
 	d.runner = leader.New(leader.Config{
 		Clock: d.clock, Logger: logger.WithField("VM", vm), Scope: simLeaseKey, Lease: d.lease.Valid,
