Wait for the era of an answer that names none, in a table that has eras

Cause: era 0 stands for a table that never comes back from a copy, in which each missing seal is taken for one that was never written, whatever the row Usage/Era or earlier answers said.

Evidence: TestAnswerWithoutAnEraBringsNoSecondReport fails without this change: "window 100: got reports [map[himal:1] map[himal:2] map[himal:2]]".

Why it works: once an answer or the row has named an era, an answer without one is an error, and the step is repeated. A store that never names one is treated as before.

--- a/internal/usage/billing/billing_test.go
+++ b/internal/usage/billing/billing_test.go
@@ -34,7 +34,8 @@
 	fence uint64
 	// eras is what a daemon has seen of the eras of the table.
 	eras *billing.EraWatch
-	// commit replaces the Commit of the table's client, if it is set.
+	// get and commit replace those of the table's client, if they are set.
+	get    func(ctx context.Context, key string) (table.Row, error)
 	commit func(ctx context.Context, txn table.Txn) error
 	// log holds what the last biller logged.
 	log *logtest.Hook
@@ -55,6 +56,9 @@
 	logger, log := logtest.NewNullLogger()
 	f.log = log
 	client := f.table.Client()
+	if f.get != nil {
+		client.Get = f.get
+	}
 	if f.commit != nil {
 		client.Commit = f.commit
 	}
--- a/internal/usage/billing/era.go
+++ b/internal/usage/billing/era.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/samber/oops"
 	"github.com/sirupsen/logrus"
@@ -19,6 +20,9 @@
 // differ, without one of them taking a window that the other has sealed for unsealed.
 const clockTolerance = clock.Second
 
+// errEraMissing means that an answer of the table names no era, although the table has eras.
+var errEraMissing = errors.New("billing: the table has eras, and its answer names none")
+
 // eraRecord says what the seals in the table prove: no window from First on was sealed before
 // the table entered Era, see table.Position. As long as the table is of that era, such a
 // window has its row if it was ever sealed. This stays true whoever holds the lease later.
@@ -61,7 +65,10 @@
 		return err
 	}
 	record, own := t.decodeEra(row), eraRecord{Era: row.Era, First: t.firstUnsealed(row.Era)}
-	if row.Era != 0 && record.Era != row.Era {
+	if row.Era == 0 && (record.Era != 0 || t.config.Eras.Seen()) {
+		return errEraMissing
+	}
+	if record.Era != row.Era {
 		if err := t.writeEra(ctx, row, own); err != nil {
 			return err
 		}
--- a/internal/usage/billing/era_test.go
+++ b/internal/usage/billing/era_test.go
@@ -259,6 +259,28 @@
 	f.expect(101, "map[himal:1]")
 }
 
+// TestAnswerWithoutAnEraBringsNoSecondReport guards against an answer without the number of the
+// era, which is taken for that of a table that never comes back from a copy.
+func TestAnswerWithoutAnEraBringsNoSecondReport(t *testing.T) {
+	f := newErasFixture(t)
+	backup := f.table.Copy()
+	f.hold(f.daemon("a", 100), 8*clock.Second)
+	f.expect(100, "map[himal:1]")
+	f.table.Restore(backup)
+	f.eras.Observe(2)
+	f.get = func(ctx context.Context, key string) (table.Row, error) {
+		row, err := f.table.Client().Get(ctx, key)
+		row.Era = 0
+		return row, err
+	}
+	second := f.daemon("b", 100, 100, 101)
+	f.hold(second, 2*clock.Second)
+	f.get = nil
+	f.hold(second, 3*clock.Second)
+	f.expect(100, "map[himal:1]")
+	f.expect(101, "map[himal:1]")
+}
+
 func TestEraCountsAsTheFirstOnlyIfItIsSeenAtTheFirstStart(t *testing.T) {
 	manual := clock.NewManual(0)
 	first, late, restarted := billing.NewEraWatch(manual.Clock(), true), billing.NewEraWatch(manual.Clock(), true), billing.NewEraWatch(manual.Clock(), false)
--- a/internal/usage/billing/erawatch.go
+++ b/internal/usage/billing/erawatch.go
@@ -40,6 +40,13 @@
 	w.era, w.seenAt = era, now
 }
 
+// Seen reports whether any answer of the table named an era.
+func (w *EraWatch) Seen() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.era != 0
+}
+
 // SeenAt returns the time of the steady clock at which an era was first seen.
 func (w *EraWatch) SeenAt(era uint64) (at clock.Millis, seen bool) {
 	w.mu.Lock()
