--- a/internal/usage/billing/era_test.go
+++ b/internal/usage/billing/era_test.go
@@ -281,6 +281,35 @@
 	f.expect(101, "map[himal:1]")
 }
 
+// TestEraRecordWrittenLateBringsNoSecondReport guards against a record of an era whose holder ended
+// while it wrote it, and that the table performs in the next era.
+func TestEraRecordWrittenLateBringsNoSecondReport(t *testing.T) {
+	f := newErasFixture(t)
+	f.hold(f.daemon("a", 100), 3*clock.Second)
+	f.table.Restore(f.table.Copy())
+	f.eras.Observe(2)
+	var late table.Txn
+	f.commit = func(ctx context.Context, txn table.Txn) error {
+		if late.Writes == nil && txn.Writes[0].Key == "Usage/Era" {
+			late = txn
+		}
+		return table.ErrUnknown
+	}
+	f.hold(f.daemon("b", 101), clock.Second)
+	f.commit = nil
+	backup := f.table.Copy()
+	f.hold(f.daemon("c", 101), 8*clock.Second)
+	f.expect(101, "map[himal:1]")
+	f.table.Restore(backup)
+	if err := f.table.Client().Commit(context.Background(), late); !errors.Is(err, table.ErrEraChanged) {
+		t.Fatalf("got error %v of the late record, want that it was performed in a later era", err)
+	}
+	f.eras.Observe(3)
+	f.hold(f.daemon("d", 101, 101, 102), 5*clock.Second)
+	f.expect(101, "map[himal:1]")
+	f.expect(102, "map[himal:1]")
+}
+
 func TestEraCountsAsTheFirstOnlyIfItIsSeenAtTheFirstStart(t *testing.T) {
 	manual := clock.NewManual(0)
 	first, late, restarted := billing.NewEraWatch(manual.Clock(), true), billing.NewEraWatch(manual.Clock(), true), billing.NewEraWatch(manual.Clock(), false)
--- a/internal/usage/billing/orders_test.go
+++ b/internal/usage/billing/orders_test.go
@@ -41,6 +41,18 @@
 	})
 }
 
+// TestFenceIsNotUsedAgainAfterARestoreOlderThanTheLease guards against the same when the table has
+// lost the row of the lease.
+func TestFenceIsNotUsedAgainAfterARestoreOlderThanTheLease(t *testing.T) {
+	playFleet(t, func(_ *testing.T, f *simFleet) {
+		time.Sleep(7 * time.Second)
+		first := f.holder()
+		f.kill(first.slot(), 5*time.Second, false)
+		f.restore(100*time.Millisecond, 8*time.Second)
+		time.Sleep(10 * time.Second)
+	})
+}
+
 // TestHolderThatStoodStillOverARestoreReportsNothingElse guards against a second report by a
 // holder that goes on in a later era, which has lost the takeover and the seal of another one.
 func TestHolderThatStoodStillOverARestoreReportsNothingElse(t *testing.T) {
