Confirm seals in a store whose eras count from 0 as well

What callers saw: as for the seal that is written late (ONE), in the first drill of a store that names its first era 0, or none before its first drill.

Cause: an unconfirmed row held its era as the mark of being unconfirmed, and in era 0 a seal was final with its first write.

Why it works: the mark has a field of its own. A first era 0 is as good as any other: what was decided in it and not confirmed is left out in era 1.

--- a/internal/usage/billing/seal.go
+++ b/internal/usage/billing/seal.go
@@ -24,10 +24,10 @@
 type sealRow struct {
 	Number int64
 	Counts map[string]int64
-	// ProposedIn is the era in which the content was decided, until the row is confirmed. A
-	// holder confirms it after it has read it in that era, and reports only confirmed rows.
-	// 0 means that the row is confirmed.
-	ProposedIn uint64 `msgpack:",omitempty"`
+	// Unconfirmed is set until a holder has read the row in the era in which its content was
+	// decided. Only confirmed rows are reported. Era is that era.
+	Unconfirmed bool   `msgpack:",omitempty"`
+	Era         uint64 `msgpack:",omitempty"`
 }
 
 func (r sealRow) window() Window {
@@ -80,22 +80,18 @@
 	switch {
 	case known && !maps.Equal(seal.Counts, window.Counts):
 		return t.leaveOut(window), nil
-	case sealed.ProposedIn == 0:
+	case !sealed.Unconfirmed:
 		t.config.Tally.AddSeal(tally.Seal{Window: number, Counts: window.Counts})
 		return window, nil
-	case sealed.ProposedIn != row.Era && !known:
+	case sealed.Era != row.Era && !known:
 		return t.leaveOut(window), nil
 	}
 	return window, t.confirm(ctx, row, window)
 }
 
-// propose writes the row of a window, which was missing when it was read. In a table that has
-// no eras, that confirms it.
+// propose writes the row of a window, which was missing when it was read.
 func (t *termRun) propose(ctx context.Context, missing table.Row, window Window) (Window, error) {
-	if missing.Era == 0 {
-		return window, t.confirm(ctx, missing, window)
-	}
-	err := t.writeSeal(ctx, missing, sealRow{Number: window.Number, Counts: window.Counts, ProposedIn: missing.Era})
+	err := t.writeSeal(ctx, missing, sealRow{Number: window.Number, Counts: window.Counts, Unconfirmed: true, Era: missing.Era})
 	if err != nil {
 		return Window{}, err
 	}
