Notice that a transaction of the first era was performed in the next one

What callers saw: two holders of a duty under one fence (ONE), in the first drill of a store whose first era is 0 or not named: a process stands still with its takeover under way, and the store performs that after it has lost another one's takeover.

Cause: Commit compared the era of the answer with that of the conditions unless the latter was 0, which stood for "does not matter".

Why it works: what has conditions was read in some era, also in 0; only a transaction without conditions has none.

--- a/coord/table/memory.go
+++ b/coord/table/memory.go
@@ -150,7 +150,7 @@
 	switch {
 	case m.fault.LoseAnswers:
 		return ErrUnknown
-	case txn.Era != 0 && txn.Era != m.era:
+	case len(txn.Conditions) > 0 && txn.Era != m.era:
 		return ErrEraChanged
 	}
 	return nil
--- a/coord/table/table.go
+++ b/coord/table/table.go
@@ -75,8 +75,8 @@
 type Txn struct {
 	Conditions []Condition
 	Writes     []Write
-	// Era is the era of the reads that gave the versions of Conditions, 0 if that
-	// does not matter.
+	// Era is the era of the reads that gave the versions of Conditions. It does not
+	// matter if there are none.
 	Era uint64
 }
 
--- a/internal/usage/billing/era_test.go
+++ b/internal/usage/billing/era_test.go
@@ -153,7 +153,7 @@
 	f.hold(holder, 8*clock.Second)
 	f.expect(100, "map[himal:2]")
 	f.table.Restore(backup)
-	if err := f.table.Client().Commit(context.Background(), late); err != nil && !errors.Is(err, table.ErrEraChanged) {
+	if err := f.table.Client().Commit(context.Background(), late); !errors.Is(err, table.ErrEraChanged) {
 		t.Fatalf("got error %v of the late write, want that it was performed in a later era", err)
 	}
 	f.hold(f.daemon("b", 101), 4*clock.Second)
