--- a/internal/observe/build/build_internal_test.go
+++ b/internal/observe/build/build_internal_test.go
@@ -1,10 +1,30 @@
 package build
 
 import (
+	"os"
+	"os/exec"
 	"runtime/debug"
+	"strings"
 	"testing"
 )
 
+// TestProgramWithoutACommitIsKnownByItsContent guards against logs that do not tell which build wrote
+// them, since the program was built outside version control.
+func TestProgramWithoutACommitIsKnownByItsContent(t *testing.T) {
+	path, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	printed, err := exec.Command("go", "tool", "buildid", path).Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	want, _ := strings.CutPrefix(contentID(), "id ")
+	if want == "" || want == unknown || !strings.Contains(string(printed), want) {
+		t.Errorf("got the ID %q, want the start of a part of %q", want, printed)
+	}
+}
+
 func TestRevisionNamesTheCommit(t *testing.T) {
 	for _, c := range []struct {
 		settings []debug.BuildSetting
