Say in the log what a planned stop found waiting, and whose request got no answer

- Event 1106 for each connection that ends after a part of a request was read and before anything was answered: whether its head was read, how long ago, how many bytes are unread in the kernel, whether the gateway was stopping.
Until now a counter only.
- Event 1107 at the end of a stop: how many connections were still accepted, how many requests the last read of an idle connection found, how long it took.
- Event 1417 and the metric Process.Delays: a goroutine that runs every 100 ms ran 150 ms late or more.

--- a/internal/caller/keepalive/conn.go
+++ b/internal/caller/keepalive/conn.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/banyanshift/banyanshift/coord/clock"
 )
 
@@ -33,6 +35,10 @@
 	// idleSince is when the connection was accepted or the last answer ended, or when the last
 	// bytes came of which nobody knows yet whether they belong to a request.
 	idleSince time.Time
+	// busySince is when the first bytes of the last request were read, and headRead is set once
+	// its head has been.
+	busySince time.Time
+	headRead  bool
 	// answering is set once something of the answer to the last request was written.
 	answering bool
 	// ending is set when the connection is to end as soon as nothing waits to be read.
@@ -96,6 +102,7 @@
 	if err != nil || readErr != nil || n <= 0 {
 		return 0, io.EOF
 	}
+	c.server.lastReads.Add(1)
 	return n, nil
 }
 
@@ -119,6 +126,7 @@
 	defer c.mu.Unlock()
 	c.requested = true
 	c.setBusy()
+	c.headRead = true
 }
 
 // setBusy ends the time without a request. The lock must be held.
@@ -126,7 +134,7 @@
 	if !c.idle {
 		return
 	}
-	c.idle, c.answering = false, false
+	c.idle, c.answering, c.headRead, c.busySince = false, false, false, time.Now()
 	if c.ending {
 		_ = c.Conn.SetReadDeadline(c.readDeadline)
 	}
@@ -144,13 +152,23 @@
 func (c *conn) Close() error {
 	c.mu.Lock()
 	if !c.idle && !c.answering {
-		unanswered.Add(1)
+		c.recordUnanswered()
 	}
 	c.answering = true
 	c.mu.Unlock()
 	return c.Conn.Close()
 }
 
+// recordUnanswered records that the connection ends before its request was answered. The lock must
+// be held.
+func (c *conn) recordUnanswered() {
+	unanswered.Add(1)
+	eventUnanswered.Log(c.server.logger, logrus.Fields{
+		"Caller": c.RemoteAddr().String(), "HeadRead": c.headRead, "SinceRead": time.Since(c.busySince).Milliseconds(),
+		"Unread": unreadBytes(c.Conn), "Stopping": c.ending,
+	})
+}
+
 // CloseWrite ends the sending side of the TCP connection. net/http calls it some time before it
 // closes a connection with unread bytes, since a reset can destroy an answer.
 func (c *conn) CloseWrite() error {
--- a/internal/caller/keepalive/events.go
+++ b/internal/caller/keepalive/events.go
@@ -12,6 +12,10 @@
 		"No new connections are accepted. Idle ones end now, those on which no request has come yet a second after they were made, and the others once their request is answered.")
 	eventAbandoned = event.New(1105, logrus.WarnLevel, "connections of callers are left at the end of the grace time",
 		"Their requests were not answered in time and are cut off.")
+	eventUnanswered = event.New(1106, logrus.WarnLevel, "connection of a caller ends before its request was answered",
+		"A part of the request was read SinceRead ms ago. Unread are the bytes that had arrived after that.")
+	eventEnded = event.New(1107, logrus.InfoLevel, "connections of callers have ended",
+		"Accepted are the connections that were waiting when the shutdown began, LastReads the requests that arrived on connections that were about to end.")
 
 	unanswered = metric.NewCounter("Caller.Unanswered", "Connections that were closed after a part of a request was read and before anything was answered.")
 )
--- a/internal/caller/keepalive/keepalive.go
+++ b/internal/caller/keepalive/keepalive.go
@@ -26,6 +26,8 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -48,6 +50,9 @@
 	stopping bool
 	// empty is closed when the Server is stopping and has no connections.
 	empty chan struct{}
+	// lateAccepts and lastReads count what a shutdown has found waiting: connections, and
+	// requests on connections that were about to end.
+	lateAccepts, lastReads atomic.Int64
 }
 
 // New returns a Server that serves with an http.Server, whose hook ConnState it sets. The
@@ -83,9 +88,13 @@
 // ends.
 func (s *Server) Shutdown(ctx context.Context) error {
 	eventShutdown.Log(s.logger, s.countConnections().fields())
+	started := time.Now()
 	s.stop()
 	select {
 	case <-s.empty:
+		eventEnded.Log(s.logger, logrus.Fields{
+			"Took": time.Since(started).Milliseconds(), "Accepted": s.lateAccepts.Load(), "LastReads": s.lastReads.Load(), "Unanswered": unanswered.Value(),
+		})
 		return nil
 	case <-ctx.Done():
 		eventAbandoned.Log(s.logger, s.countConnections().fields())
@@ -136,6 +145,7 @@
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
 	if s.stopping {
+		s.lateAccepts.Add(1)
 		c.end()
 	}
 }
--- a/internal/caller/keepalive/system.go
+++ b/internal/caller/keepalive/system.go
@@ -4,6 +4,8 @@
 	"errors"
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 var (
@@ -25,6 +27,24 @@
 	}
 }
 
+// unreadBytes returns how many bytes have arrived on a connection and were not read, -1 if the system
+// does not tell.
+func unreadBytes(netConn net.Conn) (count int) {
+	raw, err := rawConn(netConn)
+	if err != nil {
+		return -1
+	}
+	err = raw.Control(func(fd uintptr) {
+		if count, err = unix.IoctlGetInt(int(fd), unix.TIOCINQ); err != nil {
+			count = -1
+		}
+	})
+	if err != nil {
+		return -1
+	}
+	return count
+}
+
 // readNow reads from a descriptor that does not block, again if a signal interrupts it.
 func readNow(fd int, p []byte) (n int, err error) {
 	for {
--- a/internal/peer/fleet/events.go
+++ b/internal/peer/fleet/events.go
@@ -13,9 +13,13 @@
 	endpointStandings = metric.NewMap("Endpoint.Standings", "Endpoints by whether they may get requests: available, or why not.")
 	unplacedRequests  = metric.NewMap("Endpoint.Unplaced", "Requests that no endpoint of a back end could get though the table lists ready ones, by back end.")
 	slowEndpoints     = metric.NewMap("Endpoint.Slow", "Endpoints on which work takes at least one and a half times as long as on the mean of their back end, with the ratio in percent.")
+
+	delays = metric.NewHistograms("Process.Delays", "Delays of at least 150 ms, in ms, with which a goroutine of this process ran, since the process stood still or lacked processor time.")
 )
 
 var (
+	eventDelayed = event.New(1417, logrus.InfoLevel, "process was delayed",
+		"A goroutine ran Delay ms later than it was to. Whatever this process did in that time was late as well.")
 	eventEndpointLeaves = event.New(1212, logrus.InfoLevel, "endpoint says that it leaves",
 		"An endpoint said in an answer, to this daemon or to a peer, that it is about to end. It gets no new requests until its next incarnation, whatever its entry says.")
 	eventEndpointQuiet = event.New(1213, logrus.InfoLevel, "endpoint wants no requests",
--- a/internal/peer/fleet/peer.go
+++ b/internal/peer/fleet/peer.go
@@ -15,6 +15,8 @@
 const (
 	// contactInterval is the time between two checks of whom to ping.
 	contactInterval = 100 * clock.Millisecond
+	// reportedDelay is from which delay on it is recorded that the process stood still.
+	reportedDelay = 150 * clock.Millisecond
 	// pingInterval is the time between an answer and the next ping of a peer,
 	// latePingInterval that while this daemon's news is late, retryDelay the time
 	// after a failed ping, and failedInterval the time after several.
@@ -55,12 +57,24 @@
 func (f *Fleet) contactLoop(ctx context.Context) error {
 	for {
 		f.updateContacts(ctx)
+		due := f.config.Clock.Now() + contactInterval
 		if err := f.config.Clock.Sleep(ctx, contactInterval); err != nil {
 			return err
 		}
+		f.recordDelay(f.config.Clock.Now() - due)
 	}
 }
 
+// recordDelay records for how long this process, or the goroutine that is to run now, has stood
+// still.
+func (f *Fleet) recordDelay(delay clock.Millis) {
+	if delay < reportedDelay {
+		return
+	}
+	delays.Record("Delay", delay)
+	eventDelayed.Log(f.config.Logger, logrus.Fields{"Delay": int64(delay)})
+}
+
 func (f *Fleet) updateContacts(ctx context.Context) {
 	now := f.config.Clock.Now()
 	storeUnavailable := f.config.StoreUnavailable()
