--- a/internal/usage/billing/orders_test.go
+++ b/internal/usage/billing/orders_test.go
@@ -75,8 +75,10 @@
 		ahead, behind := f.vms[0], f.vms[1]
 		behind.freeze(time.Second)
 		behind.cut(time.Minute)
-		time.Sleep(5900 * time.Millisecond)
-		if f.reports[100] == nil || f.holder() != ahead {
+		for !f.reported(100) {
+			time.Sleep(time.Millisecond)
+		}
+		if f.holder() != ahead {
 			t.Fatal("window 100 was not reported by the daemon whose clock is ahead")
 		}
 		f.kill(ahead.slot(), 5*time.Second, false)
--- a/internal/usage/billing/simfleet_test.go
+++ b/internal/usage/billing/simfleet_test.go
@@ -261,6 +261,12 @@
 	f.holders[fence] = vm
 }
 
+func (f *simFleet) reported(window int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reports[window] != nil
+}
+
 // holder returns the daemon that holds the lease, once one does.
 func (f *simFleet) holder() *simDaemon {
 	for {
