--- a/internal/bench/rig/daemon.go
+++ b/internal/bench/rig/daemon.go
@@ -94,7 +94,7 @@
 	}
 	lines := []string{
 		"[Daemon]", "ID = " + d.ID, "Region = " + r.Scenario.Region, "FailureDomain = " + d.FailureDomain,
-		"ReadinessDelay = " + readinessDelay.String(), "UsageWindow = " + usageWindow.String(), "Policy = " + policy,
+		"ReadinessDelay = " + readinessDelay.String(), "UsageWindow = " + usageWindow.String(), "Policy = " + policy, strings.Join(r.DaemonLines, "\n"),
 		"[Caller]", "Listen = " + d.Caller,
 		"[Operator]", "Listen = " + d.Operator,
 		"[Operator.Tokens]", "rig = " + hashToken(r.operatorToken),
--- a/internal/bench/rig/rig.go
+++ b/internal/bench/rig/rig.go
@@ -56,6 +56,8 @@
 	Policy string
 	// LogLevel is the daemons' log level; info when empty.
 	LogLevel string
+	// DaemonLines are further lines of the section Daemon in the daemons' settings.
+	DaemonLines []string
 	// EngineFlags and PlatformFlags are passed to the stand-ins.
 	EngineFlags   []string
 	PlatformFlags []string
--- a/internal/settings/gateway/settings.go
+++ b/internal/settings/gateway/settings.go
@@ -40,6 +40,9 @@
 	Capacity float64
 	// MemoryLimit is the number of bytes that the process may use.
 	MemoryLimit int64
+	// MaxDescriptors is the number of file descriptors that the process may use, 0 for the limit
+	// that the system sets.
+	MaxDescriptors int
 	// Grace is the time from SIGTERM until the process is killed.
 	Grace clock.Millis
 	// FirstStart is set if the whole system starts for the first time.
@@ -125,6 +128,8 @@
 		func(s *Settings) any { return &s.Daemon.Capacity }},
 	{ini.Field{Section: "Daemon", Name: "MemoryLimit", Type: ini.Size, Default: "128MiB", Min: 32 * mebibyte, Max: 1 << 40, Help: "Memory limit of the process."},
 		func(s *Settings) any { return &s.Daemon.MemoryLimit }},
+	{ini.Field{Section: "Daemon", Name: "MaxDescriptors", Type: ini.Count, Default: "0", Max: 1 << 30, Help: "Number of file descriptors that the process may use. At 0, the limit that the system sets."},
+		func(s *Settings) any { return &s.Daemon.MaxDescriptors }},
 	{ini.Field{Section: "Daemon", Name: "Grace", Type: ini.Duration, Default: "8s", Min: 1000, Max: maxDuration, Help: "Time from SIGTERM until the process is killed."},
 		func(s *Settings) any { return &s.Daemon.Grace }},
 	{ini.Field{Section: "Daemon", Name: "FirstStart", Type: ini.Switch, Default: "false", Help: "Whether the whole system starts for the first time, so that no earlier daemon served callers."},
--- a/internal/settings/ini/field.go
+++ b/internal/settings/ini/field.go
@@ -97,6 +97,12 @@
 		Choices: []string{"Broker", "LocalFair", "LeastOutstanding", "RoundRobin"},
 		Help:    "Scheduling policy. All except Broker are baselines for comparison.",
 		target:  func(s *Settings) any { return &s.Daemon.Policy }},
+	{Section: "Daemon", Name: "MemoryLimit", Type: Size, Default: "0B", Max: 1 << 40,
+		Help:   "Memory limit of the process. At 0B, half of the machine's memory. Less than 32MiB counts as 32MiB.",
+		target: func(s *Settings) any { return &s.Daemon.MemoryLimit }},
+	{Section: "Daemon", Name: "MaxDescriptors", Type: Count, Default: "0", Max: 1 << 30,
+		Help:   "Number of file descriptors that the process may use. At 0, the limit that the system sets.",
+		target: func(s *Settings) any { return &s.Daemon.MaxDescriptors }},
 }
 
 var callerFields = []Field{
--- a/internal/settings/ini/settings.go
+++ b/internal/settings/ini/settings.go
@@ -44,6 +44,12 @@
 	// Policy is the scheduling policy: Broker, LocalFair, LeastOutstanding or
 	// RoundRobin. The last three are baselines for comparison.
 	Policy string
+	// MemoryLimit is the number of bytes that the process may use, 0 for half of the machine's
+	// memory.
+	MemoryLimit int64
+	// MaxDescriptors is the number of file descriptors that the process may use, 0 for the limit
+	// that the system sets.
+	MaxDescriptors int
 }
 
 // Caller configures the HTTP interface for callers.
