Bound all that callers make a gateway hold, not only the bodies that it accepts

What callers saw: under a crowd of clients that misbehave a gateway held more than its machine has, and was killed with the connections of all its callers.

Cause: the budget of internal/decide/memory covered accepted bodies and answers. A client also makes a process hold a descriptor, goroutines and buffers, a head with what parsing makes of it, and what the kernel received and nobody reads: 256 KiB for each connection, of as many connections as came, and of up to 4,096 that had not been accepted.

The mechanism (docs/design/memory.md): LimitsOf derives from MemoryLimit and MaxDescriptors how many connections callers may have, and how much the budget is. The kernel holds 64 KiB of each, and the backlog is a quarter of the limit. Heads are reserved while they are read, by bytes and lines. A connection over the limit is accepted and another one yields: the one that moves least, never one whose request arrived whole and was not answered (MarkReceived). While memory is short, the slowest unfinished request yields with 503: it has not run, and it is not placed later. Short reservations are served first. A connection that reads a body lets others run now and then.

Why it works: what a crowd can hold is connections times a constant plus the budget, whatever it sends, so twice the crowd needs no more.

TestLimitLeavesRoomForTheProcess calls LimitsOf, which replaces LimitOf, with memory limits whose soft limits are those of before, and checks the unread bytes as well.

--- a/internal/caller/entry/entry.go
+++ b/internal/caller/entry/entry.go
@@ -137,7 +137,7 @@
 		listener = newConnLimiter(listener, limit)
 	}
 	s.listener = listener
-	s.server = keepalive.New(s.newHTTPServer(), s.deps.TLS, s.deps.Logger)
+	s.server = keepalive.New(s.newHTTPServer(), s.deps.TLS, keepalive.Limits{}, s.deps.Logger)
 	s.serveGroup.Add(1)
 	go s.run(listener)
 	return nil
--- a/internal/caller/keepalive/close_test.go
+++ b/internal/caller/keepalive/close_test.go
@@ -38,7 +38,7 @@
 			w.Header().Set("Connection", "close")
 			_, _ = io.WriteString(w, "ok")
 		})
-		server := keepalive.New(&http.Server{Handler: handler}, nil, logger)
+		server := keepalive.New(&http.Server{Handler: handler}, nil, keepalive.Limits{}, logger)
 		serving.Go(func() {
 			if err := server.Serve(listener); err != nil {
 				t.Errorf("Serve: %v", err)
--- a/internal/caller/keepalive/conn.go
+++ b/internal/caller/keepalive/conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"runtime"
 	"sync"
 	"syscall"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/decide/memory"
 )
 
 // While the Server shuts down, a connection ends if it has been idle for some time. A caller that
@@ -45,11 +47,35 @@
 	ending bool
 	// readDeadline is the one that net/http has set.
 	readDeadline time.Time
+	// received is set once the last request has arrived whole, and progress follows what has of one
+	// that is arriving.
+	received bool
+	progress progress
+	// yielded is set once the request must not arrive any further, and closed once the connection no
+	// longer counts as open.
+	yielded, closed bool
+	// lingering is set once the sending side has ended, and writingSince when a write began that has
+	// not ended.
+	lingering    bool
+	writingSince time.Time
+
+	// head is what the head of the request takes that is read, headSize its size so far, and
+	// bodyReads the number of reads since its end. Only the goroutine of the connection uses them.
+	head      memory.Reservation
+	headSize  headSize
+	bodyReads int
 }
 
+// newConn returns a connection of a Server, nil if there is no room for it.
 func newConn(inner net.Conn, server *Server) *conn {
-	c := &conn{Conn: inner, server: server, idle: true, idleSince: time.Now()}
-	server.add(c)
+	now := time.Now()
+	c := &conn{Conn: inner, server: server, idle: true, idleSince: now, progress: progress{begun: now}}
+	if budget := server.limits.Memory; budget != nil {
+		c.head = budget.Reserve(memory.Head)
+	}
+	if !server.add(c) {
+		return nil
+	}
 	return c
 }
 
@@ -63,12 +89,31 @@
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.endsNow() {
 		n, err = c.readWaiting(p)
 	}
-	if n > 0 {
-		c.recordRead()
+	if n == 0 {
+		return n, err
+	}
+	if isHead := c.recordRead(n); !isHead {
+		c.shareProcessor()
+		return n, err
+	}
+	if !c.reserveHead(p[:n]) {
+		return 0, c.refuseHead()
 	}
 	return n, err
 }
 
+// readsPerTurn is how many reads of a body the goroutine of a connection makes before others have their
+// turn. Bodies in small chunks cost much more time than their bytes.
+const readsPerTurn = 8
+
+// shareProcessor lets other goroutines run now and then.
+func (c *conn) shareProcessor() {
+	c.bodyReads++
+	if c.bodyReads%readsPerTurn == 0 {
+		runtime.Gosched()
+	}
+}
+
 // endsNow reports whether a read deadline that has passed ends the connection, because it was idle
 // for too long or the Server shuts down. The limit for reading a first request is no such deadline.
 func (c *conn) endsNow() bool {
@@ -106,17 +151,23 @@
 	return n, nil
 }
 
-// recordRead records that bytes have been read. Under TLS the first ones are those of the handshake,
-// so that the connection stays idle until the head of a request has been read.
-func (c *conn) recordRead() {
+// recordRead records that bytes have been read, and reports whether they may belong to the head of a
+// request. Under TLS the first ones are those of the handshake, so that the connection stays idle
+// until the head of a request has been read.
+func (c *conn) recordRead(count int) (isHead bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.server.tls != nil && !c.requested {
 		c.idleSince = time.Now()
 		c.wakeIfEnding()
-		return
+		c.progress.add(count, c.idleSince)
+		return true
 	}
 	c.setBusy()
+	if !c.received {
+		c.progress.add(count, time.Now())
+	}
+	return !c.headRead
 }
 
 // recordRequest records that the head of a request has been read, which may have come together with
@@ -135,6 +186,7 @@
 		return
 	}
 	c.idle, c.answering, c.headRead, c.busySince = false, false, false, time.Now()
+	c.received, c.yielded, c.progress = false, false, progress{begun: c.busySince}
 	if c.ending {
 		_ = c.Conn.SetReadDeadline(c.readDeadline)
 	}
@@ -143,20 +195,30 @@
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
-	c.answering = true
+	c.answering, c.writingSince = true, time.Now()
+	c.mu.Unlock()
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	c.writingSince = time.Time{}
 	c.mu.Unlock()
-	return c.Conn.Write(p)
+	return n, err
 }
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.mu.Lock()
-	if !c.idle && !c.answering {
+	if !c.idle && !c.answering && !c.yielded {
 		c.recordUnanswered()
 	}
 	c.answering = true
+	isFirst := !c.closed
+	c.closed = true
 	c.mu.Unlock()
-	return c.Conn.Close()
+	err := c.Conn.Close()
+	if isFirst {
+		c.server.recordClosed()
+	}
+	return err
 }
 
 // recordUnanswered records that the connection ends before its request was answered. The lock must
@@ -172,6 +234,9 @@
 // CloseWrite ends the sending side of the TCP connection. net/http calls it some time before it
 // closes a connection with unread bytes, since a reset can destroy an answer.
 func (c *conn) CloseWrite() error {
+	c.mu.Lock()
+	c.lingering = true
+	c.mu.Unlock()
 	netConn := c.Conn
 	for {
 		switch inner := netConn.(type) {
@@ -206,6 +271,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.used, c.idle, c.idleSince = true, true, time.Now()
+	c.head.Release()
+	c.headSize, c.bodyReads = headSize{}, 0
 	c.wakeIfEnding()
 }
 
--- a/internal/caller/keepalive/events.go
+++ b/internal/caller/keepalive/events.go
@@ -17,6 +17,10 @@
 	eventEnded = event.New(1107, logrus.InfoLevel, "connections of callers have ended",
 		"Accepted are the connections that were waiting when the shutdown began, LastReads the requests that arrived on connections that were about to end.")
 
+	eventYield = event.New(1108, logrus.WarnLevel, "connections of callers yield",
+		"As many connections are open as may be, or memory is short. Why says for what the connection yielded, as in the metric Caller.Yielded. Logged at most every 10 s.")
+
+	yields     = metric.NewMap("Caller.Yielded", "Connections and requests that yielded before they had arrived whole, or were idle, by what for; and those for which there was no room.")
 	unanswered = metric.NewCounter("Caller.Unanswered", "Connections that were closed after a part of a request was read and before anything was answered.")
 )
 
--- a/internal/caller/keepalive/keepalive.go
+++ b/internal/caller/keepalive/keepalive.go
@@ -7,9 +7,16 @@
 // been read is answered; only a request that is still under way to the connection can meet its
 // end, and no byte of that has been read.
 //
+// It also bounds what callers make the process hold. A Server has a limit of connections, and each
+// connection reserves memory for the head of a request while it is read. While the limit is reached,
+// one connection yields to each new one: see victim. While memory is short, Reclaim makes one request
+// yield that has not arrived whole. The handler says with MarkReceived when a request has; it never
+// yields from then on until it is answered.
+//
 // # Usage
 //
-//	server := keepalive.New(&http.Server{Handler: handler}, nil, logger)
+//	server := keepalive.New(&http.Server{Handler: handler}, nil, keepalive.Limits{...}, logger)
+//	budget.Reclaim = server.Reclaim
 //	go server.Serve(listener) // nil after Shutdown or Close
 //	...
 //	err := server.Shutdown(ctx) // ends idle connections and waits for the others
@@ -32,6 +39,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/decide/memory"
+	"github.com/banyanshift/banyanshift/internal/endpoint/tcp"
 )
 
 // acceptTime is how long connections that were made before a Shutdown are still accepted, so
@@ -42,10 +51,14 @@
 type Server struct {
 	http   *http.Server
 	tls    *tls.Config
+	limits Limits
 	logger logrus.FieldLogger
 
-	mu       sync.Mutex
-	conns    map[*conn]struct{}
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+	// open counts the connections that were not closed. Those that were stay in conns until their
+	// goroutines have ended.
+	open     int
 	listener *listener
 	stopping bool
 	// empty is closed when the Server is stopping and has no connections.
@@ -53,16 +66,44 @@
 	// lateAccepts and lastReads count what a shutdown has found waiting: connections, and
 	// requests on connections that were about to end.
 	lateAccepts, lastReads atomic.Int64
+	// yieldLogged is when it was last logged that connections yield, in Unix milliseconds.
+	yieldLogged atomic.Int64
+}
+
+// Limits bounds what the connections of a Server hold.
+type Limits struct {
+	// Connections is how many may be open, 0 for any number.
+	Connections int
+	// Memory is the budget for the heads of requests, nil if they are not counted.
+	Memory *memory.Budget
 }
 
-// New returns a Server that serves with an http.Server, whose hook ConnState it sets. The
-// configuration of TLS is nil for unencrypted connections.
-func New(server *http.Server, config *tls.Config, logger logrus.FieldLogger) *Server {
-	s := &Server{http: server, tls: config, logger: logger, conns: make(map[*conn]struct{}), empty: make(chan struct{})}
-	server.ConnState = s.recordState
+// New returns a Server that serves with an http.Server, whose hooks ConnState and ConnContext it
+// sets. The configuration of TLS is nil for unencrypted connections.
+func New(server *http.Server, config *tls.Config, limits Limits, logger logrus.FieldLogger) *Server {
+	s := &Server{http: server, tls: config, limits: limits, logger: logger, conns: make(map[*conn]struct{}), empty: make(chan struct{})}
+	server.ConnState, server.ConnContext = s.recordState, withConn
 	return s
 }
 
+// backlogPart is how many connections may wait to be accepted, as a part of the limit of connections:
+// one in so many, but at least leastBacklog.
+const (
+	backlogPart  = 4
+	leastBacklog = 16
+)
+
+// Listen listens at an address with what the limits of a Server assume: the system holds little of each
+// connection, and few that were not accepted.
+func Listen(ctx context.Context, address string, limits Limits) (net.Listener, error) {
+	listener, err := tcp.ListenBuffered(ctx, address, memory.UnreadBytes)
+	if err != nil || limits.Connections <= 0 {
+		return listener, err
+	}
+	tcp.LimitBacklog(listener, max(limits.Connections/backlogPart, leastBacklog))
+	return listener, nil
+}
+
 // Serve accepts connections until Shutdown or Close.
 func (s *Server) Serve(inner net.Listener) error {
 	l := &listener{Listener: inner, server: s}
@@ -139,18 +180,32 @@
 	return s.http.Close()
 }
 
-// add registers an accepted connection.
-func (s *Server) add(c *conn) {
+// add registers an accepted connection. It returns false if there is no room for it.
+func (s *Server) add(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.makeRoom() {
+		return false
+	}
 	s.conns[c] = struct{}{}
+	s.open++
 	if s.stopping {
 		s.lateAccepts.Add(1)
 		c.end()
 	}
+	return true
+}
+
+// recordClosed is called once when a connection has been closed.
+func (s *Server) recordClosed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open--
 }
 
+// remove is called when nothing uses a connection any more.
 func (s *Server) remove(c *conn) {
+	c.head.Release()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
--- a/internal/caller/keepalive/keepalive_test.go
+++ b/internal/caller/keepalive/keepalive_test.go
@@ -109,7 +109,7 @@
 	})}
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	server := keepalive.New(httpServer, nil, logger)
+	server := keepalive.New(httpServer, nil, keepalive.Limits{}, logger)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	t.Cleanup(func() {
--- a/internal/caller/keepalive/listener.go
+++ b/internal/caller/keepalive/listener.go
@@ -28,15 +28,21 @@
 	maxExtensions = 10
 )
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. It closes connections for which the Server has no room.
 func (l *listener) Accept() (net.Conn, error) {
 	accepted, err := l.Listener.Accept()
-	for errors.Is(err, os.ErrDeadlineExceeded) && l.extend() {
-		accepted, err = l.Listener.Accept()
-	}
-	if err == nil {
-		l.accepted = true
-		return newConn(accepted, l.server), nil
+	for ; ; accepted, err = l.Listener.Accept() {
+		if err == nil {
+			l.accepted = true
+			if c := newConn(accepted, l.server); c != nil {
+				return c, nil
+			}
+			_ = accepted.Close()
+			continue
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !l.extend() {
+			break
+		}
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		err = errors.Join(net.ErrClosed, l.Close())
--- a/internal/caller/keepalive/unanswered_test.go
+++ b/internal/caller/keepalive/unanswered_test.go
@@ -25,7 +25,7 @@
 	server := keepalive.New(&http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 		close(begun)
 		<-ended
-	})}, nil, logger)
+	})}, nil, keepalive.Limits{}, logger)
 	go func() { _ = server.Serve(listener) }()
 	defer close(ended)
 	c := dial(t, listener)
--- a/internal/caller/relay/answer.go
+++ b/internal/caller/relay/answer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/caller/body"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
 	"github.com/banyanshift/banyanshift/internal/decide/memory"
 	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
@@ -103,12 +104,12 @@
 		x.answerMemory.Release()
 		x.answerMemory = x.handler.config.Memory.Reserve(memory.Answer)
 	}
-	b := buffer{ctx: x.ctx, memory: &x.answerMemory}
-	err := b.read(io.LimitReader(answer, maxBufferedBytes), min(answer.Length, maxBufferedBytes))
-	if errors.Is(err, errNoMemory) || err == nil && len(b.data) == maxBufferedBytes {
-		return b.data, errAnswerTooLarge
+	b := body.Buffer{Context: x.ctx, Memory: &x.answerMemory}
+	err := b.Read(io.LimitReader(answer, maxBufferedBytes), min(answer.Length, maxBufferedBytes))
+	if errors.Is(err, body.ErrNoMemory) || err == nil && len(b.Data) == maxBufferedBytes {
+		return b.Data, errAnswerTooLarge
 	}
-	return b.data, err
+	return b.Data, err
 }
 
 // writeAnswer writes a buffered answer to the caller.
--- a/internal/caller/relay/body.go
+++ b/internal/caller/relay/body.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/caller/body"
+	"github.com/banyanshift/banyanshift/internal/caller/keepalive"
 	"github.com/banyanshift/banyanshift/internal/decide/memory"
 	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
 )
@@ -39,13 +41,16 @@
 	control := http.NewResponseController(x.w)
 	_ = control.SetReadDeadline(x.handler.config.Clock.Deadline(x.deadline))
 	x.bodyMemory = x.handler.config.Memory.Reserve(memory.Body)
-	body, err := x.readAll(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength)
+	content, err := x.readAll(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength)
+	if err == nil && !keepalive.MarkReceived(x.r.Context()) {
+		err = body.ErrNoMemory
+	}
 	if err != nil {
 		x.refuseBody(err)
 		return false
 	}
 	_ = control.SetReadDeadline(time.Time{})
-	x.body, x.bodyBytes, x.bodyConsumed = body, len(body), true
+	x.body, x.bodyBytes, x.bodyConsumed = content, len(content), true
 	return true
 }
 
@@ -53,7 +58,10 @@
 func (x *exchange) refuseBody(err error) {
 	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.Is(err, errNoMemory):
+	case keepalive.Yielded(x.r.Context()):
+		x.bodyMemory.Release()
+		x.refuse(http.StatusServiceUnavailable, Refusal{Reason: "the body arrives too slowly while others wait", RetryAfter: memoryRetryAfter})
+	case errors.Is(err, body.ErrNoMemory):
 		x.bodyMemory.Release()
 		x.discardBody(fullBodyTimeout, x.configuration.Index.Limits().MaxBodyBytes)
 		x.refuse(http.StatusServiceUnavailable, Refusal{Reason: err.Error(), RetryAfter: memoryRetryAfter})
@@ -94,15 +102,15 @@
 }
 
 // readAll reads a body of the given length; a negative length means unknown.
-func (x *exchange) readAll(body io.Reader, length int64) ([]byte, error) {
+func (x *exchange) readAll(from io.Reader, length int64) ([]byte, error) {
 	if length == 0 {
 		return nil, nil
 	}
-	b := buffer{ctx: x.ctx, memory: &x.bodyMemory, wait: min(memoryWait, x.timeLeft()/3)}
-	if err := b.read(body, length); err != nil {
+	b := body.Buffer{Context: x.ctx, Memory: &x.bodyMemory, Wait: min(memoryWait, x.timeLeft()/3)}
+	if err := b.Read(from, length); err != nil {
 		return nil, err
 	}
-	return b.data, nil
+	return b.Data, nil
 }
 
 // releaseBody releases a long body as soon as no further attempt can use it. answer is the answer
--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -116,6 +116,7 @@
 	documentFeed, endpointsFeed *feed.Follower
 	roster                      *roster.Roster
 	scheduler                   *fleet.Scheduler
+	limits                      memory.Limits
 	memory                      *memory.Budget
 	fleet                       *fleet.Fleet
 	crashes                     *crashnews.Exchange
@@ -165,9 +166,9 @@
 	d.incarnation = settings.Daemon.ID + "." + hex.EncodeToString(random[:6])
 	d.seed = binary.BigEndian.Uint64(random[8:])
 	d.baseTasks, d.holderTasks, d.leaseTasks = background.New(d.logger), background.New(d.logger), background.New(d.logger)
-	softLimit := settings.Daemon.MemoryLimit * memoryLimitPercent / 100
-	debug.SetMemoryLimit(softLimit)
-	d.memory = memory.New(memory.LimitOf(softLimit))
+	d.limits = memory.LimitsOf(settings.Daemon.MemoryLimit, settings.Daemon.MaxDescriptors)
+	debug.SetMemoryLimit(d.limits.Soft)
+	d.memory = memory.New(d.limits.Held)
 	d.buildState()
 	d.buildPeers()
 	d.buildLease()
@@ -179,9 +180,6 @@
 }
 
 const (
-	// memoryLimitPercent is the percentage of the memory limit that is the soft
-	// limit of the Go runtime, near which the garbage collector runs more often.
-	memoryLimitPercent = 60
 	// storeIdleTimeout is the time after which an idle connection to the store
 	// is closed.
 	storeIdleTimeout = 30 * clock.Second
@@ -287,12 +285,18 @@
 	d.callers = keepalive.New(&http.Server{
 		Handler: d.handler, MaxHeaderBytes: caller.MaxHeaderBytes, ErrorLog: nil,
 		ReadHeaderTimeout: caller.HeaderTimeout.Duration(), IdleTimeout: caller.IdleTimeout.Duration(),
-	}, nil, d.logger)
+	}, nil, d.callerLimits(), d.logger)
+	d.memory.Reclaim = d.callers.Reclaim
 	mux := http.NewServeMux()
 	mux.HandleFunc(d.settings.Readiness.Path, d.serveReadiness)
 	d.ready = &http.Server{Handler: mux, ReadHeaderTimeout: caller.HeaderTimeout.Duration()}
 }
 
+// callerLimits returns the limits of what callers may hold.
+func (d *Daemon) callerLimits() keepalive.Limits {
+	return keepalive.Limits{Connections: d.limits.Connections, Memory: d.memory}
+}
+
 // currentConfiguration returns the configuration in force for the request path.
 func (d *Daemon) currentConfiguration() relay.Configuration {
 	index, confirmedAt := d.document.Current()
@@ -324,16 +328,16 @@
 	if err := d.startForwarding(); err != nil {
 		return err
 	}
-	for _, l := range []struct {
-		server  listenerServer
-		address string
-	}{{d.callers, d.settings.Caller.Listen}, {d.ready, d.settings.Readiness.Listen}} {
-		listener, err := tcp.Listen(context.Background(), l.address)
-		if err != nil {
-			return err
-		}
-		d.baseTasks.Start("Listener", (&httpServer{server: l.server, listener: listener}).run)
+	callers, err := keepalive.Listen(context.Background(), d.settings.Caller.Listen, d.callerLimits())
+	if err != nil {
+		return err
+	}
+	d.baseTasks.Start("Callers", (&httpServer{server: d.callers, listener: callers}).run)
+	ready, err := tcp.Listen(context.Background(), d.settings.Readiness.Listen)
+	if err != nil {
+		return err
 	}
+	d.baseTasks.Start("Readiness", (&httpServer{server: d.ready, listener: ready}).run)
 	if err := d.metrics.Start(); err != nil {
 		return err
 	}
--- a/internal/decide/memory/memory.go
+++ b/internal/decide/memory/memory.go
@@ -4,8 +4,13 @@
 // at most ShortBytes may use all of it, so that short requests are served also while long ones
 // have taken their part. Long ones leave an eighth of it free. Answers that are buffered get at
 // most a quarter, so that callers who do not read theirs cannot keep all others from being
-// served. What does not fit waits. Those that hold most already go first, since they free what they
-// hold only after they have gone on, and otherwise in the order of arrival.
+// served. What does not fit waits. Short ones go first, the shortest before the others, so that
+// unfinished ones do not keep whole ones out. Of the long ones, those that hold most already go
+// first, since they free what they hold only after they have gone on, and otherwise in the order of
+// arrival. While something does not fit, the Budget calls Reclaim, which may take memory
+// from a holder that does not need it.
+//
+// LimitsOf says how the memory and the descriptors of a process are divided.
 //
 // A Budget counts bytes and allocates none. It is safe for concurrent use.
 //
@@ -21,6 +26,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
 )
@@ -32,15 +38,12 @@
 	keptFreePart = 8
 	// answersPart is the part of the limit that answers may take: one in so many.
 	answersPart = 4
-	// unreadBytes is what the system may hold of a body that waits to be read, and waitingPart
-	// is the part of the limit that all these may take: one in so many.
-	unreadBytes = 256 << 10
-	waitingPart = 8
-	// processBytes is what a process needs for itself, and heldPercent the percentage of the
-	// rest of its soft limit that a Budget may take. It gets leastPercent of it in any case.
-	processBytes = 32 << 20
-	heldPercent  = 70
-	leastPercent = 25
+	// waitingBytes is what a long Reservation that waits counts for, and waitingPart the part of the
+	// limit that all these may take: one in so many.
+	waitingBytes = 256 << 10
+	waitingPart  = 8
+	// reclaimInterval is the time between two calls of Reclaim for one Reservation that waits.
+	reclaimInterval = 20 * clock.Millisecond
 )
 
 // Use is what memory is held for.
@@ -51,11 +54,17 @@
 	Body Use = iota
 	// Answer is an answer or a part of one.
 	Answer
+	// Head is the head of a request.
+	Head
 	uses
 )
 
 // Budget is the memory that all Reservations share.
 type Budget struct {
+	// Reclaim takes memory from a holder that has made little progress, if there is one. It must
+	// not be changed once the Budget is used, and may be nil.
+	Reclaim func()
+
 	limit int64
 
 	mu   sync.Mutex
@@ -72,13 +81,6 @@
 	granted     chan struct{}
 }
 
-// LimitOf returns the limit of a Budget for a process whose garbage collector keeps to a soft
-// limit. It leaves room for the process itself, and for bytes that were released and not yet
-// collected.
-func LimitOf(softLimit int64) int64 {
-	return max((softLimit-processBytes)*heldPercent/100, softLimit*leastPercent/100)
-}
-
 // New returns a Budget of a number of bytes.
 func New(limit int64) *Budget {
 	return &Budget{limit: limit}
@@ -140,6 +142,7 @@
 	if wait <= 0 || !b.mayWait(r, int64(bytes)) {
 		b.refused++
 		b.mu.Unlock()
+		b.reclaim()
 		return false
 	}
 	w := &waiter{reservation: r, bytes: int64(bytes), granted: make(chan struct{})}
@@ -148,6 +151,13 @@
 	return b.wait(ctx, w, wait)
 }
 
+// reclaim calls Reclaim. The lock must not be held.
+func (b *Budget) reclaim() {
+	if b.Reclaim != nil {
+		b.Reclaim()
+	}
+}
+
 // Release gives all bytes of the Reservation back.
 func (r *Reservation) Release() {
 	b := r.budget
@@ -202,27 +212,58 @@
 // mayWait reports whether a Reservation may wait: it can get the bytes once others have released
 // theirs, and not too many wait. The lock must be held.
 func (b *Budget) mayWait(r *Reservation, bytes int64) bool {
-	waiting := int64(len(b.waiting)+1) * unreadBytes
-	return r.bytes+bytes <= b.longLimit() && waiting <= max(b.limit/waitingPart, unreadBytes)
+	if r.bytes+bytes <= ShortBytes {
+		return true
+	}
+	waiting := int64(len(b.waiting)+1) * waitingBytes
+	return r.bytes+bytes <= b.longLimit() && waiting <= max(b.limit/waitingPart, waitingBytes)
 }
 
-// enqueue adds a waiter behind those that hold as much or more. The lock must be held.
+// enqueue adds a waiter behind those that come before it. The lock must be held.
 func (b *Budget) enqueue(w *waiter) {
 	at := len(b.waiting)
-	for at > 0 && b.waiting[at-1].reservation.bytes < w.reservation.bytes {
+	for at > 0 && w.isBefore(b.waiting[at-1]) {
 		at--
 	}
 	b.waiting = slices.Insert(b.waiting, at, w)
 }
 
+// isShort reports whether the waiter may use the part that is kept free.
+func (w *waiter) isShort() bool {
+	return w.total() <= ShortBytes
+}
+
+// total returns what the Reservation is to hold.
+func (w *waiter) total() int64 {
+	return w.reservation.bytes + w.bytes
+}
+
+// isBefore reports whether the waiter is served before one that has waited longer: short ones first, of
+// these the shortest, and of the others the one that holds most. The lock of the Budget must be held.
+func (w *waiter) isBefore(other *waiter) bool {
+	switch {
+	case w.isShort() && other.isShort():
+		return w.total() < other.total()
+	case w.isShort() != other.isShort():
+		return w.isShort()
+	}
+	return w.reservation.bytes > other.reservation.bytes
+}
+
 // wait waits until a waiter gets its bytes, for a time at most.
 func (b *Budget) wait(ctx context.Context, w *waiter, timeout clock.Millis) bool {
 	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
-	select {
-	case <-w.granted:
-		return true
-	case <-ctx.Done():
+	ticker := time.NewTicker(reclaimInterval.Duration())
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		b.reclaim()
+		select {
+		case <-w.granted:
+			return true
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -237,15 +278,17 @@
 	return false
 }
 
-// grantWaiting gives what is free to those who wait, in their order. The lock must be held.
+// grantWaiting gives what is free to those who wait, in their order. Of those behind one that does
+// not fit, only short ones get theirs. The lock must be held.
 func (b *Budget) grantWaiting() {
-	for len(b.waiting) > 0 {
-		first := b.waiting[0]
-		if !b.fits(first.reservation, first.bytes) {
-			return
+	blocked := false
+	b.waiting = slices.DeleteFunc(b.waiting, func(w *waiter) bool {
+		if blocked && !w.isShort() || !b.fits(w.reservation, w.bytes) {
+			blocked = true
+			return false
 		}
-		b.waiting = slices.Delete(b.waiting, 0, 1)
-		b.add(first.reservation, first.bytes)
-		close(first.granted)
-	}
+		b.add(w.reservation, w.bytes)
+		close(w.granted)
+		return true
+	})
 }
--- a/internal/decide/memory/memory_test.go
+++ b/internal/decide/memory/memory_test.go
@@ -156,11 +156,60 @@
 	all.Wait()
 }
 
+// TestShortestIsServedFirst guards against whole requests that wait behind unfinished ones, and against
+// memory that stays with holders which could do without.
+func TestShortestIsServedFirst(t *testing.T) {
+	b := memory.New(limit)
+	held := []*memory.Reservation{reserve(t, b, memory.Body, longLimit)}
+	for range (limit - longLimit) / memory.ShortBytes {
+		held = append(held, reserve(t, b, memory.Body, memory.ShortBytes))
+	}
+	reclaimed := make(chan struct{}, 100)
+	b.Reclaim = func() {
+		select {
+		case reclaimed <- struct{}{}:
+		default:
+		}
+	}
+	sizes := make(chan int, 3)
+	for waiting, size := range []int{8 << 10, 1 << 20, 1 << 10} {
+		r := b.Reserve(memory.Body)
+		grow(t, b, &r, size, func(bool) { sizes <- size })
+		if got := b.State().Waiting; got != waiting+1 {
+			t.Fatalf("%d wait, want %d", got, waiting+1)
+		}
+	}
+	for range 3 {
+		<-reclaimed
+	}
+	held[1].Release()
+	if first, second := <-sizes, <-sizes; first+second != 9<<10 {
+		t.Errorf("got %d and %d bytes first, want the short ones", first, second)
+	}
+	held[0].Release()
+	if last := <-sizes; last != 1<<20 {
+		t.Errorf("got %d bytes last", last)
+	}
+}
+
 func TestLimitLeavesRoomForTheProcess(t *testing.T) {
-	for _, softLimit := range []int64{20 << 20, 67 << 20, 170 << 20, 321 << 20, 1 << 30} {
-		got := memory.LimitOf(softLimit)
-		if got < softLimit/4 || got > softLimit*7/10 {
-			t.Errorf("got %d of %d", got, softLimit)
+	for _, memoryLimit := range []int64{34 << 20, 112 << 20, 284 << 20, 536 << 20, 2 << 30} {
+		got := memory.LimitsOf(memoryLimit, 4100)
+		if softLimit := memoryLimit * 6 / 10; got.Held < softLimit/4 || got.Held > softLimit*7/10 {
+			t.Errorf("got %d of %d", got.Held, softLimit)
+		}
+		if unread := int64(got.Connections) * memory.UnreadBytes; got.Soft+unread > memoryLimit*8/10 {
+			t.Errorf("got %+v: a soft limit and %d unread bytes of %d", got, unread, memoryLimit)
+		}
+	}
+}
+
+// TestCallersLeaveDescriptors guards against connections of callers that leave none for the store, peers
+// and endpoints.
+func TestCallersLeaveDescriptors(t *testing.T) {
+	for _, descriptors := range []int{700, 4100, 10250} {
+		if got := memory.LimitsOf(64<<30, descriptors).Connections; got > (descriptors-200)/2 || got < descriptors/4 {
+			t.Errorf("got %d connections of %d descriptors", got, descriptors)
 		}
 	}
 }
--- a/internal/endpoint/tcp/tcp.go
+++ b/internal/endpoint/tcp/tcp.go
@@ -50,15 +50,42 @@
 
 // Listen listens at an address.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
-	config := net.ListenConfig{Control: boundReadBuffer}
+	return ListenBuffered(ctx, address, 2*readBufferBytes)
+}
+
+// ListenBuffered listens at an address. The system holds at most maxUnread bytes for each connection
+// that have arrived and were not read.
+func ListenBuffered(ctx context.Context, address string, maxUnread int) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return setReadBuffer(raw, maxUnread/2)
+	}}
 	return config.Listen(ctx, "tcp", address)
 }
 
-// boundReadBuffer sets the size of the buffer of a socket that is not connected yet, and of those
-// that it accepts. The size of the window follows from it.
-func boundReadBuffer(_, _ string, raw syscall.RawConn) (err error) {
+// LimitBacklog sets how many connections may wait to be accepted. Listeners of other kinds, and systems
+// that cannot change the number, keep theirs.
+func LimitBacklog(listener net.Listener, count int) {
+	tcpListener, ok := listener.(*net.TCPListener)
+	if !ok {
+		return
+	}
+	raw, err := tcpListener.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) { _ = unix.Listen(int(fd), count) })
+}
+
+// boundReadBuffer sets the size of the buffer of a socket that is not connected yet.
+func boundReadBuffer(_, _ string, raw syscall.RawConn) error {
+	return setReadBuffer(raw, readBufferBytes)
+}
+
+// setReadBuffer sets the size of the buffer of a socket, and of those that it accepts. The size of the
+// window follows from it.
+func setReadBuffer(raw syscall.RawConn, bytes int) (err error) {
 	controlErr := raw.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, readBufferBytes)
+		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
 	})
 	return errors.Join(controlErr, err)
 }
--- a/internal/standin/crowd/crowd.go
+++ b/internal/standin/crowd/crowd.go
@@ -77,7 +77,7 @@
 		return
 	}
 	_ = conn.(*net.TCPConn).SetLinger(0)
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	defer context.AfterFunc(c.ctx, func() { _ = conn.Close() })()
 	c.behavior(conn)
 }
