Bound what callers make "banyanshift serve" hold by the mechanism of the gateway

What callers saw: 200 clients that sent bodies a byte short of 4 MiB and stayed made the daemon hold 2.5 GB after they doubled.

Cause: ReadBody read each body whole, up to 4 MiB for each of 10,000 connections, with no budget, and the daemon had no setting for its memory. MaxConnections was a limit by itself: whoever held the last place held it for as long as it liked.

The daemon now has the limits of memory.LimitsOf, from Daemon.MemoryLimit (half of the machine's memory if it is not set) and Daemon.MaxDescriptors. keepalive bounds its connections and heads, and body.Buffer reads its bodies into reserved memory. A body that does not fit, or that yields, gets 503 with Run: Not and a Retry-After. A chat request reserves two more copies of its body for parsing; the body itself is let go then. MaxConnections stays, as an upper limit.

Why it works: as for the gateway, what a crowd can hold is connections times a constant plus the budget.

connLimiter and its file are gone. Its test TestConnectionOverTheLimitWaitsForAnotherToClose asked that a new connection waits unserved while a kept one is idle, which is the fault: a client that holds its place kept all others out. It is replaced by two: TestConnectionOverTheLimitTakesThePlaceOfAnUnusedOne asks that the new one is served and the idle one ends, and TestConnectionOverTheLimitEndsNoRequest that a request which runs is never cut off, and that the new one is closed at once.

--- /dev/null
+++ b/internal/caller/entry/body.go
@@ -0,0 +1,85 @@
+package entry
+
+import (
+	"bytes"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/caller/body"
+	"github.com/banyanshift/banyanshift/internal/caller/keepalive"
+	"github.com/banyanshift/banyanshift/internal/caller/request"
+)
+
+const (
+	// memoryWait limits how long a body waits unread for memory, and memoryRetryAfter is the
+	// Retry-After if there is none.
+	memoryWait       = 500 * clock.Millisecond
+	memoryRetryAfter = clock.Second
+)
+
+// ReadBody reads the whole body into Body. It refuses a body that is too large, for which there is no
+// memory, or that contains the caller's key.
+func (x *Exchange) ReadBody() error {
+	limit := x.server.deps.Settings.MaxBodyBytes
+	if x.HTTP.ContentLength > limit {
+		return bodyTooLarge()
+	}
+	content := body.Buffer{Context: x.Context, Memory: &x.memory, Wait: memoryWait}
+	var err error
+	if x.HTTP.ContentLength != 0 {
+		err = content.Read(http.MaxBytesReader(x.writer, x.HTTP.Body, limit), x.HTTP.ContentLength)
+	}
+	if err != nil {
+		return x.unreadable(err)
+	}
+	if !keepalive.MarkReceived(x.HTTP.Context()) {
+		return noMemory()
+	}
+	if x.secret != "" && bytes.Contains(content.Data, []byte(x.secret)) {
+		return BadRequest("The body holds the key. Keys belong in the header Authorization only.")
+	}
+	x.Body = content.Data
+	// The read deadline covers only the request; the answer may take longer.
+	_ = x.controller.SetReadDeadline(time.Time{})
+	return nil
+}
+
+// unreadable returns the refusal of a request whose body could not be read.
+func (x *Exchange) unreadable(err error) error {
+	var overLimit *http.MaxBytesError
+	switch {
+	case errors.As(err, &overLimit):
+		return bodyTooLarge()
+	case keepalive.Yielded(x.HTTP.Context()):
+		return noMemory()
+	case errors.Is(err, body.ErrNoMemory):
+		x.memory.Release()
+		body.Discard(x.writer, x.HTTP, body.FullTimeout, x.server.deps.Settings.MaxBodyBytes)
+		return noMemory()
+	}
+	return BadRequest("The request's body did not arrive whole.")
+}
+
+// Reserve reserves memory for copies of the whole body, until the exchange ends.
+func (x *Exchange) Reserve(copies int) error {
+	if !x.memory.Grow(x.Context, copies*len(x.Body), memoryWait) {
+		return noMemory()
+	}
+	return nil
+}
+
+func noMemory() error {
+	return &request.Refusal{
+		Status: http.StatusServiceUnavailable, Code: request.CodeOverloaded, Run: request.RunNot,
+		RetryAfter: memoryRetryAfter, Message: "This daemon has no memory left for the request.",
+	}
+}
+
+func bodyTooLarge() error {
+	return &request.Refusal{
+		Status: http.StatusRequestEntityTooLarge, Code: request.CodeBodyTooLarge, Run: request.RunNot,
+		Message: "The request's body is too large.",
+	}
+}
--- a/internal/caller/entry/entry.go
+++ b/internal/caller/entry/entry.go
@@ -35,6 +35,7 @@
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/caller/keepalive"
 	"github.com/banyanshift/banyanshift/internal/config/state"
+	"github.com/banyanshift/banyanshift/internal/decide/memory"
 	"github.com/banyanshift/banyanshift/internal/settings/ini"
 )
 
@@ -51,6 +52,10 @@
 	Ready func() error
 	// NewID returns a request ID that is unique among all daemons.
 	NewID func() string
+	// Memory bounds the heads and bodies that are held, and Connections the connections besides
+	// Settings.MaxConnections.
+	Memory      *memory.Budget
+	Connections int
 }
 
 // Handler serves an exchange. If it returns a *request.Refusal before the
@@ -129,20 +134,28 @@
 	if err := s.app.Build(); err != nil {
 		return err
 	}
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", s.deps.Settings.Listen)
+	limits := keepalive.Limits{Connections: s.maxConnections(), Memory: s.deps.Memory}
+	listener, err := keepalive.Listen(context.Background(), s.deps.Settings.Listen, limits)
 	if err != nil {
 		return err
 	}
-	if limit := s.deps.Settings.MaxConnections; limit > 0 {
-		listener = newConnLimiter(listener, limit)
-	}
 	s.listener = listener
-	s.server = keepalive.New(s.newHTTPServer(), s.deps.TLS, keepalive.Limits{}, s.deps.Logger)
+	s.server = keepalive.New(s.newHTTPServer(), s.deps.TLS, limits, s.deps.Logger)
+	s.deps.Memory.Reclaim = s.server.Reclaim
 	s.serveGroup.Add(1)
 	go s.run(listener)
 	return nil
 }
 
+// maxConnections returns the lower one of both limits of connections. 0 is no limit.
+func (s *Server) maxConnections() int {
+	bySetting, byMemory := s.deps.Settings.MaxConnections, s.deps.Connections
+	if bySetting == 0 || byMemory == 0 {
+		return max(bySetting, byMemory)
+	}
+	return min(bySetting, byMemory)
+}
+
 func (s *Server) newHTTPServer() *http.Server {
 	settings := s.deps.Settings
 	return &http.Server{
--- a/internal/caller/entry/exchange.go
+++ b/internal/caller/entry/exchange.go
@@ -1,10 +1,8 @@
 package entry
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -15,6 +13,7 @@
 	"github.com/banyanshift/banyanshift/internal/caller/keepalive"
 	"github.com/banyanshift/banyanshift/internal/caller/request"
 	"github.com/banyanshift/banyanshift/internal/config/entity"
+	"github.com/banyanshift/banyanshift/internal/decide/memory"
 )
 
 // maxClassHeaderBytes limits the length of the Class header.
@@ -36,6 +35,8 @@
 	// Body is the whole body. ReadBody sets it.
 	Body []byte
 
+	// memory is what the body takes.
+	memory     memory.Reservation
 	server     *Server
 	cancel     context.CancelCauseFunc
 	writer     http.ResponseWriter
@@ -59,7 +60,9 @@
 		server:     s,
 		writer:     w,
 		controller: http.NewResponseController(w),
+		memory:     s.deps.Memory.Reserve(memory.Body),
 	}
+	defer x.memory.Release()
 	w.Header().Set("Request-Id", x.Request.ID)
 	err := x.admit()
 	if err == nil {
@@ -83,37 +86,6 @@
 	return nil
 }
 
-// ReadBody reads the whole body into Body. It refuses a body that is too large
-// or contains the caller's key.
-func (x *Exchange) ReadBody() error {
-	limit := x.server.deps.Settings.MaxBodyBytes
-	if x.HTTP.ContentLength > limit {
-		return bodyTooLarge()
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.writer, x.HTTP.Body, limit))
-	var overLimit *http.MaxBytesError
-	switch {
-	case errors.As(err, &overLimit):
-		return bodyTooLarge()
-	case err != nil:
-		return BadRequest("The request's body did not arrive whole.")
-	}
-	if x.secret != "" && bytes.Contains(body, []byte(x.secret)) {
-		return BadRequest("The body holds the key. Keys belong in the header Authorization only.")
-	}
-	x.Body = body
-	// The read deadline covers only the request; the answer may take longer.
-	_ = x.controller.SetReadDeadline(time.Time{})
-	return nil
-}
-
-func bodyTooLarge() error {
-	return &request.Refusal{
-		Status: http.StatusRequestEntityTooLarge, Code: request.CodeBodyTooLarge, Run: request.RunNot,
-		Message: "The request's body is too large.",
-	}
-}
-
 // BadRequest returns the refusal of a malformed request.
 func BadRequest(message string) error {
 	return &request.Refusal{
--- a/internal/caller/openai/openai.go
+++ b/internal/caller/openai/openai.go
@@ -69,14 +69,22 @@
 	return h.serve(x, completionAPI)
 }
 
+// parsedCopies is how often the text of a body is held, besides the body itself, while it is parsed and
+// served.
+const parsedCopies = 2
+
 func (h *Handler) serve(x *entry.Exchange, api apiVariant) error {
 	if err := x.ReadBody(); err != nil {
 		return err
 	}
+	if err := x.Reserve(parsedCopies); err != nil {
+		return err
+	}
 	parsed, err := parseBody(x.Body, api)
 	if err != nil {
 		return err
 	}
+	x.Body = nil
 	route, found := h.deps.State.Route(parsed.model)
 	if !found || route.Prefix != "" {
 		return unknownModelRefusal()
--- a/internal/caller/relay/body.go
+++ b/internal/caller/relay/body.go
@@ -23,9 +23,6 @@
 	// memoryWait limits how long a body waits unread for memory. It is shorter than the second
 	// in which callers expect their requests to be read.
 	memoryWait = 500 * clock.Millisecond
-	// fullBodyTimeout limits how long the body of a request is discarded that is refused for
-	// lack of memory, since many callers read no answer before they have sent the whole body.
-	fullBodyTimeout = 300 * clock.Millisecond
 	// memoryRetryAfter is the Retry-After of these requests.
 	memoryRetryAfter = clock.Second
 )
@@ -63,7 +60,7 @@
 		x.refuse(http.StatusServiceUnavailable, Refusal{Reason: "the body arrives too slowly while others wait", RetryAfter: memoryRetryAfter})
 	case errors.Is(err, body.ErrNoMemory):
 		x.bodyMemory.Release()
-		x.discardBody(fullBodyTimeout, x.configuration.Index.Limits().MaxBodyBytes)
+		x.discardBody(body.FullTimeout, x.configuration.Index.Limits().MaxBodyBytes)
 		x.refuse(http.StatusServiceUnavailable, Refusal{Reason: err.Error(), RetryAfter: memoryRetryAfter})
 	case errors.As(err, &tooLarge):
 		x.refuse(http.StatusRequestEntityTooLarge, Refusal{Reason: "body too large"})
@@ -90,13 +87,9 @@
 // discardBody reads the rest of the body and discards it. It returns false if the body has not
 // ended after a time, or is longer than maxBytes.
 func (x *exchange) discardBody(timeout clock.Millis, maxBytes int64) bool {
-	control := http.NewResponseController(x.w)
-	_ = control.SetReadDeadline(time.Now().Add(timeout.Duration()))
-	_, err := io.Copy(io.Discard, http.MaxBytesReader(x.w, x.r.Body, maxBytes))
-	if err != nil {
+	if !body.Discard(x.w, x.r, timeout, maxBytes) {
 		return false
 	}
-	_ = control.SetReadDeadline(time.Time{})
 	x.bodyConsumed = true
 	return true
 }
--- a/internal/daemon/serve/callers.go
+++ b/internal/daemon/serve/callers.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"net/http"
+	"runtime/debug"
 
 	"github.com/samber/oops"
 
@@ -13,6 +14,7 @@
 	"github.com/banyanshift/banyanshift/internal/caller/openai"
 	"github.com/banyanshift/banyanshift/internal/caller/plain"
 	"github.com/banyanshift/banyanshift/internal/caller/request"
+	"github.com/banyanshift/banyanshift/internal/decide/memory"
 	"github.com/banyanshift/banyanshift/internal/endpoint/service"
 	"github.com/banyanshift/banyanshift/internal/usage/meter"
 )
@@ -31,9 +33,12 @@
 	if err != nil {
 		return err
 	}
+	limits := memory.LimitsOf(d.settings.Daemon.MemoryLimit, d.settings.Daemon.MaxDescriptors)
+	debug.SetMemoryLimit(limits.Soft)
 	d.callers = entry.New(entry.Dependencies{
 		Settings: d.settings.Caller, TLS: tlsConfig, Clock: d.clock, Logger: d.logger,
 		State: d.state, Ready: d.follower.Ready, NewID: d.newRequestID,
+		Memory: memory.New(limits.Held), Connections: limits.Connections,
 	})
 	retries := newRetryBudget()
 	record := d.newUsageRecorder(retries)
