Count the elements of a chat request while they are decoded

What callers saw: nothing yet; found when it was asked what a byte of a body costs. A body of 4 MiB with a list of empty messages or parts made the daemon allocate over 280 MiB, before it was refused for having too many.

Cause: lists and objects were decoded whole, and counted afterwards. An element of 3 bytes takes 32 to 40, and lists grow by copying. The parts of a message had no limit at all.

Fields, messages and parts are now decoded one by one, up to 64, 4,096 and 4,096. The error messages stay.

--- a/internal/caller/openai/parse.go
+++ b/internal/caller/openai/parse.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"strings"
 	"unicode/utf8"
 
 	"github.com/banyanshift/banyanshift/internal/caller/entry"
+	"github.com/banyanshift/banyanshift/internal/caller/request"
 	"github.com/banyanshift/banyanshift/internal/config/entity"
 )
 
@@ -14,6 +16,7 @@
 const (
 	maxOutputTokens = 1 << 20
 	maxMessages     = 4096
+	maxParts        = 4096
 	maxFields       = 64
 )
 
@@ -36,12 +39,13 @@
 	if trimmed := bytes.TrimLeft(body, " \t\r\n"); len(trimmed) == 0 || trimmed[0] != '{' {
 		return parsed, entry.BadRequest("The body must be a JSON object.")
 	}
-	if err := json.Unmarshal(body, &parsed.fields); err != nil {
-		return parsed, entry.BadRequest("The body is not valid JSON: " + err.Error() + ".")
-	}
-	if len(parsed.fields) > maxFields {
+	parsed.fields, err = decodeObject(body, maxFields)
+	if errors.Is(err, errTooMany) {
 		return parsed, entry.BadRequest("The body has too many fields.")
 	}
+	if err != nil {
+		return parsed, entry.BadRequest("The body is not valid JSON: " + err.Error() + ".")
+	}
 	if err := parseCommon(&parsed); err != nil {
 		return parsed, err
 	}
@@ -114,25 +118,40 @@
 
 // chatPrompt joins the text of all messages.
 func chatPrompt(fields map[string]json.RawMessage) (string, error) {
-	var messages []chatMessage
-	if err := decodeField(fields, "messages", &messages, "a list of messages"); err != nil {
+	texts, err := messageTexts(fields["messages"])
+	var refusal *request.Refusal
+	switch {
+	case errors.As(err, &refusal):
 		return "", err
-	}
-	if len(messages) == 0 || len(messages) > maxMessages {
+	case err != nil && !errors.Is(err, errTooMany):
+		return "", entry.BadRequest(`The field "messages" must be a list of messages.`)
+	case err != nil || len(texts) == 0:
 		return "", entry.BadRequest(`The field "messages" must hold from 1 to 4096 messages.`)
 	}
-	texts := make([]string, len(messages))
-	for i, message := range messages {
+	return strings.Join(texts, "\n"), nil
+}
+
+// messageTexts returns the texts of the messages in a JSON list, which may be missing or null.
+func messageTexts(list json.RawMessage) (texts []string, err error) {
+	if len(list) == 0 || string(list) == "null" {
+		return nil, nil
+	}
+	err = decodeElements(list, '[', func(decoder *json.Decoder) error {
+		if len(texts) == maxMessages {
+			return errTooMany
+		}
+		var message chatMessage
+		if err := decoder.Decode(&message); err != nil {
+			return err
+		}
 		if message.Role == "" {
-			return "", entry.BadRequest("Each message needs a role.")
+			return entry.BadRequest("Each message needs a role.")
 		}
 		text, err := message.text()
-		if err != nil {
-			return "", err
-		}
-		texts[i] = text
-	}
-	return strings.Join(texts, "\n"), nil
+		texts = append(texts, text)
+		return err
+	})
+	return texts, err
 }
 
 type chatMessage struct {
@@ -149,20 +168,33 @@
 	if json.Unmarshal(m.Content, &text) == nil {
 		return text, nil
 	}
-	var parts []struct {
-		Type string `json:"type"`
-		Text string `json:"text"`
+	texts, err := partTexts(m.Content)
+	if errors.Is(err, errTooMany) {
+		return "", entry.BadRequest("The content of a message has too many parts.")
 	}
-	if json.Unmarshal(m.Content, &parts) != nil {
+	if err != nil {
 		return "", entry.BadRequest("The content of a message must be a string or a list of parts.")
 	}
-	texts := make([]string, 0, len(parts))
-	for _, part := range parts {
-		texts = append(texts, part.Text)
-	}
 	return strings.Join(texts, "\n"), nil
 }
 
+// partTexts returns the texts of the parts in a JSON list.
+func partTexts(list json.RawMessage) (texts []string, err error) {
+	err = decodeElements(list, '[', func(decoder *json.Decoder) error {
+		if len(texts) == maxParts {
+			return errTooMany
+		}
+		var part struct {
+			Type string `json:"type"`
+			Text string `json:"text"`
+		}
+		err := decoder.Decode(&part)
+		texts = append(texts, part.Text)
+		return err
+	})
+	return texts, err
+}
+
 // completionPrompt returns the prompt, which is a string or a list with one
 // string.
 func completionPrompt(fields map[string]json.RawMessage) (string, error) {
