Let the buffer for a peer's frame grow as the frame arrives

What callers saw: nothing yet; found on the way through a peer. Whoever reaches a peer's port could announce frames of 16 MiB (1 MiB at the port for forwarded requests), send none of them, and make the daemon hold their whole lengths, on each connection.

Cause: frame.Read allocated the announced length before anything had come. It now begins with 64 KiB and grows fourfold. Frames up to 64 KiB, nearly all, are read as before.

Evidence: TestFrameThatDoesNotArriveTakesLittle: 20 frames of which 1,000 bytes came took 335,556,512 bytes before, and at most 4 MiB now.

--- a/internal/peer/frame/frame.go
+++ b/internal/peer/frame/frame.go
@@ -118,13 +118,39 @@
 	case int64(length) > int64(limit):
 		return Frame{}, fmt.Errorf("%w: %d bytes, limit %d", ErrTooLarge, length, limit)
 	}
-	f.Body = make([]byte, length)
-	if _, err := io.ReadFull(r, f.Body); err != nil {
+	body, err := readBody(r, int(length))
+	if err != nil {
 		return Frame{}, unexpectedEOF(err)
 	}
+	f.Body = body
 	return f, nil
 }
 
+const (
+	// firstReadBytes is the first size of the buffer for a body, and readGrowth the factor by which
+	// it grows.
+	firstReadBytes = 64 << 10
+	readGrowth     = 4
+)
+
+// readBody reads a body into a buffer that grows as it arrives, so that a sender cannot make its
+// receiver hold much that it has not sent.
+func readBody(r io.Reader, length int) ([]byte, error) {
+	body := make([]byte, min(length, firstReadBytes))
+	for read := 0; ; {
+		if _, err := io.ReadFull(r, body[read:]); err != nil {
+			return nil, err
+		}
+		if len(body) == length {
+			return body, nil
+		}
+		read = len(body)
+		grown := make([]byte, min(read*readGrowth, length))
+		copy(grown, body)
+		body = grown
+	}
+}
+
 // unexpectedEOF replaces io.EOF within a frame, since io.EOF means that the
 // stream ended between frames.
 func unexpectedEOF(err error) error {
--- a/internal/peer/frame/frame_test.go
+++ b/internal/peer/frame/frame_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"runtime"
 	"testing"
 
 	"github.com/banyanshift/banyanshift/internal/peer/message"
@@ -87,3 +88,27 @@
 		_ = Decode(got.Body, &body)
 	})
 }
+
+// TestFrameThatDoesNotArriveTakesLittle guards against peers, or others at their port, that announce long
+// frames and do not send them.
+func TestFrameThatDoesNotArriveTakesLittle(t *testing.T) {
+	const frames, maxBytes = 20, 4 << 20
+	encoded, err := Append(nil, Frame{Kind: OneWay, Body: make([]byte, MaxBodyBytes)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if whole, err := Read(bytes.NewReader(encoded), MaxBodyBytes); err != nil || len(whole.Body) != MaxBodyBytes {
+		t.Fatalf("got %d bytes, error %v", len(whole.Body), err)
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range frames {
+		if _, err := Read(bytes.NewReader(encoded[:1000]), MaxBodyBytes); !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Errorf("got error %v", err)
+		}
+	}
+	runtime.ReadMemStats(&after)
+	if took := after.TotalAlloc - before.TotalAlloc; took > maxBytes {
+		t.Errorf("%d frames of which 1,000 bytes came took %d bytes, want at most %d", frames, took, maxBytes)
+	}
+}
