--- a/internal/settings/ini/field.go
+++ b/internal/settings/ini/field.go
@@ -98,10 +98,10 @@
 		Help:    "Scheduling policy. All except Broker are baselines for comparison.",
 		target:  func(s *Settings) any { return &s.Daemon.Policy }},
 	{Section: "Daemon", Name: "MemoryLimit", Type: Size, Default: "0B", Max: 1 << 40,
-		Help:   "Memory limit of the process. At 0B, half of the machine's memory. Less than 32MiB counts as 32MiB.",
+		Help:   "Memory limit of the process. How many connections of callers may be open, and what they may hold, follow from it. At 0B, half of the machine's memory. Less than 32MiB counts as 32MiB.",
 		target: func(s *Settings) any { return &s.Daemon.MemoryLimit }},
 	{Section: "Daemon", Name: "MaxDescriptors", Type: Count, Default: "0", Max: 1 << 30,
-		Help:   "Number of file descriptors that the process may use. At 0, the limit that the system sets.",
+		Help:   "Number of file descriptors that the process may use. Callers may take half of those that are not for files. At 0, the limit that the system sets.",
 		target: func(s *Settings) any { return &s.Daemon.MaxDescriptors }},
 }
 
@@ -131,7 +131,7 @@
 		Help:   "How long an idle connection stays open.",
 		target: func(s *Settings) any { return &s.Caller.IdleTimeout }},
 	{Section: "Caller", Name: "MaxConnections", Type: Count, Default: "10000", Min: 1, Max: 1_000_000,
-		Help:   "Maximum number of open connections.",
+		Help:   "Maximum number of open connections. Fewer are open if Daemon.MemoryLimit or Daemon.MaxDescriptors allow no more.",
 		target: func(s *Settings) any { return &s.Caller.MaxConnections }},
 }
 
