Let the connection of a request that yielded make room for a new one

Read, not seen: a connection whose request had yielded to memory was passed over when a place was needed, until its 503 was written and it had ended. So under both kinds of pressure a new connection could be closed, or another request end, though that place was as good as free.

Only connections that no longer count as open are passed over now. The field that says so is called leaving: it was closed, which one that waits for its end is not. TestRequestThatYieldedMakesRoom passes before the change too, since net/http closes such a connection at once in the test.

--- a/internal/caller/keepalive/conn.go
+++ b/internal/caller/keepalive/conn.go
@@ -51,9 +51,9 @@
 	// that is arriving.
 	received bool
 	progress progress
-	// yielded is set once the request must not arrive any further, and closed once the connection no
-	// longer counts as open.
-	yielded, closed bool
+	// yielded is set once the request must not arrive any further, and leaving once the connection no
+	// longer counts as open: it was closed, or ends since another one needs its place.
+	yielded, leaving bool
 	// lingering is set once the sending side has ended, and writingSince when a write began that has
 	// not ended.
 	lingering    bool
@@ -211,11 +211,11 @@
 		c.recordUnanswered()
 	}
 	c.answering = true
-	isFirst := !c.closed
-	c.closed = true
+	isCounted := !c.leaving
+	c.leaving = true
 	c.mu.Unlock()
 	err := c.Conn.Close()
-	if isFirst {
+	if isCounted {
 		c.server.recordClosed()
 	}
 	return err
--- a/internal/caller/keepalive/yield.go
+++ b/internal/caller/keepalive/yield.go
@@ -113,11 +113,11 @@
 	return first
 }
 
-// examine returns the place of the connection, unless it has yielded already.
+// examine returns the place of the connection, unless it is leaving already.
 func (c *conn) examine(now time.Time, accepts func(c *conn) bool) (at standing, eligible bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.yielded || c.closed || !accepts(c) {
+	if c.leaving || !accepts(c) {
 		return at, false
 	}
 	return c.standing(now), true
@@ -134,10 +134,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	at := c.standing(time.Now()).rank
-	if c.closed || at == serving {
+	if c.leaving || at == serving {
 		return false
 	}
-	c.closed = true
+	c.leaving = true
 	if at == unused {
 		// The next request may have been read already.
 		c.ending = true
@@ -155,15 +155,21 @@
 func (s *Server) Reclaim() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	v := s.victim(stalled, func(c *conn) bool { return c.progress.total > memory.ShortBytes && !c.lingering })
+	v := s.victim(stalled, func(c *conn) bool { return c.isArriving(memory.ShortBytes) })
 	if v == nil {
-		v = s.victim(stalled, func(c *conn) bool { return c.progress.total > 0 && !c.lingering })
+		v = s.victim(stalled, func(c *conn) bool { return c.isArriving(0) })
 	}
 	if v != nil && v.yieldMemory() {
 		s.recordYield(yieldToMemory)
 	}
 }
 
+// isArriving reports whether more than a number of bytes of a request have arrived, which has not yielded
+// and was not refused. The lock must be held.
+func (c *conn) isArriving(bytes int64) bool {
+	return c.progress.total > bytes && !c.yielded && !c.lingering
+}
+
 // yieldMemory ends the request that arrives on the connection. It returns false if none does any more.
 func (c *conn) yieldMemory() bool {
 	c.mu.Lock()
--- a/internal/caller/keepalive/yield_test.go
+++ b/internal/caller/keepalive/yield_test.go
@@ -176,6 +176,22 @@
 	}
 }
 
+// TestRequestThatYieldedMakesRoom guards against new connections that are closed while others only linger.
+func TestRequestThatYieldedMakesRoom(t *testing.T) {
+	l := startLimited(t, keepalive.Limits{Connections: 2})
+	l.send(slow)
+	<-l.outcomes
+	l.send(uploading + strings.Repeat("x", 50_000))
+	time.Sleep(1100 * time.Millisecond)
+	l.server.Reclaim()
+	if got := <-l.outcomes; got != "yielded" {
+		t.Fatalf("the request ended as %s", got)
+	}
+	if got := status(l.send(whole)); got != http.StatusOK {
+		t.Errorf("the new connection got status %d", got)
+	}
+}
+
 // TestHeadsAreReserved guards against heads that take more memory than there is.
 func TestHeadsAreReserved(t *testing.T) {
 	const limit = 1 << 20
