Read on for a moment after a request has yielded, so that its caller gets the 503

What callers saw: a caller whose long body yielded while memory was short got a broken connection instead of its 503, since it was still sending.

Cause: a body that yielded was refused at once, and a close with unread bytes is a reset.

--- a/internal/caller/entry/body.go
+++ b/internal/caller/entry/body.go
@@ -52,9 +52,7 @@
 	switch {
 	case errors.As(err, &overLimit):
 		return bodyTooLarge()
-	case keepalive.Yielded(x.HTTP.Context()):
-		return noMemory()
-	case errors.Is(err, body.ErrNoMemory):
+	case errors.Is(err, body.ErrNoMemory) || keepalive.Yielded(x.HTTP.Context()):
 		x.memory.Release()
 		body.Discard(x.writer, x.HTTP, body.FullTimeout, x.server.deps.Settings.MaxBodyBytes)
 		return noMemory()
--- a/internal/caller/relay/body.go
+++ b/internal/caller/relay/body.go
@@ -56,12 +56,9 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case keepalive.Yielded(x.r.Context()):
-		x.bodyMemory.Release()
-		x.refuse(http.StatusServiceUnavailable, Refusal{Reason: "the body arrives too slowly while others wait", RetryAfter: memoryRetryAfter})
+		x.refuseForMemory("the body arrives too slowly while others wait")
 	case errors.Is(err, body.ErrNoMemory):
-		x.bodyMemory.Release()
-		x.discardBody(body.FullTimeout, x.configuration.Index.Limits().MaxBodyBytes)
-		x.refuse(http.StatusServiceUnavailable, Refusal{Reason: err.Error(), RetryAfter: memoryRetryAfter})
+		x.refuseForMemory(err.Error())
 	case errors.As(err, &tooLarge):
 		x.refuse(http.StatusRequestEntityTooLarge, Refusal{Reason: "body too large"})
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -71,6 +68,13 @@
 	}
 }
 
+// refuseForMemory gives up what has been read of the body, and refuses the request.
+func (x *exchange) refuseForMemory(reason string) {
+	x.bodyMemory.Release()
+	x.discardBody(body.FullTimeout, x.configuration.Index.Limits().MaxBodyBytes)
+	x.refuse(http.StatusServiceUnavailable, Refusal{Reason: reason, RetryAfter: memoryRetryAfter})
+}
+
 // drainBody discards the body of a request that is refused before its body was
 // read. If the caller is still sending after unreadBodyTimeout, or the body is
 // longer than maxUnreadBodyBytes, the connection is closed after the answer,
