--- a/internal/standin/crowd/behavior.go
+++ b/internal/standin/hostile/behavior.go
@@ -1,4 +1,4 @@
-package crowd
+package hostile
 
 import (
 	"bytes"
--- a/internal/standin/crowd/crowd.go
+++ b/internal/standin/hostile/clients.go
@@ -1,17 +1,17 @@
-// Package crowd has clients that misbehave, and watches what they make a process hold.
+// Package hostile has clients that misbehave, and watches what they make a process hold.
 //
-// A Crowd is a number of clients with one Behavior. Each connects again shortly after its
-// connection has ended, until the Crowd is stopped.
+// Clients is a number of clients with one Behavior. Each connects again shortly after its
+// connection has ended, until Stop.
 //
 // # Usage
 //
-//	c := crowd.Start(address, 300, crowd.EndlessChunks(head))
+//	c := hostile.Start(address, 300, hostile.EndlessChunks(head))
 //	defer c.Stop()
-//	watch := crowd.Watch{PID: pid, Address: address, Interval: 5 * clock.Millisecond}
+//	watch := hostile.Watch{PID: pid, Address: address, Interval: 5 * clock.Millisecond}
 //	watch.Start()
 //	...
 //	peak, err := watch.Stop()
-package crowd
+package hostile
 
 import (
 	"context"
@@ -26,11 +26,11 @@
 const comesAgainIn = 50 * clock.Millisecond
 
 // Behavior is what a client does with a connection. It returns once the connection has ended,
-// which Crowd.Stop brings about.
+// which Clients.Stop brings about.
 type Behavior func(conn net.Conn)
 
-// Crowd is a number of clients.
-type Crowd struct {
+// Clients is a number of clients with one Behavior.
+type Clients struct {
 	address  string
 	behavior Behavior
 	ctx      context.Context
@@ -39,28 +39,28 @@
 }
 
 // Start starts a number of clients of the server at an address.
-func Start(address string, size int, behavior Behavior) *Crowd {
-	c := &Crowd{address: address, behavior: behavior}
+func Start(address string, size int, behavior Behavior) *Clients {
+	c := &Clients{address: address, behavior: behavior}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.Grow(size)
 	return c
 }
 
 // Grow adds a number of clients.
-func (c *Crowd) Grow(size int) {
+func (c *Clients) Grow(size int) {
 	for range size {
 		c.clients.Go(c.run)
 	}
 }
 
 // Stop ends all connections and waits for the clients.
-func (c *Crowd) Stop() {
+func (c *Clients) Stop() {
 	c.cancel()
 	c.clients.Wait()
 }
 
 // run keeps one client connected.
-func (c *Crowd) run() {
+func (c *Clients) run() {
 	for c.ctx.Err() == nil {
 		c.visit()
 		select {
@@ -71,7 +71,7 @@
 }
 
 // visit makes one connection. It ends with a reset, which leaves no state in the system.
-func (c *Crowd) visit() {
+func (c *Clients) visit() {
 	conn, err := (&net.Dialer{}).DialContext(c.ctx, "tcp", c.address)
 	if err != nil {
 		return
