Keep the wait for memory and its Retry-After in one place

The relay and the daemon's server each had the same two constants. They stand in caller/body, which both read bodies with; no value changes.

--- a/internal/caller/body/body.go
+++ b/internal/caller/body/body.go
@@ -5,7 +5,7 @@
 //
 //	reservation := budget.Reserve(memory.Body)
 //	defer reservation.Release()
-//	b := body.Buffer{Context: ctx, Memory: &reservation, Wait: 500 * clock.Millisecond}
+//	b := body.Buffer{Context: ctx, Memory: &reservation, Wait: body.MemoryWait}
 //	err := b.Read(r.Body, r.ContentLength) // b.Data is the body
 package body
 
@@ -27,6 +27,14 @@
 	unknownGrowth = 2
 )
 
+const (
+	// MemoryWait limits how long a body waits unread for memory. It is shorter than the second in
+	// which callers expect their requests to be read.
+	MemoryWait = 500 * clock.Millisecond
+	// RetryAfter is the Retry-After of requests that are refused for lack of memory.
+	RetryAfter = clock.Second
+)
+
 // ErrNoMemory means that a body does not fit into the memory that is left.
 var ErrNoMemory = errors.New("no memory left for the body")
 
--- a/internal/caller/entry/body.go
+++ b/internal/caller/entry/body.go
@@ -6,19 +6,11 @@
 	"net/http"
 	"time"
 
-	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/caller/body"
 	"github.com/banyanshift/banyanshift/internal/caller/keepalive"
 	"github.com/banyanshift/banyanshift/internal/caller/request"
 )
 
-const (
-	// memoryWait limits how long a body waits unread for memory, and memoryRetryAfter is the
-	// Retry-After if there is none.
-	memoryWait       = 500 * clock.Millisecond
-	memoryRetryAfter = clock.Second
-)
-
 // ReadBody reads the whole body into Body. It refuses a body that is too large, for which there is no
 // memory, or that contains the caller's key.
 func (x *Exchange) ReadBody() error {
@@ -26,7 +18,7 @@
 	if x.HTTP.ContentLength > limit {
 		return bodyTooLarge()
 	}
-	content := body.Buffer{Context: x.Context, Memory: &x.memory, Wait: memoryWait}
+	content := body.Buffer{Context: x.Context, Memory: &x.memory, Wait: body.MemoryWait}
 	var err error
 	if x.HTTP.ContentLength != 0 {
 		err = content.Read(http.MaxBytesReader(x.writer, x.HTTP.Body, limit), x.HTTP.ContentLength)
@@ -62,7 +54,7 @@
 
 // Reserve reserves memory for copies of the whole body, until the exchange ends.
 func (x *Exchange) Reserve(copies int) error {
-	if !x.memory.Grow(x.Context, copies*len(x.Body), memoryWait) {
+	if !x.memory.Grow(x.Context, copies*len(x.Body), body.MemoryWait) {
 		return noMemory()
 	}
 	return nil
@@ -71,7 +63,7 @@
 func noMemory() error {
 	return &request.Refusal{
 		Status: http.StatusServiceUnavailable, Code: request.CodeOverloaded, Run: request.RunNot,
-		RetryAfter: memoryRetryAfter, Message: "This daemon has no memory left for the request.",
+		RetryAfter: body.RetryAfter, Message: "This daemon has no memory left for the request.",
 	}
 }
 
--- a/internal/caller/relay/body.go
+++ b/internal/caller/relay/body.go
@@ -20,11 +20,6 @@
 	unreadBodyTimeout = 20 * clock.Millisecond
 	// maxUnreadBodyBytes limits how much of that body is read.
 	maxUnreadBodyBytes = 256 << 10
-	// memoryWait limits how long a body waits unread for memory. It is shorter than the second
-	// in which callers expect their requests to be read.
-	memoryWait = 500 * clock.Millisecond
-	// memoryRetryAfter is the Retry-After of these requests.
-	memoryRetryAfter = clock.Second
 )
 
 // readBody reads the whole body into memory, so that the request can be
@@ -72,7 +67,7 @@
 func (x *exchange) refuseForMemory(reason string) {
 	x.bodyMemory.Release()
 	x.discardBody(body.FullTimeout, x.configuration.Index.Limits().MaxBodyBytes)
-	x.refuse(http.StatusServiceUnavailable, Refusal{Reason: reason, RetryAfter: memoryRetryAfter})
+	x.refuse(http.StatusServiceUnavailable, Refusal{Reason: reason, RetryAfter: body.RetryAfter})
 }
 
 // drainBody discards the body of a request that is refused before its body was
@@ -103,7 +98,7 @@
 	if length == 0 {
 		return nil, nil
 	}
-	b := body.Buffer{Context: x.ctx, Memory: &x.bodyMemory, Wait: min(memoryWait, x.timeLeft()/3)}
+	b := body.Buffer{Context: x.ctx, Memory: &x.bodyMemory, Wait: min(body.MemoryWait, x.timeLeft()/3)}
 	if err := b.Read(from, length); err != nil {
 		return nil, err
 	}
