--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -29,7 +29,8 @@
 var errBroken = errors.New("the rule was broken")
 
 var cases = map[string]func(b *bench) error{
-	"takeup": playTakeUp,
+	"restart": playRestart,
+	"takeup":  playTakeUp,
 }
 
 // bench is what the cases have in common.
--- a/review/rig2/replica.go
+++ b/review/rig2/replica.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -21,8 +22,13 @@
 	gap    time.Duration
 	record *record
 
+	// entryAfter is how long after its start it writes its entry for the first time.
+	entryAfter time.Duration
+
 	mu      sync.Mutex
 	running int
+	server  *http.Server
+	stopped atomic.Bool
 }
 
 const replicaSlots = 64
@@ -44,9 +50,11 @@
 		w.Header().Set("Banyanshift-Replica-Load", fmt.Sprintf("%d,0,%d", p.load(0), replicaSlots))
 	})
 	mux.HandleFunc("/", p.serve)
-	go func() { _ = http.Serve(listener, mux) }()
+	p.server = &http.Server{Handler: mux}
+	go func() { _ = p.server.Serve(listener) }()
 	go func() {
-		for sequence := 1; ; sequence++ {
+		time.Sleep(p.entryAfter)
+		for sequence := 1; !p.stopped.Load(); sequence++ {
 			s.put("servers", p.id, map[string]any{
 				"born": born, "service": p.service, "address": p.address, "zone": p.zone, "version": p.version, "slots": replicaSlots,
 				"state": "ready", "cold_remaining_ms": 0, "stage": "prefill_decode",
@@ -58,6 +66,12 @@
 	return nil
 }
 
+// stop ends the replica at once, as a process that is killed.
+func (p *replica) stop() {
+	p.stopped.Store(true)
+	_ = p.server.Close()
+}
+
 // load changes the number of running requests and returns it.
 func (p *replica) load(change int) int {
 	p.mu.Lock()
--- a/review/rig2/takeup.go
+++ b/review/rig2/takeup.go
@@ -160,7 +160,7 @@
 			b.record.line("ORDER", "stream", n, "whole", whole, "made by", makers)
 		}
 	}
-	b.record.line("streams", takeUpStreams, "complete", complete, "broken", broken)
+	b.record.line("streams", len(received), "complete", complete, "broken", broken)
 	switch {
 	case broken > 0:
 		return fmt.Errorf("%w: ORDER, %d of %d streams", errBroken, broken, complete)
