--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -29,6 +29,7 @@
 var errBroken = errors.New("the rule was broken")
 
 var cases = map[string]func(b *bench) error{
+	"crash":   playCrash,
 	"restart": playRestart,
 	"takeup":  playTakeUp,
 }
--- a/review/rig2/restart.go
+++ b/review/rig2/restart.go
@@ -10,7 +10,7 @@
 )
 
 // The replica is away for restartDown, and writes its entry for the first time restartEntry after it
-// has started again. The daemon is killed restartKill after the start.
+// has started again. The daemon is killed, or the replica crashes, restartKill after the start.
 const (
 	restartStreams = 24
 	restartDown    = 300 * time.Millisecond
@@ -31,7 +31,24 @@
 
 // playRestart starts a replica again under its id at the next software version, and kills the daemon
 // that passes its first streams on.
-func playRestart(b *bench) (err error) {
+func playRestart(b *bench) error {
+	return b.playNewVersion(func(*replica) {
+		b.record.line("kill", b.daemons[0].name)
+		b.daemons[0].signal(syscall.SIGKILL)
+	})
+}
+
+// playCrash does the same, and lets the replica crash instead.
+func playCrash(b *bench) error {
+	return b.playNewVersion(func(started *replica) {
+		b.record.line("replica crashes", started.id, started.version)
+		started.stop()
+	})
+}
+
+// playNewVersion starts a replica again under its id at the next software version, lets consumers
+// begin streams, and brings the disruption about while its entry is still the old one.
+func (b *bench) playNewVersion(disrupt func(started *replica)) (err error) {
 	if b.store, err = startStore(b.address(100) + ":8223"); err != nil {
 		return err
 	}
@@ -58,10 +75,7 @@
 	}
 	b.record.line("replica starts", next.id, next.version)
 	if b.trouble {
-		time.AfterFunc(restartKill, func() {
-			b.record.line("kill", b.daemons[0].name)
-			b.daemons[0].signal(syscall.SIGKILL)
-		})
+		time.AfterFunc(restartKill, func() { disrupt(next) })
 	}
 	received := make([][]piece, restartStreams)
 	var consumers sync.WaitGroup
