gateway: malformed answers of endpoints reach no caller

What callers saw: an answer whose status is none (000, 042 or 099 before a 200, 600, 999), whose head has a line that is no field ("X Note: 1", "X-Note : 1"), or whose length stands in such a line, came to them as an answer, in the last case with a body that was not the endpoint's: the sizes of its chunks, or twice its length.

Cause: the heads were read by net/http alone. It takes any three digits for a status, of which those below 200 were skipped as interim, and a blank for a part of a field's name, so that "Content-Length : 15" is a field of its own and the body ends with the connection.

Fix: internal/wire/response reads the bytes of a connection before net/http does, and passes on a head only if it is sound by RFC 9112 and one thing tells where the body ends. It knows that end itself, so that what follows is the next head, or bytes that belong to no request. http1 reads every answer through it: final and interim ones, stray ones, replies to Ask and what a peer forwards. The checks of HTTP/1.0 of old.go stand there now. What the answer is to be refused for is in the error.

Evidence: platform TestCallerGetsNoMalformedAnswer, new, sends each malformed and sound answer of internal/standin/answer on a non_idempotent, an idempotent and a streaming route, own path and through a peer. On 172 lines failed, for example /pay/, field "X Note: 1": got status 200, want 502 /look/, lengths "Transfer-Encoding : chunked": got status 200, body "1e\r\nid: 1...0\r\n\r\n" /stream/, status 000 before a 200: got status 200 now none; sound answers (other cases, folded lines, no reason, LF alone, HTTP/1.0) came through before and after, and a non_idempotent request ran once. A status of 000 alone, control bytes and a tab before the colon got 502 before as well; the cases stay in the test. FuzzConn ran 435,000 inputs.

--- a/internal/endpoint/http1/ask.go
+++ b/internal/endpoint/http1/ask.go
@@ -28,11 +28,11 @@
 // and is closed otherwise. If the body does not arrive, the reply has the status and header of
 // the answer. The error is a *RequestError, and no request has been sent.
 func (c *Conn) Ask(ctx context.Context, question Request) (reply Reply, err error) {
-	stop := context.AfterFunc(ctx, func() { _ = c.netConn.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = c.strict.Close() })
 	defer func() {
 		reply.Open = stop() && err == nil && reply.Open
 		if !reply.Open {
-			_ = c.netConn.Close()
+			_ = c.strict.Close()
 		}
 		if err != nil {
 			err = &RequestError{Cause: fmt.Errorf("ask the endpoint: %w", errors.Join(ctx.Err(), err))}
--- a/internal/endpoint/http1/exchange.go
+++ b/internal/endpoint/http1/exchange.go
@@ -114,11 +114,11 @@
 // Do sends a request and reads the status and header of its answer. The connection is
 // closed when ctx is canceled, also while the body is being read.
 func (c *Conn) Do(ctx context.Context, request Request) (answer *Answer, err error) {
-	stop := context.AfterFunc(ctx, func() { _ = c.netConn.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = c.strict.Close() })
 	answer, err = c.exchange(request)
 	if err != nil {
 		stop()
-		_ = c.netConn.Close()
+		_ = c.strict.Close()
 		if ctx.Err() != nil {
 			err = errors.Join(ctx.Err(), err)
 		}
@@ -266,7 +266,7 @@
 	}
 	alive := a.stopCancel()
 	if !alive || !a.reachedEOF || !a.reusable || !a.bodyWrite.succeeded() {
-		_ = a.conn.netConn.Close()
+		_ = a.conn.strict.Close()
 		return
 	}
 	a.conn.pool.putIdle(a.conn, idleTimeout(a.Header))
--- a/internal/endpoint/http1/pool.go
+++ b/internal/endpoint/http1/pool.go
@@ -1,8 +1,8 @@
 // Package http1 is an HTTP/1.1 client for endpoints with a pool of idle
 // connections. Each connection carries one request at a time.
 //
-// Unlike the standard library's transport, it never resends a request by
-// itself, checks that an idle connection is open and has no unread bytes
+// Answers are read by package response. Unlike the standard library's transport, this
+// one never resends a request by itself, checks that an idle connection is open and has no unread bytes
 // before reusing it, and reports with every error whether bytes of the request
 // may have reached the endpoint.
 //
@@ -37,7 +37,9 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/decide/memory"
 	"github.com/banyanshift/banyanshift/internal/endpoint/tcp"
+	"github.com/banyanshift/banyanshift/internal/wire/response"
 )
 
 const (
@@ -71,6 +73,8 @@
 	// is called when an answer has ended with its connection, since the answer of an endpoint
 	// whose process ends looks the same. It may be nil.
 	ConfirmEnd func(ctx context.Context, process Process) error
+	// Memory bounds the heads of answers. It may be nil.
+	Memory *memory.Budget
 	// Dial replaces the dialer in tests. It may be nil.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -95,9 +99,9 @@
 type Conn struct {
 	pool    *Pool
 	netConn net.Conn
-	// reader reads through limiter.
+	// strict reads the answers from netConn, and reader buffers what it returns.
+	strict  *response.Conn
 	reader  *bufio.Reader
-	limiter *headReader
 	process Process
 	// heard is set once an answer has arrived.
 	heard bool
@@ -154,7 +158,7 @@
 		if isOfListed && p.config.Clock.Now() < c.expiresAt && isOpenAndQuiet(c) {
 			return c
 		}
-		_ = c.netConn.Close()
+		_ = c.strict.Close()
 	}
 }
 
@@ -175,22 +179,28 @@
 // are buffered. The deadline of the last request is removed.
 func (p *Pool) putIdle(c *Conn, idleTime clock.Millis) {
 	if err := c.netConn.SetDeadline(time.Time{}); err != nil {
-		_ = c.netConn.Close()
+		_ = c.strict.Close()
 		return
 	}
+	c.strict.Release()
 	c.expiresAt = p.config.Clock.Now() + min(idleTime-idleMargin, maxIdleTime)
 	p.mu.Lock()
 	conns := p.idle[c.process.Key]
-	unusable := len(conns) >= maxIdlePerEndpoint || idleTime <= idleMargin || c.reader.Buffered() > 0
+	unusable := len(conns) >= maxIdlePerEndpoint || idleTime <= idleMargin || c.buffered() > 0
 	if !unusable {
 		p.idle[c.process.Key] = append(conns, c)
 	}
 	p.mu.Unlock()
 	if unusable {
-		_ = c.netConn.Close()
+		_ = c.strict.Close()
 	}
 }
 
+// buffered returns how many bytes have been read from the connection that belong to no answer yet.
+func (c *Conn) buffered() int {
+	return c.reader.Buffered() + c.strict.Buffered()
+}
+
 // OpenedAt returns when the connection was opened.
 func (c *Conn) OpenedAt() clock.Millis {
 	return c.openedAt
@@ -207,7 +217,7 @@
 
 // Close closes a connection that is not to be used.
 func (c *Conn) Close() {
-	_ = c.netConn.Close()
+	_ = c.strict.Close()
 }
 
 // CloseIdle closes the idle connections to the endpoint with the given key.
@@ -231,15 +241,15 @@
 	if err != nil {
 		return nil, err
 	}
-	limiter := &headReader{conn: netConn}
-	return &Conn{pool: p, netConn: netConn, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter, process: process, openedAt: p.config.Clock.Now()}, nil
+	strict := response.NewConn(netConn, p.config.Memory)
+	return &Conn{pool: p, netConn: netConn, strict: strict, reader: bufio.NewReaderSize(strict, readBufferBytes), process: process, openedAt: p.config.Clock.Now()}, nil
 }
 
 // isOpenAndQuiet reports whether an idle connection is open and has no unread
 // bytes. The endpoint may have closed it, or sent bytes that belong to no
 // request.
 func isOpenAndQuiet(c *Conn) bool {
-	if c.reader.Buffered() > 0 {
+	if c.buffered() > 0 {
 		return false
 	}
 	tcp, ok := c.netConn.(*net.TCPConn)
--- /dev/null
+++ b/internal/wire/response/transport.go
@@ -0,0 +1,97 @@
+package response
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+
+	"github.com/banyanshift/banyanshift/internal/decide/memory"
+)
+
+// Transport is an http.RoundTripper that reads answers with a Conn before net/http does. It speaks
+// HTTP/1 only.
+type Transport struct {
+	base *http.Transport
+}
+
+// dialer opens connections.
+type dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewTransport returns a Transport with the settings of base, which must not be used by itself any
+// more. The heads of answers are counted in a budget, if it is not nil.
+func NewTransport(base *http.Transport, budget *memory.Budget) *Transport {
+	if base.DialContext == nil {
+		base.DialContext = (&net.Dialer{}).DialContext
+	}
+	base.DialTLSContext = dialer(base.DialContext).underTLS(base.TLSClientConfig).checked(budget)
+	base.DialContext = dialer(base.DialContext).checked(budget)
+	return &Transport{base: base}
+}
+
+// checked returns a dialer whose connections are of type *Conn.
+func (d dialer) checked(budget *memory.Budget) dialer {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := d(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(conn, budget), nil
+	}
+}
+
+// underTLS returns a dialer whose connections use TLS.
+func (d dialer) underTLS(config *tls.Config) dialer {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, err
+		}
+		conn, err := d(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		config := config.Clone()
+		if config == nil {
+			config = &tls.Config{MinVersion: tls.VersionTLS12}
+		}
+		if config.ServerName == "" {
+			config.ServerName = host
+		}
+		secure := tls.Client(conn, config)
+		if err := secure.HandshakeContext(ctx); err != nil {
+			_ = conn.Close()
+			return nil, err
+		}
+		return secure, nil
+	}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	var used *Conn
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if used, _ = info.Conn.(*Conn); used != nil {
+				used.Expect(request.Method)
+			}
+		},
+		PutIdleConn: func(err error) {
+			if used != nil && err == nil {
+				used.Release()
+			}
+		},
+	}
+	answer, err := t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	if err != nil && used != nil && errors.Is(used.Err(), ErrMalformed) {
+		err = used.Err()
+	}
+	return answer, err
+}
+
+// CloseIdleConnections closes the connections that carry no request.
+func (t *Transport) CloseIdleConnections() {
+	t.base.CloseIdleConnections()
+}
