http1: an answer that ends with its connection is whole only once the upload was written

What callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection. The part came to the caller as a complete answer.

Cause: the system tells of a reset once, to the reader or the writer of the connection, whichever comes first. If the goroutine that writes the upload is told, the reader sees the same end as after a whole answer, and the endpoint, when asked, confirms that it is still there.

After a reset the writer has the error, so the answer has broken off. An answer with a length or in chunks is not concerned, also an early refusal, nor is one without a length whose endpoint goes on reading the upload.

A 413 without a length that is followed by a reset gets 502 now, since nothing tells whether it is whole.

--- a/internal/endpoint/http1/exchange.go
+++ b/internal/endpoint/http1/exchange.go
@@ -78,8 +78,8 @@
 	reusable   bool
 	bodyWrite  *bodyWrite
 	stopCancel func() bool
-	// confirmEnd is nil if the answer shows its end by itself.
-	confirmEnd func() error
+	// checkEnd is nil if the answer shows its end by itself.
+	checkEnd   func() error
 	once       sync.Once
 	reachedEOF bool
 }
@@ -125,8 +125,8 @@
 		return nil, &RequestError{Sent: true, Cause: err}
 	}
 	answer.stopCancel = stop
-	if answer.Ending == EndsWithConnection && c.pool.config.ConfirmEnd != nil {
-		answer.confirmEnd = func() error { return c.confirmEnd(ctx, request.Deadline) }
+	if answer.Ending == EndsWithConnection {
+		answer.checkEnd = func() error { return c.checkEnd(ctx, answer.bodyWrite, request.Deadline) }
 	}
 	return answer, nil
 }
@@ -212,34 +212,12 @@
 	}
 }
 
-// ErrEndUnconfirmed means that an answer ended with its connection and may have been cut off,
-// since the endpoint does not confirm that the incarnation that began it is still there.
-var ErrEndUnconfirmed = errors.New("the answer ends with its connection, and may have been cut off")
-
-// errListedAnew means that an endpoint has been listed with another incarnation.
-var errListedAnew = errors.New("endpoint is listed with another incarnation")
-
-// confirmEnd returns an error unless the process that the connection led to is still there.
-func (c *Conn) confirmEnd(ctx context.Context, deadline clock.Millis) (err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("%w: %w", ErrEndUnconfirmed, err)
-		}
-	}()
-	if listed := c.pool.listed(c.process.Key); listed != 0 && listed != c.process.Incarnation {
-		return errListedAnew
-	}
-	ctx, cancel := context.WithTimeout(ctx, (deadline - c.pool.config.Clock.Now()).Duration())
-	defer cancel()
-	return c.pool.config.ConfirmEnd(ctx, c.process)
-}
-
 // Read reads the body. It returns io.EOF at the end of the body, and a
 // *RequestError if reading fails before that.
 func (a *Answer) Read(buf []byte) (n int, err error) {
 	n, err = a.body.Read(buf)
-	if errors.Is(err, io.EOF) && !a.reachedEOF && a.confirmEnd != nil {
-		err = cmp.Or(a.confirmEnd(), err)
+	if errors.Is(err, io.EOF) && !a.reachedEOF && a.checkEnd != nil {
+		err = cmp.Or(a.checkEnd(), err)
 	}
 	switch {
 	case errors.Is(err, io.EOF):
