serve: malformed answers of services and engines reach no caller

What callers saw: banyanshift serve passed on answers whose head has a line that is no field, with a status of 600 or 999, or with a length and chunks at once. After a status below 100 the handler panicked and the caller's connection ended. An engine's stream behind such a head was relayed.

Cause: as at the gateway, the heads were read by net/http alone.

Fix: the clients of endpoint/transport read answers with a response.Conn under net/http. net/http sends a repeatable call again by itself if a connection that was used before fails without a byte, so a part of a malformed head is passed on before the error: the call is repeated by the router only, within its attempts.

Sound answers come through; a call that may run once ran once.

--- a/internal/caller/openai/openai_test.go
+++ b/internal/caller/openai/openai_test.go
@@ -47,6 +47,7 @@
 	invalidJSON    fault = "garbage"
 	hanging        fault = "hanging"
 	cutAfterFinish fault = "cut after the finish reason"
+	raw            fault = "raw"
 )
 
 // fakeEngine responds with totalTokens tokens "t0 t1 ...". It fails after
@@ -63,10 +64,12 @@
 	// withoutResume makes the engine ignore that a call resumes an answer, and
 	// send no token indexes.
 	withoutResume bool
-	calls         atomic.Int64
-	resumeToken   atomic.Int64
-	headers       sync.Map
-	server        *httptest.Server
+	// raw is what the engine sends in place of an answer, with fault raw.
+	raw         func(id string) string
+	calls       atomic.Int64
+	resumeToken atomic.Int64
+	headers     sync.Map
+	server      *httptest.Server
 }
 
 func (f *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -85,6 +88,12 @@
 		return
 	}
 	id := r.Header.Get("Request-Id")
+	if f.fault == raw {
+		conn, _, _ := http.NewResponseController(w).Hijack()
+		_, _ = io.WriteString(conn, f.raw(id))
+		_ = conn.Close()
+		return
+	}
 	w.Header().Set("Request-Id", id)
 	first := body.ResumeToken
 	if f.withoutResume {
--- a/internal/caller/plain/plain_test.go
+++ b/internal/caller/plain/plain_test.go
@@ -28,6 +28,7 @@
 	"github.com/banyanshift/banyanshift/internal/endpoint/transport"
 	"github.com/banyanshift/banyanshift/internal/peer/link"
 	"github.com/banyanshift/banyanshift/internal/settings/ini"
+	"github.com/banyanshift/banyanshift/internal/standin/answer"
 )
 
 const secret = "bs_k1_0123456789abcdef"
@@ -36,7 +37,7 @@
 // closes the connection without an answer; in mode "half" it sends a partial
 // body; in mode "unframed" it sends a partial body without a length; in mode
 // "hanging" it answers once hold is closed; in mode "refusing" it rejects the call
-// without running it.
+// without running it; in mode "raw" it sends raw, with the ID of the call.
 type fakeService struct {
 	mode   atomic.Value
 	runs   atomic.Int64
@@ -44,6 +45,13 @@
 	// refusing is called before the service rejects a call.
 	refusing func()
 	hold     chan struct{}
+	raw      func(id string) string
+}
+
+// answer sets the answer to later calls.
+func (f *fakeService) answer(a answer.Answer, body string) {
+	f.raw = func(id string) string { return a.Text("Request-Id: "+id+"\r\n", body) }
+	f.mode.Store("raw")
 }
 
 func (f *fakeService) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -65,7 +73,10 @@
 	case "hanging":
 		<-f.hold
 	case "unframed":
-		writeUnframed(w, "half")
+		writeRaw(w, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf")
+		return
+	case "raw":
+		writeRaw(w, f.raw(r.Header.Get("Request-Id")))
 		return
 	}
 	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
@@ -74,13 +85,13 @@
 	_, _ = fmt.Fprintf(w, "run %d of %s %s for %s", run, r.Method, r.URL.RequestURI(), r.Header.Get("Team"))
 }
 
-// writeUnframed sends a body that ends where the connection ends.
-func writeUnframed(w http.ResponseWriter, body string) {
+// writeRaw sends the bytes of an answer, and closes the connection.
+func writeRaw(w http.ResponseWriter, text string) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		panic(err)
 	}
-	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+body)
+	_, _ = io.WriteString(conn, text)
 	_ = conn.Close()
 }
 
--- a/internal/endpoint/transport/transport.go
+++ b/internal/endpoint/transport/transport.go
@@ -1,4 +1,5 @@
-// Package transport provides the HTTP clients for calls to endpoints.
+// Package transport provides the HTTP clients for calls to endpoints. Answers are read by package
+// response.
 //
 // Go's transport resends a request by itself when a pooled connection turns
 // out to be closed and the request looks idempotent to it. Calls that may run
@@ -23,14 +24,15 @@
 	"net/http"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/decide/memory"
+	"github.com/banyanshift/banyanshift/internal/wire/response"
 )
 
 // Limits of connections to endpoints.
 const (
-	dialTimeout            = 1 * clock.Second
-	idleTimeout            = 30 * clock.Second
-	maxIdlePerEndpoint     = 256
-	maxResponseHeaderBytes = 64 << 10
+	dialTimeout        = 1 * clock.Second
+	idleTimeout        = 30 * clock.Second
+	maxIdlePerEndpoint = 256
 )
 
 // Clients are the clients for calls to endpoints.
@@ -46,6 +48,8 @@
 type Config struct {
 	// Dial replaces the default dialer. It may be nil.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Memory bounds the heads of answers. It may be nil.
+	Memory *memory.Budget
 }
 
 // DialError is returned if no connection was established, so that no byte of
@@ -75,21 +79,20 @@
 	}
 	d := dialer{dial: dial}
 	return Clients{
-		Retryable:  newClient(d, false),
-		AtMostOnce: newClient(d, true),
+		Retryable:  newClient(d, config.Memory, false),
+		AtMostOnce: newClient(d, config.Memory, true),
 	}
 }
 
-func newClient(d dialer, atMostOnce bool) *http.Client {
+func newClient(d dialer, budget *memory.Budget, atMostOnce bool) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:            d.dialContext,
-			DisableKeepAlives:      atMostOnce,
-			DisableCompression:     true,
-			MaxIdleConnsPerHost:    maxIdlePerEndpoint,
-			IdleConnTimeout:        idleTimeout.Duration(),
-			MaxResponseHeaderBytes: maxResponseHeaderBytes,
-		},
+		Transport: response.NewTransport(&http.Transport{
+			DialContext:         d.dialContext,
+			DisableKeepAlives:   atMostOnce,
+			DisableCompression:  true,
+			MaxIdleConnsPerHost: maxIdlePerEndpoint,
+			IdleConnTimeout:     idleTimeout.Duration(),
+		}, budget),
 		// Redirects are passed to the caller and not followed.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
