platform clients: malformed answers of the store and the platform are none

What was wrong: a gateway took a configuration from an answer of the store whose status line or head is none ("X Note: 1", "X-Note : 1", a length and chunks), and a call that such an answer followed counted as made. A status of 42 or 600 came back as one.

Cause: as for endpoints: heads were read by net/http alone.

Fix: rest.NewHTTPClient makes the clients of both programs, with a response.Transport: for the store, the lists, usage reports and orders, also those that are guarded by a lease. A call that gets a malformed answer may have taken effect, like one that gets none. The platform's clients speak HTTP/1 only now, and connections through a proxy of the environment are for http addresses only.

Sound answers come through.

--- a/internal/daemon/gateway/duties.go
+++ b/internal/daemon/gateway/duties.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"net/http"
 	"slices"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
@@ -13,7 +12,9 @@
 	"github.com/banyanshift/banyanshift/internal/decide/supply"
 	"github.com/banyanshift/banyanshift/internal/order/leader"
 	"github.com/banyanshift/banyanshift/internal/order/reconcile"
+	"github.com/banyanshift/banyanshift/internal/platform/rest"
 	"github.com/banyanshift/banyanshift/internal/usage/billing"
+	"github.com/banyanshift/banyanshift/internal/wire/response"
 )
 
 // leaseKey is the key of the lease whose holder reports usage and orders endpoints.
@@ -62,7 +63,7 @@
 	g := guard.New(guard.ForFence(d.leader.Lease, fence), d.clock)
 	return HolderCall{
 		Address: d.settings.Platform.Duties, Holder: d.settings.Daemon.ID, Fence: fence,
-		Client: &http.Client{Transport: g.Transport()},
+		Client: rest.NewHTTPClient(g.Transport(), response.Limits{}, 0),
 	}
 }
 
--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -56,9 +56,11 @@
 	"github.com/banyanshift/banyanshift/internal/peer/topology"
 	"github.com/banyanshift/banyanshift/internal/peer/walltime"
 	"github.com/banyanshift/banyanshift/internal/platform/feed"
+	"github.com/banyanshift/banyanshift/internal/platform/rest"
 	"github.com/banyanshift/banyanshift/internal/settings/gateway"
 	"github.com/banyanshift/banyanshift/internal/usage/billing"
 	"github.com/banyanshift/banyanshift/internal/usage/tally"
+	"github.com/banyanshift/banyanshift/internal/wire/response"
 )
 
 // Platform adapts a platform's store, wire format and calls to the daemon. All
@@ -195,9 +197,9 @@
 
 // buildState builds the store clients and the state that is read from the store.
 func (d *Daemon) buildState() {
-	storeClient := &http.Client{Transport: &http.Transport{
+	storeClient := rest.NewHTTPClient(&http.Transport{
 		MaxIdleConnsPerHost: maxIdleStoreConnections, IdleConnTimeout: storeIdleTimeout.Duration(), DisableCompression: true,
-	}}
+	}, response.Limits{}, 0)
 	rows, changes := d.platform.NewStoreClients(d.settings.Platform.Store, storeClient)
 	d.eras = billing.NewEraWatch(d.clock, d.settings.Daemon.FirstStart)
 	d.table, d.feed = rows.WithObserver(d.clock, d.observeStoreCall), changes.WithObserver(d.clock, d.observeStoreCall)
--- a/internal/daemon/serve/lease.go
+++ b/internal/daemon/serve/lease.go
@@ -12,9 +12,11 @@
 	"github.com/banyanshift/banyanshift/internal/order/dispatch"
 	"github.com/banyanshift/banyanshift/internal/order/journal"
 	"github.com/banyanshift/banyanshift/internal/order/leader"
+	"github.com/banyanshift/banyanshift/internal/platform/rest"
 	"github.com/banyanshift/banyanshift/internal/platform/usage"
 	"github.com/banyanshift/banyanshift/internal/usage/replicate"
 	"github.com/banyanshift/banyanshift/internal/usage/report"
+	"github.com/banyanshift/banyanshift/internal/wire/response"
 )
 
 const (
@@ -132,7 +134,7 @@
 // daemon holds the lease under the fence.
 func (d *Daemon) guardedClient(fence uint64) *http.Client {
 	g := guard.New(guard.ForFence(d.lease.Valid, fence), d.clock)
-	return &http.Client{Transport: g.Transport(), Timeout: d.settings.Platform.CallTimeout.Duration()}
+	return rest.NewHTTPClient(g.Transport(), response.Limits{}, d.settings.Platform.CallTimeout)
 }
 
 func (d *Daemon) usageClient(fence uint64) usage.Client {
--- a/internal/daemon/serve/serve.go
+++ b/internal/daemon/serve/serve.go
@@ -52,17 +52,22 @@
 	"github.com/banyanshift/banyanshift/internal/peer/broker"
 	"github.com/banyanshift/banyanshift/internal/peer/link"
 	"github.com/banyanshift/banyanshift/internal/peer/membership"
+	"github.com/banyanshift/banyanshift/internal/platform/rest"
 	platformtable "github.com/banyanshift/banyanshift/internal/platform/table"
 	"github.com/banyanshift/banyanshift/internal/settings/ini"
 	"github.com/banyanshift/banyanshift/internal/usage/meter"
 	"github.com/banyanshift/banyanshift/internal/usage/replicate"
 	"github.com/banyanshift/banyanshift/internal/usage/report"
+	"github.com/banyanshift/banyanshift/internal/wire/response"
 )
 
 // flushTimeout is the maximum time for writing claims and usage to the store and
 // reporting usage at shutdown.
 const flushTimeout = 10 * clock.Second
 
+// platformIdleTimeout is how long connections to the platform stay open that carry no call.
+const platformIdleTimeout = 90 * clock.Second
+
 // Daemon is one router process.
 type Daemon struct {
 	settings    ini.Settings
@@ -168,7 +173,9 @@
 }
 
 func (d *Daemon) buildPlatform() error {
-	d.platformHTTP = &http.Client{Timeout: d.settings.Platform.CallTimeout.Duration()}
+	d.platformHTTP = rest.NewHTTPClient(&http.Transport{
+		Proxy: http.ProxyFromEnvironment, IdleConnTimeout: platformIdleTimeout.Duration(),
+	}, response.Limits{}, d.settings.Platform.CallTimeout)
 	d.table = platformtable.New(d.settings.Platform.TableURL, d.platformHTTP)
 	return nil
 }
--- a/internal/endpoint/transport/transport.go
+++ b/internal/endpoint/transport/transport.go
@@ -92,7 +92,7 @@
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: maxIdlePerEndpoint,
 			IdleConnTimeout:     idleTimeout.Duration(),
-		}, budget),
+		}, response.Limits{Heads: budget}),
 		// Redirects are passed to the caller and not followed.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/internal/platform/rest/rest_test.go
+++ b/internal/platform/rest/rest_test.go
@@ -4,12 +4,17 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/standin/answer"
+	"github.com/banyanshift/banyanshift/internal/wire/response"
 )
 
 func asRequestError(t *testing.T, err error) *RequestError {
@@ -124,3 +129,40 @@
 		t.Errorf("server received %d requests, want 2: the transport retried one", got)
 	}
 }
+
+// rawServer sends text to each request, and closes the connection.
+func rawServer(t *testing.T, text string) (url string) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, text)
+		_ = conn.Close()
+	}))
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+// strictClient returns the client that the programs use.
+func strictClient() *http.Client {
+	return NewHTTPClient(&http.Transport{}, response.Limits{}, 10*clock.Second)
+}
+
+// TestMalformedAnswerIsNone guards against an answer whose status or fields are none that is taken for
+// one: the call may have taken effect.
+func TestMalformedAnswerIsNone(t *testing.T) {
+	for _, a := range answer.Malformed() {
+		var got int
+		err := New(rawServer(t, a.Text("", "1234567")), strictClient()).Call(context.Background(), "POST", "/x", 1, &got)
+		if failure := asRequestError(t, err); !failure.MaybeSent || failure.Status != 0 || got != 0 {
+			t.Errorf("%s: got %+v and %d, want no status", a.Name, failure, got)
+		}
+	}
+	for _, a := range answer.Sound() {
+		var got int
+		if err := New(rawServer(t, a.Text("", "1234567")), strictClient()).Call(context.Background(), "POST", "/x", 1, &got); err != nil || got != 1234567 {
+			t.Errorf("%s: got %d, %v", a.Name, got, err)
+		}
+	}
+}
--- a/internal/wire/response/response.go
+++ b/internal/wire/response/response.go
@@ -22,5 +22,5 @@
 //	conn.Expect(http.MethodGet)
 //	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
 //
-//	client := &http.Client{Transport: response.NewTransport(&http.Transport{}, budget)}
+//	client := &http.Client{Transport: response.NewTransport(&http.Transport{}, response.Limits{Heads: budget})}
 package response
--- a/internal/wire/response/transport.go
+++ b/internal/wire/response/transport.go
@@ -14,21 +14,29 @@
 // Transport is an http.RoundTripper that reads answers with a Conn before net/http does. It speaks
 // HTTP/1 only.
 type Transport struct {
-	base *http.Transport
+	base   *http.Transport
+	bodies *memory.Budget
 }
 
 // dialer opens connections.
 type dialer func(ctx context.Context, network, address string) (net.Conn, error)
 
+// Limits are the budgets in which answers are counted. Each may be nil.
+type Limits struct {
+	Heads *memory.Budget
+	// Bodies is for clients that read each body whole. It waits for memory if there is none.
+	Bodies *memory.Budget
+}
+
 // NewTransport returns a Transport with the settings of base, which must not be used by itself any
-// more. The heads of answers are counted in a budget, if it is not nil.
-func NewTransport(base *http.Transport, budget *memory.Budget) *Transport {
+// more.
+func NewTransport(base *http.Transport, limits Limits) *Transport {
 	if base.DialContext == nil {
 		base.DialContext = (&net.Dialer{}).DialContext
 	}
-	base.DialTLSContext = dialer(base.DialContext).underTLS(base.TLSClientConfig).checked(budget)
-	base.DialContext = dialer(base.DialContext).checked(budget)
-	return &Transport{base: base}
+	base.DialTLSContext = dialer(base.DialContext).underTLS(base.TLSClientConfig).checked(limits.Heads)
+	base.DialContext = dialer(base.DialContext).checked(limits.Heads)
+	return &Transport{base: base, bodies: limits.Bodies}
 }
 
 // checked returns a dialer whose connections are of type *Conn.
@@ -85,7 +93,10 @@
 		},
 	}
 	answer, err := t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
-	if err != nil && used != nil && errors.Is(used.Err(), ErrMalformed) {
+	switch {
+	case err == nil && t.bodies != nil:
+		answer.Body = CountBody(request.Context(), answer.Body, t.bodies)
+	case err != nil && used != nil && errors.Is(used.Err(), ErrMalformed):
 		err = used.Err()
 	}
 	return answer, err
