rest: a list or an object that may have been cut off is none

What was wrong: an answer without a length or chunks ends with its connection. Objects are bytes, and of a list that is cut behind an inner bracket all whole entries were taken: "[{"a":[1]" was a list.

Fix: CallRaw takes a body only if the answer tells where it ends. Answers that are decoded as one JSON value show by that whether they are whole, so that those without a length are taken as before.

Evidence: rest TestListThatMayBeCutIsNone, new: before it got "[{\"a\":[1]".

--- a/internal/platform/rest/rest.go
+++ b/internal/platform/rest/rest.go
@@ -20,6 +20,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -97,41 +98,56 @@
 	if err != nil {
 		return nil, &RequestError{Cause: err}
 	}
-	data, header, err := c.send(ctx, method, path, body, nil)
+	got, err := c.send(ctx, method, path, body, nil)
 	if err != nil || out == nil {
-		return header, err
+		return got.header, err
 	}
-	if err := json.Unmarshal(data, out); err != nil {
-		return header, &RequestError{MaybeSent: true, Cause: fmt.Errorf("decode answer: %w", err)}
+	if err := json.Unmarshal(got.body, out); err != nil {
+		return got.header, &RequestError{MaybeSent: true, Cause: fmt.Errorf("decode answer: %w", err)}
 	}
-	return header, nil
+	return got.header, nil
 }
 
-// CallRaw sends body once and returns the body of the response. header may be nil.
+// errEndUnknown means that a response ended with its connection, and may have been cut off.
+var errEndUnknown = errors.New("answer has neither a length nor chunks")
+
+// CallRaw sends body once and returns the body of the response, unless it may have been cut off. header
+// may be nil.
 func (c *Client) CallRaw(ctx context.Context, method, path string, body []byte, header http.Header) ([]byte, error) {
-	data, _, err := c.send(ctx, method, path, body, header)
-	return data, err
+	got, err := c.send(ctx, method, path, body, header)
+	if err == nil && len(got.body) > 0 && got.endsWithConnection {
+		return nil, &RequestError{MaybeSent: true, Cause: errEndUnknown}
+	}
+	return got.body, err
+}
+
+// reply is what arrived of a response. It is empty if none arrived.
+type reply struct {
+	header http.Header
+	body   []byte
+	// endsWithConnection is set if the response has neither a length nor chunks.
+	endsWithConnection bool
 }
 
-// send sends body once and returns the body and the header of the response. The
-// header is nil if no response arrived.
-func (c *Client) send(ctx context.Context, method, path string, body []byte, header http.Header) (data []byte, answered http.Header, err error) {
+// send sends body once and returns the response.
+func (c *Client) send(ctx context.Context, method, path string, body []byte, header http.Header) (got reply, err error) {
 	var sent atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
 	request, err := newRequest(httptrace.WithClientTrace(ctx, trace), method, c.baseURL+path, body)
 	if err != nil {
-		return nil, nil, &RequestError{Cause: err}
+		return got, &RequestError{Cause: err}
 	}
 	for name, values := range header {
 		request.Header[name] = values
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return nil, nil, &RequestError{MaybeSent: sent.Load(), Cause: err}
+		return got, &RequestError{MaybeSent: sent.Load(), Cause: err}
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err = readResponse(response)
-	return data, response.Header, err
+	got.header, got.endsWithConnection = response.Header, response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	got.body, err = readResponse(response)
+	return got, err
 }
 
 func readResponse(response *http.Response) ([]byte, error) {
--- a/internal/platform/rest/rest_test.go
+++ b/internal/platform/rest/rest_test.go
@@ -166,3 +166,12 @@
 		}
 	}
 }
+
+// TestListThatMayBeCutIsNone guards against a list or an object without a length that looks whole after
+// its connection was cut.
+func TestListThatMayBeCutIsNone(t *testing.T) {
+	client := New(rawServer(t, "HTTP/1.1 200 OK\r\n\r\n[{\"a\":[1]"), strictClient())
+	if data, err := client.CallRaw(context.Background(), "GET", "/endpoints", nil, nil); err == nil {
+		t.Errorf("got %q, want an error", data)
+	}
+}
