forward: a malformed head that a peer passes on is no answer

What callers saw: while releases are mixed, a daemon of an earlier one reads the answers of endpoints with net/http alone, and passes on statuses and fields that are none. The daemon that has the caller took them: a status below 100 ended the caller's connection with a panic, others came to it.

Fix: the head that a peer tells is checked by the same rules, response.CheckHead, with its length. The message is unchanged: peers of both releases understand each other.

--- a/internal/peer/forward/client.go
+++ b/internal/peer/forward/client.go
@@ -14,6 +14,7 @@
 	"github.com/banyanshift/banyanshift/internal/endpoint/tcp"
 	"github.com/banyanshift/banyanshift/internal/peer/frame"
 	"github.com/banyanshift/banyanshift/internal/peer/message"
+	"github.com/banyanshift/banyanshift/internal/wire/response"
 )
 
 const (
@@ -217,11 +218,7 @@
 		return head, err
 	}
 	if f.Type != message.ForwardEnd {
-		head, err = decode[answerHead](f, message.ForwardAnswer)
-		if head.Header == nil {
-			head.Header = make(http.Header)
-		}
-		return head, err
+		return decodeHead(f)
 	}
 	ended, err := decode[end](f, message.ForwardEnd)
 	if err != nil {
@@ -230,6 +227,21 @@
 	return head, errors.New(ended.Error)
 }
 
+// decodeHead decodes the head of an answer. A daemon of an earlier release also passes on heads that
+// are malformed.
+func decodeHead(f frame.Frame) (head answerHead, err error) {
+	if head, err = decode[answerHead](f, message.ForwardAnswer); err != nil {
+		return head, err
+	}
+	if head.Length < -1 {
+		return head, fmt.Errorf("%w: length %d", response.ErrMalformed, head.Length)
+	}
+	if head.Header == nil {
+		head.Header = make(http.Header)
+	}
+	return head, response.CheckHead(head.Status, head.Header)
+}
+
 // answerBody reads the body of an answer.
 type answerBody struct {
 	conn       *Conn
--- a/internal/wire/response/head.go
+++ b/internal/wire/response/head.go
@@ -211,3 +211,22 @@
 	}
 	return nil
 }
+
+// CheckHead returns an error unless the status and header of an answer, of which another program has
+// read the head, are those of a final answer.
+func CheckHead(status int, header http.Header) error {
+	if status < http.StatusOK || status > maxStatus {
+		return fmt.Errorf("%w: status %d", ErrMalformed, status)
+	}
+	for name, values := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: field name %.80q", ErrMalformed, name)
+		}
+		for _, value := range values {
+			if !httpguts.ValidHeaderFieldValue(value) {
+				return fmt.Errorf("%w: control byte in field %.80q", ErrMalformed, name)
+			}
+		}
+	}
+	return nil
+}
