relay: events that are not complete are counted in the memory budget

What was wrong: a stream keeps up to 1 MiB of an event before it is complete, with a copy and a buffer that doubles, and no budget knew of it. Endpoints that stop within an event made a gateway with a limit of 88 MiB hold 127 MiB for 300 callers.

Fix: memory.Budget has a use Event, at most half of the limit. The splitter holds the bytes once, in one buffer: what it returned, undecided events and the incomplete one; complete events are forwarded from there without a copy. What exceeds 16 KiB is reserved, and given back once it is no longer needed. An event that does not fit waits for 500 ms like a body; then the stream breaks off, or is resumed or sent elsewhere if its route allows. That this daemon has no memory says nothing of the endpoint. The end of an event is searched for only in what has newly arrived.

Of events without an ID that the caller has, the comments before them are dropped with them; before, those comments were sent again.

Evidence: relay TestEventsThatDoNotEndAreCounted, new: on all of 8 events of 900 KiB were held beside a budget of 4 MiB ("got status 504" after 20 s instead of a refusal), now two.

--- a/internal/caller/relay/expired.go
+++ b/internal/caller/relay/expired.go
@@ -6,6 +6,7 @@
 
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
+	"github.com/banyanshift/banyanshift/internal/wire/response"
 )
 
 const (
@@ -38,12 +39,20 @@
 // unansweredOutcome returns what an attempt without a whole answer says of its endpoint, and the
 // result.
 func (x *exchange) unansweredOutcome(placement Placement, err error) (balance.Outcome, result) {
-	if errors.Is(err, os.ErrDeadlineExceeded) && x.expiredWithin(2*placement.ExpectedFirstToken+overdueGrace) {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded) && x.expiredWithin(2*placement.ExpectedFirstToken+overdueGrace):
 		return balance.Canceled, expired
+	case isOutOfMemory(err):
+		return balance.Canceled, noAnswer
 	}
 	return balance.Failed, noAnswer
 }
 
+// isOutOfMemory reports whether an answer was given up since this daemon has no memory left for it.
+func isOutOfMemory(err error) bool {
+	return errors.Is(err, errNoEventMemory) || errors.Is(err, response.ErrNoMemory)
+}
+
 // expiredWithin reports whether the time limit of the request has passed within a time after the
 // attempt, or its connection, was begun.
 func (x *exchange) expiredWithin(time clock.Millis) bool {
--- a/internal/caller/relay/memory_test.go
+++ b/internal/caller/relay/memory_test.go
@@ -173,3 +173,47 @@
 		t.Errorf("it was held for %v, want 6 s: %+v", took, f.memory.State())
 	}
 }
+
+// TestEventsThatDoNotEndAreCounted guards against endpoints that send events without end, or stop
+// within one, to so many callers that the daemon runs out of memory.
+func TestEventsThatDoNotEndAreCounted(t *testing.T) {
+	const eventBytes, streams = 900 << 10, 8
+	release := make(chan struct{})
+	end := sync.OnceFunc(func() { close(release) })
+	f := newMemoryFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/stream/1" {
+			ok(w, r)
+			return
+		}
+		w.Header().Set("Seal", "s")
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "data: "+strings.Repeat("x", eventBytes))
+		_ = http.NewResponseController(w).Flush()
+		<-release
+		_, _ = io.WriteString(w, "\n\n")
+	})
+	t.Cleanup(end)
+	ends := make(chan reply)
+	for range streams {
+		go func() { ends <- f.sendBody("/stream/1", "b", "Limit", "20000") }()
+	}
+	refused := 0
+	for refused < streams-budgetBytes/2/eventBytes {
+		got := <-ends
+		if got.status != http.StatusBadGateway {
+			t.Fatalf("got status %d, error %v", got.status, got.err)
+		}
+		refused++
+	}
+	if held := f.memory.State().Held; held < eventBytes || held > budgetBytes/2+streams*memory.ShortBytes {
+		t.Errorf("%d bytes are counted, want those of %d events", held, budgetBytes/2/eventBytes)
+	}
+	f.expect(f.sendBody("/pay/1", strings.Repeat("b", longBytes/2)), http.StatusOK, "fine")
+	end()
+	for range streams - refused {
+		if got := <-ends; got.err != nil || got.status != http.StatusOK || len(got.body) != eventBytes+len("data: \n\n") {
+			t.Errorf("got status %d, error %v, %d bytes", got.status, got.err, len(got.body))
+		}
+	}
+	f.waitForMemory("nothing is held", func(s memory.State) bool { return s.Held == 0 })
+}
--- a/internal/caller/relay/splitter.go
+++ b/internal/caller/relay/splitter.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"slices"
 	"strconv"
 )
 
@@ -46,103 +45,114 @@
 type eventSplitter struct {
 	// position is that of the caller after the events that add returned.
 	position streamPosition
-	// pending holds the bytes after the last complete event.
-	pending []byte
+	// buffer holds what the last call of add returned or dropped, taken bytes, then the undecided
+	// events up to parsed, and then the bytes after the last complete event. The first scanned ones of
+	// these do not end an event.
+	buffer                 eventBuffer
+	taken, parsed, scanned int
 	// searching is set until the first event after the position at which the stream is
 	// resumed has arrived. The events before it are dropped, because the caller has them.
+	// Whether it has those without an ID that stand after the last one found, the undecided ones,
+	// shows at the next event with one.
 	searching bool
 	// foundID is the last ID that was found while searching, empty if there was none.
 	foundID string
-	// undecided holds the events without an ID that were found after it. Whether the caller
-	// has them shows at the next event with one.
-	undecided [][]byte
 }
 
-// newEventSplitter returns a splitter for a stream that is resumed, or starts, at a position.
-func newEventSplitter(position streamPosition) *eventSplitter {
-	return &eventSplitter{position: position, searching: position.isNumbered()}
+// newEventSplitter returns a splitter for a stream that is resumed, or starts, at a position. What
+// it holds is counted by reserve.
+func newEventSplitter(position streamPosition, reserve func(bytes int) bool) *eventSplitter {
+	return &eventSplitter{position: position, searching: position.isNumbered(), buffer: eventBuffer{reserve: reserve}}
 }
 
-// add appends data to the stream and returns the events that are complete now. They are to be
-// forwarded also if it returns an error, which is about the bytes after them.
+// add appends data to the stream and returns the events that are complete now, which are valid until
+// the next call. They are to be forwarded also if it returns an error, which is about the bytes after
+// them.
 func (s *eventSplitter) add(data []byte) (ready []byte, err error) {
-	s.pending = append(s.pending, data...)
-	used := 0
+	s.buffer.drop(s.taken)
+	s.parsed, s.taken = s.parsed-s.taken, 0
+	if err := s.buffer.add(data); err != nil {
+		return nil, err
+	}
+	from := 0
 	for err == nil {
-		length := firstEventLength(s.pending[used:])
+		length := firstEventLength(s.buffer.data[s.parsed:], s.scanned)
 		if length == 0 {
+			s.scanned = len(s.buffer.data) - s.parsed
 			break
 		}
-		var next []byte
-		next, err = s.take(s.pending[used : used+length])
-		ready = append(ready, next...)
-		used += length
+		if from, err = s.take(from, s.parsed+length); err == nil {
+			s.parsed, s.scanned = s.parsed+length, 0
+		}
+	}
+	s.taken = from
+	if !s.searching {
+		s.taken = s.parsed
 	}
-	s.pending = s.pending[:copy(s.pending, s.pending[used:])]
 	if err == nil && len(s.remainder()) > maxEventBytes {
 		err = errEventTooLong
 	}
-	return ready, err
+	return s.buffer.data[from:s.taken], err
 }
 
-// take returns what is to be forwarded now that an event is complete.
-func (s *eventSplitter) take(event []byte) (ready []byte, err error) {
+// take takes the next event, which ends at end. It returns where the events begin that are undecided
+// or to be forwarded, which is from unless events are dropped.
+func (s *eventSplitter) take(from, end int) (int, error) {
+	event := s.buffer.data[s.parsed:end]
 	if !isEvent(event) {
-		return nil, fmt.Errorf("%w: it has bytes that are no event", errWrongEvents)
+		return from, fmt.Errorf("%w: it has bytes that are no event", errWrongEvents)
 	}
 	id, found := lastEventID(event)
 	switch {
 	case s.searching && found:
-		return s.takeFound(event, id)
+		return s.takeFound(from, end, id)
 	case s.searching:
-		s.undecided = append(s.undecided, bytes.Clone(event))
-		return nil, nil
 	case found:
-		return s.takeNumbered(event, id)
+		return from, s.takeNumbered(id)
 	case hasContent(event):
 		s.position.unnumbered++
 	}
-	return event, nil
+	return from, nil
 }
 
-// takeNumbered returns an event that is in its place. IDs that are numbers increase.
-func (s *eventSplitter) takeNumbered(event []byte, id string) (ready []byte, err error) {
+// takeNumbered takes an event that is in its place. IDs that are numbers increase.
+func (s *eventSplitter) takeNumbered(id string) error {
 	distance, numbered := idDistance(s.position.lastID, id)
 	if numbered && distance <= 0 {
-		return nil, fmt.Errorf("%w: event %s comes after %s", errWrongEvents, id, s.position.lastID)
+		return fmt.Errorf("%w: event %s comes after %s", errWrongEvents, id, s.position.lastID)
 	}
 	s.position = streamPosition{lastID: id}
-	return event, nil
+	return nil
 }
 
-// takeFound drops an event that the caller has. It returns the first event that the caller
-// does not have, together with those before it, and an error if others are missing.
-func (s *eventSplitter) takeFound(event []byte, id string) (ready []byte, err error) {
+// takeFound drops an event that the caller has. It takes the first event that the caller
+// does not have, together with those before it, and returns an error if others are missing.
+func (s *eventSplitter) takeFound(from, end int, id string) (int, error) {
 	distance, numbered := idDistance(s.position.lastID, id)
 	switch {
 	case !numbered || distance > 1:
-		return nil, fmt.Errorf("%w: it is resumed at event %s after %s", errWrongEvents, id, s.position.lastID)
+		return from, fmt.Errorf("%w: it is resumed at event %s after %s", errWrongEvents, id, s.position.lastID)
 	case distance <= 0:
-		s.foundID, s.undecided = id, nil
-		return nil, nil
+		s.foundID = id
+		return end, nil
 	}
-	ready = append(s.undecidedAfter(s.position.unnumbered), event...)
-	s.searching, s.undecided = false, nil
+	from += receivedLength(s.buffer.data[from:s.parsed], s.position.unnumbered)
+	s.searching = false
 	s.position = streamPosition{lastID: id}
-	return ready, nil
+	return from, nil
 }
 
-// undecidedAfter returns the undecided events without the first ones, as many as the caller
-// has.
-func (s *eventSplitter) undecidedAfter(received int) (events []byte) {
-	for _, event := range s.undecided {
-		if hasContent(event) && received > 0 {
+// receivedLength returns the length of the first events up to the last one that the caller has, of
+// which it has a number with content.
+func receivedLength(events []byte, received int) (length int) {
+	for received > 0 && length < len(events) {
+		next := firstEventLength(events[length:], 0)
+		if hasContent(events[length : length+next]) {
 			received--
-			continue
 		}
-		events = append(events, event...)
+		length += next
 	}
-	return events
+	return length
 }
 
 // idDistance returns next minus have. numbered is false if one of the IDs is not
@@ -161,21 +171,18 @@
 
 // remainder returns the bytes after the last event that add returned or dropped.
 func (s *eventSplitter) remainder() []byte {
-	if len(s.undecided) == 0 {
-		return s.pending
-	}
-	return append(bytes.Join(s.undecided, nil), s.pending...)
+	return s.buffer.data[s.taken:]
 }
 
 // checkEnd returns an error if the end of the answer, whose last events have arrived, cannot be
 // that of the stream. explicit is set if the answer says where it ends.
 func (s *eventSplitter) checkEnd(explicit bool) error {
 	switch {
-	case hasEventLines(s.pending):
+	case hasEventLines(s.buffer.data[s.parsed:]):
 		return errEndsInsideEvent
 	case !s.searching:
 		return nil
-	case slices.ContainsFunc(s.undecided, hasContent):
+	case hasContent(s.buffer.data[s.taken:s.parsed]):
 		return fmt.Errorf("%w: it ends with events without an ID", errWrongEvents)
 	case s.foundID == "" && !explicit:
 		return errNoEvent
@@ -188,17 +195,23 @@
 	return nil
 }
 
-// eventTerminators are the blank lines that can end an event.
-var eventTerminators = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")}
-
-// firstEventLength returns the length of the first event of data, 0 if it is not complete.
-func firstEventLength(data []byte) (length int) {
-	for _, blank := range eventTerminators {
-		if at := bytes.Index(data, blank); at >= 0 && (length == 0 || at+len(blank) < length) {
-			length = at + len(blank)
+// firstEventLength returns the length of the first event of data, 0 if it is not complete. A blank
+// line ends it, and none ends in the first scanned bytes.
+func firstEventLength(data []byte, scanned int) (length int) {
+	const longestEnd = len("\r\n\r\n")
+	for at := max(scanned-longestEnd, 0); ; {
+		next := bytes.IndexByte(data[at:], '\n')
+		if next < 0 {
+			return 0
+		}
+		at += next + 1
+		switch {
+		case bytes.HasPrefix(data[at:], []byte("\n")):
+			return at + len("\n")
+		case bytes.HasSuffix(data[:at], []byte("\r\n")) && bytes.HasPrefix(data[at:], []byte("\r\n")):
+			return at + len("\r\n")
 		}
 	}
-	return length
 }
 
 // lastEventID returns the last ID in the events. An empty one counts as none.
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -7,8 +7,10 @@
 	"strings"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/caller/body"
 	"github.com/banyanshift/banyanshift/internal/config/document"
 	"github.com/banyanshift/banyanshift/internal/decide/balance"
+	"github.com/banyanshift/banyanshift/internal/decide/memory"
 	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
 )
 
@@ -46,7 +48,9 @@
 		x.recordFailure(x.attempts.lastReason, placement, nil)
 		return noAnswer
 	}
-	p := &streamForwarder{exchange: x, placement: placement, answer: answer, events: newEventSplitter(x.stream.position)}
+	p := &streamForwarder{exchange: x, placement: placement, answer: answer, memory: x.handler.config.Memory.Reserve(memory.Event)}
+	defer p.memory.Release()
+	p.events = newEventSplitter(x.stream.position, p.reserve)
 	x.stream.ending = answer.Ending
 	defer x.limitWriting()()
 	err := p.run()
@@ -78,10 +82,12 @@
 // streamForwarder forwards one endpoint's answer, which is the whole stream or,
 // if the stream is resumed or cut off, a part of it.
 type streamForwarder struct {
-	exchange       *exchange
-	placement      Placement
-	answer         *http1.Answer
-	events         *eventSplitter
+	exchange  *exchange
+	placement Placement
+	answer    *http1.Answer
+	events    *eventSplitter
+	// memory is what events takes.
+	memory         memory.Reservation
 	firstEventSeen bool
 	// firstEventAt is when the first event arrived.
 	firstEventAt clock.Millis
@@ -109,6 +115,15 @@
 	}
 }
 
+// reserve reserves memory for events that are not complete, or gives it back if the number is negative.
+func (p *streamForwarder) reserve(bytes int) bool {
+	if bytes < 0 {
+		p.memory.Shrink(-bytes)
+		return true
+	}
+	return p.memory.Grow(p.exchange.ctx, bytes, body.MemoryWait)
+}
+
 // forwardEvents writes the events that data completes to the caller. It returns an error if
 // bytes follow them that do not belong to the stream.
 func (p *streamForwarder) forwardEvents(data []byte) error {
--- a/internal/decide/memory/memory.go
+++ b/internal/decide/memory/memory.go
@@ -4,7 +4,7 @@
 // at most ShortBytes may use all of it, so that short requests are served also while long ones
 // have taken their part. Long ones leave an eighth of it free. Answers that are buffered get at
 // most a quarter, so that callers who do not read theirs cannot keep all others from being
-// served. What does not fit waits. Short ones go first, the shortest before the others, so that
+// served, and events of streams at most half, so that endpoints cannot that do not end theirs. What does not fit waits. Short ones go first, the shortest before the others, so that
 // unfinished ones do not keep whole ones out. Of the long ones, those that hold most already go
 // first, since they free what they hold only after they have gone on, and otherwise in the order of
 // arrival. While something does not fit, the Budget calls Reclaim, which may take memory
@@ -24,6 +24,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -36,8 +37,10 @@
 	ShortBytes = 16 << 10
 	// keptFreePart is the part of the limit that is kept free for short ones: one in so many.
 	keptFreePart = 8
-	// answersPart is the part of the limit that answers may take: one in so many.
+	// answersPart is the part of the limit that answers may take, and eventsPart that of events: one in
+	// so many.
 	answersPart = 4
+	eventsPart  = 2
 	// waitingBytes is what a long Reservation that waits counts for, and waitingPart the part of the
 	// limit that all these may take: one in so many.
 	waitingBytes = 256 << 10
@@ -56,9 +59,23 @@
 	Answer
 	// Head is the head of a request.
 	Head
+	// Event is a part of a stream that cannot be forwarded before more of it has arrived.
+	Event
 	uses
 )
 
+// part returns the part of a limit that long Reservations may take for a use.
+func (u Use) part(limit int64) int64 {
+	switch u {
+	case Answer:
+		return limit / answersPart
+	case Event:
+		return limit / eventsPart
+	case Body, Head, uses:
+	}
+	return limit
+}
+
 // Budget is the memory that all Reservations share.
 type Budget struct {
 	// Reclaim takes memory from a holder that has made little progress, if there is one. It must
@@ -160,17 +177,28 @@
 
 // Release gives all bytes of the Reservation back.
 func (r *Reservation) Release() {
+	r.giveBack(math.MaxInt64)
+}
+
+// Shrink gives bytes of the Reservation back.
+func (r *Reservation) Shrink(bytes int) {
+	r.giveBack(int64(bytes))
+}
+
+// giveBack gives bytes back, at most all.
+func (r *Reservation) giveBack(bytes int64) {
 	b := r.budget
 	if b == nil {
 		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if r.bytes == 0 {
+	bytes = min(bytes, r.bytes)
+	if bytes == 0 {
 		return
 	}
-	b.used[r.use] -= r.bytes
-	r.bytes = 0
+	b.used[r.use] -= bytes
+	r.bytes -= bytes
 	b.grantWaiting()
 }
 
@@ -186,7 +214,7 @@
 	if !b.fits(r, bytes) {
 		return false
 	}
-	if r.use == Answer || r.bytes+bytes <= ShortBytes || len(b.waiting) == 0 {
+	if r.use == Answer || r.use == Event || r.bytes+bytes <= ShortBytes || len(b.waiting) == 0 {
 		return true
 	}
 	return b.waiting[0].reservation.bytes < r.bytes
@@ -198,7 +226,7 @@
 	if r.bytes+bytes <= ShortBytes {
 		return held <= b.limit
 	}
-	if r.use == Answer && b.used[Answer]+bytes > b.limit/answersPart {
+	if b.used[r.use]+bytes > r.use.part(b.limit) {
 		return false
 	}
 	return held <= b.longLimit()
