tcp: the system holds 64 KiB of what endpoints and peers sent and nobody read

What was wrong: an endpoint that sends faster than callers read fills the buffers of the system, up to 256 KiB for each connection, which count as memory of the process and stood in no limit. With 300 callers, a gateway with a limit of 88 MiB held 61 MiB resident and 48 MiB unread.

Fix: connections that are dialed get the buffer that callers' connections have, 64 KiB.

--- a/internal/endpoint/tcp/tcp.go
+++ b/internal/endpoint/tcp/tcp.go
@@ -29,9 +29,12 @@
 	// keepAlivePeriod is the time between TCP keep-alive probes on a connection without
 	// traffic.
 	keepAlivePeriod = clock.Second
-	// readBufferBytes is the size of the system's buffer for what was not read yet. Linux
-	// doubles it.
-	readBufferBytes = 128 << 10
+	// MaxUnreadBytes is what the system may hold of a connection that was dialed which has arrived and
+	// was not read, and acceptedUnreadBytes the same for one that Listen accepts.
+	MaxUnreadBytes      = 64 << 10
+	acceptedUnreadBytes = 256 << 10
+	// bufferFactor is by how much Linux multiplies the size of a buffer that is set.
+	bufferFactor = 2
 )
 
 // Dial opens a connection. ctx bounds opening it.
@@ -50,14 +53,14 @@
 
 // Listen listens at an address.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
-	return ListenBuffered(ctx, address, 2*readBufferBytes)
+	return ListenBuffered(ctx, address, acceptedUnreadBytes)
 }
 
 // ListenBuffered listens at an address. The system holds at most maxUnread bytes for each connection
 // that have arrived and were not read.
 func ListenBuffered(ctx context.Context, address string, maxUnread int) (net.Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		return setReadBuffer(raw, maxUnread/2)
+		return setReadBuffer(raw, maxUnread/bufferFactor)
 	}}
 	return config.Listen(ctx, "tcp", address)
 }
@@ -78,7 +81,7 @@
 
 // boundReadBuffer sets the size of the buffer of a socket that is not connected yet.
 func boundReadBuffer(_, _ string, raw syscall.RawConn) error {
-	return setReadBuffer(raw, readBufferBytes)
+	return setReadBuffer(raw, MaxUnreadBytes/bufferFactor)
 }
 
 // setReadBuffer sets the size of the buffer of a socket, and of those that it accepts. The size of the
--- a/internal/standin/hostile/watch.go
+++ b/internal/standin/hostile/watch.go
@@ -48,6 +48,8 @@
 	PID int
 	// Address is the IPv4 address and port.
 	Address netip.AddrPort
+	// Servers are the addresses of servers that only the process connects to.
+	Servers []netip.AddrPort
 	// Interval is the time between two looks.
 	Interval clock.Millis
 
@@ -129,27 +131,31 @@
 const listening = "0A"
 
 // unread returns the bytes in the receive queues of the address's connections, also of those that
-// were not accepted yet.
+// were not accepted yet, and of the connections to the servers.
 func (w *Watch) unread() (total int64, err error) {
 	file, err := os.Open("/proc/net/tcp")
 	if err != nil {
 		return 0, err
 	}
 	defer func() { err = errors.Join(err, file.Close()) }()
-	local := w.localAddress()
+	local := column(w.Address)
+	servers := make(map[string]bool)
+	for _, server := range w.Servers {
+		servers[column(server)] = true
+	}
 	lines := bufio.NewScanner(file)
 	for lines.Scan() {
-		if fields := strings.Fields(lines.Text()); len(fields) >= 5 && fields[1] == local && fields[3] != listening {
+		if fields := strings.Fields(lines.Text()); len(fields) >= 5 && (fields[1] == local || servers[fields[2]]) && fields[3] != listening {
 			total += queued(fields[4])
 		}
 	}
 	return total, lines.Err()
 }
 
-// localAddress returns the address as /proc/net/tcp writes it on a little-endian machine.
-func (w *Watch) localAddress() string {
-	ip := w.Address.Addr().As4()
-	return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], w.Address.Port())
+// column returns an address as /proc/net/tcp writes it on a little-endian machine.
+func column(address netip.AddrPort) string {
+	ip := address.Addr().As4()
+	return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], address.Port())
 }
 
 // queued returns the bytes in the receive queue of a column SENT:RECEIVED.
