http1, forward: long heads of answers are counted in the memory budget

What was wrong: the head of an answer may have 64 KiB, which are held while it is read and, as a map of fields, as long as the answer is in use. No budget knew of that, nor of heads that a peer passes on, in messages of up to 1 MiB.

Fix: what a head takes beyond 8 KiB is reserved while it is read, and released when the answer is closed or its connection is idle, closed or cancelled. A head that does not fit is no answer, which says nothing of the endpoint. A message of an answer from a peer has at most 128 KiB, twice the longest head; daemons send parts of bodies of 32 KiB. An ordinary head reserves nothing.

--- a/internal/daemon/gateway/forward.go
+++ b/internal/daemon/gateway/forward.go
@@ -16,8 +16,9 @@
 func (d *Daemon) buildConnections() {
 	d.pool = http1.New(http1.Config{
 		Clock: d.clock, AnsweredID: d.platform.AnsweredID, Listed: d.listedIncarnation, ConfirmEnd: d.confirmEnd, Dial: d.platform.DialEndpoint,
+		Memory: d.memory,
 	})
-	client := forward.NewClient(d.clock, d.forwardPort())
+	client := forward.NewClient(d.clock, d.forwardPort(), d.memory)
 	d.connector = connect.New(connect.Config{
 		Clock: d.clock, Logger: d.logger, Pool: d.pool, Open: client.Open, Peers: d.forwardingPeers,
 		FailureDomain: d.settings.Daemon.FailureDomain, Rand: d.random(6),
--- a/internal/endpoint/connect/connect_test.go
+++ b/internal/endpoint/connect/connect_test.go
@@ -73,7 +73,7 @@
 	}
 	t.Cleanup(server.Close)
 	d.connector = connect.New(connect.Config{
-		Clock: clock.System(), Logger: logger, Pool: newPool(d.dial), Open: forward.NewClient(clock.System(), forwardPort).Open,
+		Clock: clock.System(), Logger: logger, Pool: newPool(d.dial), Open: forward.NewClient(clock.System(), forwardPort, memory.New(1<<20)).Open,
 		Peers: func() []path.Peer { return []path.Peer{{Address: ip + ":1"}} }, Rand: rand.New(rand.NewPCG(1, 1)),
 		Report: connect.ReportCall{Encode: encodeReportCall, Decode: decodeReport},
 	})
--- a/internal/peer/forward/client.go
+++ b/internal/peer/forward/client.go
@@ -10,6 +10,7 @@
 	"sync"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/decide/memory"
 	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
 	"github.com/banyanshift/banyanshift/internal/endpoint/tcp"
 	"github.com/banyanshift/banyanshift/internal/peer/frame"
@@ -22,6 +23,10 @@
 	maxIdleTime = 20 * clock.Second
 	// maxIdlePerPeer bounds the idle connections to one peer.
 	maxIdlePerPeer = 8
+	// copiesOfHead is how many times the bytes of a head are held, and freeHeadBytes what a head may
+	// take as a part of any connection.
+	copiesOfHead  = 3
+	freeHeadBytes = 8 << 10
 )
 
 // Client sends requests through peers. It is safe for concurrent use.
@@ -29,6 +34,8 @@
 	clock clock.Clock
 	// port is the port at which all Servers listen.
 	port string
+	// memory bounds the heads of answers.
+	memory *memory.Budget
 
 	mu   sync.Mutex
 	idle map[string][]idleConn
@@ -40,9 +47,10 @@
 	until clock.Millis
 }
 
-// NewClient returns a Client for Servers that listen on a port.
-func NewClient(clk clock.Clock, port string) *Client {
-	return &Client{clock: clk, port: port, idle: make(map[string][]idleConn)}
+// NewClient returns a Client for Servers that listen on a port. Long heads of answers are counted in a
+// budget.
+func NewClient(clk clock.Clock, port string, budget *memory.Budget) *Client {
+	return &Client{clock: clk, port: port, memory: budget, idle: make(map[string][]idleConn)}
 }
 
 // Conn is a connection to a peer that is ready to forward one request to an endpoint.
@@ -50,6 +58,8 @@
 	client *Client
 	peer   string
 	framed *framedConn
+	// memory is what the head of the answer takes.
+	memory memory.Reservation
 }
 
 // Open asks the peer at an address of its link whether it reaches an endpoint. ctx bounds
@@ -68,7 +78,7 @@
 		c.keep(peer, used)
 		return nil, &Refusal{Code: answer.Code, Reason: answer.Reason}
 	}
-	return &Conn{client: c, peer: peer, framed: used}, nil
+	return &Conn{client: c, peer: peer, framed: used, memory: c.memory.Reserve(memory.Answer)}, nil
 }
 
 // askPeer sends open to a peer and reads the answer. It uses an idle connection, or a new one
@@ -163,6 +173,7 @@
 	head, err := c.exchange(request, false)
 	if err != nil {
 		stop()
+		c.memory.Release()
 		_ = c.framed.net.Close()
 		if ctx.Err() != nil {
 			err = errors.Join(ctx.Err(), err)
@@ -181,6 +192,7 @@
 		reply = http1.Reply{Status: head.Status, Header: head.Header, Open: head.Open}
 		reply.Body, err = io.ReadAll(io.LimitReader(&answerBody{conn: c}, http1.MaxReplyBytes))
 	}
+	c.memory.Release()
 	reply.Open = stop() && err == nil && reply.Open
 	if !reply.Open {
 		_ = c.framed.net.Close()
@@ -213,11 +225,14 @@
 }
 
 func (c *Conn) readHead() (head answerHead, err error) {
-	f, err := c.framed.read()
+	f, err := c.framed.readAnswer()
 	if err != nil {
 		return head, err
 	}
 	if f.Type != message.ForwardEnd {
+		if cost := len(f.Body) * copiesOfHead; cost > freeHeadBytes && !c.memory.TryGrow(cost) {
+			return head, response.ErrNoMemory
+		}
 		return decodeHead(f)
 	}
 	ended, err := decode[end](f, message.ForwardEnd)
@@ -268,7 +283,7 @@
 
 // readMessage reads the next part of the body or its end.
 func (b *answerBody) readMessage() error {
-	f, err := b.conn.framed.read()
+	f, err := b.conn.framed.readAnswer()
 	if errors.Is(err, io.EOF) {
 		return io.ErrUnexpectedEOF
 	}
@@ -298,6 +313,7 @@
 // otherwise the peer ends the request at the endpoint.
 func (b *answerBody) Close() error {
 	c := b.conn
+	c.memory.Release()
 	if !b.stopCancel() || !b.complete {
 		return c.framed.net.Close()
 	}
--- a/internal/peer/forward/cut_test.go
+++ b/internal/peer/forward/cut_test.go
@@ -13,6 +13,7 @@
 	"testing"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/decide/memory"
 	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
 	"github.com/banyanshift/banyanshift/internal/peer/forward"
 )
@@ -148,7 +149,7 @@
 
 // readThrough sends a request through the peer at an address and reads the answer.
 func readThrough(address string, target forward.Target) (body string, err error) {
-	client := forward.NewClient(clock.System(), "8083")
+	client := forward.NewClient(clock.System(), "8083", memory.New(1<<20))
 	conn, err := client.Open(context.Background(), address, target)
 	if err != nil {
 		return "", err
--- a/internal/peer/forward/forward.go
+++ b/internal/peer/forward/forward.go
@@ -18,7 +18,7 @@
 //
 // # Usage
 //
-//	client := forward.NewClient(clk, "7355")
+//	client := forward.NewClient(clk, "7355", budget)
 //	conn, err := client.Open(ctx, "10.0.0.7:7340", forward.Target{Endpoint: "i-7f3a91c2", Address: "10.0.1.9:8080"})
 //	answer, err := conn.Do(ctx, request)
 package forward
@@ -30,6 +30,7 @@
 
 	"github.com/banyanshift/banyanshift/internal/peer/frame"
 	"github.com/banyanshift/banyanshift/internal/peer/message"
+	"github.com/banyanshift/banyanshift/internal/wire/response"
 )
 
 const (
@@ -37,8 +38,10 @@
 	// of the longest part of a body in one message.
 	bufferBytes   = 16 << 10
 	maxChunkBytes = 32 << 10
-	// maxMessageBytes limits the size of a message.
+	// maxMessageBytes limits the size of a message, and maxAnswerBytes that of one with the head or a
+	// part of the body of an answer.
 	maxMessageBytes = 1 << 20
+	maxAnswerBytes  = 2 * response.MaxHeadBytes
 )
 
 // framedConn is a connection between a Client and a Server.
@@ -78,6 +81,11 @@
 	return frame.Read(c.reader, maxMessageBytes)
 }
 
+// readAnswer reads the next message of an answer.
+func (c *framedConn) readAnswer() (frame.Frame, error) {
+	return frame.Read(c.reader, maxAnswerBytes)
+}
+
 // decode decodes a message that must be of one type.
 func decode[Body any](f frame.Frame, t message.Type) (body Body, err error) {
 	if f.Type != t {
--- a/internal/peer/forward/forward_test.go
+++ b/internal/peer/forward/forward_test.go
@@ -45,7 +45,7 @@
 	t.Helper()
 	const port = "8083"
 	logger, _ := logtest.NewNullLogger()
-	p := &peer{endpoint: httptest.NewServer(serve), client: forward.NewClient(clock.System(), port)}
+	p := &peer{endpoint: httptest.NewServer(serve), client: forward.NewClient(clock.System(), port, memory.New(1<<20))}
 	t.Cleanup(p.endpoint.Close)
 	ip := fmt.Sprintf("127.%d.%d.7", 10+os.Getpid()%100, lastIP.Add(1))
 	p.address = ip + ":1"
@@ -264,7 +264,7 @@
 		t.Fatal(err)
 	}
 	defer listener.Close()
-	client := forward.NewClient(clock.System(), "8083")
+	client := forward.NewClient(clock.System(), "8083", memory.New(1<<20))
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
 	began := time.Now()
--- a/internal/peer/forward/malformed_internal_test.go
+++ b/internal/peer/forward/malformed_internal_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/decide/memory"
 	"github.com/banyanshift/banyanshift/internal/endpoint/http1"
 	"github.com/banyanshift/banyanshift/internal/peer/message"
 )
@@ -50,6 +52,8 @@
 		{"empty name", answerHead{Status: 200, Header: http.Header{"": {"1"}}, Length: 4}, false},
 		{"line end in a value", answerHead{Status: 200, Header: http.Header{"X-Note": {"1", "a\r\nB: c"}}, Length: 4}, false},
 		{"NUL in a value", answerHead{Status: 200, Header: http.Header{"X-Note": {"a\x00"}}, Length: 4}, false},
+		{"head that is too long", answerHead{Status: 200, Header: http.Header{"X-Note": {strings.Repeat("x", 200<<10)}}, Length: 4}, false},
+		{"long head", answerHead{Status: 200, Header: http.Header{"X-Note": {strings.Repeat("x", 50<<10)}}, Length: 4}, true},
 		{"negative length", answerHead{Status: 200, Header: sound, Length: -2}, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -58,13 +62,14 @@
 				t.Fatal(err)
 			}
 			defer listener.Close()
+			budget := memory.New(1 << 20)
 			go func() {
 				if conn, err := listener.Accept(); err == nil {
 					answerOnce(newFramedConn(conn), test.head)
 				}
 			}()
 			_, port, _ := net.SplitHostPort(listener.Addr().String())
-			conn, err := NewClient(clock.System(), port).Open(context.Background(), "127.0.0.1:1", Target{Endpoint: "i-1"})
+			conn, err := NewClient(clock.System(), port, budget).Open(context.Background(), "127.0.0.1:1", Target{Endpoint: "i-1"})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -72,9 +77,15 @@
 			if (err == nil) != test.isSound {
 				t.Errorf("got %+v, %v", answer, err)
 			}
+			if isLong := len(test.head.Header.Get("X-Note")) > 8<<10; err == nil && (budget.State().Held > 0) != isLong {
+				t.Errorf("%d bytes are counted for the head", budget.State().Held)
+			}
 			if err == nil {
 				answer.Close()
 			}
+			if held := budget.State().Held; held != 0 {
+				t.Errorf("%d bytes are counted after the answer", held)
+			}
 		})
 	}
 }
