serve: what answers of services take is counted in the memory budget

What was wrong: banyanshift serve kept up to 16 MiB of each answer of a service, and a copy for the record of its key, in no budget; up to 16 MiB of answers waited to be written to the table, whatever the memory limit; and the system held as much of an answer that a slow caller did not read as its buffers grow to.

One that does not fit is forwarded while it is read, as at the gateway, so that a sound answer of up to 16 MiB still comes to its caller whole: its end shows by its length or chunks, and if it breaks off or is too long, the caller's connection ends. Its key is recorded as done without an answer, as for any answer over 64 KiB, which is no longer encoded first. Answers that wait for the table take at most an eighth of the budget. Heads are counted, and connections to endpoints hold 64 KiB unread.

--- a/coord/claim/finish.go
+++ b/coord/claim/finish.go
@@ -6,13 +6,26 @@
 // immediately; the write is retried in the background until the table confirms
 // it. Until then this process sees the claim as Completed, others as Claimed.
 func (s *Store) Finish(claim Claim, answer []byte) {
+	if !s.KeepsAnswer(len(answer)) {
+		s.FinishWithoutAnswer(claim)
+		return
+	}
 	record := claim.Record
 	record.State = Completed
 	record.Answer = answer
-	if len(answer) > s.cfg.MaxAnswerBytes {
-		record.Answer = nil
-		record.AnswerDropped = true
-	}
+	s.writeFinal(claim, record)
+}
+
+// KeepsAnswer reports whether an answer of a length is short enough to be kept.
+func (s *Store) KeepsAnswer(bytes int) bool {
+	return bytes <= s.cfg.MaxAnswerBytes
+}
+
+// FinishWithoutAnswer is like Finish for an answer that is not kept.
+func (s *Store) FinishWithoutAnswer(claim Claim) {
+	record := claim.Record
+	record.State = Completed
+	record.AnswerDropped = true
 	s.writeFinal(claim, record)
 }
 
--- a/internal/caller/claim/claim.go
+++ b/internal/caller/claim/claim.go
@@ -234,8 +234,12 @@
 	return Decision{Outcome: Refuse, Refusal: refusal}
 }
 
-// Finish records the answer of a request that ran.
+// Finish records the answer of a request that ran, unless it is too long to be kept.
 func (c *Claims) Finish(won claim.Claim, answer Answer) {
+	if !c.cfg.Store.KeepsAnswer(len(answer.Body)) {
+		c.cfg.Store.FinishWithoutAnswer(won)
+		return
+	}
 	encoded, err := msgpack.Marshal(answer)
 	if err != nil {
 		c.cfg.Store.MarkLost(won)
@@ -244,6 +248,11 @@
 	c.cfg.Store.Finish(won, encoded)
 }
 
+// FinishWithoutAnswer records that a request ran whose answer was not kept.
+func (c *Claims) FinishWithoutAnswer(won claim.Claim) {
+	c.cfg.Store.FinishWithoutAnswer(won)
+}
+
 // MarkLost records that a request was sent to an endpoint and that no complete
 // answer arrived.
 func (c *Claims) MarkLost(won claim.Claim) {
--- a/internal/caller/entry/body.go
+++ b/internal/caller/entry/body.go
@@ -9,6 +9,7 @@
 	"github.com/banyanshift/banyanshift/internal/caller/body"
 	"github.com/banyanshift/banyanshift/internal/caller/keepalive"
 	"github.com/banyanshift/banyanshift/internal/caller/request"
+	"github.com/banyanshift/banyanshift/internal/decide/memory"
 )
 
 // ReadBody reads the whole body into Body. It refuses a body that is too large, for which there is no
@@ -52,6 +53,12 @@
 	return BadRequest("The request's body did not arrive whole.")
 }
 
+// ReserveAnswer returns a reservation of no bytes for what is kept of an answer, for a use. The caller
+// must release it.
+func (x *Exchange) ReserveAnswer(use memory.Use) memory.Reservation {
+	return x.server.deps.Memory.Reserve(use)
+}
+
 // Reserve reserves memory for copies of the whole body, until the exchange ends.
 func (x *Exchange) Reserve(copies int) error {
 	if !x.memory.Grow(x.Context, copies*len(x.Body), body.MemoryWait) {
--- a/internal/caller/plain/call.go
+++ b/internal/caller/plain/call.go
@@ -3,16 +3,15 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
-	"github.com/banyanshift/banyanshift/internal/caller/claim"
+	"github.com/banyanshift/banyanshift/internal/caller/body"
 	"github.com/banyanshift/banyanshift/internal/caller/entry"
 	"github.com/banyanshift/banyanshift/internal/caller/request"
-	"github.com/banyanshift/banyanshift/internal/config/entity"
+	"github.com/banyanshift/banyanshift/internal/decide/memory"
 	"github.com/banyanshift/banyanshift/internal/endpoint/service"
 )
 
@@ -23,23 +22,23 @@
 	// continues when the caller disconnects.
 	callTimeout = 60 * clock.Second
 	// maxAnswerBytes is the maximum size of an answer. Answers are buffered, so
-	// that the caller never gets a partial one.
+	// that the caller never gets a partial one, unless there is no memory for that.
 	maxAnswerBytes = 16 << 20
 	// retryAfterFailure is the Retry-After of a failed call.
 	retryAfterFailure = 2 * clock.Second
 )
 
-var errAnswerTooLarge = errors.New("answer exceeds 16 MiB")
-
 // call runs one request of a caller on one or more endpoints in turn.
 type call struct {
 	handler           *Handler
 	x                 *entry.Exchange
 	excludedEndpoints []string
+	// memory is what the answer takes.
+	memory memory.Reservation
 }
 
 func newCall(h *Handler, x *entry.Exchange) *call {
-	return &call{handler: h, x: x}
+	return &call{handler: h, x: x, memory: x.ReserveAnswer(memory.Answer)}
 }
 
 // serveRepeatable sends the call until an endpoint answers it completely or the
@@ -51,12 +50,16 @@
 		if err != nil {
 			return c.x.FinalError(err, mayHaveRun)
 		}
-		var answer claim.Answer
+		var answer callAnswer
 		answer, err = c.attempt(c.x.Context, grant)
 		if err == nil {
 			c.recordUsage()
 			return c.send(answer)
 		}
+		if c.x.HeaderSent() {
+			c.recordFailure(grant, err)
+			return err
+		}
 		if c.x.Context.Err() != nil {
 			return c.x.FinalError(err, true)
 		}
@@ -99,7 +102,7 @@
 		if err != nil {
 			return true, c.x.FinalError(err, false)
 		}
-		return true, c.send(*replay)
+		return true, c.send(callAnswer{Answer: *replay})
 	}
 	if c.x.Context.Err() != nil {
 		c.handler.deps.Scheduler.Release(grant, request.Outcome{})
@@ -119,6 +122,9 @@
 		return false, nil
 	}
 	claimed.markLost()
+	if c.x.HeaderSent() {
+		return true, err
+	}
 	return true, c.x.FinalError(endpointFailedRefusal(), true)
 }
 
@@ -142,8 +148,9 @@
 	return errors.As(err, &failure) && failure.NotRun
 }
 
-// attempt sends the call to one endpoint and reads the complete answer.
-func (c *call) attempt(ctx context.Context, grant *request.Grant) (answer claim.Answer, err error) {
+// attempt sends the call to one endpoint and reads the complete answer, or forwards it if it does not
+// fit into the memory that is left.
+func (c *call) attempt(ctx context.Context, grant *request.Grant) (read callAnswer, err error) {
 	deps := c.handler.deps
 	started := deps.Clock.Now()
 	defer func() {
@@ -153,9 +160,18 @@
 	}()
 	got, err := deps.Service.Do(ctx, grant.Endpoint, c.serviceCall())
 	if err != nil {
-		return answer, err
+		return read, err
 	}
-	return readAnswer(grant.Endpoint, got)
+	defer func() { _ = got.Body.Close() }()
+	read, err = c.readAnswer(ctx, got)
+	if errors.Is(err, body.ErrNoMemory) {
+		err = c.forwardLong(got, read.Body)
+		read = callAnswer{isSent: true}
+	}
+	if err != nil {
+		return callAnswer{}, &service.CallError{Endpoint: grant.Endpoint.ID, Err: err}
+	}
+	return read, nil
 }
 
 func (c *call) serviceCall() service.Call {
@@ -176,30 +192,6 @@
 	}
 }
 
-// readAnswer reads the complete body of an answer. A body that is shorter than
-// its declared length is an error.
-func readAnswer(endpoint entity.Endpoint, got service.Answer) (answer claim.Answer, err error) {
-	defer func() { _ = got.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(got.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = errAnswerTooLarge
-	}
-	if err != nil {
-		return answer, &service.CallError{Endpoint: endpoint.ID, Err: err}
-	}
-	return claim.Answer{Status: got.Status, Header: got.Header, Body: body}, nil
-}
-
-// send writes an answer to the caller.
-func (c *call) send(answer claim.Answer) error {
-	header := c.x.Header()
-	for name, values := range answer.Header {
-		header[name] = values
-	}
-	header.Set("Request-Id", c.x.Request.ID)
-	return c.x.SendAnswer(answer.Status, answer.Body)
-}
-
 func (c *call) recordUsage() {
 	c.handler.deps.RecordUsage(c.x.Request, 0, 0)
 }
--- a/internal/caller/plain/call_claim.go
+++ b/internal/caller/plain/call_claim.go
@@ -46,9 +46,13 @@
 	return [32]byte(hash.Sum(nil))
 }
 
-func (c *callClaim) finish(answer claim.Answer) {
-	if c != nil && c.won != nil {
-		c.claims.Finish(*c.won, answer)
+func (c *callClaim) finish(read callAnswer) {
+	switch {
+	case c == nil || c.won == nil:
+	case read.isSent:
+		c.claims.FinishWithoutAnswer(*c.won)
+	default:
+		c.claims.Finish(*c.won, read.Answer)
 	}
 }
 
--- a/internal/caller/plain/plain.go
+++ b/internal/caller/plain/plain.go
@@ -86,6 +86,7 @@
 // once.
 func (h *Handler) dispatch(x *entry.Exchange) error {
 	c := newCall(h, x)
+	defer c.memory.Release()
 	if x.Request.Repeatable {
 		return c.serveRepeatable()
 	}
--- a/internal/caller/plain/plain_test.go
+++ b/internal/caller/plain/plain_test.go
@@ -123,8 +123,13 @@
 	daemons  []daemon
 	grants   atomic.Int64
 	releases atomic.Int64
+	// memory is that of all daemons.
+	memory *memory.Budget
 }
 
+// clusterMemory is the memory that callers and answers may take.
+const clusterMemory = 64 << 20
+
 func seededState(t *testing.T) *state.State {
 	t.Helper()
 	s := state.New()
@@ -150,7 +155,7 @@
 
 func newTestCluster(t *testing.T, daemons int) *testCluster {
 	t.Helper()
-	r := &testCluster{table: table.NewMemory(), service: &fakeService{}}
+	r := &testCluster{table: table.NewMemory(), service: &fakeService{}, memory: memory.New(clusterMemory)}
 	r.service.server = httptest.NewServer(r.service)
 	t.Cleanup(r.service.server.Close)
 	for i := range daemons {
@@ -195,7 +200,7 @@
 			ReadTimeout: 5 * clock.Second, WriteStallTimeout: 5 * clock.Second, IdleTimeout: clock.Minute,
 		},
 		Clock: clk, Logger: logger, State: configuration,
-		Ready: func() error { return nil }, Memory: memory.New(64 << 20),
+		Ready: func() error { return nil }, Memory: r.memory,
 		NewID: func() string { return fmt.Sprintf("%s-%d", name, ids.Add(1)) },
 	})
 	handler := New(Dependencies{
--- a/internal/daemon/serve/callers.go
+++ b/internal/daemon/serve/callers.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/tls"
 	"net/http"
-	"runtime/debug"
 
 	"github.com/samber/oops"
 
@@ -14,7 +13,6 @@
 	"github.com/banyanshift/banyanshift/internal/caller/openai"
 	"github.com/banyanshift/banyanshift/internal/caller/plain"
 	"github.com/banyanshift/banyanshift/internal/caller/request"
-	"github.com/banyanshift/banyanshift/internal/decide/memory"
 	"github.com/banyanshift/banyanshift/internal/endpoint/service"
 	"github.com/banyanshift/banyanshift/internal/usage/meter"
 )
@@ -24,6 +22,13 @@
 	claimEpochKey = "ClaimEpoch"
 )
 
+// Answers that wait to be written to the table take at most maxPendingAnswerBytes, and one in
+// pendingAnswersPart of what callers may hold.
+const (
+	maxPendingAnswerBytes = 16 << 20
+	pendingAnswersPart    = 8
+)
+
 // claimTransactionsPerSecond is the fleet's maximum rate of transactions for claims.
 const claimTransactionsPerSecond = 200
 
@@ -33,12 +38,10 @@
 	if err != nil {
 		return err
 	}
-	limits := memory.LimitsOf(d.settings.Daemon.MemoryLimit, d.settings.Daemon.MaxDescriptors)
-	debug.SetMemoryLimit(limits.Soft)
 	d.callers = entry.New(entry.Dependencies{
 		Settings: d.settings.Caller, TLS: tlsConfig, Clock: d.clock, Logger: d.logger,
 		State: d.state, Ready: d.follower.Ready, NewID: d.newRequestID,
-		Memory: memory.New(limits.Held), Connections: limits.Connections,
+		Memory: d.memory, Connections: d.limits.Connections,
 	})
 	retries := newRetryBudget()
 	record := d.newUsageRecorder(retries)
@@ -66,6 +69,7 @@
 		Table: d.table, Clock: d.clock, Prefix: claimPrefix, EpochKey: claimEpochKey,
 		Owner: d.settings.Daemon.ID, Incarnation: d.incarnation,
 		CommitInterval: d.forwarder.CommitInterval, Forward: d.forwarder.Forward,
+		MaxPendingBytes: int(min(d.limits.Held/pendingAnswersPart, maxPendingAnswerBytes)),
 	})
 	claim.RegisterLookup(d.link, d.claimStore)
 	return claim.New(claim.Config{
--- a/internal/daemon/serve/scheduling.go
+++ b/internal/daemon/serve/scheduling.go
@@ -44,7 +44,7 @@
 		Class: d.state.Class, Team: d.state.Team, Backend: d.state.Backend,
 	})
 	d.broker.Register(d.link)
-	d.clients = transport.New(transport.Config{})
+	d.clients = transport.New(transport.Config{Memory: d.memory})
 	d.engines = engine.New(d.clients)
 	d.watcher = watch.New(watch.Config{
 		Clock:         d.clock,
--- a/internal/daemon/serve/serve.go
+++ b/internal/daemon/serve/serve.go
@@ -24,6 +24,7 @@
 	"errors"
 	mathrand "math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"sync/atomic"
 
@@ -40,6 +41,7 @@
 	"github.com/banyanshift/banyanshift/internal/config/follow"
 	"github.com/banyanshift/banyanshift/internal/config/state"
 	"github.com/banyanshift/banyanshift/internal/daemon/background"
+	"github.com/banyanshift/banyanshift/internal/decide/memory"
 	"github.com/banyanshift/banyanshift/internal/endpoint/engine"
 	"github.com/banyanshift/banyanshift/internal/endpoint/transport"
 	"github.com/banyanshift/banyanshift/internal/endpoint/watch"
@@ -78,6 +80,9 @@
 	relayTurn   atomic.Uint64
 	seed        uint64
 
+	// limits divides the memory of this process, of which memory is what callers and answers may take.
+	limits           memory.Limits
+	memory           *memory.Budget
 	platformHTTP     *http.Client
 	table            table.Client
 	state            *state.State
@@ -141,6 +146,9 @@
 	if err := d.identify(); err != nil {
 		return nil, err
 	}
+	d.limits = memory.LimitsOf(settings.Daemon.MemoryLimit, settings.Daemon.MaxDescriptors)
+	d.memory = memory.New(d.limits.Held)
+	debug.SetMemoryLimit(d.limits.Soft)
 	steps := []func() error{d.buildPlatform, d.buildPeers, d.buildScheduling, d.buildLease, d.buildCallers, d.buildOperators}
 	for _, step := range steps {
 		if err := step(); err != nil {
--- a/internal/endpoint/tcp/tcp.go
+++ b/internal/endpoint/tcp/tcp.go
@@ -39,7 +39,7 @@
 
 // Dial opens a connection. ctx bounds opening it.
 func Dial(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{Control: boundReadBuffer, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlivePeriod.Duration(), Interval: keepAlivePeriod.Duration()}}
+	dialer := net.Dialer{Control: BoundUnread, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlivePeriod.Duration(), Interval: keepAlivePeriod.Duration()}}
 	conn, err := dialer.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
@@ -79,8 +79,9 @@
 	_ = raw.Control(func(fd uintptr) { _ = unix.Listen(int(fd), count) })
 }
 
-// boundReadBuffer sets the size of the buffer of a socket that is not connected yet.
-func boundReadBuffer(_, _ string, raw syscall.RawConn) error {
+// BoundUnread is a Control function for dialers. The system then holds at most MaxUnreadBytes of a
+// connection that have arrived and were not read.
+func BoundUnread(_, _ string, raw syscall.RawConn) error {
 	return setReadBuffer(raw, MaxUnreadBytes/bufferFactor)
 }
 
--- a/internal/endpoint/transport/transport.go
+++ b/internal/endpoint/transport/transport.go
@@ -25,6 +25,7 @@
 
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/decide/memory"
+	"github.com/banyanshift/banyanshift/internal/endpoint/tcp"
 	"github.com/banyanshift/banyanshift/internal/wire/response"
 )
 
@@ -42,13 +43,15 @@
 	Retryable *http.Client
 	// AtMostOnce opens a connection for each call and never resends it.
 	AtMostOnce *http.Client
+	// Memory is the budget in which answers are counted, nil if there is none.
+	Memory *memory.Budget
 }
 
 // Config configures the clients.
 type Config struct {
 	// Dial replaces the default dialer. It may be nil.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
-	// Memory bounds the heads of answers. It may be nil.
+	// Memory bounds what answers take. It may be nil.
 	Memory *memory.Budget
 }
 
@@ -75,12 +78,13 @@
 func New(config Config) Clients {
 	dial := config.Dial
 	if dial == nil {
-		dial = (&net.Dialer{Timeout: dialTimeout.Duration()}).DialContext
+		dial = (&net.Dialer{Timeout: dialTimeout.Duration(), Control: tcp.BoundUnread}).DialContext
 	}
 	d := dialer{dial: dial}
 	return Clients{
 		Retryable:  newClient(d, config.Memory, false),
 		AtMostOnce: newClient(d, config.Memory, true),
+		Memory:     config.Memory,
 	}
 }
 
