serve: what answers of engines take is counted in the memory budget

What was wrong: a line of an engine's stream of up to 256 KiB, the text of an answer, which is kept to continue it and has no limit, and reports of up to 1 MiB from each engine were in no budget of banyanshift serve. An engine that sends tokens without end to a caller that waits for the whole answer was read until the process had no memory left.

Fix: a line over 8 KiB is reserved as an Event, the text with its copies as an Answer, a report as a body. A stream whose text does not fit goes on without it, and ends if its engine fails, since no other can continue it; an answer as a whole gets 502.

--- a/internal/caller/openai/execution.go
+++ b/internal/caller/openai/execution.go
@@ -5,13 +5,13 @@
 	"encoding/json"
 	"errors"
 	"net/http"
-	"strings"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
 	"github.com/banyanshift/banyanshift/internal/caller/entry"
 	"github.com/banyanshift/banyanshift/internal/caller/request"
+	"github.com/banyanshift/banyanshift/internal/decide/memory"
 	"github.com/banyanshift/banyanshift/internal/endpoint/engine"
 )
 
@@ -37,7 +37,7 @@
 	api     apiVariant
 	parsed  parsedBody
 
-	text              strings.Builder
+	text              keptText
 	tokens            int
 	promptTokens      int
 	finishReason      string
@@ -51,12 +51,16 @@
 }
 
 func newExecution(h *Handler, x *entry.Exchange, api apiVariant, parsed parsedBody) *execution {
-	return &execution{handler: h, x: x, api: api, parsed: parsed, promptTokens: x.Request.PromptTokens}
+	return &execution{
+		handler: h, x: x, api: api, parsed: parsed, promptTokens: x.Request.PromptTokens,
+		text: keptText{memory: x.ReserveAnswer(memory.Answer)},
+	}
 }
 
 // serve runs the request until it completes or may not be retried.
 func (r *execution) serve() error {
 	deps := r.handler.deps
+	defer r.text.memory.Release()
 	defer r.recordUsage()
 	grant, err := deps.Scheduler.Acquire(r.x.Context, r.x.Request)
 	for {
@@ -100,7 +104,7 @@
 func (r *execution) checkRetry(grant *request.Grant, err error) error {
 	var failure *engine.StreamError
 	switch {
-	case r.sentOtherContent && isEngineFailure(err):
+	case (r.sentOtherContent || r.text.dropped) && isEngineFailure(err):
 		r.logFailure(grant, err)
 		return r.failureRefusal("The engine broke off an answer that no other engine can continue.")
 	case errors.Is(err, errPreempted):
@@ -240,7 +244,10 @@
 		observeFirstToken(r.x.Request, r.firstTokenAt-r.x.Request.Arrived)
 	}
 	r.tokens++
-	r.text.WriteString(chunk.Text)
+	r.text.add(r.x.Context, chunk.Text)
+	if r.text.dropped && !r.parsed.stream {
+		return r.failureRefusal("This daemon has no memory left for the answer.")
+	}
 	return nil
 }
 
--- a/internal/caller/openai/openai_test.go
+++ b/internal/caller/openai/openai_test.go
@@ -48,6 +48,7 @@
 	hanging        fault = "hanging"
 	cutAfterFinish fault = "cut after the finish reason"
 	raw            fault = "raw"
+	stalled        fault = "raw, and then stands still"
 )
 
 // fakeEngine responds with totalTokens tokens "t0 t1 ...". It fails after
@@ -88,9 +89,12 @@
 		return
 	}
 	id := r.Header.Get("Request-Id")
-	if f.fault == raw {
+	if f.fault == raw || f.fault == stalled {
 		conn, _, _ := http.NewResponseController(w).Hijack()
 		_, _ = io.WriteString(conn, f.raw(id))
+		if f.fault == stalled {
+			_, _ = io.Copy(io.Discard, conn)
+		}
 		_ = conn.Close()
 		return
 	}
@@ -186,6 +190,7 @@
 	metered  atomic.Int64
 	mu       sync.Mutex
 	state    *state.State
+	memory   *memory.Budget
 	address  string
 }
 
@@ -246,7 +251,7 @@
 
 func newTestServer(t *testing.T, engines ...*fakeEngine) *testServer {
 	t.Helper()
-	r := &testServer{engines: engines, preempt: make(chan struct{}), state: seededState(t)}
+	r := &testServer{engines: engines, preempt: make(chan struct{}), state: seededState(t), memory: memory.New(64 << 20)}
 	for _, e := range engines {
 		e.server = httptest.NewServer(e)
 		t.Cleanup(e.server.Close)
@@ -260,12 +265,12 @@
 	var ids atomic.Int64
 	server := entry.New(entry.Dependencies{
 		Settings: settings, Clock: clock.System(), Logger: logger, State: r.state,
-		Ready: func() error { return nil }, Memory: memory.New(64 << 20),
+		Ready: func() error { return nil }, Memory: r.memory,
 		NewID: func() string { return fmt.Sprintf("r%d", ids.Add(1)) },
 	})
 	handler := New(Dependencies{
 		Clock: clock.System(), Logger: logger, State: r.state,
-		Engine: engine.New(transport.New(transport.Config{})), Scheduler: r.scheduler(),
+		Engine: engine.New(transport.New(transport.Config{Memory: r.memory})), Scheduler: r.scheduler(),
 		TakeRetry:   func(*request.Request) bool { return true },
 		RecordUsage: func(_ *request.Request, _, output int) { r.metered.Add(int64(output)) },
 	})
--- a/internal/endpoint/engine/engine.go
+++ b/internal/endpoint/engine/engine.go
@@ -28,6 +28,7 @@
 
 	"github.com/banyanshift/banyanshift/internal/config/entity"
 	"github.com/banyanshift/banyanshift/internal/observe/metric"
+	"github.com/banyanshift/banyanshift/internal/wire/response"
 )
 
 var duplicateChunks = metric.NewCounter("Endpoint.DuplicateChunks", "Duplicate chunks from engines that were skipped.")
@@ -110,6 +111,9 @@
 	if err != nil {
 		return err
 	}
+	if c.memory != nil {
+		resp.Body = response.CountBody(req.Context(), resp.Body, c.memory)
+	}
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
 	if err != nil {
--- a/internal/endpoint/engine/stream.go
+++ b/internal/endpoint/engine/stream.go
@@ -12,6 +12,7 @@
 	"strconv"
 
 	"github.com/banyanshift/banyanshift/internal/config/entity"
+	"github.com/banyanshift/banyanshift/internal/decide/memory"
 	"github.com/banyanshift/banyanshift/internal/endpoint/transport"
 )
 
@@ -64,11 +65,13 @@
 // Client calls engines.
 type Client struct {
 	http *http.Client
+	// memory may be nil.
+	memory *memory.Budget
 }
 
 // New returns a Client that sends its calls with clients.Retryable.
 func New(clients transport.Clients) *Client {
-	return &Client{http: clients.Retryable}
+	return &Client{http: clients.Retryable, memory: clients.Memory}
 }
 
 // Stream is an engine's answer in progress.
@@ -78,6 +81,8 @@
 	reader          *bufio.Reader
 	validator       validator
 	hasFinishReason bool
+	// longLine holds a line that is longer than the buffer of reader.
+	longLine longLine
 }
 
 // Start sends a call and returns its stream once the engine has accepted it.
@@ -104,6 +109,7 @@
 	}
 	return &Stream{
 		endpoint:  endpoint.ID,
+		longLine:  longLine{ctx: ctx, budget: c.memory},
 		body:      resp.Body,
 		reader:    bufio.NewReaderSize(resp.Body, 8<<10),
 		validator: validator{requestID: call.RequestID, nextToken: call.ResumeToken, resumed: call.ResumeToken > 0},
@@ -208,7 +214,10 @@
 
 // Close closes the stream. An engine cancels a request when its connection is
 // closed.
-func (s *Stream) Close() { _ = s.body.Close() }
+func (s *Stream) Close() {
+	s.longLine.release()
+	_ = s.body.Close()
+}
 
 func (s *Stream) streamError(err error) error {
 	return &StreamError{Endpoint: s.endpoint, Status: http.StatusOK, Err: err}
@@ -235,32 +244,34 @@
 	}
 }
 
-// readLine returns the next line without its line ending. It copies a line
-// only if it is longer than the read buffer.
+// readLine returns the next line without its line ending, which is valid until the next call. It copies
+// a line only if it is longer than the read buffer.
 func (s *Stream) readLine() ([]byte, error) {
+	s.longLine.release()
 	line, err := s.reader.ReadSlice('\n')
 	if errors.Is(err, bufio.ErrBufferFull) {
 		line, err = s.readLongLine(line)
 	}
-	if errors.Is(err, io.EOF) {
+	switch {
+	case errors.Is(err, ErrMalformed) || errors.Is(err, ErrNoMemory):
+		return nil, err
+	case errors.Is(err, io.EOF):
 		return nil, ErrTruncated
-	}
-	if err != nil {
+	case err != nil:
 		return nil, fmt.Errorf("%w: %w", ErrTruncated, err)
 	}
 	return bytes.TrimRight(line, "\r\n"), nil
 }
 
 func (s *Stream) readLongLine(start []byte) ([]byte, error) {
-	whole := append([]byte(nil), start...)
-	for {
-		part, err := s.reader.ReadSlice('\n')
-		whole = append(whole, part...)
-		if len(whole) > maxEventBytes {
-			return nil, fmt.Errorf("%w: longer than %d bytes", ErrMalformed, maxEventBytes)
+	for part := start; ; {
+		if err := s.longLine.add(part); err != nil {
+			return nil, err
 		}
+		var err error
+		part, err = s.reader.ReadSlice('\n')
 		if !errors.Is(err, bufio.ErrBufferFull) {
-			return whole, err
+			return s.longLine.data, errors.Join(s.longLine.add(part), err)
 		}
 	}
 }
