platform clients: answers of the store and the platform are counted in a budget of their own

What was wrong: an answer of up to 64 MiB was read whole by each of several calls at a time, whatever the memory limit. A store in trouble that sends bytes without end could end every daemon.

Fix: an eighth of the memory limit is a budget for these answers, heads and bodies, apart from that of callers and endpoints, which so cannot keep a daemon from reading the store. A body counts twice, since its buffer grows by copying. Of bodies over a sixteenth of the budget, one at a time is read; the others wait, since several that wait for the rest of the memory would all fail. With 88 MiB a page of 1 MB in base64, 2.8 MB of the 11, fits; with the default limit 64 MiB, as before.

Evidence: rest TestAnswersOfThePlatformAreCounted, new: four answers of 2 MiB at a time come whole beside a budget of 8 MiB, four of 32 MiB are given up, at most 8 MiB are counted.

--- a/internal/daemon/gateway/duties.go
+++ b/internal/daemon/gateway/duties.go
@@ -14,7 +14,6 @@
 	"github.com/banyanshift/banyanshift/internal/order/reconcile"
 	"github.com/banyanshift/banyanshift/internal/platform/rest"
 	"github.com/banyanshift/banyanshift/internal/usage/billing"
-	"github.com/banyanshift/banyanshift/internal/wire/response"
 )
 
 // leaseKey is the key of the lease whose holder reports usage and orders endpoints.
@@ -63,7 +62,7 @@
 	g := guard.New(guard.ForFence(d.leader.Lease, fence), d.clock)
 	return HolderCall{
 		Address: d.settings.Platform.Duties, Holder: d.settings.Daemon.ID, Fence: fence,
-		Client: rest.NewHTTPClient(g.Transport(), response.Limits{}, 0),
+		Client: rest.NewHTTPClient(g.Transport(), d.platformLimits(), 0),
 	}
 }
 
--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -119,7 +119,7 @@
 	roster                      *roster.Roster
 	scheduler                   *fleet.Scheduler
 	limits                      memory.Limits
-	memory                      *memory.Budget
+	memory, platformMemory      *memory.Budget
 	fleet                       *fleet.Fleet
 	crashes                     *crashnews.Exchange
 	link                        *link.Link
@@ -170,7 +170,7 @@
 	d.baseTasks, d.holderTasks, d.leaseTasks = background.New(d.logger), background.New(d.logger), background.New(d.logger)
 	d.limits = memory.LimitsOf(settings.Daemon.MemoryLimit, settings.Daemon.MaxDescriptors)
 	debug.SetMemoryLimit(d.limits.Soft)
-	d.memory = memory.New(d.limits.Held)
+	d.memory, d.platformMemory = memory.New(d.limits.Held), memory.New(d.limits.Platform)
 	d.buildState()
 	d.buildPeers()
 	d.buildLease()
@@ -195,11 +195,17 @@
 	return mathrand.New(mathrand.NewPCG(d.seed, stream))
 }
 
+// platformLimits returns the budgets for answers of the store and the platform, in which nothing of
+// callers is counted: they cannot keep this daemon from reading the store.
+func (d *Daemon) platformLimits() response.Limits {
+	return response.Limits{Heads: d.platformMemory, Bodies: d.platformMemory}
+}
+
 // buildState builds the store clients and the state that is read from the store.
 func (d *Daemon) buildState() {
 	storeClient := rest.NewHTTPClient(&http.Transport{
 		MaxIdleConnsPerHost: maxIdleStoreConnections, IdleConnTimeout: storeIdleTimeout.Duration(), DisableCompression: true,
-	}, response.Limits{}, 0)
+	}, d.platformLimits(), 0)
 	rows, changes := d.platform.NewStoreClients(d.settings.Platform.Store, storeClient)
 	d.eras = billing.NewEraWatch(d.clock, d.settings.Daemon.FirstStart)
 	d.table, d.feed = rows.WithObserver(d.clock, d.observeStoreCall), changes.WithObserver(d.clock, d.observeStoreCall)
--- a/internal/daemon/serve/lease.go
+++ b/internal/daemon/serve/lease.go
@@ -16,7 +16,6 @@
 	"github.com/banyanshift/banyanshift/internal/platform/usage"
 	"github.com/banyanshift/banyanshift/internal/usage/replicate"
 	"github.com/banyanshift/banyanshift/internal/usage/report"
-	"github.com/banyanshift/banyanshift/internal/wire/response"
 )
 
 const (
@@ -134,7 +133,7 @@
 // daemon holds the lease under the fence.
 func (d *Daemon) guardedClient(fence uint64) *http.Client {
 	g := guard.New(guard.ForFence(d.lease.Valid, fence), d.clock)
-	return rest.NewHTTPClient(g.Transport(), response.Limits{}, d.settings.Platform.CallTimeout)
+	return rest.NewHTTPClient(g.Transport(), d.platformLimits(), d.settings.Platform.CallTimeout)
 }
 
 func (d *Daemon) usageClient(fence uint64) usage.Client {
--- a/internal/daemon/serve/serve.go
+++ b/internal/daemon/serve/serve.go
@@ -80,37 +80,38 @@
 	relayTurn   atomic.Uint64
 	seed        uint64
 
-	// limits divides the memory of this process, of which memory is what callers and answers may take.
-	limits           memory.Limits
-	memory           *memory.Budget
-	platformHTTP     *http.Client
-	table            table.Client
-	state            *state.State
-	changeLog        *changelog.Log
-	follower         *follow.Follower
-	link             *link.Link
-	members          *membership.Membership
-	broker           *broker.Broker
-	clients          transport.Clients
-	engines          *engine.Client
-	watcher          *watch.Watcher
-	meter            *meter.Meter
-	claimStore       *coordclaim.Store
-	lease            *lease.Lease
-	leader           *leader.Runner
-	dispatcher       *dispatch.Dispatcher
-	leaseView        *leaseView
-	forwarder        *claim.Forwarder
-	counter          *demand.Counter
-	demandAggregator *demand.Aggregator
-	demandSender     *demand.Sender
-	planner          *plan.Planner
-	runningCounts    *runningCounts
-	replicator       *replicate.Replicator
-	reporter         *report.Reporter
-	callers          *entry.Server
-	operators        *rpc.Server
-	metrics          *server.Server
+	// limits divides the memory of this process, of which memory is what callers and answers of
+	// endpoints may take, and platformMemory what answers of the platform may.
+	limits                 memory.Limits
+	memory, platformMemory *memory.Budget
+	platformHTTP           *http.Client
+	table                  table.Client
+	state                  *state.State
+	changeLog              *changelog.Log
+	follower               *follow.Follower
+	link                   *link.Link
+	members                *membership.Membership
+	broker                 *broker.Broker
+	clients                transport.Clients
+	engines                *engine.Client
+	watcher                *watch.Watcher
+	meter                  *meter.Meter
+	claimStore             *coordclaim.Store
+	lease                  *lease.Lease
+	leader                 *leader.Runner
+	dispatcher             *dispatch.Dispatcher
+	leaseView              *leaseView
+	forwarder              *claim.Forwarder
+	counter                *demand.Counter
+	demandAggregator       *demand.Aggregator
+	demandSender           *demand.Sender
+	planner                *plan.Planner
+	runningCounts          *runningCounts
+	replicator             *replicate.Replicator
+	reporter               *report.Reporter
+	callers                *entry.Server
+	operators              *rpc.Server
+	metrics                *server.Server
 
 	// usageTasks write usage, holderTasks do the work of the lease holder, leaseTasks
 	// compete for the lease, and baseTasks are all others. They are stopped in this
@@ -147,7 +148,7 @@
 		return nil, err
 	}
 	d.limits = memory.LimitsOf(settings.Daemon.MemoryLimit, settings.Daemon.MaxDescriptors)
-	d.memory = memory.New(d.limits.Held)
+	d.memory, d.platformMemory = memory.New(d.limits.Held), memory.New(d.limits.Platform)
 	debug.SetMemoryLimit(d.limits.Soft)
 	steps := []func() error{d.buildPlatform, d.buildPeers, d.buildScheduling, d.buildLease, d.buildCallers, d.buildOperators}
 	for _, step := range steps {
@@ -180,10 +181,16 @@
 	return d.incarnation + "-" + strconv.FormatUint(d.requestIDs.Add(1), 36)
 }
 
+// platformLimits returns the budgets for answers of the platform, in which nothing of callers is
+// counted: they cannot keep this daemon from reading the table.
+func (d *Daemon) platformLimits() response.Limits {
+	return response.Limits{Heads: d.platformMemory, Bodies: d.platformMemory}
+}
+
 func (d *Daemon) buildPlatform() error {
 	d.platformHTTP = rest.NewHTTPClient(&http.Transport{
 		Proxy: http.ProxyFromEnvironment, IdleConnTimeout: platformIdleTimeout.Duration(),
-	}, response.Limits{}, d.settings.Platform.CallTimeout)
+	}, d.platformLimits(), d.settings.Platform.CallTimeout)
 	d.table = platformtable.New(d.settings.Platform.TableURL, d.platformHTTP)
 	return nil
 }
--- a/internal/decide/memory/limits.go
+++ b/internal/decide/memory/limits.go
@@ -20,6 +20,9 @@
 	processBytes = 24 << 20
 	heldPercent  = 70
 	leastPercent = 25
+	// platformPart is the part of the memory that answers of the platform may take, one in so many. It
+	// is part of what the process needs for itself.
+	platformPart = 8
 	// fileDescriptors is the number of descriptors that are kept for files, and callersPart the part
 	// of the others that callers may take, one in so many. The rest is for the store, peers and
 	// endpoints.
@@ -35,8 +38,9 @@
 
 // Limits divides the memory and the descriptors of a process.
 type Limits struct {
-	// Soft is the soft limit of the garbage collector, and Held the limit of a Budget, in bytes.
-	Soft, Held int64
+	// Soft is the soft limit of the garbage collector, Held the limit of the Budget of callers, and
+	// Platform that of the answers of the platform, in bytes.
+	Soft, Held, Platform int64
 	// Connections is how many connections of callers may be open.
 	Connections int
 }
@@ -56,6 +60,7 @@
 	limits.Connections = int(max(min(byMemory, byDescriptors), leastConnections))
 	limits.Soft = memoryBytes * softPercent / 100
 	rest := limits.Soft - processBytes - int64(limits.Connections)*connBytes
+	limits.Platform = memoryBytes / platformPart
 	limits.Held = max(rest*heldPercent/100, limits.Soft*leastPercent/100)
 	return limits
 }
--- a/internal/platform/rest/rest_test.go
+++ b/internal/platform/rest/rest_test.go
@@ -4,15 +4,19 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/banyanshift/banyanshift/coord/clock"
+	"github.com/banyanshift/banyanshift/internal/decide/memory"
 	"github.com/banyanshift/banyanshift/internal/standin/answer"
 	"github.com/banyanshift/banyanshift/internal/wire/response"
 )
@@ -175,3 +179,34 @@
 		t.Errorf("got %q, want an error", data)
 	}
 }
+
+// TestAnswersOfThePlatformAreCounted guards against answers without end that are read whole, by several
+// calls at a time. Sound ones wait for each other.
+func TestAnswersOfThePlatformAreCounted(t *testing.T) {
+	const budgetBytes, longBytes = 8 << 20, 2 << 20
+	budget := memory.New(budgetBytes)
+	client := NewHTTPClient(&http.Transport{}, response.Limits{Heads: budget, Bodies: budget}, 10*clock.Second)
+	for _, test := range []struct {
+		bytes int
+		sound bool
+	}{{longBytes, true}, {4 * budgetBytes, false}} {
+		text := strings.Repeat("1", test.bytes)
+		service := New(rawServer(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)), client)
+		var calls sync.WaitGroup
+		for range 4 {
+			calls.Go(func() {
+				data, err := service.CallRaw(t.Context(), "GET", "/x", nil, nil)
+				if (err == nil) != test.sound || test.sound && len(data) != test.bytes {
+					t.Errorf("%d bytes: got %d, %v", test.bytes, len(data), err)
+				}
+				if held := budget.State().Held; held > budgetBytes {
+					t.Errorf("%d bytes are counted", held)
+				}
+			})
+		}
+		calls.Wait()
+		if held := budget.State().Held; held != 0 {
+			t.Errorf("%d bytes are counted after the calls", held)
+		}
+	}
+}
--- a/internal/wire/response/transport.go
+++ b/internal/wire/response/transport.go
@@ -16,6 +16,8 @@
 type Transport struct {
 	base   *http.Transport
 	bodies *memory.Budget
+	// longBody holds the place of the only long body that is read.
+	longBody chan struct{}
 }
 
 // dialer opens connections.
@@ -36,7 +38,7 @@
 	}
 	base.DialTLSContext = dialer(base.DialContext).underTLS(base.TLSClientConfig).checked(limits.Heads)
 	base.DialContext = dialer(base.DialContext).checked(limits.Heads)
-	return &Transport{base: base, bodies: limits.Bodies}
+	return &Transport{base: base, bodies: limits.Bodies, longBody: make(chan struct{}, 1)}
 }
 
 // checked returns a dialer whose connections are of type *Conn.
@@ -95,7 +97,7 @@
 	answer, err := t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	switch {
 	case err == nil && t.bodies != nil:
-		answer.Body = CountBody(request.Context(), answer.Body, t.bodies)
+		answer.Body = newCountedBody(request.Context(), answer.Body, t.bodies, t.longBody)
 	case err != nil && used != nil && errors.Is(used.Err(), ErrMalformed):
 		err = used.Err()
 	}
