--- a/internal/caller/plain/malformed_test.go
+++ b/internal/caller/plain/malformed_test.go
@@ -1,6 +1,7 @@
 package plain
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"testing"
 
@@ -60,3 +61,28 @@
 		}
 	}
 }
+
+// TestRandomAnswersReachCallersOnlyIfSound checks with random changes to answers, of which each seed
+// gives the same, that no caller gets one whose head is none by the grammar of HTTP.
+func TestRandomAnswersReachCallersOnlyIfSound(t *testing.T) {
+	const count, body = 600, "run 1 of it"
+	r := newTestCluster(t, 1)
+	answers := append(answer.Sound(), answer.Malformed()...)
+	served := 0
+	for seed := range count {
+		var sent string
+		r.service.raw = func(id string) string {
+			sent = answer.Mutate(rand.New(rand.NewPCG(uint64(seed), 3)), answers[seed%len(answers)].Text("Request-Id: "+id+"\r\n", body))
+			return sent
+		}
+		r.service.mode.Store("raw")
+		if status, _, text := r.call(t, 0, http.MethodPost, "/certificates", "", ""); status < 500 && !answer.HasSoundHead(sent) {
+			t.Errorf("seed %d: got status %d, body %q of %q", seed, status, text, sent)
+		} else if status == http.StatusOK {
+			served++
+		}
+	}
+	if served < count/20 || r.service.runs.Load() != count {
+		t.Errorf("%d of %d answers reached their callers, %d runs", served, count, r.service.runs.Load())
+	}
+}
