serve: test of answers without end to many callers, in processes

The watch counted sockets that were just connecting, whose queue is not set yet: one look showed 641 MiB; they are left out.

--- a/internal/daemon/serve/hostileclients_test.go
+++ b/internal/daemon/serve/hostileclients_test.go
@@ -52,10 +52,22 @@
 
 // waitServed waits until an ordinary request is answered.
 func waitServed(t *testing.T, address, when string) {
+	t.Helper()
+	waitRequestServed(t, when, func() (*http.Request, error) {
+		return http.NewRequest(http.MethodGet, "http://"+address+"/status/today", http.NoBody)
+	})
+}
+
+// waitRequestServed waits until a request is answered that newRequest returns.
+func waitRequestServed(t *testing.T, when string, newRequest func() (*http.Request, error)) {
 	t.Helper()
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for deadline := time.Now().Add(15 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
-		response, err := client.Get("http://" + address + "/status/today")
+		request, err := newRequest()
+		if err != nil {
+			t.Fatal(err)
+		}
+		response, err := client.Do(request)
 		if err != nil {
 			continue
 		}
@@ -106,17 +118,23 @@
 			waitServed(t, d.Caller, "beside")
 			c.Stop()
 			waitServed(t, d.Caller, "after")
-			peak, err := watch.Stop()
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Logf("at most %v", peak)
-			if peak.Memory() > hostileMemory {
-				t.Errorf("the daemon held %v, want at most %d MiB", peak.Usage, hostileMemory>>20)
-			}
-			if peak.Descriptors > hostileDescriptors {
-				t.Errorf("the daemon had %d descriptors, want at most %d", peak.Descriptors, hostileDescriptors)
-			}
+			expectWithinLimits(t, &watch)
 		})
 	}
 }
+
+// expectWithinLimits ends a watch, and checks that the daemon never held more than its limits.
+func expectWithinLimits(t *testing.T, watch *hostile.Watch) {
+	t.Helper()
+	peak, err := watch.Stop()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("at most %v", peak)
+	if peak.Memory() > hostileMemory {
+		t.Errorf("the daemon held %v, want at most %d MiB", peak.Usage, hostileMemory>>20)
+	}
+	if peak.Descriptors > hostileDescriptors {
+		t.Errorf("the daemon had %d descriptors, want at most %d", peak.Descriptors, hostileDescriptors)
+	}
+}
--- a/internal/standin/host/host.go
+++ b/internal/standin/host/host.go
@@ -48,6 +48,9 @@
 	LateBy    clock.Millis
 	// LoadLag raises the lag of load reports to at least this.
 	LoadLag clock.Millis
+	// Answer is the name of the answer of package hostile that takes the place of all others, "" for
+	// none.
+	Answer string
 }
 
 // Endpoint is one running endpoint. All fields must be set.
@@ -109,6 +112,8 @@
 	started      clock.Millis
 	leavingSince clock.Millis
 	ended        clock.Millis
+	// answer is that of Fault.
+	answer string
 }
 
 // New returns a Host that does not listen yet.
@@ -197,7 +202,7 @@
 	if err := r.endpoint.Prepare(ctx); err != nil {
 		return "", errors.Join(err, listener.Close())
 	}
-	r.server = &http.Server{Handler: r.endpoint.Handler, ReadHeaderTimeout: clock.Minute.Duration()}
+	r.server = &http.Server{Handler: http.HandlerFunc(r.serve), ReadHeaderTimeout: clock.Minute.Duration()}
 	h.mu.Lock()
 	h.endpoints[spec.Endpoint.ID] = r
 	h.mu.Unlock()
@@ -282,6 +287,7 @@
 		return
 	}
 	if !fault.Crash {
+		r.setAnswer(fault.Answer)
 		r.endpoint.SetFault(fault)
 		return
 	}
--- a/internal/standin/hostile/watch.go
+++ b/internal/standin/hostile/watch.go
@@ -127,8 +127,12 @@
 	return 0, fmt.Errorf("process %d has ended", w.PID)
 }
 
-// listening is the state of a socket that listens, as in /proc/net/tcp. Its queue counts connections.
-const listening = "0A"
+// States of sockets as in /proc/net/tcp. The queue of one that listens counts connections, and that of one
+// that connects is the difference of two numbers of which one is not set yet.
+const (
+	connecting = "02"
+	listening  = "0A"
+)
 
 // unread returns the bytes in the receive queues of the address's connections, also of those that
 // were not accepted yet, and of the connections to the servers.
@@ -145,7 +149,11 @@
 	}
 	lines := bufio.NewScanner(file)
 	for lines.Scan() {
-		if fields := strings.Fields(lines.Text()); len(fields) >= 5 && (fields[1] == local || servers[fields[2]]) && fields[3] != listening {
+		fields := strings.Fields(lines.Text())
+		if len(fields) < 5 || fields[3] == listening || fields[3] == connecting {
+			continue
+		}
+		if fields[1] == local || servers[fields[2]] {
 			total += queued(fields[4])
 		}
 	}
