--- a/internal/caller/openai/malformed_test.go
+++ b/internal/caller/openai/malformed_test.go
@@ -10,7 +10,7 @@
 
 // TestCallerGetsNoMalformedAnswer guards against answers of engines whose status or fields are none,
 // which the parser of the standard library takes for sound ones. The raw answers are streams of one
-// token, "raw".
+// token, "raw", on connections that end with them.
 func TestCallerGetsNoMalformedAnswer(t *testing.T) {
 	const total = 3
 	const stream = "data: {\"id\":%q,\"choices\":[{\"index\":0,\"delta\":{\"content\":\"raw\"},\"finish_reason\":\"stop\"}],\"token\":0}\n\ndata: [DONE]\n\n"
@@ -19,7 +19,7 @@
 	rawEngine := &fakeEngine{fault: raw}
 	r := newTestServer(t, rawEngine, &fakeEngine{totalTokens: total})
 	for number, a := range answers {
-		rawEngine.raw = func(id string) string { return a.Text("Request-Id: "+id+"\r\n", fmt.Sprintf(stream, id)) }
+		rawEngine.raw = func(id string) string { return a.Text("Connection: close\r\nRequest-Id: "+id+"\r\n", fmt.Sprintf(stream, id)) }
 		want := "raw"
 		if number < malformed {
 			want = expectedText(total)
