--- a/internal/caller/openai/malformed_test.go
+++ b/internal/caller/openai/malformed_test.go
@@ -19,7 +19,9 @@
 	rawEngine := &fakeEngine{fault: raw}
 	r := newTestServer(t, rawEngine, &fakeEngine{totalTokens: total})
 	for number, a := range answers {
-		rawEngine.raw = func(id string) string { return a.Text("Connection: close\r\nRequest-Id: "+id+"\r\n", fmt.Sprintf(stream, id)) }
+		rawEngine.raw = func(id string) string {
+			return a.Text("Connection: close\r\nRequest-Id: "+id+"\r\n", fmt.Sprintf(stream, id))
+		}
 		want := "raw"
 		if number < malformed {
 			want = expectedText(total)
