--- a/review/rig3/gateway.go
+++ b/review/rig3/gateway.go
@@ -18,6 +18,9 @@
 // program is the gateway as the deploy file builds it, below the root of the repository.
 const program = "target/banyangateway"
 
+// mostSeeds is the largest number of seeds.
+const mostSeeds = 3
+
 // Ports of a gateway, as offsets from the first one.
 const (
 	portFront = iota
@@ -41,9 +44,13 @@
 // Fleet is the machines of a deployment.
 type Fleet struct {
 	Machines []*Machine
-	store    *Store
-	dir      string
-	port     int
+	// SeedInEachZone makes the first machine of each zone a seed. The seeds are the first three
+	// machines otherwise.
+	SeedInEachZone bool
+
+	store *Store
+	dir   string
+	port  int
 }
 
 // NewFleet returns a fleet without machines that keeps its files in a folder.
@@ -134,8 +141,10 @@
 // deployment.
 func (m *Machine) settings(firstStart bool) string {
 	var seeds []string
-	for _, other := range m.fleet.Machines[:min(3, len(m.fleet.Machines))] {
-		seeds = append(seeds, fmt.Sprintf("%s:%d", other.IP, 8229))
+	for i, other := range m.fleet.Machines {
+		if (m.fleet.SeedInEachZone && other.Number == 1) || (!m.fleet.SeedInEachZone && i < mostSeeds) {
+			seeds = append(seeds, fmt.Sprintf("%s:%d", other.IP, 8229))
+		}
 	}
 	return strings.Join([]string{
 		"[Daemon]", "ID = " + m.Name, "FailureDomain = " + m.Zone, "Capacity = 0.4", fmt.Sprintf("FirstStart = %t", firstStart),
