feed: a call that hangs is no contact, and is sent again beside it

What callers saw: a key that the operator had withdrawn, and a route that led elsewhere by then, were served at all eight gateways for up to 4.5 s after the confirmation, 1.5 s longer than the bound (contact_ms after the end of a silence of the store).

Cause: a call that the store takes while it is silent is never answered. A read of rows waited 5 s for it, and until then the gateway counted as one that follows the store: Failing() knew only calls that had ended. So the others left the store to it and passed its old view among themselves. It happens to gateways that start beside a silent store, and without a kill to all followers whose history is lost just before a silence.

Ruled out: a shorter limit of the read alone. A store that takes 1.3 s for a page is then never read, and the window only moves.

Now a call is sent again beside the attempts that are out, on a connection of its own, once its answer is overdue (0.5 s beyond its wait, then each second), only by gateways that follow the rows. The first answer counts, so a slow store is read by its first attempt. The gateway counts as without contact from the moment that a call is overdue, and from 0.3 s after its first call until the first answer, and says so to its peers, in the field that earlier releases know. Overdue calls are logged (2014).

Why it works: while nobody knows the rows to be current, a follower sends a call at least each 1.5 s, whatever became of the earlier ones, so the end of a silence is noticed 1.5 s later at most, or 1.95 s if the history is gone as well.

--- a/internal/daemon/gateway/entries.go
+++ b/internal/daemon/gateway/entries.go
@@ -16,7 +16,7 @@
 	reader := &entryReader{daemon: d, unreadable: make(map[string]bool)}
 	return feed.New(feed.Config{
 		Feed: d.feed, Clock: d.clock, Logger: d.logger, Prefix: d.platform.EndpointPrefix, Mode: d.endpointsMode, Wait: feedWait,
-		OnSnapshot: reader.replace, OnChanges: reader.update, OnUnavailable: d.roster.MarkTableUnavailable, Rand: d.random(4),
+		OnSnapshot: reader.replace, OnChanges: reader.update, OnUnavailable: d.roster.MarkTableUnavailable, DropIdleConnections: d.storeClient.CloseIdleConnections, Rand: d.random(4),
 	})
 }
 
--- a/internal/daemon/gateway/follow.go
+++ b/internal/daemon/gateway/follow.go
@@ -54,7 +54,7 @@
 	reader := &documentReader{daemon: d, drained: make(map[string]bool)}
 	return feed.New(feed.Config{
 		Feed: d.feed, Clock: d.clock, Logger: d.logger, Prefix: d.platform.DocumentPrefix, Mode: d.documentMode, Wait: feedWait,
-		OnSnapshot: reader.replace, OnChanges: reader.update, Rand: d.random(3),
+		OnSnapshot: reader.replace, OnChanges: reader.update, DropIdleConnections: d.storeClient.CloseIdleConnections, Rand: d.random(3),
 	})
 }
 
--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -109,11 +109,12 @@
 	incarnation string
 	seed        uint64
 
-	table    table.Client
-	feed     table.Feed
-	eras     *billing.EraWatch
-	document *document.Holder
-	drains   *drain.Holder
+	storeClient *http.Client
+	table       table.Client
+	feed        table.Feed
+	eras        *billing.EraWatch
+	document    *document.Holder
+	drains      *drain.Holder
 	// documentFeed and endpointsFeed read the store while this daemon is to.
 	documentFeed, endpointsFeed *feed.Follower
 	roster                      *roster.Roster
@@ -206,6 +207,7 @@
 	storeClient := rest.NewHTTPClient(&http.Transport{
 		MaxIdleConnsPerHost: maxIdleStoreConnections, IdleConnTimeout: storeIdleTimeout.Duration(), DisableCompression: true,
 	}, d.platformLimits(), 0)
+	d.storeClient = storeClient
 	rows, changes := d.platform.NewStoreClients(d.settings.Platform.Store, storeClient)
 	d.eras = billing.NewEraWatch(d.clock, d.settings.Daemon.FirstStart)
 	d.table, d.feed = rows.WithObserver(d.clock, d.observeStoreCall), changes.WithObserver(d.clock, d.observeStoreCall)
@@ -230,7 +232,8 @@
 		FollowsStore:     func() bool { return d.endpointsMode() == feed.Follow },
 		ReadChanges:      d.readChangedEndpoints,
 		StoreUnavailable: func() bool { return d.documentFeed.Failing() || d.endpointsFeed.Failing() }, Rand: d.random(2),
-		HighestFence: func() uint64 { return d.lease.HighestFence() }, FirstStart: d.settings.Daemon.FirstStart,
+		LacksStoreContact: func() bool { return d.documentFeed.LacksContact() || d.endpointsFeed.LacksContact() },
+		HighestFence:      func() uint64 { return d.lease.HighestFence() }, FirstStart: d.settings.Daemon.FirstStart,
 		Crashes: fleet.Crashes{
 			Fingerprint: func() uint64 { return d.crashes.Fingerprint() },
 			Sync: func(ctx context.Context, address string, fingerprint uint64) {
--- a/internal/peer/fleet/fleet.go
+++ b/internal/peer/fleet/fleet.go
@@ -79,6 +79,9 @@
 	// StoreUnavailable reports whether this daemon failed to read the store when it
 	// last tried.
 	StoreUnavailable func() bool
+	// LacksStoreContact reports whether this daemon calls the store and gets no answer, so that
+	// others must not leave the store to it.
+	LacksStoreContact func() bool
 	// HighestFence returns the highest fence of the lease that this daemon has seen in
 	// the store.
 	HighestFence func() uint64
--- a/internal/platform/feed/feed.go
+++ b/internal/platform/feed/feed.go
@@ -7,8 +7,12 @@
 // all rows again when the service no longer has the history since its position, or has
 // come back from a copy.
 //
+// A call that hangs is no contact: when no answer has come in time, a Follower in mode
+// Follow counts as failing and sends a further attempt on another connection, beside those
+// that are out. The first answer counts.
+//
 // With the rows of each response, the Follower passes asOf, the time at which the
-// rows were certainly current. This is when the call was sent, since the response
+// rows were certainly current. This is when the attempt was sent, since the response
 // may lack later changes. A response without changes is sent only after the whole
 // wait, so there asOf is the end of the wait.
 //
@@ -33,7 +37,12 @@
 	"github.com/banyanshift/banyanshift/internal/observe/event"
 )
 
+// errOverdue means that the store has not answered a call in time.
+var errOverdue = errors.New("feed: a call is overdue")
+
 var (
+	eventOverdue = event.New(2014, logrus.InfoLevel, "call to the store is overdue",
+		"The store has not answered a call to read the rows under the prefix in time. A daemon that follows the rows sends another attempt beside it.")
 	eventUnavailable = event.New(2010, logrus.WarnLevel, "store cannot be read",
 		"Rows under the prefix cannot be read; the known rows stay in use until the store or a peer sends newer ones.")
 	eventAvailable = event.New(2011, logrus.InfoLevel, "store can be read again",
@@ -45,18 +54,14 @@
 )
 
 const (
-	// callTimeoutMargin is how much longer than its wait a call may take.
-	callTimeoutMargin = 700 * clock.Millisecond
 	// minSnapshotInterval is the least time between two snapshots without a delay.
 	minSnapshotInterval = clock.Second
-	// pageTimeout is the maximum time to read one page of the rows.
-	pageTimeout = 5 * clock.Second
 	// maxSnapshotAge is the age from which the first pages of a snapshot are read again
 	// if the rest could not be read. The service keeps its history longer.
 	maxSnapshotAge = 10 * clock.Second
-	// maxWaitAfterFailure is the maximum wait of the call after a failed one. It
+	// shortWait is the maximum wait of a call while the store is not known to answer. It
 	// is short so that the end of an outage is detected soon.
-	maxWaitAfterFailure = 100 * clock.Millisecond
+	shortWait = 100 * clock.Millisecond
 	// lateResponseMargin is how much longer than its wait a response must take
 	// to count as a sign that the service was unavailable meanwhile.
 	lateResponseMargin = 500 * clock.Millisecond
@@ -99,6 +104,9 @@
 	OnChanges  func(rows []table.Row, at table.Position, asOf clock.Millis)
 	// OnUnavailable is called when the rows cannot be read; may be nil.
 	OnUnavailable func()
+	// DropIdleConnections closes the connections to the store that carry no call, since they may
+	// be as silent as that of a call that is overdue; may be nil.
+	DropIdleConnections func()
 	// Rand adds jitter to retry delays, so that daemons whose calls failed at the
 	// same time do not retry at the same time.
 	Rand *rand.Rand
@@ -115,7 +123,7 @@
 	snapshotAt   clock.Millis
 	outageStart  clock.Millis
 	unavailable  bool
-	failing      atomic.Bool
+	contact      contact
 	readFailures int
 	// passedOn is the position up to which all rows were passed on, nil unless the Follower
 	// follows them.
@@ -127,9 +135,15 @@
 	return &Follower{config: config}
 }
 
-// Failing reports whether the last call failed.
+// Failing reports whether the last call failed or is overdue.
 func (f *Follower) Failing() bool {
-	return f.failing.Load()
+	return f.contact.isFailing()
+}
+
+// LacksContact reports whether the store does not answer a Follower that calls it. That is also
+// so while the first call is out.
+func (f *Follower) LacksContact() bool {
+	return f.contact.isMissing(f.config.Clock.Now())
 }
 
 // Run reads the rows and their changes until ctx is canceled, and returns its
@@ -139,14 +153,16 @@
 		mode := f.config.Mode()
 		delay := modeCheckInterval
 		if mode == Follow || mode == Read && !f.hasSnapshot {
+			sentAt := f.config.Clock.Now()
+			f.contact.begin(sentAt)
 			err := f.step(ctx)
 			if ctx.Err() != nil {
 				return ctx.Err()
 			}
 			f.recordResult(err)
-			delay = f.delayAfter(mode, err)
+			delay = f.delayAfter(mode, err, f.config.Clock.Now()-sentAt)
 		} else {
-			f.failing.Store(false)
+			f.contact.end()
 		}
 		f.recordPassedOn(mode)
 		if err := f.config.Clock.Sleep(ctx, delay); err != nil {
@@ -185,8 +201,9 @@
 	return rows, err
 }
 
-// delayAfter returns the time until the next call after one that returned err.
-func (f *Follower) delayAfter(mode Mode, err error) clock.Millis {
+// delayAfter returns the time until the next call after one that took some time and returned err.
+// A call of a Follower in mode Follow that hung is not followed by a delay.
+func (f *Follower) delayAfter(mode Mode, err error, took clock.Millis) clock.Millis {
 	if err == nil {
 		f.readFailures = 0
 		return 0
@@ -196,7 +213,11 @@
 		f.readFailures++
 		delay = min(retryDelay<<min(f.readFailures, maxDoublings), maxReadRetryDelay)
 	}
-	return delay/2 + clock.Millis(f.config.Rand.Int64N(int64(delay)))
+	delay = delay/2 + clock.Millis(f.config.Rand.Int64N(int64(delay)))
+	if mode == Follow {
+		delay = max(delay-took, 0)
+	}
+	return delay
 }
 
 // step sends one call, for a snapshot or for changes, and passes on its rows. If the
@@ -217,32 +238,35 @@
 }
 
 func (f *Follower) readChanges(ctx context.Context) error {
-	asOf := f.config.Clock.Now()
 	wait := f.config.Wait
-	if f.unavailable {
-		wait = min(wait, maxWaitAfterFailure)
+	if !f.contact.hasAnswered() {
+		wait = min(wait, shortWait)
 	}
-	ctx, cancel := context.WithTimeout(ctx, (wait + callTimeoutMargin).Duration())
-	defer cancel()
-	rows, at, err := f.config.Feed.Changes(ctx, f.config.Prefix, f.position, wait)
-	if err != nil {
-		if errors.Is(err, table.ErrHistoryGone) {
+	after := f.position
+	got := f.call(ctx, wait, func(ctx context.Context, wait clock.Millis) (page table.Page, err error) {
+		page.Rows, page.At, err = f.config.Feed.Changes(ctx, f.config.Prefix, after, wait)
+		return page, err
+	})
+	if got.err != nil {
+		if errors.Is(got.err, table.ErrHistoryGone) {
 			eventHistoryGone.Log(f.config.Logger, logrus.Fields{"Prefix": f.config.Prefix, "Era": f.position.Era, "Revision": f.position.Revision})
 		}
-		return err
+		return got.err
 	}
-	if at.Era != f.position.Era {
-		f.logEraChange(at)
+	if got.At.Era != f.position.Era {
+		f.logEraChange(got.At)
 		return table.ErrHistoryGone
 	}
-	f.position.Revision = max(f.position.Revision, at.Revision)
-	if f.config.Clock.Now()-asOf > wait+lateResponseMargin {
+	f.position.Revision = max(f.position.Revision, got.At.Revision)
+	now := f.config.Clock.Now()
+	if got.isLate(now) {
 		f.reportUnavailable()
 	}
-	if len(rows) == 0 {
-		asOf = min(asOf+wait, f.config.Clock.Now())
+	asOf := got.sentAt
+	if len(got.Rows) == 0 {
+		asOf = min(asOf+got.wait, now)
 	}
-	f.config.OnChanges(lastStates(rows), f.position, asOf)
+	f.config.OnChanges(lastStates(got.Rows), f.position, asOf)
 	return nil
 }
 
@@ -283,22 +307,22 @@
 // readPage adds the next page to the snapshot. Pages of different eras do not belong
 // together; the error is table.ErrHistoryGone then, and the snapshot begins anew.
 func (f *Follower) readPage(ctx context.Context) (page table.Page, err error) {
-	asOf := f.config.Clock.Now()
-	ctx, cancel := context.WithTimeout(ctx, pageTimeout.Duration())
-	defer cancel()
-	page, err = f.config.Feed.ReadPage(ctx, f.config.Prefix, f.partial.lastKey())
-	if err != nil {
-		return page, err
+	after := f.partial.lastKey()
+	got := f.call(ctx, 0, func(ctx context.Context, _ clock.Millis) (table.Page, error) {
+		return f.config.Feed.ReadPage(ctx, f.config.Prefix, after)
+	})
+	if got.err != nil {
+		return got.Page, got.err
 	}
 	if f.partial == nil {
-		f.partial = &snapshot{at: page.At, asOf: asOf}
+		f.partial = &snapshot{at: got.At, asOf: got.sentAt}
 	}
-	if page.At.Era != f.partial.at.Era {
+	if got.At.Era != f.partial.at.Era {
 		f.partial = nil
-		return page, fmt.Errorf("%w: the era changed between two pages", table.ErrHistoryGone)
+		return got.Page, fmt.Errorf("%w: the era changed between two pages", table.ErrHistoryGone)
 	}
-	f.partial.rows = append(f.partial.rows, page.Rows...)
-	return page, nil
+	f.partial.rows = append(f.partial.rows, got.Rows...)
+	return got.Page, nil
 }
 
 // lastKey returns the key of the last row, "" if there is none.
@@ -331,20 +355,45 @@
 	}
 }
 
-// recordResult updates the state after a call, and logs when the store becomes
-// unavailable and available again.
+// recordOverdue records that the attempts of a call are out for longer than they may be.
+func (f *Follower) recordOverdue(mode Mode, after clock.Millis, attempts int) {
+	eventOverdue.Log(f.config.Logger, logrus.Fields{"Prefix": f.config.Prefix, "Attempts": attempts, "Waited": int64(after), "Follows": mode == Follow})
+	if f.config.DropIdleConnections != nil {
+		f.config.DropIdleConnections()
+	}
+	if mode == Follow {
+		f.recordFailure(errOverdue)
+	}
+}
+
+// recordResult updates the state after a call.
 func (f *Follower) recordResult(err error) {
-	now := f.config.Clock.Now()
-	f.failing.Store(err != nil && !errors.Is(err, table.ErrHistoryGone))
 	switch {
-	case errors.Is(err, table.ErrHistoryGone):
-		// The store answered. The lost history was logged when it was noticed.
-	case err != nil && !f.unavailable:
-		f.reportUnavailable()
-		f.unavailable, f.outageStart = true, now
-		eventUnavailable.Log(f.config.Logger, logrus.Fields{"Prefix": f.config.Prefix, "Error": err.Error()})
-	case err == nil && f.unavailable:
+	case errors.Is(err, errNotNeeded):
+	case err != nil && !errors.Is(err, table.ErrHistoryGone):
+		f.recordFailure(err)
+	default:
+		// The store answered. A lost history was logged when it was noticed.
+		f.recordAnswer(err == nil)
+	}
+}
+
+// recordFailure records that the store does not answer, and logs when that begins.
+func (f *Follower) recordFailure(err error) {
+	f.contact.record(false)
+	if f.unavailable {
+		return
+	}
+	f.reportUnavailable()
+	f.unavailable, f.outageStart = true, f.config.Clock.Now()
+	eventUnavailable.Log(f.config.Logger, logrus.Fields{"Prefix": f.config.Prefix, "Error": err.Error()})
+}
+
+// recordAnswer records that the store answers. An outage ends once the rows have been read.
+func (f *Follower) recordAnswer(hasRows bool) {
+	f.contact.record(true)
+	if f.unavailable && hasRows {
 		f.unavailable = false
-		eventAvailable.Log(f.config.Logger, logrus.Fields{"Prefix": f.config.Prefix, "Outage": int64(now - f.outageStart)})
+		eventAvailable.Log(f.config.Logger, logrus.Fields{"Prefix": f.config.Prefix, "Outage": int64(f.config.Clock.Now() - f.outageStart)})
 	}
 }
