topology: further VMs of a domain read the store once the view is old

What callers saw: beside gateways of the last release, a withdrawn key was still served 3 s after a silence of the store, by the gateways of this release as well.

Cause: while no confirmation was recent, only the roots of the failure domains followed the store. A root that does not know that the store fails to answer it, as one of the last release whose call hangs, kept the others of its domain from reading.

Now the next VMs of a domain follow the store as well when the view is 3, 3.5 and 4 s old, up to the fourth: the trust in those that precede lapses with the age of the confirmation at its source, whatever they say of themselves.

--- a/internal/peer/topology/role.go
+++ b/internal/peer/topology/role.go
@@ -23,8 +23,12 @@
 	// unranked is the rank of a daemon that does not know its place in the fleet.
 	unranked = math.MaxInt
 	// maxUnconfirmed is the age of a view from which all roots follow the store: the
-	// followers may be refused by the store or may have failed.
+	// followers may be refused by the store or may have failed. standInDelay is how much
+	// older it must be for each further VM of the domain, up to standIns of them, since the
+	// ones before may not know that they are out of contact with the store.
 	maxUnconfirmed = 2500 * clock.Millisecond
+	standInDelay   = 500 * clock.Millisecond
+	standIns       = 3
 )
 
 // Contacts returns the addresses to ping, sorted.
@@ -285,10 +289,14 @@
 }
 
 // FollowsStore reports whether the daemon is to follow the store, if what it holds of
-// the store was last confirmed at a time. It takes the place of VMs that are late.
+// the store was last confirmed at a time. It takes the place of VMs that are late, and of
+// those that say that they use the store while nobody's confirmation is recent.
 func (v *View) FollowsStore(now, confirmedAt clock.Millis) bool {
-	unconfirmed := now-confirmedAt > maxUnconfirmed
-	return v.leaderRank(now, (*candidate).newsState) < storeFollowers || (unconfirmed && v.IsRoot(now))
+	if v.leaderRank(now, (*candidate).newsState) < storeFollowers {
+		return true
+	}
+	place := v.rank(now)
+	return place <= standIns && now-confirmedAt > maxUnconfirmed+clock.Millis(place)*standInDelay
 }
 
 // NewsIsLate reports whether the VM that this daemon follows is late, or for a root one
