feed, gateway: a start beside load does not make all gateways read the store again

Cause: 30 gateways that start on a busy machine wait more than a second for a page. All of them counted as followers, since a gateway that knows nobody yet has the first place and a view that it does not hold has no age; so each sent its pages again, said that the store does not answer it, and made others compete for the lease.

Now a gateway that does not know its place yet reads the rows once, as those do that follow others; the age of a view counts from the start of the gateway at the earliest; a page may take 1.5 s before it is asked for again, and the store counts as silent when the second attempt has no answer either. The separate state of a gateway that waits for its first answer is gone, since the age of the view at the others covers it.

--- a/internal/daemon/gateway/follow.go
+++ b/internal/daemon/gateway/follow.go
@@ -19,10 +19,14 @@
 // so the interval at which a follower confirms its view.
 const feedWait = clock.Second
 
-// feedMode returns what to do about rows whose view was last confirmed at a time.
+// feedMode returns what to do about rows whose view was last confirmed at a time. All daemons of a
+// fleet may start at once, so one that does not know its place yet reads the rows only once, and
+// none takes the place of others for the age of a view that it did not hold before.
 func (d *Daemon) feedMode(known bool, confirmedAt clock.Millis) feed.Mode {
 	switch {
-	case d.fleet.FollowsStore(confirmedAt):
+	case !known && !d.fleet.HasRank():
+		return feed.Read
+	case d.fleet.FollowsStore(max(confirmedAt, d.startedAt)):
 		return feed.Follow
 	case !known:
 		return feed.Read
--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -108,6 +108,7 @@
 	logger      logrus.FieldLogger
 	incarnation string
 	seed        uint64
+	startedAt   clock.Millis
 
 	storeClient *http.Client
 	table       table.Client
@@ -166,6 +167,7 @@
 	if _, err := rand.Read(random[:]); err != nil {
 		return nil, err
 	}
+	d.startedAt = d.clock.Now()
 	d.incarnation = settings.Daemon.ID + "." + hex.EncodeToString(random[:6])
 	d.seed = binary.BigEndian.Uint64(random[8:])
 	d.baseTasks, d.holderTasks, d.leaseTasks = background.New(d.logger), background.New(d.logger), background.New(d.logger)
@@ -232,8 +234,7 @@
 		FollowsStore:     func() bool { return d.endpointsMode() == feed.Follow },
 		ReadChanges:      d.readChangedEndpoints,
 		StoreUnavailable: func() bool { return d.documentFeed.Failing() || d.endpointsFeed.Failing() }, Rand: d.random(2),
-		LacksStoreContact: func() bool { return d.documentFeed.LacksContact() || d.endpointsFeed.LacksContact() },
-		HighestFence:      func() uint64 { return d.lease.HighestFence() }, FirstStart: d.settings.Daemon.FirstStart,
+		HighestFence: func() uint64 { return d.lease.HighestFence() }, FirstStart: d.settings.Daemon.FirstStart,
 		Crashes: fleet.Crashes{
 			Fingerprint: func() uint64 { return d.crashes.Fingerprint() },
 			Sync: func(ctx context.Context, address string, fingerprint uint64) {
--- a/internal/peer/fleet/fleet.go
+++ b/internal/peer/fleet/fleet.go
@@ -77,11 +77,8 @@
 	// that this daemon holds. It returns an error unless this daemon follows them.
 	ReadChanges func(ctx context.Context) ([]roster.Endpoint, error)
 	// StoreUnavailable reports whether this daemon failed to read the store when it
-	// last tried.
+	// last tried, or has waited too long for an answer.
 	StoreUnavailable func() bool
-	// LacksStoreContact reports whether this daemon calls the store and gets no answer, so that
-	// others must not leave the store to it.
-	LacksStoreContact func() bool
 	// HighestFence returns the highest fence of the lease that this daemon has seen in
 	// the store.
 	HighestFence func() uint64
@@ -226,6 +223,14 @@
 	return f.view.LeaderRank(f.config.Clock.Now())
 }
 
+// HasRank reports whether this daemon knows its place in the order of the fleet. It does not
+// before the first answers of the others.
+func (f *Fleet) HasRank() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.HasRank(f.config.Clock.Now())
+}
+
 // KnownFence returns the highest fence of the lease that this daemon or any that it heard
 // of has seen.
 func (f *Fleet) KnownFence() uint64 {
--- a/internal/peer/fleet/peer.go
+++ b/internal/peer/fleet/peer.go
@@ -77,7 +77,7 @@
 
 func (f *Fleet) updateContacts(ctx context.Context) {
 	now := f.config.Clock.Now()
-	storeUnavailable := f.config.LacksStoreContact()
+	storeUnavailable := f.config.StoreUnavailable()
 	f.mu.Lock()
 	f.view.SetStoreUnavailable(storeUnavailable)
 	removed := f.view.Expire(now)
--- a/internal/peer/topology/role.go
+++ b/internal/peer/topology/role.go
@@ -245,14 +245,19 @@
 // A daemon has no place yet, and its rank is unranked, while it waits for the first answer
 // of any VM, or of one that may precede it.
 func (v *View) LeaderRank(now clock.Millis) int {
-	preceding := v.preceding()
-	mayFollow := firstInState(now, preceding, (*candidate).state, undecided) != nil
-	if v.awaitsFirstAnswer(now) || (mayFollow && firstResponding(now, preceding) == nil) {
+	if !v.HasRank(now) {
 		return unranked
 	}
 	return v.leaderRank(now, (*candidate).state)
 }
 
+// HasRank reports whether this daemon knows its place in the order of the fleet.
+func (v *View) HasRank(now clock.Millis) bool {
+	preceding := v.preceding()
+	mayFollow := firstInState(now, preceding, (*candidate).state, undecided) != nil
+	return !v.awaitsFirstAnswer(now) && (!mayFollow || firstResponding(now, preceding) != nil)
+}
+
 // awaitsFirstAnswer reports whether no VM has answered yet, though some may.
 func (v *View) awaitsFirstAnswer(now clock.Millis) bool {
 	awaited := false
--- a/internal/platform/feed/feed.go
+++ b/internal/platform/feed/feed.go
@@ -8,8 +8,8 @@
 // come back from a copy.
 //
 // A call that hangs is no contact: when no answer has come in time, a Follower in mode
-// Follow counts as failing and sends a further attempt on another connection, beside those
-// that are out. The first answer counts.
+// Follow sends a further attempt on another connection, beside those that are out, and
+// counts as failing. The first answer counts.
 //
 // With the rows of each response, the Follower passes asOf, the time at which the
 // rows were certainly current. This is when the attempt was sent, since the response
@@ -140,12 +140,6 @@
 	return f.contact.isFailing()
 }
 
-// LacksContact reports whether the store does not answer a Follower that calls it. That is also
-// so while the first call is out.
-func (f *Follower) LacksContact() bool {
-	return f.contact.isMissing(f.config.Clock.Now())
-}
-
 // Run reads the rows and their changes until ctx is canceled, and returns its
 // error. It retries failed calls with jitter.
 func (f *Follower) Run(ctx context.Context) error {
@@ -154,7 +148,6 @@
 		delay := modeCheckInterval
 		if mode == Follow || mode == Read && !f.hasSnapshot {
 			sentAt := f.config.Clock.Now()
-			f.contact.begin(sentAt)
 			err := f.step(ctx)
 			if ctx.Err() != nil {
 				return ctx.Err()
@@ -162,7 +155,7 @@
 			f.recordResult(err)
 			delay = f.delayAfter(mode, err, f.config.Clock.Now()-sentAt)
 		} else {
-			f.contact.end()
+			f.contact.reset()
 		}
 		f.recordPassedOn(mode)
 		if err := f.config.Clock.Sleep(ctx, delay); err != nil {
@@ -243,7 +236,7 @@
 		wait = min(wait, shortWait)
 	}
 	after := f.position
-	got := f.call(ctx, wait, func(ctx context.Context, wait clock.Millis) (page table.Page, err error) {
+	got := f.callChanges(ctx, wait, func(ctx context.Context, wait clock.Millis) (page table.Page, err error) {
 		page.Rows, page.At, err = f.config.Feed.Changes(ctx, f.config.Prefix, after, wait)
 		return page, err
 	})
@@ -308,7 +301,7 @@
 // together; the error is table.ErrHistoryGone then, and the snapshot begins anew.
 func (f *Follower) readPage(ctx context.Context) (page table.Page, err error) {
 	after := f.partial.lastKey()
-	got := f.call(ctx, 0, func(ctx context.Context, _ clock.Millis) (table.Page, error) {
+	got := f.callPage(ctx, func(ctx context.Context, _ clock.Millis) (table.Page, error) {
 		return f.config.Feed.ReadPage(ctx, f.config.Prefix, after)
 	})
 	if got.err != nil {
@@ -355,21 +348,24 @@
 	}
 }
 
-// recordOverdue records that the attempts of a call are out for longer than they may be.
-func (f *Follower) recordOverdue(mode Mode, after clock.Millis, attempts int) {
-	eventOverdue.Log(f.config.Logger, logrus.Fields{"Prefix": f.config.Prefix, "Attempts": attempts, "Waited": int64(after), "Follows": mode == Follow})
+// recordOverdue records that the attempts of a call are out for longer than they may be, and reports
+// whether another one is to be sent.
+func (f *Follower) recordOverdue(attempts int, after clock.Millis) (again bool) {
+	again = f.config.Mode() == Follow
+	eventOverdue.Log(f.config.Logger, logrus.Fields{"Prefix": f.config.Prefix, "Attempts": attempts, "Waited": int64(after), "Follows": again})
+	if !again {
+		f.contact.reset()
+		return false
+	}
 	if f.config.DropIdleConnections != nil {
 		f.config.DropIdleConnections()
 	}
-	if mode == Follow {
-		f.recordFailure(errOverdue)
-	}
+	return true
 }
 
 // recordResult updates the state after a call.
 func (f *Follower) recordResult(err error) {
 	switch {
-	case errors.Is(err, errNotNeeded):
 	case err != nil && !errors.Is(err, table.ErrHistoryGone):
 		f.recordFailure(err)
 	default:
--- a/internal/platform/feed/hedge.go
+++ b/internal/platform/feed/hedge.go
@@ -13,17 +13,17 @@
 const (
 	// callTimeout is the maximum time of a call with all its attempts.
 	callTimeout = 5 * clock.Second
-	// overdueMargin is how much longer than its wait the first attempt may take before a second
-	// one is sent beside it, and hedgeInterval the least time between two attempts.
-	overdueMargin = 500 * clock.Millisecond
-	hedgeInterval = clock.Second
+	// overdueMargin is how much longer than its wait an attempt of a call for changes may take
+	// before another one is sent beside it, and minOverdueTime the least time between the two.
+	overdueMargin  = 500 * clock.Millisecond
+	minOverdueTime = clock.Second
+	// pageOverdueTime is how long an attempt to read a page may take. Pages are long, and
+	// many daemons may read them at once.
+	pageOverdueTime = 1500 * clock.Millisecond
 	// maxAttempts is the maximum number of attempts of one call.
-	maxAttempts = int(callTimeout / hedgeInterval)
+	maxAttempts = int(callTimeout / minOverdueTime)
 )
 
-// errNotNeeded means that a call was given up, since this daemon is not to read the rows now.
-var errNotNeeded = errors.New("feed: the rows are not to be read now")
-
 // attemptFunc sends one attempt of a call, for which the store may wait for changes.
 type attemptFunc func(ctx context.Context, wait clock.Millis) (table.Page, error)
 
@@ -41,7 +41,9 @@
 }
 
 // hedgedCall is a call that is sent again beside the attempts which are out: an answer that the
-// store has lost never comes, while a slow store still answers the first attempt.
+// store has lost never comes, while a slow store still answers the first attempt. The first
+// answer counts. The call fails when all attempts have failed, and after callTimeout. Only
+// a daemon that follows the rows sends further attempts.
 type hedgedCall struct {
 	clock clock.Clock
 	send  attemptFunc
@@ -51,33 +53,52 @@
 	sent, out int
 }
 
-// call sends a call and returns the first answer. While this daemon follows the rows, it sends
-// a further attempt each time that no answer has come in time. It fails when all attempts have
-// failed, after callTimeout, and with errNotNeeded when the mode becomes Idle.
-func (f *Follower) call(ctx context.Context, wait clock.Millis, send attemptFunc) answer {
+// callChanges sends a call that waits for changes.
+func (f *Follower) callChanges(ctx context.Context, wait clock.Millis, send attemptFunc) answer {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
-	c := &hedgedCall{clock: f.config.Clock, send: send, answers: make(chan answer, maxAttempts)}
+	c := f.newCall(send)
 	c.start(ctx, wait)
-	overdueAfter := max(wait+overdueMargin, hedgeInterval)
-	for {
-		if first, done := c.await(ctx, overdueAfter); done {
+	for overdueTime := max(wait+overdueMargin, minOverdueTime); ; overdueTime = minOverdueTime {
+		if first, done := c.await(ctx, overdueTime); done {
 			return first
 		}
-		mode := f.config.Mode()
-		if mode == Idle {
-			return answer{err: errNotNeeded}
-		}
-		f.recordOverdue(mode, overdueAfter, c.sent)
-		if mode == Follow && c.sent < maxAttempts {
+		if f.recordOverdue(c.sent, overdueTime) {
+			f.recordFailure(errOverdue)
 			c.start(ctx, min(wait, shortWait))
 		}
-		overdueAfter = hedgeInterval
 	}
 }
 
-// start sends a further attempt.
+// callPage sends a call that reads a page. Only the second attempt without an answer means that the
+// store does not answer.
+func (f *Follower) callPage(ctx context.Context, send attemptFunc) answer {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
+	defer cancel()
+	c := f.newCall(send)
+	c.start(ctx, 0)
+	for {
+		if first, done := c.await(ctx, pageOverdueTime); done {
+			return first
+		}
+		if f.recordOverdue(c.sent, pageOverdueTime) {
+			if c.sent > 1 {
+				f.recordFailure(errOverdue)
+			}
+			c.start(ctx, 0)
+		}
+	}
+}
+
+func (f *Follower) newCall(send attemptFunc) *hedgedCall {
+	return &hedgedCall{clock: f.config.Clock, send: send, answers: make(chan answer, maxAttempts)}
+}
+
+// start sends a further attempt, unless there were too many.
 func (c *hedgedCall) start(ctx context.Context, wait clock.Millis) {
+	if c.sent == maxAttempts {
+		return
+	}
 	c.sent++
 	c.out++
 	go c.run(ctx, answer{sentAt: c.clock.Now(), wait: wait})
