serve: a read of the store that hung is followed by another at once

What callers saw: after a silence of the store a daemon of "banyanshift serve" could rest on a configuration that was confirmed more than 3 s before the store answered again, and refuse requests for that (ErrIsolated), though the store answered.

Cause: a read of a silent store hangs for 2 s, and the whole interval of up to 1.25 s followed it: 3.25 s, beyond the age of 3 s up to which a configuration is proof of freshness (docs/design/configuration.md).

Now the time of a read counts towards the interval. While the store is silent a relay reads each 2 s instead of each 3 s; the number of relays does not change.

--- a/internal/config/follow/fleet_test.go
+++ b/internal/config/follow/fleet_test.go
@@ -56,8 +56,10 @@
 // faultyStore is one daemon's client of the shared store. It can be down.
 // beforeCommit can delay a commit, and afterCommit can change its result.
 type faultyStore struct {
-	mu           sync.Mutex
-	down         bool
+	mu   sync.Mutex
+	down bool
+	// silent makes calls that read rows hang until their context ends.
+	silent       bool
 	beforeCommit func()
 	afterCommit  func(table.Txn, error) error
 	table        table.Client
@@ -69,6 +71,18 @@
 	s.down = down
 }
 
+func (s *faultyStore) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+}
+
+func (s *faultyStore) isSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent
+}
+
 func (s *faultyStore) unavailable() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -87,6 +101,10 @@
 			if s.unavailable() {
 				return nil, table.ErrUnavailable
 			}
+			if s.isSilent() {
+				<-ctx.Done()
+				return nil, table.ErrUnknown
+			}
 			return s.table.Scan(ctx, prefix, after, limit)
 		},
 		Commit: func(ctx context.Context, txn table.Txn) error {
--- a/internal/config/follow/store.go
+++ b/internal/config/follow/store.go
@@ -45,17 +45,21 @@
 }
 
 // loopPoll reads the store at each interval while this daemon is a relay, and
-// at random intervals while its state may be stale.
+// at random intervals while its state may be stale. The time of a read counts towards the
+// interval, so that one that hung is followed by another at once.
 func (f *Follower) loopPoll(ctx context.Context) error {
-	reachable := true
+	reachable, took := true, clock.Millis(0)
 	for {
-		if err := f.wait(ctx, f.jitter(f.config.Timing.PollInterval), nil); err != nil {
+		if err := f.wait(ctx, f.jitter(f.config.Timing.PollInterval)-took, nil); err != nil {
 			return err
 		}
+		took = 0
 		if !f.shouldPoll() {
 			continue
 		}
+		began := f.clock.Now()
 		err := f.poll(ctx)
+		took = f.clock.Now() - began
 		if (err == nil) != reachable {
 			reachable = err == nil
 			f.logReachable(err)
