gateway: the log says by whose confirmation a gateway serves, and how old it is

From one gateway's lines nobody could tell whether the configuration that it served by was confirmed, by whom, and when: a peer's confirmation was passed on with its age, without its source, and a call to the store that hung for seconds left no line.

The line for overdue calls (2014) comes once a call.

--- a/internal/config/document/holder.go
+++ b/internal/config/document/holder.go
@@ -27,6 +27,8 @@
 	Era uint64
 	// AsOf is a time at which the store certainly held what was read.
 	AsOf clock.Millis
+	// Source is the ID of the daemon that read the store, empty if it is not known.
+	Source string
 }
 
 // Holder keeps the latest document received and the time at which it was last
@@ -134,7 +136,9 @@
 	if reading.Era > h.confirmed.Era {
 		h.confirmed.Era = reading.Era
 	}
-	h.confirmed.AsOf = max(h.confirmed.AsOf, reading.AsOf)
+	if reading.AsOf > h.confirmed.AsOf {
+		h.confirmed.AsOf, h.confirmed.Source = reading.AsOf, reading.Source
+	}
 }
 
 // Current returns the index of the document, or nil if there is none, and the
--- a/internal/daemon/gateway/events.go
+++ b/internal/daemon/gateway/events.go
@@ -61,6 +61,7 @@
 		if list := d.roster.State(); list.Known {
 			gaugeEndpointsAge.Set(int64(now - list.AsOf))
 		}
+		d.confirmations.log(now)
 		d.scheduler.UpdateMetrics()
 		gaugeDaemons.Set(int64(d.fleet.DaemonCount()))
 		gaugeInFlight.Set(int64(d.handler.InFlight()))
--- a/internal/daemon/gateway/follow.go
+++ b/internal/daemon/gateway/follow.go
@@ -95,7 +95,7 @@
 		}
 		r.index, r.raw = index, row.Value
 	}
-	if r.index != nil && d.document.Update(r.index, r.raw, document.Reading{Era: at.Era, AsOf: asOf}) {
+	if r.index != nil && d.document.Update(r.index, r.raw, document.Reading{Era: at.Era, AsOf: asOf, Source: d.settings.Daemon.ID}) {
 		eventVersion.Log(d.logger, logrus.Fields{"Version": r.index.Version(), "Era": at.Era, "Revision": at.Revision})
 		d.applyEndpoints()
 		d.fleet.Announce()
--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -115,7 +115,9 @@
 	feed        table.Feed
 	eras        *billing.EraWatch
 	document    *document.Holder
-	drains      *drain.Holder
+	// confirmations logs how old the confirmation of the document is.
+	confirmations *confirmationLog
+	drains        *drain.Holder
 	// documentFeed and endpointsFeed read the store while this daemon is to.
 	documentFeed, endpointsFeed *feed.Follower
 	roster                      *roster.Roster
@@ -214,6 +216,7 @@
 	d.eras = billing.NewEraWatch(d.clock, d.settings.Daemon.FirstStart)
 	d.table, d.feed = rows.WithObserver(d.clock, d.observeStoreCall), changes.WithObserver(d.clock, d.observeStoreCall)
 	d.document, d.drains = document.NewHolder(), drain.NewHolder()
+	d.confirmations = &confirmationLog{document: d.document, logger: d.logger}
 	d.roster = roster.New(d.clock, d.settings.Bounds.DrainTime, d.handleEndpoints)
 	d.tally = tally.New(d.incarnation, d.settings.Bounds.UsageWindow)
 	rules := budget.Rules{Ratio: d.settings.Bounds.RetryRatio, FixedRetries: d.settings.Bounds.RetryExtra, Window: d.settings.Bounds.RetryWindow}
--- a/internal/peer/fleet/message.go
+++ b/internal/peer/fleet/message.go
@@ -59,21 +59,23 @@
 }
 
 // documentState is the configuration that a daemon holds. Age is the time since the
-// store, in the era Era, was last known to hold it.
+// store, in the era Era, was last known to hold it. Source is the ID of the daemon that the store
+// answered then, empty if a peer is of a release that does not tell.
 type documentState struct {
 	document.Identity
-	Era uint64
-	Age clock.Millis
+	Era    uint64
+	Age    clock.Millis
+	Source string
 }
 
 func newDocumentState(identity document.Identity, confirmed document.Reading, now clock.Millis) documentState {
-	return documentState{Identity: identity, Era: confirmed.Era, Age: now - confirmed.AsOf}
+	return documentState{Identity: identity, Era: confirmed.Era, Age: now - confirmed.AsOf, Source: confirmed.Source}
 }
 
 // reading returns the reading that confirmed the configuration, for an answer to a call
 // that was sent at a time.
 func (s documentState) reading(sentAt clock.Millis) document.Reading {
-	return document.Reading{Era: s.Era, AsOf: sentAt - s.Age}
+	return document.Reading{Era: s.Era, AsOf: sentAt - s.Age, Source: s.Source}
 }
 
 // report is what happened at a daemon since its last report. First and Ended list
--- a/internal/platform/feed/feed.go
+++ b/internal/platform/feed/feed.go
@@ -348,11 +348,14 @@
 	}
 }
 
-// recordOverdue records that the attempts of a call are out for longer than they may be, and reports
-// whether another one is to be sent.
-func (f *Follower) recordOverdue(attempts int, after clock.Millis) (again bool) {
+// recordOverdue records that no attempt of a call was answered in time, and reports whether another
+// one is to be sent.
+func (f *Follower) recordOverdue(c *hedgedCall, after clock.Millis) (again bool) {
 	again = f.config.Mode() == Follow
-	eventOverdue.Log(f.config.Logger, logrus.Fields{"Prefix": f.config.Prefix, "Attempts": attempts, "Waited": int64(after), "Follows": again})
+	if !c.overdue {
+		c.overdue = true
+		eventOverdue.Log(f.config.Logger, logrus.Fields{"Prefix": f.config.Prefix, "Waited": int64(after), "Follows": again})
+	}
 	if !again {
 		f.contact.reset()
 		return false
--- a/internal/platform/feed/hedge.go
+++ b/internal/platform/feed/hedge.go
@@ -51,6 +51,8 @@
 	answers chan answer
 	// sent is the number of attempts, and out that of those without an answer.
 	sent, out int
+	// overdue is set once an attempt was not answered in time.
+	overdue bool
 }
 
 // callChanges sends a call that waits for changes.
@@ -63,7 +65,7 @@
 		if first, done := c.await(ctx, overdueTime); done {
 			return first
 		}
-		if f.recordOverdue(c.sent, overdueTime) {
+		if f.recordOverdue(c, overdueTime) {
 			f.recordFailure(errOverdue)
 			c.start(ctx, min(wait, shortWait))
 		}
@@ -81,7 +83,7 @@
 		if first, done := c.await(ctx, pageOverdueTime); done {
 			return first
 		}
-		if f.recordOverdue(c.sent, pageOverdueTime) {
+		if f.recordOverdue(c, pageOverdueTime) {
 			if c.sent > 1 {
 				f.recordFailure(errOverdue)
 			}
