feed: the test of a reader beside an outage starts beside it

TestReaderBacksOffWhileTheStoreIsDown failed now and then with 0 calls after the outage. Its Follower ran before the test took the store down, so it could read the rows at once and then rightly made no call at all, neither beside the outage nor after it. The store is down from the start now; the bounds are the same.

--- a/internal/platform/feed/feed_test.go
+++ b/internal/platform/feed/feed_test.go
@@ -281,9 +281,11 @@
 	calls atomic.Int64
 }
 
-func newModeFixture(t *testing.T, mode feed.Mode) *modeFixture {
+// newModeFixture starts a Follower of a store that is down or not.
+func newModeFixture(t *testing.T, mode feed.Mode, down bool) *modeFixture {
 	m := &modeFixture{clock: clock.NewManual(1000)}
 	m.mode.Store(int64(mode))
+	m.down.Store(down)
 	logger, _ := logtest.NewNullLogger()
 	read := func() ([]table.Row, table.Position, error) {
 		m.calls.Add(1)
@@ -341,7 +343,7 @@
 }
 
 func TestIdleFollowerMakesNoCalls(t *testing.T) {
-	m := newModeFixture(t, feed.Idle)
+	m := newModeFixture(t, feed.Idle, false)
 	if calls := m.callsIn(10 * clock.Second); calls != 0 {
 		t.Errorf("%d calls while idle, want none", calls)
 	}
@@ -359,8 +361,7 @@
 // TestReaderBacksOffWhileTheStoreIsDown guards against an outage during which each
 // daemon of a large fleet that has just started calls the store several times a second.
 func TestReaderBacksOffWhileTheStoreIsDown(t *testing.T) {
-	m := newModeFixture(t, feed.Read)
-	m.down.Store(true)
+	m := newModeFixture(t, feed.Read, true)
 	m.callsIn(10 * clock.Second)
 	if calls := m.callsIn(30 * clock.Second); calls > 15 {
 		t.Errorf("%d calls in 30 s of an outage, want at most one in 2 s", calls)
