--- a/internal/daemon/gateway/confirmation.go
+++ b/internal/daemon/gateway/confirmation.go
@@ -27,6 +27,7 @@
 	last    document.Reading
 }
 
+// log logs a change since its last call. now is the time of the clock of the readings.
 func (l *confirmationLog) log(now clock.Millis) {
 	identity, confirmed, known := l.document.Identity()
 	age := now - confirmed.AsOf
--- a/internal/peer/topology/role.go
+++ b/internal/peer/topology/role.go
@@ -300,6 +300,7 @@
 // FollowsStore reports whether the daemon is to follow the store, if what it holds of
 // the store was last confirmed at a time. It takes the place of VMs that are late, and of
 // those that say that they use the store while nobody's confirmation is recent.
+// It records that this daemon begins to do so, since it goes on for standInTime.
 func (v *View) FollowsStore(now, confirmedAt clock.Millis) bool {
 	if v.leaderRank(now, (*candidate).newsState) < storeFollowers {
 		return true
